Serve a request from end to end, thin, as separate processes

Cause: nothing existed.

Ruled out: aiohttp-sse for streamed answers, since it refuses POST.

Conclusion: a base to thicken part by part. Nothing is measured yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+PYTHON ?= python3
+VENV ?= .venv
+PY := $(VENV)/bin/python
+JOBS ?= 6
+STAMP := $(VENV)/.installed
+
+.PHONY: setup lint format test demo bench dist lock
+
+setup: $(STAMP)
+
+$(STAMP): requirements/dev.lock
+	test -x $(PY) || $(PYTHON) -m venv $(VENV)
+	$(PY) -m pip install --quiet --disable-pip-version-check \
+	    -r requirements/dev.lock
+	touch $(STAMP)
+
+lint: setup
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m flake8
+
+format: setup
+	$(PY) -m ruff format .
+
+test: lint
+	$(PY) -m pytest -n $(JOBS) --dist worksteal
+
+demo: setup
+	$(PY) -m examples.demo
+
+bench: setup
+	$(PY) -m bench run steady --seed 1 --out out/bench
+
+dist: setup
+	mkdir -p dist
+	$(PY) -m shiv --quiet -c sycamoreshed -o dist/sycamoreshed \
+	    --no-modify --reproducible -r requirements/run.lock . 
+
+lock:
+	$(PY) -m piptools compile --quiet --strip-extras --no-emit-index-url \
+	    --no-emit-trusted-host --no-emit-find-links \
+	    -o requirements/run.lock pyproject.toml
+	$(PY) -m piptools compile --quiet --strip-extras --no-emit-index-url \
+	    --no-emit-trusted-host --no-emit-find-links --extra dev --allow-unsafe \
+	    -o requirements/dev.lock pyproject.toml
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""A gallery of examples that run."""
--- /dev/null
+++ b/standins/instances.py
@@ -0,0 +1,52 @@
+"""Stand-in for the platform's lagging list of instances."""
+
+import collections
+import time
+
+from aiohttp import web
+
+from standins import registry
+
+__all__ = ["LaggingList"]
+
+
+class LaggingList:
+    """Shows each change only after a lag.
+
+    Parameters
+    ----------
+    lag_s : float
+        Seconds after which a change is shown.
+    """
+
+    def __init__(self, *, lag_s):
+        self._lag_s = lag_s
+        self._shown = []
+        self._pending = collections.deque()
+
+    def routes(self):
+        """Return the routes of the service."""
+        return [
+            web.get("/instances", self.get),
+            web.put("/instances", self.put),
+        ]
+
+    async def get(self, _http):
+        """Answer with the list as it was some time ago."""
+        now = time.monotonic()
+        while self._pending and self._pending[0][0] <= now:
+            self._shown = self._pending.popleft()[1]
+        return web.json_response({"instances": self._shown})
+
+    async def put(self, http):
+        """Replace the list."""
+        body = await http.json()
+        due = time.monotonic() + self._lag_s
+        self._pending.append((due, body["instances"]))
+        return web.json_response({"pending": len(self._pending)})
+
+
+@registry.KINDS.register("instances")
+def instances(spec, faults):
+    """Make a lagging list."""
+    return LaggingList(lag_s=spec.get("lag_s", 0.0))
--- /dev/null
+++ b/standins/objects.py
@@ -0,0 +1,39 @@
+"""Stand-in for the platform's object store."""
+
+from aiohttp import web
+
+from standins import registry
+
+__all__ = ["ObjectStore"]
+
+
+class ObjectStore:
+    """Named blobs."""
+
+    def __init__(self):
+        self._objects = {}
+
+    def routes(self):
+        """Return the routes of the service."""
+        return [
+            web.get("/objects/{name}", self.get),
+            web.put("/objects/{name}", self.put),
+        ]
+
+    async def get(self, http):
+        """Answer with one object."""
+        raw = self._objects.get(http.match_info["name"])
+        if raw is None:
+            return web.json_response({"error": "no object"}, status=404)
+        return web.Response(body=raw, content_type="application/json")
+
+    async def put(self, http):
+        """Store one object."""
+        self._objects[http.match_info["name"]] = await http.read()
+        return web.json_response({"stored": True})
+
+
+@registry.KINDS.register("objects")
+def objects(spec, faults):
+    """Make an object store."""
+    return ObjectStore()
--- /dev/null
+++ b/standins/services.py
@@ -0,0 +1,142 @@
+"""Stand-ins for pools of encoders and the like, and plain services."""
+
+import asyncio
+import collections
+
+from aiohttp import web
+
+from standins import registry
+
+__all__ = ["PlainService", "Pool", "identity"]
+
+
+def identity(body):
+    """Return the three names that tie an answer to its call."""
+    return {name: body[name] for name in ("request", "stage", "attempt")}
+
+
+class Pool:
+    """Answers a call with its payload, marked with the stage.
+
+    Parameters
+    ----------
+    faults : Faults
+    slots : int
+        Calls served at a time; more wait.
+    seconds : float
+        Time of one call.
+    """
+
+    def __init__(self, *, faults, slots, seconds):
+        self._faults = faults
+        self._slots = asyncio.Semaphore(slots)
+        self._seconds = seconds
+        self._last = None
+        self.served = 0
+        self.cancelled = set()
+
+    def routes(self):
+        """Return the routes of the endpoint."""
+        return [
+            web.post("/call", self.call),
+            web.post("/cancel", self.cancel),
+            web.get("/load", self.load),
+            web.get("/counts", self.counts),
+        ]
+
+    async def call(self, http):
+        """Serve one call."""
+        body = await http.json()
+        async with self._slots:
+            await asyncio.sleep(self._seconds)
+        self.served += 1
+        answer = {**identity(body), "output": self.output(body)}
+        answer, self._last = self._maybe_swapped(answer), answer
+        return web.json_response(answer)
+
+    def output(self, body):
+        """Return the output of a call."""
+        return {"stage": body["stage"], "of": body["payload"]}
+
+    async def cancel(self, http):
+        """Note a cancelled attempt."""
+        body = await http.json()
+        self.cancelled.add(body["attempt"])
+        return web.json_response({"cancelled": True})
+
+    async def load(self, _http):
+        """Report the load."""
+        return web.json_response({"served": self.served})
+
+    async def counts(self, _http):
+        """Report what was served, for tests."""
+        return web.json_response(
+            {"served": self.served, "cancelled": len(self.cancelled)}
+        )
+
+    def _maybe_swapped(self, answer):
+        share = self._faults.spec.get("swap", 0.0)
+        if self._last is not None and self._faults.hits(share):
+            return self._last
+        return answer
+
+
+class PlainService(Pool):
+    """Counts how often each key ran; can be asked what became of a key."""
+
+    def __init__(self, *, faults, slots, seconds):
+        super().__init__(faults=faults, slots=slots, seconds=seconds)
+        self._runs = collections.Counter()
+        self._outputs = {}
+
+    def routes(self):
+        """Return the routes of the endpoint."""
+        return [
+            *super().routes(),
+            web.post("/lookup", self.look_up),
+            web.get("/runs", self.runs),
+        ]
+
+    def output(self, body):
+        """Run the call's effect and return its output."""
+        key = body.get("key")
+        if key is None:
+            return super().output(body)
+        self._runs[key] += 1
+        output = {"recorded": key, "run": self._runs[key]}
+        self._outputs[key] = output
+        return output
+
+    async def look_up(self, http):
+        """Tell what became of a key."""
+        body = await http.json()
+        key = body["key"]
+        if key not in self._runs:
+            return web.json_response({"state": "never"})
+        return web.json_response(
+            {"state": "ran", "output": self._outputs[key]}
+        )
+
+    async def runs(self, _http):
+        """Report how often each key ran."""
+        return web.json_response(self._runs)
+
+
+@registry.KINDS.register("pool")
+def pool(spec, faults):
+    """Make one endpoint of a pool."""
+    return Pool(
+        faults=faults,
+        slots=spec.get("slots", 8),
+        seconds=spec.get("seconds", 0.002),
+    )
+
+
+@registry.KINDS.register("plain")
+def plain(spec, faults):
+    """Make one endpoint of a plain service."""
+    return PlainService(
+        faults=faults,
+        slots=spec.get("slots", 8),
+        seconds=spec.get("seconds", 0.002),
+    )
--- /dev/null
+++ b/standins/table.py
@@ -0,0 +1,104 @@
+"""Stand-in for the platform's table service."""
+
+import bisect
+
+from aiohttp import web
+
+from standins import registry
+
+__all__ = ["TableStore"]
+
+
+class TableStore:
+    """Rows with versions, and transactions on them."""
+
+    def __init__(self, *, faults):
+        self._faults = faults
+        self._rows = {}
+        self._keys = []
+        self._versions = 0
+        self.reads = 0
+        self.writes = 0
+
+    def routes(self):
+        """Return the routes of the service."""
+        return [
+            web.get("/rows/{key}", self.read),
+            web.get("/scan", self.scan),
+            web.post("/transact", self.transact),
+            web.get("/counts", self.counts),
+        ]
+
+    async def read(self, http):
+        """Answer with one row."""
+        self.reads += 1
+        key = http.match_info["key"]
+        if key not in self._rows:
+            return web.json_response({"error": "no row"}, status=404)
+        return web.json_response(self._row(key))
+
+    async def scan(self, http):
+        """Answer with the rows of a prefix after a key."""
+        self.reads += 1
+        prefix = http.query["prefix"]
+        after = http.query.get("after", "")
+        limit = int(http.query.get("limit", "1000"))
+        start = bisect.bisect_left(self._keys, prefix)
+        if after:
+            start = max(start, bisect.bisect_right(self._keys, after))
+        rows = []
+        for key in self._keys[start:]:
+            if not key.startswith(prefix) or len(rows) == limit:
+                break
+            rows.append(self._row(key))
+        return web.json_response({"rows": rows})
+
+    async def transact(self, http):
+        """Write all rows or none."""
+        body = await http.json()
+        self.writes += 1
+        stale = [
+            write["key"]
+            for write in body["writes"]
+            if self._version(write["key"]) != write["if_version"]
+        ]
+        if stale:
+            rows = [self._row(key) for key in stale]
+            return web.json_response({"conflicts": rows}, status=409)
+        versions = [self._put(write) for write in body["writes"]]
+        return web.json_response({"versions": versions})
+
+    async def counts(self, _http):
+        """Answer with how often the service was used."""
+        return web.json_response(
+            {
+                "reads": self.reads,
+                "writes": self.writes,
+                "rows": len(self._rows),
+            }
+        )
+
+    def _version(self, key):
+        return self._rows[key][1] if key in self._rows else 0
+
+    def _row(self, key):
+        value, version = self._rows.get(key, (None, 0))
+        return {"key": key, "value": value, "version": version}
+
+    def _put(self, write):
+        key = write["key"]
+        if write["value"] is None:
+            if self._rows.pop(key, None) is not None:
+                del self._keys[bisect.bisect_left(self._keys, key)]
+            return 0
+        if key not in self._rows:
+            bisect.insort(self._keys, key)
+        self._versions += 1
+        self._rows[key] = (write["value"], self._versions)
+        return self._versions
+
+
+@registry.KINDS.register("table")
+def table(spec, faults):
+    """Make a table service."""
+    return TableStore(faults=faults)
--- /dev/null
+++ b/sycamoreshed/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""One narrow module for each outside interface."""
--- /dev/null
+++ b/sycamoreshed/adapters/instancelist.py
@@ -0,0 +1,65 @@
+"""The platform's list of live and leaving instances, which lags."""
+
+import typing
+
+from sycamoreshed.adapters import web
+from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
+
+__all__ = ["InstanceList", "Listed"]
+
+
+class Listed(typing.NamedTuple):
+    """An instance as the platform lists it.
+
+    Parameters
+    ----------
+    name, address, zone : str
+        ``address`` is the control address.
+    state : str
+        ``live`` or ``leaving``.
+    generation : int
+        Grows with each state the instance takes.
+    """
+
+    name: str
+    address: str
+    zone: str
+    state: str
+    generation: int
+
+
+class InstanceList:
+    """Client of the instance list."""
+
+    def __init__(self, *, session, address, timeout):
+        self._session = session
+        self._address = address
+        self._timeout = timeout
+
+    async def read(self):
+        """Return a list of `Listed`, or Failure."""
+        reply = await web.fetch(
+            self._session,
+            "GET",
+            self._address,
+            "/instances",
+            timeout=self._timeout,
+        )
+        if isinstance(reply, kinds.Failure):
+            return reply._replace(kind=kinds.Kind.STORE_AWAY)
+        if reply.status != 200:
+            return kinds.Failure(
+                kinds.Kind.STORE_AWAY, f"status {reply.status}"
+            )
+        return [Listed(**item) for item in reply.body["instances"]]
+
+
+@kernel.plugin("instance_list", needs=("web",))
+async def instance_list(core):
+    """Provide the client of the instance list."""
+    yield InstanceList(
+        session=core.part("web"),
+        address=core.settings.instance_list,
+        timeout=core.settings.store_timeout_s,
+    )
--- /dev/null
+++ b/sycamoreshed/adapters/objects.py
@@ -0,0 +1,57 @@
+"""The platform's object store: named blobs of JSON."""
+
+import urllib.parse
+
+from sycamoreshed.adapters import web
+from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
+
+__all__ = ["Objects"]
+
+
+class Objects:
+    """Client of the object store."""
+
+    def __init__(self, *, session, address, timeout):
+        self._session = session
+        self._address = address
+        self._timeout = timeout
+
+    async def get(self, name):
+        """Return an object, None if there is none, or Failure."""
+        reply = await self._fetch("GET", name)
+        if isinstance(reply, kinds.Failure):
+            return reply
+        return None if reply.status == 404 else reply.body
+
+    async def put(self, name, value):
+        """Store an object; return True or Failure."""
+        reply = await self._fetch("PUT", name, body=value)
+        return reply if isinstance(reply, kinds.Failure) else True
+
+    async def _fetch(self, method, name, *, body=None):
+        reply = await web.fetch(
+            self._session,
+            method,
+            self._address,
+            "/objects/" + urllib.parse.quote(name, safe=""),
+            timeout=self._timeout,
+            body=body,
+        )
+        if isinstance(reply, kinds.Failure):
+            return reply._replace(kind=kinds.Kind.STORE_AWAY)
+        if reply.status >= 500:
+            return kinds.Failure(
+                kinds.Kind.STORE_AWAY, f"status {reply.status}", sent=True
+            )
+        return reply
+
+
+@kernel.plugin("objects", needs=("web",))
+async def objects(core):
+    """Provide the client of the object store."""
+    yield Objects(
+        session=core.part("web"),
+        address=core.settings.objects,
+        timeout=4 * core.settings.store_timeout_s,
+    )
--- /dev/null
+++ b/sycamoreshed/adapters/web.py
@@ -0,0 +1,98 @@
+"""The one HTTP client of a daemon, and JSON over it."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
+
+__all__ = ["Reply", "fetch"]
+
+# Errors raised before a request's first byte can have left.
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.InvalidURL)
+ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+class Reply(typing.NamedTuple):
+    """An HTTP answer, whole.
+
+    Parameters
+    ----------
+    status : int
+    body : object
+        Decoded JSON, or None.
+    size : int
+        Bytes of the body.
+    """
+
+    status: int
+    body: typing.Any
+    size: int
+
+
+async def fetch(session, method, address, path, *, timeout, body=None):
+    """Send one request and return the whole answer.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+    method : str
+    address : str
+        ``IP:port``.
+    path : str
+    timeout : float
+        Seconds for all of it.
+    body : object, optional
+        Sent as JSON.
+
+    Returns
+    -------
+    Reply or Failure
+        A failure is of kind ``refused``; its ``sent`` tells whether the
+        request may have reached the other side.
+    """
+    data = None if body is None else msgspec.json.encode(body)
+    try:
+        async with session.request(
+            method,
+            f"http://{address}{path}",
+            data=data,
+            headers={"Content-Type": "application/json"},
+            timeout=aiohttp.ClientTimeout(total=max(timeout, 0.001)),
+        ) as response:
+            raw = await response.read()
+            decoded = msgspec.json.decode(raw) if raw else None
+            return Reply(response.status, decoded, len(raw))
+    except _NOT_SENT as err:
+        return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=False)
+    except ERRORS as err:
+        return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=True)
+    except msgspec.DecodeError as err:
+        return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=True)
+
+
+def describe(error):
+    """Return a short text for an exception."""
+    return f"{type(error).__name__}: {error}"
+
+
+@kernel.plugin("web")
+async def web(core):
+    """Provide the client session shared by all adapters.
+
+    Notes
+    -----
+    Connections leave from the instance's own address, so that what is
+    between instances can tell where they come from.
+    """
+    host, _, _ = core.settings.control.rpartition(":")
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=30,
+        local_addr=(host.strip("[]"), 0),
+    )
+    async with aiohttp.ClientSession(connector=connector) as session:
+        yield session
--- /dev/null
+++ b/sycamoreshed/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Deciding which requests may start, and when."""
--- /dev/null
+++ b/sycamoreshed/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/sycamoreshed/cli/client.py
@@ -0,0 +1,67 @@
+"""Asking an instance over its control address, for the commands."""
+
+import asyncio
+import enum
+import json
+import sys
+import typing
+
+import aiohttp
+import cyclopts
+
+from sycamoreshed.adapters import web
+from sycamoreshed.errors import kinds
+from sycamoreshed.settings import schema
+
+__all__ = ["AsJson", "Control", "Exit", "ask", "fetch", "show"]
+
+TIMEOUT_S = 10.0
+
+Control = typing.Annotated[
+    str, cyclopts.Parameter(help="Control address (IP:port) of an instance.")
+]
+AsJson = typing.Annotated[
+    bool, cyclopts.Parameter(name="--json", help="Print JSON.")
+]
+
+
+class Exit(enum.IntEnum):
+    """Exit codes."""
+
+    DONE = 0
+    REFUSED = 1
+    INVALID = 2
+    UNKNOWN = 3
+    UNREACHABLE = 4
+
+
+def ask(control, method, path, *, body=None, as_json=False):
+    """Send one request, print the answer, return the exit code."""
+    schema.check_address(control, source="--control", path="$")
+    reply = asyncio.run(fetch(control, method, path, body))
+    if isinstance(reply, kinds.Failure):
+        print(reply.reason, file=sys.stderr)
+        return Exit.UNREACHABLE
+    show(reply.body, as_json)
+    if reply.status < 400:
+        return Exit.DONE
+    if reply.body.get("outcome") == kinds.Outcome.OUTCOME_UNKNOWN:
+        return Exit.UNKNOWN
+    return Exit.REFUSED
+
+
+async def fetch(control, method, path, body=None):
+    """Send one request; return `Reply` or `Failure`."""
+    async with aiohttp.ClientSession() as session:
+        return await web.fetch(
+            session, method, control, path, timeout=TIMEOUT_S, body=body
+        )
+
+
+def show(body, as_json):
+    """Print an answer, as JSON or a line for each key."""
+    if as_json:
+        print(json.dumps(body))
+        return
+    for key, value in body.items():
+        print(f"{key}: {value}")
--- /dev/null
+++ b/sycamoreshed/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration that release notes decide."""
--- /dev/null
+++ b/sycamoreshed/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The interface towards callers."""
--- /dev/null
+++ b/sycamoreshed/entry/parsing.py
@@ -0,0 +1,113 @@
+"""Reading a caller's request; costs no endpoint any work."""
+
+import math
+import typing
+import uuid
+
+import msgspec
+
+from sycamoreshed.errors import kinds
+from sycamoreshed.pipeline import requests
+from sycamoreshed.pipeline import runner
+
+__all__ = ["Ask", "check", "parse"]
+
+TEAM = "Team"
+KEY = "Idempotency-Key"
+DEADLINE = "Deadline-Ms"
+PRIORITY = "Priority"
+LONGEST_KEY = 200
+LONGEST_DEADLINE_MS = 600_000.0
+
+
+class Body(typing.TypedDict):
+    """The JSON body of a call."""
+
+    input: typing.Any
+    stream: typing.NotRequired[bool]
+
+
+class Ask(typing.NamedTuple):
+    """A caller's request as parsed."""
+
+    request: requests.Request
+    stream: bool
+
+
+def check(config, team, pipeline, region):
+    """Return a failure if the team may not call the pipeline, or None."""
+    if config.entry("teams", team) is None:
+        return kinds.Failure(kinds.Kind.UNKNOWN_TEAM, f"team {team!r}")
+    if pipeline in config.withdrawn:
+        return kinds.Failure(kinds.Kind.WITHDRAWN, f"pipeline {pipeline!r}")
+    spec = config.entry("pipelines", pipeline)
+    if spec is None:
+        return kinds.Failure(
+            kinds.Kind.UNKNOWN_PIPELINE, f"pipeline {pipeline!r}"
+        )
+    if spec.get("teams") and team not in spec["teams"]:
+        return kinds.Failure(kinds.Kind.NOT_ASSIGNED, f"team {team!r}")
+    if spec.get("regions") and region not in spec["regions"]:
+        return kinds.Failure(kinds.Kind.NOT_ASSIGNED, f"region {region!r}")
+    return None
+
+
+def parse(headers, pipeline, raw, *, config, region, now):
+    """Check headers and body of a call.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+    pipeline : str
+    raw : bytes
+    config : Config
+        In force now; the request keeps it.
+    region : str
+        Of this instance.
+    now : float
+        Monotonic seconds.
+
+    Returns
+    -------
+    Ask or Failure
+    """
+    team = headers.get(TEAM, "")
+    refusal = check(config, team, pipeline, region)
+    if refusal is not None:
+        return refusal
+    spec = config.entry("pipelines", pipeline)
+    try:
+        body = msgspec.json.decode(raw, type=Body)
+        seconds = _deadline(headers, spec)
+        priority = int(headers.get(PRIORITY, "1"))
+    except (msgspec.MsgspecError, ValueError) as err:
+        return kinds.Failure(kinds.Kind.BAD_REQUEST, str(err))
+    key = headers.get(KEY)
+    critical = runner.unrepeatable_stage(config, pipeline)
+    if critical is not None and not key:
+        reason = f"stage {critical['name']!r} may not be repeated"
+        return kinds.Failure(kinds.Kind.KEY_MISSING, reason)
+    if critical is not None and body.get("stream"):
+        # A stream cannot be repeated to a later caller byte for byte.
+        reason = f"stage {critical['name']!r} may not be streamed"
+        return kinds.Failure(kinds.Kind.BAD_REQUEST, reason)
+    if key is not None and len(key) > LONGEST_KEY:
+        return kinds.Failure(kinds.Kind.BAD_REQUEST, f"{KEY} too long")
+    request = requests.Request(
+        id=uuid.uuid4().hex,
+        team=team,
+        pipeline=pipeline,
+        config=config,
+        deadline=now + seconds,
+        body=body["input"],
+        key=key if critical is not None else None,
+        priority=priority,
+    )
+    return Ask(request, body.get("stream", False))
+
+
+def _deadline(headers, spec):
+    value = float(headers.get(DEADLINE, spec["deadline_ms"]))
+    if not math.isfinite(value) or not 0 < value <= LONGEST_DEADLINE_MS:
+        raise ValueError(f"{DEADLINE} must be over 0, at most 600000")
+    return value / 1000
--- /dev/null
+++ b/sycamoreshed/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Error kinds and the answers they become."""
--- /dev/null
+++ b/sycamoreshed/errors/kinds.py
@@ -0,0 +1,173 @@
+"""The closed list of error kinds and the answer each becomes.
+
+Failures inside are values of `Failure`: a kind and a reason.  Only this
+module knows what a caller is told for a kind.
+"""
+
+import enum
+import typing
+
+__all__ = ["ANSWERS", "Answer", "Failure", "Kind", "Outcome", "answer_for"]
+
+
+class Outcome(enum.StrEnum):
+    """What a caller may conclude about its request."""
+
+    COMPLETE = "complete"
+    NOT_RUN = "not-run"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    FAILED = "failed"
+    LATE = "late"
+    SHED = "shed"
+
+
+class Kind(enum.StrEnum):
+    """All error kinds there are."""
+
+    BAD_REQUEST = "bad-request"
+    TOO_LARGE = "too-large"
+    UNKNOWN_TEAM = "unknown-team"
+    NOT_ASSIGNED = "not-assigned"
+    UNKNOWN_PIPELINE = "unknown-pipeline"
+    WITHDRAWN = "withdrawn"
+    KEY_MISSING = "key-missing"
+    KEY_CONFLICT = "key-conflict"
+    KEY_UNKNOWN = "key-unknown"
+    KEY_EXPIRED = "key-expired"
+    IN_PROGRESS = "in-progress"
+    NOT_READY = "not-ready"
+    DRAINING = "draining"
+    SHED = "shed"
+    OVER_LIMIT = "over-limit"
+    HOPELESS = "hopeless"
+    NO_ENDPOINT = "no-endpoint"
+    STORE_AWAY = "store-away"
+    REFUSED = "refused"
+    STAGE_FAILED = "stage-failed"
+    BROKEN_STREAM = "broken-stream"
+    STRAY_ANSWER = "stray-answer"
+    LATE = "late"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    NOTE_INVALID = "note-invalid"
+    NOTE_CONFLICT = "note-conflict"
+    NOTE_UNKNOWN = "note-unknown"
+    LEASE_LOST = "lease-lost"
+    INTERNAL = "internal"
+
+
+class Failure(typing.NamedTuple):
+    """A failure as a value.
+
+    Parameters
+    ----------
+    kind : Kind
+    reason : str
+        For people; never parsed.
+    sent : bool
+        Whether anything may have left for an endpoint.  False is a
+        promise: the work truly did not start.
+    retry_after : float or None
+        Seconds after which trying again makes sense.
+    """
+
+    kind: Kind
+    reason: str
+    sent: bool = False
+    retry_after: float | None = None
+
+
+class Answer(typing.NamedTuple):
+    """How a kind is told to a caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    title : str
+        Title of the problem details (RFC 9457).
+    outcome : Outcome
+        What the caller may conclude when nothing was sent.
+    retry_after : float or None
+        Seconds for ``Retry-After`` when the failure names none.
+    """
+
+    status: int
+    title: str
+    outcome: Outcome
+    retry_after: float | None = None
+
+
+_RAN = {Outcome.NOT_RUN: Outcome.FAILED, Outcome.SHED: Outcome.FAILED}
+
+ANSWERS = {
+    Kind.BAD_REQUEST: Answer(400, "Bad request", Outcome.NOT_RUN),
+    Kind.TOO_LARGE: Answer(413, "Request too large", Outcome.NOT_RUN),
+    Kind.UNKNOWN_TEAM: Answer(403, "Unknown team", Outcome.NOT_RUN),
+    Kind.NOT_ASSIGNED: Answer(
+        403, "Pipeline not assigned to the team", Outcome.NOT_RUN
+    ),
+    Kind.UNKNOWN_PIPELINE: Answer(404, "Unknown pipeline", Outcome.NOT_RUN),
+    Kind.WITHDRAWN: Answer(410, "Pipeline withdrawn", Outcome.NOT_RUN),
+    Kind.KEY_MISSING: Answer(400, "Idempotency-Key required", Outcome.NOT_RUN),
+    Kind.KEY_CONFLICT: Answer(
+        422, "Idempotency-Key used with another body", Outcome.NOT_RUN
+    ),
+    Kind.KEY_UNKNOWN: Answer(404, "Unknown key", Outcome.NOT_RUN),
+    Kind.KEY_EXPIRED: Answer(410, "Key expired", Outcome.OUTCOME_UNKNOWN),
+    Kind.IN_PROGRESS: Answer(
+        409, "Request in progress", Outcome.OUTCOME_UNKNOWN, 1.0
+    ),
+    Kind.NOT_READY: Answer(503, "Not ready", Outcome.NOT_RUN, 1.0),
+    Kind.DRAINING: Answer(503, "Draining", Outcome.NOT_RUN, 0.0),
+    Kind.SHED: Answer(503, "Shed", Outcome.SHED, 1.0),
+    Kind.OVER_LIMIT: Answer(429, "Over the limit", Outcome.NOT_RUN, 1.0),
+    Kind.HOPELESS: Answer(503, "Deadline cannot be met", Outcome.NOT_RUN, 1.0),
+    Kind.NO_ENDPOINT: Answer(503, "No endpoint", Outcome.NOT_RUN, 1.0),
+    Kind.STORE_AWAY: Answer(503, "Store away", Outcome.NOT_RUN, 2.0),
+    Kind.REFUSED: Answer(502, "Endpoint refused", Outcome.NOT_RUN, 1.0),
+    Kind.STAGE_FAILED: Answer(502, "Stage failed", Outcome.FAILED, 1.0),
+    Kind.BROKEN_STREAM: Answer(502, "Broken stream", Outcome.FAILED, 1.0),
+    Kind.STRAY_ANSWER: Answer(502, "Stray answer", Outcome.FAILED, 1.0),
+    Kind.LATE: Answer(504, "Deadline passed", Outcome.LATE),
+    Kind.OUTCOME_UNKNOWN: Answer(
+        504, "Outcome unknown", Outcome.OUTCOME_UNKNOWN, 1.0
+    ),
+    Kind.NOTE_INVALID: Answer(400, "Invalid note", Outcome.NOT_RUN),
+    Kind.NOTE_CONFLICT: Answer(409, "Note conflict", Outcome.NOT_RUN),
+    Kind.NOTE_UNKNOWN: Answer(
+        503, "Note outcome unknown", Outcome.OUTCOME_UNKNOWN, 2.0
+    ),
+    Kind.LEASE_LOST: Answer(409, "Lease lost", Outcome.NOT_RUN),
+    Kind.INTERNAL: Answer(500, "Internal error", Outcome.FAILED),
+}
+
+
+def answer_for(failure):
+    """Return the answer of a failure, with its true outcome.
+
+    Parameters
+    ----------
+    failure : Failure
+
+    Returns
+    -------
+    Answer
+
+    Notes
+    -----
+    "Not run" is told only when nothing was sent: a kind whose table
+    entry says not-run or shed is told as failed once something was.
+
+    Examples
+    --------
+    >>> answer_for(Failure(Kind.SHED, "queue full")).outcome
+    <Outcome.SHED: 'shed'>
+    >>> answer_for(Failure(Kind.SHED, "queue full", sent=True)).outcome
+    <Outcome.FAILED: 'failed'>
+    """
+    answer = ANSWERS[failure.kind]
+    if failure.sent and answer.outcome in _RAN:
+        answer = answer._replace(outcome=_RAN[answer.outcome])
+    if failure.retry_after is not None:
+        answer = answer._replace(retry_after=failure.retry_after)
+    return answer
--- /dev/null
+++ b/sycamoreshed/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of what may not be repeated."""
--- /dev/null
+++ b/sycamoreshed/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The kernel and the registry of its plug-ins."""
--- /dev/null
+++ b/sycamoreshed/kernel/kernel.py
@@ -0,0 +1,169 @@
+"""The kernel: starts plug-ins in order of need, stops them in reverse.
+
+A plug-in is an asynchronous context manager that takes the kernel and
+yields its *part*, the object other plug-ins use.  Each plug-in registers
+itself with the names of the parts it needs.
+"""
+
+import asyncio
+import contextlib
+import time
+import typing
+
+from aiohttp import web
+from loguru import logger
+
+from sycamoreshed import exceptions
+
+__all__ = ["Kernel", "Plugin", "plugin", "start_order"]
+
+_plugins = {}
+
+
+class Plugin(typing.NamedTuple):
+    """A registered plug-in.
+
+    Parameters
+    ----------
+    name : str
+        Name of the part it provides.
+    needs : tuple of str
+        Parts that must be started before it.
+    start : callable
+        Takes the kernel, returns an asynchronous context manager.
+    """
+
+    name: str
+    needs: tuple
+    start: typing.Callable
+
+
+def plugin(name, *, needs=()):
+    """Return a decorator that registers an async generator as plug-in."""
+
+    def decorate(func):
+        if name in _plugins:
+            raise exceptions.RegistryError(
+                f"plug-in {name!r} is registered twice"
+            )
+        start = contextlib.asynccontextmanager(func)
+        _plugins[name] = Plugin(name=name, needs=needs, start=start)
+        return func
+
+    return decorate
+
+
+def start_order(plugins):
+    """Return plug-ins so that each comes after those it needs.
+
+    Parameters
+    ----------
+    plugins : dict of str to Plugin
+
+    Returns
+    -------
+    list of Plugin
+
+    Raises
+    ------
+    RegistryError
+        If a need is unknown or needs form a cycle.
+    """
+    order = []
+    done = set()
+    pending = set()
+
+    def visit(name, wanted_by):
+        if name in done:
+            return
+        if name not in plugins:
+            raise exceptions.RegistryError(
+                f"{wanted_by} needs unknown plug-in {name!r}"
+            )
+        if name in pending:
+            raise exceptions.RegistryError(f"cycle of needs at {name!r}")
+        pending.add(name)
+        for need in plugins[name].needs:
+            visit(need, name)
+        done.add(name)
+        order.append(plugins[name])
+
+    for name in sorted(plugins):
+        visit(name, "the kernel")
+    return order
+
+
+class Kernel:
+    """What a daemon's parts share: settings, clock, web apps, each other.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings of this daemon.
+    clock : callable, optional
+        Returns the monotonic time in seconds.
+    """
+
+    def __init__(self, *, settings, clock=time.monotonic):
+        self._parts = {}
+        self._tasks = set()
+        self._stopping = asyncio.Event()
+        self.settings = settings
+        self.clock = clock
+        self.public = web.Application(client_max_size=settings.max_body_bytes)
+        self.control = web.Application(
+            client_max_size=settings.max_control_bytes
+        )
+
+    @property
+    def stopping(self):
+        """Event that is set once a graceful shutdown has begun."""
+        return self._stopping
+
+    def part(self, name):
+        """Return the part a plug-in provides."""
+        return self._parts[name]
+
+    def spawn(self, coro, *, name):
+        """Run a coroutine as a task that ends with the kernel.
+
+        Notes
+        -----
+        A background task that dies of a fault would otherwise go
+        unnoticed until its work is missed, so its end is logged.
+        """
+        task = asyncio.create_task(coro, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+        return task
+
+    async def run(self, *, until):
+        """Start all plug-ins, wait for `until`, then stop them.
+
+        Parameters
+        ----------
+        until : coroutine function
+            Takes the kernel; its return begins the stop.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._cancel_tasks)
+            for entry in start_order(_plugins):
+                part = await stack.enter_async_context(entry.start(self))
+                self._parts[entry.name] = part
+            await until(self)
+
+    def _on_done(self, task):
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            logger.opt(exception=error).error(
+                "background task {} died", task.get_name()
+            )
+
+    async def _cancel_tasks(self):
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/sycamoreshed/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances and endpoints are alive."""
--- /dev/null
+++ b/sycamoreshed/notes/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: check, accept, spread."""
--- /dev/null
+++ b/sycamoreshed/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/sycamoreshed/observe/logs.py
@@ -0,0 +1,82 @@
+"""Logging: JSON lines, and one line for each decision."""
+
+import sys
+
+from loguru import logger
+import msgspec
+
+__all__ = ["DecisionLog", "set_up"]
+
+# A burst must not turn into a flood of lines that slows what it reports
+# on; beyond this rate lines are counted and the count is logged instead.
+LINES_PER_SECOND = 2000
+
+
+def _serialise(record):
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    return msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def _sink(message):
+    sys.stderr.write(_serialise(message.record) + "\n")
+
+
+def set_up(level):
+    """Send logs to standard error as one JSON object a line."""
+    logger.remove()
+    logger.add(_sink, level=level, format="{message}")
+
+
+class DecisionLog:
+    """Writes a line per routing or placement decision, within a bound.
+
+    Parameters
+    ----------
+    rate : int
+        Lines a second at the most.
+    """
+
+    def __init__(self, *, rate=LINES_PER_SECOND):
+        self._rate = rate
+        self._window = -1
+        self._count = 0
+        self._dropped = 0
+
+    @property
+    def dropped(self):
+        """Lines left out since the start."""
+        return self._dropped
+
+    def write(self, now, what, **fields):
+        """Log one decision at monotonic time `now` (seconds).
+
+        Parameters
+        ----------
+        now : float
+        what : str
+            Such as ``route`` or ``place``.
+        **fields
+            request, team, stage, candidates, choice, why.
+        """
+        window = int(now)
+        if window != self._window:
+            self._roll(window)
+        self._count += 1
+        if self._count > self._rate:
+            self._dropped += 1
+            return
+        logger.bind(decision=what, **fields).info("decision")
+
+    def _roll(self, window):
+        missed = self._count - self._rate
+        self._window = window
+        self._count = 0
+        if missed > 0:
+            logger.bind(lines=missed).warning("decision lines left out")
--- /dev/null
+++ b/sycamoreshed/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines, under a lease."""
--- /dev/null
+++ b/sycamoreshed/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Running a request through its stages."""
--- /dev/null
+++ b/sycamoreshed/pipeline/unary.py
@@ -0,0 +1,107 @@
+"""One unary stage: attempts, retries, and what an attempt's end means."""
+
+import asyncio
+import random
+import uuid
+
+from sycamoreshed.adapters import endpoints as adapters
+from sycamoreshed.errors import kinds
+
+__all__ = ["UnaryStage"]
+
+MOST_ATTEMPTS = 3
+BACKOFF_S = 0.02
+# An engine that dies at once is retried at once elsewhere; a retry that
+# cannot end in time would only load the endpoint.
+LEAST_TIME_S = 0.005
+
+
+class UnaryStage:
+    """Runs unary calls of stages.
+
+    Parameters
+    ----------
+    clock, client, router, membership, budget, metrics
+        Parts of the daemon.
+    """
+
+    def __init__(self, *, clock, client, router, membership, budget, metrics):
+        self._clock = clock
+        self._client = client
+        self._router = router
+        self._membership = membership
+        self._budget = budget
+        self._metrics = metrics
+
+    async def run(self, request, stage, payload, until, *, repeatable):
+        """Run a stage by `until` (monotonic seconds).
+
+        Returns
+        -------
+        StageAnswer or Failure
+        """
+        self._budget.earn()
+        tried = set()
+        sent = False
+        for attempt in range(MOST_ATTEMPTS):
+            now = self._clock()
+            if until - now < LEAST_TIME_S:
+                return kinds.Failure(kinds.Kind.LATE, "no time left", sent)
+            endpoint = self._router.choose(request, stage, now, avoid=tried)
+            if endpoint is None:
+                reason = f"no endpoint of {stage['service']}"
+                return kinds.Failure(kinds.Kind.NO_ENDPOINT, reason, sent)
+            tried.add(endpoint.name)
+            result = await self.attempt(
+                request, stage, payload, until, endpoint
+            )
+            if not isinstance(result, kinds.Failure):
+                return result
+            sent = sent or result.sent
+            if sent and not repeatable:
+                break
+            if not await self._may_retry(stage, result, attempt, until):
+                break
+        return result._replace(sent=sent)
+
+    async def attempt(self, request, stage, payload, until, endpoint):
+        """Send one call to one endpoint, and report its outcome."""
+        now = self._clock()
+        call = adapters.Call(
+            request=request.id,
+            stage=stage["name"],
+            attempt=uuid.uuid4().hex,
+            deadline_ms=(until - now) * 1000,
+            payload=payload,
+            key=request.key,
+            priority=request.priority,
+            adapter=stage.get("adapter"),
+        )
+        self._router.loads.begin(endpoint)
+        try:
+            result = await self._client.call(
+                endpoint, call, timeout=until - now
+            )
+        except asyncio.CancelledError:
+            # The caller went away: without this the endpoint would work
+            # on for nobody.
+            await adapters.cancel_quietly(self._client, endpoint, call)
+            raise
+        finally:
+            self._router.loads.end(endpoint)
+        failed = isinstance(result, kinds.Failure)
+        self._membership.report(endpoint, ok=not failed, now=self._clock())
+        if failed and result.sent:
+            await adapters.cancel_quietly(self._client, endpoint, call)
+        return result
+
+    async def _may_retry(self, stage, failure, attempt, until):
+        if attempt + 1 >= MOST_ATTEMPTS:
+            return False
+        if self._clock() + LEAST_TIME_S >= until:
+            return False
+        if not self._budget.spend():
+            return False
+        self._metrics.retries.labels(stage["name"], failure.kind).inc()
+        await asyncio.sleep(random.uniform(0, BACKOFF_S * 2**attempt))
+        return True
--- /dev/null
+++ b/sycamoreshed/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choosing an endpoint for a stage."""
--- /dev/null
+++ b/sycamoreshed/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of one daemon, checked on start."""
--- /dev/null
+++ b/sycamoreshed/settings/schema.py
@@ -0,0 +1,190 @@
+"""What a daemon's settings file holds, and how it is checked."""
+
+import ipaddress
+import pathlib
+import typing
+
+import msgspec
+
+from sycamoreshed import exceptions
+from sycamoreshed.settings import checking
+
+__all__ = ["Document", "Settings", "check_address", "load", "parse"]
+
+Positive = typing.Annotated[int, msgspec.Meta(gt=0)]
+Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
+ADDRESSES = (
+    "public",
+    "control",
+    "advertise",
+    "table",
+    "objects",
+    "instance_list",
+)
+LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+class Document(typing.TypedDict):
+    """The settings file as it is written; see `Settings`."""
+
+    instance: str
+    region: str
+    zone: str
+    public: str
+    control: str
+    table: str
+    objects: str
+    instance_list: str
+    peers: typing.NotRequired[list[str]]
+    advertise: typing.NotRequired[str]
+    routing: typing.NotRequired[str]
+    fairness: typing.NotRequired[str]
+    slots: typing.NotRequired[Positive]
+    queue: typing.NotRequired[Positive]
+    grace_s: typing.NotRequired[Seconds]
+    drain_s: typing.NotRequired[Seconds]
+    max_body_bytes: typing.NotRequired[Positive]
+    max_control_bytes: typing.NotRequired[Positive]
+    record_ttl_s: typing.NotRequired[Seconds]
+    store_timeout_s: typing.NotRequired[Seconds]
+    log_level: typing.NotRequired[LogLevel]
+
+
+class Settings(typing.NamedTuple):
+    """Settings of one entry instance.
+
+    Parameters
+    ----------
+    instance : str
+        Name of this instance, unique among live ones.
+    region, zone : str
+        Where it runs.
+    public : str
+        ``IP:port`` callers reach.
+    control : str
+        ``IP:port`` peers and operators reach.
+    table, objects, instance_list : str
+        ``IP:port`` of the platform's services.
+    peers : list of str
+        Control addresses of peers to meet first; more are learnt.
+    advertise : str
+        Control address told to peers; ``control`` when left out.
+    routing : str
+        Name of the routing policy.
+    fairness : str
+        Name of the admission order.
+    slots : int
+        Requests this instance runs at a time.
+    queue : int
+        Requests that may wait here.
+    grace_s : float
+        Seconds between ``/readyz`` failing and the end of accepting.
+    drain_s : float
+        Longest time for requests in flight after that.
+    max_body_bytes, max_control_bytes : int
+        Largest body of a caller's, of a peer's or operator's request.
+    record_ttl_s : float
+        How long a record of a non-repeatable request is kept.
+    store_timeout_s : float
+        Time for one call of the table service.
+    log_level : str
+        Least level that is logged.
+    """
+
+    instance: str
+    region: str
+    zone: str
+    public: str
+    control: str
+    table: str
+    objects: str
+    instance_list: str
+    peers: tuple = ()
+    advertise: str = ""
+    routing: str = "least_loaded"
+    fairness: str = "weighted_fair"
+    slots: int = 256
+    queue: int = 1024
+    grace_s: float = 1.0
+    drain_s: float = 30.0
+    max_body_bytes: int = 1 << 20
+    max_control_bytes: int = 1 << 26
+    record_ttl_s: float = 86400.0
+    store_timeout_s: float = 0.5
+    log_level: str = "INFO"
+
+
+def parse(raw, *, source):
+    """Check the bytes of a settings file.
+
+    Parameters
+    ----------
+    raw : bytes
+        JSON text.
+    source : str
+        Name for messages.
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    CheckError
+        Naming the place and what was expected.
+
+    Examples
+    --------
+    >>> parse(b'{"instance": 3}', source="a.json")
+    Traceback (most recent call last):
+        ...
+    sycamoreshed.exceptions.CheckError: a.json: $.instance: Expected `str`...
+    """
+    document = checking.decode(raw, Document, source=source)
+    document.setdefault("advertise", document["control"])
+    settings = Settings(**document)
+    for name in ADDRESSES:
+        check_address(getattr(settings, name), source=source, path=f"$.{name}")
+    for index, peer in enumerate(settings.peers):
+        check_address(peer, source=source, path=f"$.peers[{index}]")
+    return settings
+
+
+def load(path):
+    """Read and check a settings file.
+
+    Raises
+    ------
+    CheckError
+        If it cannot be read or is not valid.
+    """
+    try:
+        raw = pathlib.Path(path).read_bytes()
+    except OSError as err:
+        raise exceptions.CheckError(
+            source=str(path),
+            path="$",
+            expected=f"expected a readable file ({err.strerror})",
+        ) from None
+    return parse(raw, source=str(path))
+
+
+def check_address(text, *, source, path):
+    """Check that `text` is an ``IP:port`` address.
+
+    Raises
+    ------
+    CheckError
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        valid = 0 < int(port) < 65536
+    except ValueError:
+        valid = False
+    if not valid:
+        raise exceptions.CheckError(
+            source=source,
+            path=path,
+            expected=f"expected an IP:port address, got {text!r}",
+        )
--- /dev/null
+++ b/testkit/__init__.py
@@ -0,0 +1,1 @@
+"""Builders, real processes and the fault-injecting proxy for tests."""
