Let entry instances exchange messages and count who is live

Each instance knew only its own settings, so limits could not be shared out and a leaver was noticed only by failed calls.

--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -22,6 +22,7 @@
 from sycamoreshed.idempotency import once  # noqa: E402,F401
 from sycamoreshed.idempotency import records  # noqa: E402,F401
 from sycamoreshed.kernel import kernel  # noqa: E402
+from sycamoreshed.membership import gossip  # noqa: E402,F401
 from sycamoreshed.membership import membership  # noqa: E402,F401
 from sycamoreshed.notes import notes  # noqa: E402,F401
 from sycamoreshed.observe import logs  # noqa: E402
--- a/sycamoreshed/entry/operators.py
+++ b/sycamoreshed/entry/operators.py
@@ -20,6 +20,8 @@
         self._core = core
         self._notes = core.part("notes")
         self._admission = core.part("admission")
+        self._gossip = core.part("gossip")
+        self._membership = core.part("membership")
 
     def routes(self):
         """Return the routes of the interface."""
@@ -32,6 +34,7 @@
     async def status(self, _http):
         """Tell what this instance is and runs."""
         settings = self._core.settings
+        live = self._membership.live_instances(self._core.clock())
         return web.json_response(
             {
                 "instance": settings.instance,
@@ -40,11 +43,13 @@
                 "version": self._notes.config.version,
                 "in_flight": self._admission.in_flight,
                 "stopping": self._core.stopping.is_set(),
+                "live": live._asdict(),
             }
         )
 
     async def drain(self, _http):
-        """Begin a graceful shutdown."""
+        """Begin a graceful shutdown; peers hear of it at once."""
+        self._gossip.leave()
         self._core.stopping.set()
         return web.json_response({"stopping": True})
 
@@ -63,7 +68,9 @@
         return web.json_response({"accepted": note["id"], "version": result})
 
 
-@kernel.plugin("operators", needs=("admission", "notes"))
+@kernel.plugin(
+    "operators", needs=("admission", "gossip", "membership", "notes")
+)
 async def operators(core):
     """Provide the operators' interface."""
     part = Operators(core=core)
--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -1,6 +1,7 @@
 """Which endpoints may get new work."""
 
 from sycamoreshed.kernel import kernel
+from sycamoreshed.membership import members
 
 __all__ = ["Membership"]
 
@@ -15,10 +16,12 @@
     Parameters
     ----------
     notes : Notes
+    gossip : Gossip
     """
 
-    def __init__(self, *, notes):
+    def __init__(self, *, notes, gossip):
         self._notes = notes
+        self._gossip = gossip
         self._failures = {}
         self._ejected = {}
         self._leaving = set()
@@ -57,6 +60,17 @@
             return present
         return kept
 
+    def live_instances(self, now):
+        """Return how many entry instances are alive, and by zone.
+
+        Returns
+        -------
+        Live
+            Total and counts by zone; zones out of reach have none.
+            Made anew each time: for once a second, not for each request.
+        """
+        return members.count(self._gossip.alive(now))
+
     def report(self, endpoint, *, ok, now):
         """Take in the outcome of one call."""
         if ok:
@@ -72,7 +86,10 @@
         self._leaving.add(name)
 
 
-@kernel.plugin("membership", needs=("notes",))
+@kernel.plugin("membership", needs=("gossip", "notes"))
 async def membership(core):
     """Provide evidence about endpoints."""
-    yield Membership(notes=core.part("notes"))
+    yield Membership(
+        notes=core.part("notes"),
+        gossip=core.part("gossip"),
+    )
