--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -268,9 +269,13 @@
 
 async def _documents(running, reached, zones, changes):
     documents = []
+    # A network of its own for each cluster: daemons connect from their
+    # own addresses, and a connection of another cluster could otherwise
+    # hold the port that a daemon was given and has not bound yet.
+    network = f"127.{random.randrange(1, 255)}.{random.randrange(1, 255)}"
     for index, zone in enumerate(zones):
         # An address of its own, so that proxies can tell daemons apart.
-        own = f"127.0.1.{index + 1}"
+        own = f"{network}.{index + 1}"
         name = f"entry-{index + 1}"
         control = f"{own}:{free_port(own)}"
         advertise = control
