--- a/standins/objects.py
+++ b/standins/objects.py
@@ -18,6 +18,8 @@
         return [
             web.get("/objects/{name}", self.get),
             web.put("/objects/{name}", self.put),
+            web.delete("/objects/{name}", self.delete),
+            web.get("/names", self.names),
         ]
 
     async def get(self, http):
@@ -32,6 +34,17 @@
         self._objects[http.match_info["name"]] = await http.read()
         return web.json_response({"stored": True})
 
+    async def delete(self, http):
+        """Delete one object."""
+        gone = self._objects.pop(http.match_info["name"], None)
+        if gone is None:
+            return web.json_response({"error": "no object"}, status=404)
+        return web.json_response({"deleted": True})
+
+    async def names(self, _http):
+        """Answer with the names of all objects, for tests."""
+        return web.json_response({"names": sorted(self._objects)})
+
 
 @registry.KINDS.register("objects")
 def objects(spec, faults):
--- a/sycamoreshed/adapters/instancelist.py
+++ b/sycamoreshed/adapters/instancelist.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import msgspec
+
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -29,6 +31,18 @@
     generation: int
 
 
+class _Item(typing.TypedDict):
+    name: str
+    address: str
+    zone: str
+    state: typing.Literal["live", "leaving"]
+    generation: int
+
+
+class _Answer(typing.TypedDict):
+    instances: list[_Item]
+
+
 class InstanceList:
     """Client of the instance list."""
 
@@ -38,7 +52,13 @@
         self._timeout = timeout
 
     async def read(self):
-        """Return a list of `Listed`, or Failure."""
+        """Read the list.
+
+        Returns
+        -------
+        list of Listed, or Failure
+            Of kind ``store-away``, also for what is no list.
+        """
         reply = await web.fetch(
             self._session,
             "GET",
@@ -52,7 +72,11 @@
             return kinds.Failure(
                 kinds.Kind.STORE_AWAY, f"status {reply.status}"
             )
-        return [Listed(**item) for item in reply.body["instances"]]
+        try:
+            answer = msgspec.convert(reply.body, _Answer)
+        except msgspec.ValidationError as err:
+            return kinds.Failure(kinds.Kind.STORE_AWAY, str(err))
+        return [Listed(**item) for item in answer["instances"]]
 
 
 @kernel.plugin("instance_list", needs=("web",))
--- a/sycamoreshed/adapters/objects.py
+++ b/sycamoreshed/adapters/objects.py
@@ -22,12 +22,34 @@
         reply = await self._fetch("GET", name)
         if isinstance(reply, kinds.Failure):
             return reply
-        return None if reply.status == 404 else reply.body
+        if reply.status == 404:
+            return None
+        return reply.body if reply.status == 200 else _refused(reply)
 
     async def put(self, name, value):
-        """Store an object; return True or Failure."""
+        """Store an object.
+
+        Returns
+        -------
+        True or Failure
+            A failure with ``sent`` true means that it may be stored.
+        """
         reply = await self._fetch("PUT", name, body=value)
-        return reply if isinstance(reply, kinds.Failure) else True
+        if isinstance(reply, kinds.Failure):
+            return reply
+        return True if reply.status == 200 else _refused(reply)
+
+    async def delete(self, name):
+        """Delete an object, whether there is one or not.
+
+        Returns
+        -------
+        True or Failure
+        """
+        reply = await self._fetch("DELETE", name)
+        if isinstance(reply, kinds.Failure):
+            return reply
+        return True if reply.status in (200, 404) else _refused(reply)
 
     async def _fetch(self, method, name, *, body=None):
         reply = await web.fetch(
@@ -47,6 +69,12 @@
         return reply
 
 
+def _refused(reply):
+    return kinds.Failure(
+        kinds.Kind.STORE_AWAY, f"status {reply.status}", sent=False
+    )
+
+
 @kernel.plugin("objects", needs=("web",))
 async def objects(core):
     """Provide the client of the object store."""
--- a/sycamoreshed/cli/note.py
+++ b/sycamoreshed/cli/note.py
@@ -1,6 +1,7 @@
 """Commands on release notes."""
 
 import pathlib
+import urllib.parse
 
 import cyclopts
 
@@ -10,14 +11,27 @@
 
 __all__ = ["app"]
 
+NOTES = "/control/notes"
+
 app = cyclopts.App(name="note", help="Check and apply release notes.")
 
 
 @app.command
-def check(file: pathlib.Path, /):
-    """Check a release note without applying it."""
-    _read_note(file)
-    print(f"{file}: valid")
+def check(
+    file: pathlib.Path,
+    /,
+    *,
+    control: client.Control | None = None,
+    as_json: client.AsJson = False,
+):
+    """Check a release note, with --control also against what runs."""
+    note = _read_note(file)
+    if control is None:
+        client.show({"valid": note["id"]}, as_json)
+        return client.Exit.DONE
+    return client.ask(
+        control, "POST", f"{NOTES}/check", body=note, as_json=as_json
+    )
 
 
 @app.command
@@ -30,9 +44,46 @@
 ):
     """Apply a release note."""
     note = _read_note(file)
-    return client.ask(
-        control, "POST", "/control/notes", body=note, as_json=as_json
-    )
+    return client.ask(control, "POST", NOTES, body=note, as_json=as_json)
+
+
+@app.command
+def show(
+    *,
+    control: client.Control,
+    at: int | None = None,
+    as_json: client.AsJson = False,
+):
+    """Show the configuration in force, or the one of a version."""
+    query = "" if at is None else f"?at={at}"
+    return client.ask(control, "GET", f"{NOTES}/show{query}", as_json=as_json)
+
+
+@app.command
+def history(
+    *,
+    control: client.Control,
+    limit: int = 20,
+    as_json: client.AsJson = False,
+):
+    """Show the last accepted notes, who wrote them and when."""
+    path = f"{NOTES}/history?limit={limit}"
+    return client.ask(control, "GET", path, as_json=as_json)
+
+
+@app.command
+def status(
+    *,
+    control: client.Control,
+    note_id: str | None = None,
+    as_json: client.AsJson = False,
+):
+    """Show which version is in force where; with --note-id, its outcome."""
+    query = ""
+    if note_id is not None:
+        query = "?" + urllib.parse.urlencode({"id": note_id})
+    path = f"{NOTES}/status{query}"
+    return client.ask(control, "GET", path, as_json=as_json)
 
 
 def _read_note(file):
--- a/sycamoreshed/config/schema.py
+++ b/sycamoreshed/config/schema.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "SECTIONS",
+    "Document",
     "EndpointSpec",
     "Note",
     "PipelineSpec",
@@ -114,6 +115,14 @@
     placements: typing.NotRequired[list[str]]
 
 
+class Document(typing.TypedDict):
+    """A whole configuration, as snapshots and peers hold it."""
+
+    version: int
+    sections: Sections
+    withdrawn: list[str]
+
+
 class Note(typing.TypedDict):
     """A release note, written on version ``base``."""
 
--- a/sycamoreshed/config/state.py
+++ b/sycamoreshed/config/state.py
@@ -1,11 +1,19 @@
-"""The configuration in force, and how a release note changes it."""
+"""The configuration in force, and how a release note changes it.
+
+A version shares with the one before every section that a note leaves
+alone, so that 35,000 teams are copied only by a note on teams, and then
+only the table of their names and not what it refers to.
+"""
 
 import typing
 
+import msgspec
+
+from sycamoreshed.config import changes
+from sycamoreshed.config import references
 from sycamoreshed.config import schema
 from sycamoreshed import exceptions
 from sycamoreshed.settings import checking
-from sycamoreshed.settings import schema as settings_schema
 
 __all__ = [
     "EMPTY",
@@ -14,6 +22,8 @@
     "apply_note",
     "check_note",
     "compile_config",
+    "document",
+    "from_document",
 ]
 
 DEFAULT_SLOTS = 8
@@ -131,7 +141,10 @@
         If the note adds what exists, changes or withdraws what does not,
         or leaves a reference without its target.
     """
-    sections = {key: dict(config.sections[key]) for key in schema.SECTIONS}
+    touched = changes.touched(note)
+    sections = dict(config.sections)
+    for section in touched:
+        sections[section] = dict(sections[section])
     _merge(sections, note.get("added", {}), "added", False, source)
     _merge(sections, note.get("changed", {}), "changed", True, source)
     withdrawn = set(config.withdrawn)
@@ -142,9 +155,32 @@
                 _refuse(source, path, f"{name!r} does not exist")
             if section == "pipelines":
                 withdrawn.add(name)
-    withdrawn -= set(sections["pipelines"])
-    _check_references(sections, source)
-    return compile_config(config.version + 1, sections, withdrawn)
+    withdrawn.difference_update(sections["pipelines"])
+    references.check(sections, note, source=source)
+    return _derive(config, sections, withdrawn, touched)
+
+
+def document(config):
+    """Return a configuration as a `schema.Document`."""
+    return schema.Document(
+        version=config.version,
+        sections=config.sections,
+        withdrawn=sorted(config.withdrawn),
+    )
+
+
+def from_document(body):
+    """Return the `Config` of a document made by `document`.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If it is not one.
+    """
+    checked = msgspec.convert(body, schema.Document)
+    return compile_config(
+        checked["version"], checked["sections"], checked["withdrawn"]
+    )
 
 
 def check_note(raw, *, source):
@@ -173,45 +209,17 @@
             sections[section][name] = spec
 
 
-def _check_references(sections, source):
-    zones = {
-        zone for spec in sections["regions"].values() for zone in spec["zones"]
-    }
-    for name, spec in sections["endpoints"].items():
-        path = f"$.endpoints.{name}"
-        settings_schema.check_address(
-            spec["address"], source=source, path=f"{path}.address"
-        )
-        if spec["service"] not in sections["services"]:
-            _refuse(source, path, f"no service {spec['service']!r}")
-        if spec["zone"] not in zones:
-            _refuse(source, path, f"no zone {spec['zone']!r}")
-    for name, spec in sections["pipelines"].items():
-        _check_pipeline(sections, name, spec, source)
-    for name, spec in sections["placements"].items():
-        for zone in spec["replicas"]:
-            if zone not in zones:
-                _refuse(source, f"$.placements.{name}", f"no zone {zone!r}")
-
-
-def _check_pipeline(sections, name, spec, source):
-    path = f"$.pipelines.{name}"
-    unrepeatable = 0
-    for stage in spec["stages"]:
-        service = sections["services"].get(stage["service"])
-        if service is None:
-            _refuse(source, path, f"no service {stage['service']!r}")
-        unrepeatable += not service.get("repeatable", True)
-    if unrepeatable > 1:
-        # One record answers for one call; two would need a record each
-        # and could leave the first done and the second not.
-        _refuse(source, path, "more than one stage may not be repeated")
-    for team in spec.get("teams", ()):
-        if team not in sections["teams"]:
-            _refuse(source, path, f"no team {team!r}")
-    for region in spec.get("regions", ()):
-        if region not in sections["regions"]:
-            _refuse(source, path, f"no region {region!r}")
+def _derive(config, sections, withdrawn, touched):
+    """Build the next version, sharing with the last what is the same."""
+    if not touched.isdisjoint(("regions", "endpoints")):
+        return compile_config(config.version + 1, sections, withdrawn)
+    return Config(
+        version=config.version + 1,
+        sections=sections,
+        withdrawn=frozenset(withdrawn),
+        endpoints=config.endpoints,
+        zones=config.zones,
+    )
 
 
 def _refuse(source, path, expected):
--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -17,6 +17,7 @@
 from sycamoreshed.adapters import web  # noqa: E402,F401
 from sycamoreshed.admission import admission  # noqa: E402,F401
 from sycamoreshed.entry import callers  # noqa: E402,F401
+from sycamoreshed.entry import noteroutes  # noqa: E402,F401
 from sycamoreshed.entry import operators  # noqa: E402,F401
 from sycamoreshed.entry import servers  # noqa: E402
 from sycamoreshed.idempotency import once  # noqa: E402,F401
@@ -24,7 +25,10 @@
 from sycamoreshed.kernel import kernel  # noqa: E402
 from sycamoreshed.membership import gossip  # noqa: E402,F401
 from sycamoreshed.membership import membership  # noqa: E402,F401
-from sycamoreshed.notes import notes  # noqa: E402,F401
+from sycamoreshed.notes import accepting  # noqa: E402,F401
+from sycamoreshed.notes import history  # noqa: E402,F401
+from sycamoreshed.notes import snapshots  # noqa: E402,F401
+from sycamoreshed.notes import spreading  # noqa: E402,F401
 from sycamoreshed.observe import logs  # noqa: E402
 from sycamoreshed.observe import metrics  # noqa: E402,F401
 from sycamoreshed.orders import orders  # noqa: E402,F401
--- a/sycamoreshed/entry/operators.py
+++ b/sycamoreshed/entry/operators.py
@@ -1,14 +1,8 @@
 """The operators' interface, on the control address."""
 
 from aiohttp import web
-import msgspec
 
-from sycamoreshed.config import schema
-from sycamoreshed.entry import problems
-from sycamoreshed.errors import kinds
-from sycamoreshed import exceptions
 from sycamoreshed.kernel import kernel
-from sycamoreshed.settings import checking
 
 __all__ = ["Operators"]
 
@@ -28,7 +22,6 @@
         return [
             web.get("/control/status", self.status),
             web.post("/control/drain", self.drain),
-            web.post("/control/notes", self.accept),
         ]
 
     async def status(self, _http):
@@ -53,20 +46,6 @@
         self._core.stopping.set()
         return web.json_response({"stopping": True})
 
-    async def accept(self, http):
-        """Accept a release note."""
-        raw = await http.read()
-        try:
-            document = msgspec.json.decode(raw)
-            note = checking.convert(document, schema.Note, source="note")
-        except (exceptions.CheckError, msgspec.DecodeError) as err:
-            failure = kinds.Failure(kinds.Kind.NOTE_INVALID, str(err))
-            return problems.response(failure)
-        result = await self._notes.accept(note)
-        if isinstance(result, kinds.Failure):
-            return problems.response(result)
-        return web.json_response({"accepted": note["id"], "version": result})
-
 
 @kernel.plugin(
     "operators", needs=("admission", "gossip", "membership", "notes")
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -40,7 +40,7 @@
     return runner
 
 
-@kernel.plugin("servers", needs=("callers", "operators"))
+@kernel.plugin("servers", needs=("callers", "note_routes", "operators"))
 async def servers(core):
     """Provide the listening sockets, after all routes are known."""
     settings = core.settings
--- a/sycamoreshed/membership/gossip.py
+++ b/sycamoreshed/membership/gossip.py
@@ -120,6 +120,16 @@
         """Whether this instance has told that it leaves."""
         return self._state == members.State.LEAVING
 
+    @property
+    def has_seeds(self):
+        """Whether any other instance is known, by address at least."""
+        return bool(self._seeds)
+
+    def address_of(self, name):
+        """Return the control address of an instance, or None."""
+        member = self._member(name)
+        return None if member is None else member.address
+
     def hang(self, name, *, write, read):
         """Hang a field on all messages; see `Field`."""
         self._fields[name] = Field(write=write, read=read)
--- a/sycamoreshed/notes/notes.py
+++ b/sycamoreshed/notes/notes.py
@@ -1,24 +1,19 @@
-"""Release notes: accepted by a conditional write, followed by reading."""
+"""Release notes: the configuration in force here, which only goes up."""
 
-import asyncio
+import collections
 
 from loguru import logger
 
-from sycamoreshed.adapters import table as tables
 from sycamoreshed.config import state
 from sycamoreshed.errors import kinds
 from sycamoreshed import exceptions
-from sycamoreshed.kernel import kernel
+from sycamoreshed.notes import rows
 
-__all__ = ["Notes", "note_key"]
+__all__ = ["Notes"]
 
-POLL_S = 1.0
-PREFIX = "notes/"
-
-
-def note_key(version):
-    """Return the row key of the note that makes `version`."""
-    return f"{PREFIX}{version:010d}"
+# Notes kept to bring peers up to date; older peers get all of it.
+RECENT = 200
+PAGE = 500
 
 
 class Notes:
@@ -27,12 +22,16 @@
     Parameters
     ----------
     table : Table
+    snapshots : Snapshots
     """
 
-    def __init__(self, *, table):
+    def __init__(self, *, table, snapshots):
         self._table = table
+        self._snapshots = snapshots
         self._config = state.EMPTY
-        self._caught_up = False
+        self._recent = collections.OrderedDict()
+        self._on_change = []
+        self._settled = False
 
     @property
     def config(self):
@@ -41,89 +40,123 @@
 
     @property
     def ready(self):
-        """Whether any accepted configuration is known."""
-        return self._config.version > 0
+        """Whether an accepted configuration is known and may be served."""
+        return self._settled and self._config.version > 0
 
-    async def follow(self):
-        """Read notes after the version in force and apply them.
+    def settle(self):
+        """Tell that those in reach have been asked for what is newest."""
+        self._settled = True
 
-        Returns
-        -------
-        Failure or None
-        """
-        rows = await self._table.scan(
-            PREFIX, after=note_key(self._config.version)
-        )
-        if isinstance(rows, kinds.Failure):
-            return rows
-        for row in rows:
-            self._advance(row.value)
-        return None
+    def on_change(self, func):
+        """Call a function without arguments after each change."""
+        self._on_change.append(func)
+
+    def advance(self, version, accepted):
+        """Bring the note that makes `version` into force.
 
-    async def accept(self, note):
-        """Accept a note if it is written on the latest version.
+        Parameters
+        ----------
+        version : int
+        accepted : Accepted
 
         Returns
         -------
-        int or Failure
-            The new version.
+        bool
+            False if it is not the next one: an old message changes
+            nothing, and after a gap the notes between come first.
         """
-        await self.follow()
+        if version != self._config.version + 1:
+            return False
         try:
-            config = state.apply_note(self._config, note)
+            config = state.apply_note(self._config, accepted["note"])
         except exceptions.CheckError as err:
-            return kinds.Failure(kinds.Kind.NOTE_INVALID, str(err))
-        key = note_key(note["base"] + 1)
-        if note["base"] != self._config.version:
-            return await self._explain_conflict(key, note)
-        write = tables.Write(key, note, tables.ABSENT)
-        result = await self._table.write(write)
-        if isinstance(result, tables.Written):
-            self._advance(note)
-            return config.version
-        return await self._explain_conflict(key, note)
-
-    async def _explain_conflict(self, key, note):
-        row = await self._table.read(key)
-        if isinstance(row, kinds.Failure):
-            return kinds.Failure(
-                kinds.Kind.NOTE_UNKNOWN,
-                "the store is away; ask again with `note status`",
-                sent=True,
-            )
-        if row.value is None:
-            return kinds.Failure(
-                kinds.Kind.NOTE_CONFLICT,
-                f"written on version {note['base']}, latest is "
-                f"{self._config.version}",
-            )
-        if row.value["id"] == note["id"]:
-            return note["base"] + 1
-        return kinds.Failure(
-            kinds.Kind.NOTE_CONFLICT,
-            f"version {note['base'] + 1} is note {row.value['id']} "
-            f"of {row.value['author']}",
-        )
+            # Accepted notes were checked on the same version, so this
+            # is a fault of a program; the version in force stays.
+            logger.bind(version=version).error("cannot apply: {}", err)
+            return False
+        self._recent[version] = accepted
+        while len(self._recent) > RECENT:
+            self._recent.popitem(last=False)
+        self._install(config, accepted["note"]["id"])
+        return True
+
+    def replace(self, config):
+        """Bring a whole configuration into force, if it is newer.
 
-    def _advance(self, note):
-        if note["base"] != self._config.version:
-            return
-        self._config = state.apply_note(self._config, note)
-        logger.bind(version=self._config.version, note=note["id"]).info(
-            "configuration in force"
-        )
+        Returns
+        -------
+        bool
+        """
+        if config.version <= self._config.version:
+            return False
+        self._recent.clear()
+        self._install(config, None)
+        return True
 
+    def since(self, version):
+        """Return what brings a peer up to date.
 
-async def _poll(notes):
-    while True:
-        await notes.follow()
-        await asyncio.sleep(POLL_S)
+        Returns
+        -------
+        dict
+            With ``version`` and either ``notes`` in order or ``config``.
+        """
+        own = self._config.version
+        missing = range(version + 1, own + 1)
+        if all(item in self._recent for item in missing):
+            notes = [self._recent[item] for item in missing]
+            return {"version": own, "notes": notes}
+        return {"version": own, "config": state.document(self._config)}
+
+    async def follow(self):
+        """Read notes after the version in force and apply them.
 
+        Returns
+        -------
+        Failure or None
+        """
+        while True:
+            found = await self._read_page()
+            if isinstance(found, kinds.Failure):
+                return found
+            for row in found:
+                self.advance(rows.version_of(row.key), row.value)
+            if len(found) < PAGE:
+                return None
+
+    async def load(self):
+        """Load the newest snapshot if it is newer, then follow.
 
-@kernel.plugin("notes", needs=("table",))
-async def notes(core):
-    """Provide the configuration in force, and follow accepted notes."""
-    part = Notes(table=core.part("table"))
-    await part.follow()
-    core.spawn(_poll(part), name="notes")
-    yield part
+        Returns
+        -------
+        Failure or None
+        """
+        config = await self._snapshots.newest()
+        if isinstance(config, kinds.Failure):
+            return config
+        if config is not None:
+            self.replace(config)
+        return await self.follow()
+
+    async def _read_page(self):
+        after = rows.note_key(self._config.version)
+        found = await self._table.scan(rows.PREFIX, after=after, limit=PAGE)
+        if isinstance(found, kinds.Failure) or not found:
+            return found
+        if rows.version_of(found[0].key) == self._config.version + 1:
+            return found
+        # The notes in between were swept: only a snapshot leads there.
+        config = await self._snapshots.newest()
+        if isinstance(config, kinds.Failure):
+            return config
+        if config is not None and self.replace(config):
+            return await self._read_page()
+        return []
+
+    def _install(self, config, note_id):
+        self._config = config
+        logger.bind(version=config.version, note=note_id).info(
+            "configuration in force"
+        )
+        for func in self._on_change:
+            func()
--- /dev/null
+++ b/sycamoreshed/notes/spreading.py
@@ -0,0 +1,153 @@
+"""How accepted notes reach every instance.
+
+Peers tell each other the version in force with each message; who hears of
+a higher one fetches it from that peer at once.  The table is asked often
+by a few instances of each zone and seldom by the rest.
+"""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+
+from sycamoreshed.adapters import web
+from sycamoreshed.config import state
+from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
+from sycamoreshed.membership import rendezvous
+from sycamoreshed.notes import notes as following
+from sycamoreshed.notes import rows
+
+__all__ = ["Spreading"]
+
+POLLERS = 2
+OFTEN_S = 1.0
+SELDOM_S = 30.0
+PULL_S = 5.0
+# A starting instance waits this long for a peer's answer before it is
+# ready: the table may answer with what was, and a peer knows better.
+SETTLE_S = 2.0
+
+
+class Spreading:
+    """Keeps the configuration in force up to date.
+
+    Parameters
+    ----------
+    settings : Settings
+    notes : Notes
+    gossip : Gossip
+    session : aiohttp.ClientSession
+    metrics : Metrics
+    clock : callable
+    spawn : callable
+    """
+
+    def __init__(
+        self, *, settings, notes, gossip, session, metrics, clock, spawn
+    ):
+        self._settings = settings
+        self._notes = notes
+        self._gossip = gossip
+        self._session = session
+        self._bytes = metrics.control_bytes.labels("notes")
+        self._clock = clock
+        self._spawn = spawn
+        self._pulling = False
+        self._told = asyncio.Event()
+        notes.on_change(gossip.wake)
+        gossip.hang("version", write=self._write, read=self._read)
+
+    async def poll(self):
+        """Ask the table again and again."""
+        while True:
+            seconds = OFTEN_S if self._is_poller() else SELDOM_S
+            failure = await self._notes.follow()
+            if failure is not None:
+                seconds = max(seconds, 2 * OFTEN_S)
+            await asyncio.sleep(seconds * random.uniform(0.8, 1.2))
+
+    async def settle(self):
+        """Let the instance be ready once a peer was heard, or none is."""
+        if self._gossip.has_seeds:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._told.wait(), SETTLE_S)
+        self._notes.settle()
+
+    def _is_poller(self):
+        zone = self._settings.zone
+        names = [
+            item.name
+            for item in self._gossip.alive(self._clock())
+            if item.zone == zone
+        ]
+        chosen = rendezvous.top(f"poll {zone}", names, POLLERS)
+        return self._settings.instance in chosen or not names
+
+    def _write(self, _name, _now):
+        return self._notes.config.version
+
+    def _read(self, version, name, _now):
+        if version <= self._notes.config.version:
+            self._told.set()
+        elif not self._pulling:
+            self._pulling = True
+            self._spawn(self._pull(name), name="pull notes")
+
+    async def _pull(self, name):
+        """Fetch what is newer from a peer and bring it into force."""
+        try:
+            address = self._gossip.address_of(name)
+            if address is not None:
+                await self._fetch(address)
+        finally:
+            self._pulling = False
+            self._told.set()
+
+    async def _fetch(self, address):
+        version = self._notes.config.version
+        reply = await web.fetch(
+            self._session,
+            "GET",
+            address,
+            f"/control/notes?after={version}",
+            timeout=PULL_S,
+        )
+        if isinstance(reply, kinds.Failure) or reply.status != 200:
+            return
+        self._bytes.inc(reply.size)
+        try:
+            if "config" in reply.body:
+                self._notes.replace(state.from_document(reply.body["config"]))
+                return
+            accepted = msgspec.convert(
+                reply.body["notes"], list[rows.Accepted]
+            )
+        except msgspec.ValidationError:
+            return
+        for number, item in enumerate(accepted, version + 1):
+            self._notes.advance(number, item)
+
+
+@kernel.plugin(
+    "notes", needs=("gossip", "metrics", "snapshots", "table", "web")
+)
+async def notes(core):
+    """Provide the configuration in force, and follow accepted notes."""
+    part = following.Notes(
+        table=core.part("table"), snapshots=core.part("snapshots")
+    )
+    spreading = Spreading(
+        settings=core.settings,
+        notes=part,
+        gossip=core.part("gossip"),
+        session=core.part("web"),
+        metrics=core.part("metrics"),
+        clock=core.clock,
+        spawn=core.spawn,
+    )
+    await part.load()
+    core.spawn(spreading.poll(), name="notes")
+    core.spawn(spreading.settle(), name="settle notes")
+    yield part
--- a/sycamoreshed/settings/checking.py
+++ b/sycamoreshed/settings/checking.py
@@ -4,6 +4,7 @@
 would hide a misspelt key, so those are looked for here.
 """
 
+import functools
 import re
 import typing
 
@@ -60,10 +61,16 @@
     return checked
 
 
+@functools.cache
+def _hints(kind):
+    """Return the keys of a type; asking anew costs more than the check."""
+    return typing.get_type_hints(kind)
+
+
 def _refuse_unknown(document, kind, *, source, path):
     origin = typing.get_origin(kind)
     if typing.is_typeddict(kind):
-        hints = typing.get_type_hints(kind)
+        hints = _hints(kind)
         for key, value in document.items():
             if key not in hints:
                 known = ", ".join(sorted(hints))
