Judge endpoints by pooled tallies, watchers, the list and drain notices

Three failures in a row ejected an endpoint for two seconds, so one that fails one call in five stayed in use for ever, and each instance had to find out by itself. Now tallies of bad calls are pooled in a zone, slowness is measured against the service's median, trial calls go one at a time, ejections grow, and at most half of a service is out. Each endpoint is watched by two instances of its zone; the platform's list counts by generation; zones out of reach are left out.

Ruled out: an error rate by each instance alone (at the design size it sends an endpoint a call in ten seconds, so 20 samples take minutes).

--- a/sycamoreshed/membership/gossip.py
+++ b/sycamoreshed/membership/gossip.py
@@ -95,6 +95,8 @@
         self._boot = boot
         self._records = records.Records()
         self._fields = {}
+        self._listeners = {}
+        self._listed = set()
         self._links = {}
         self._seeds = set(settings.peers) - {settings.advertise}
         self._avoid = {}
@@ -123,7 +125,7 @@
     @property
     def has_seeds(self):
         """Whether any other instance is known, by address at least."""
-        return bool(self._seeds)
+        return bool(self._seeds or self._listed)
 
     def address_of(self, name):
         """Return the control address of an instance, or None."""
@@ -137,6 +139,10 @@
     def put(self, topic, key, value, *, via=None):
         """Merge a record and spread it; return whether it was new."""
         changed = self._records.merge(topic, key, value, via=via)
+        if changed:
+            for func, own in self._listeners.get(topic, ()):
+                if own or via is not None:
+                    func(key, self._records.get(topic, key), self._clock())
         if changed and topics.TOPICS.get(topic).urgent:
             self.wake()
         return changed
@@ -158,10 +164,21 @@
         for event in self._wakes.values():
             event.set()
 
-    def add_seeds(self, addresses):
-        """Learn control addresses of instances that may be live."""
-        self._seeds.update(addresses)
-        self._seeds.discard(self._settings.advertise)
+    def on_record(self, topic, func, *, own=False):
+        """Call a function with key, value and time of each change.
+
+        Parameters
+        ----------
+        topic : str
+        func : callable
+        own : bool
+            Whether for records put here too, not just those that come.
+        """
+        self._listeners.setdefault(topic, []).append((func, own))
+
+    def set_listed(self, addresses):
+        """Learn control addresses from the platform's list, as of now."""
+        self._listed = set(addresses) - {self._settings.advertise}
 
     def leave(self):
         """Tell that this instance is leaving; it stays so."""
@@ -187,6 +204,19 @@
             now=now,
         )
 
+    def near_count(self, now):
+        """Return how many instances of the own zone are alive."""
+        zone = self._settings.zone
+        return sum(item.zone == zone for item in self.alive(now))
+
+    def lost_zones(self, now):
+        """Return the zones that were heard of once and are silent now."""
+        return {
+            zone
+            for zone, heard in self._heard.items()
+            if zone != self._settings.zone and now - heard > members.ZONE_S
+        }
+
     async def receive(self, http):
         """Answer a peer's message with our own."""
         raw = await http.read()
@@ -408,7 +438,8 @@
         ]
         lost = [(item.address, item.name, item.zone) for item in lost]
         addresses = {item.address for item in known}
-        lost += [(seed, "", None) for seed in self._seeds - addresses]
+        seeds = self._seeds | self._listed
+        lost += [(seed, "", None) for seed in seeds - addresses]
         if lost:
             await self._exchange(*random.choice(lost))
 
--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -1,30 +1,39 @@
-"""Which endpoints may get new work."""
+"""Which endpoints may get new work, and which instances are live."""
 
 from sycamoreshed.kernel import kernel
+from sycamoreshed.membership import evidence
+from sycamoreshed.membership import health
+from sycamoreshed.membership import listing
 from sycamoreshed.membership import members
+from sycamoreshed.membership import watching
 
 __all__ = ["Membership"]
 
-EJECT_AFTER = 3
-EJECT_S = 2.0
-MOST_EJECTED = 0.5
-
 
 class Membership:
-    """Evidence about endpoints, and who may be chosen.
+    """Decides, for each choice anew, who may be chosen.
 
     Parameters
     ----------
     notes : Notes
     gossip : Gossip
+    evidence : Evidence
+    listing : Listing
+    watching : Watching
     """
 
-    def __init__(self, *, notes, gossip):
+    def __init__(self, *, notes, gossip, evidence, listing, watching):
         self._notes = notes
         self._gossip = gossip
-        self._failures = {}
-        self._ejected = {}
-        self._leaving = set()
+        self._evidence = evidence
+        self._listing = listing
+        self._watching = watching
+        notes.on_change(self._forget)
+
+    @property
+    def reports(self):
+        """Load reports by endpoint: (report, monotonic seconds)."""
+        return self._watching.reports
 
     def candidates(self, config, service, now):
         """Return the endpoints of a service that may get new work.
@@ -40,25 +49,27 @@
         Returns
         -------
         list of Endpoint
+
+        Notes
+        -----
+        A request keeps its version, but an endpoint that was withdrawn
+        since, or is leaving, gets nothing new from it either.
         """
-        current = {
-            item.name for item in self._notes.config.endpoints.get(service, ())
-        }
-        present = [
-            item
-            for item in config.endpoints.get(service, ())
-            if item.name in current and item.name not in self._leaving
-        ]
-        kept = [
+        present = self._present(config, service)
+        present = self._in_reach(present, now)
+        out = self._evidence.out
+        if out.isdisjoint(item.name for item in present):
+            return present
+        kept = health.keep(
+            [item.name for item in present], self._evidence.records
+        )
+        return [
             item
             for item in present
-            if self._ejected.get(item.name, 0.0) <= now
+            if item.name not in out
+            or item.name in kept
+            or self._is_due(item.name, now)
         ]
-        # If most were ejected, the rest would fall over under the load
-        # of all; so suspects are used again rather than too few.
-        if len(kept) < len(present) * (1 - MOST_EJECTED):
-            return present
-        return kept
 
     def live_instances(self, now):
         """Return how many entry instances are alive, and by zone.
@@ -69,27 +80,101 @@
             Total and counts by zone; zones out of reach have none.
             Made anew each time: for once a second, not for each request.
         """
-        return members.count(self._gossip.alive(now))
-
-    def report(self, endpoint, *, ok, now):
-        """Take in the outcome of one call."""
-        if ok:
-            self._failures.pop(endpoint.name, None)
-            return
-        count = self._failures.get(endpoint.name, 0) + 1
-        self._failures[endpoint.name] = count
-        if count >= EJECT_AFTER:
-            self._ejected[endpoint.name] = now + EJECT_S
+        leaving = self._listing.leaving
+        return members.count(
+            [
+                item
+                for item in self._gossip.alive(now)
+                if item.name not in leaving
+            ]
+        )
+
+    def report(self, endpoint, *, ok, now, seconds=None):
+        """Take in the outcome of one call.
 
-    def leave(self, name):
-        """Note that an endpoint is leaving."""
-        self._leaving.add(name)
+        Parameters
+        ----------
+        endpoint : Endpoint
+        ok : bool
+        now : float
+            Monotonic seconds.
+        seconds : float, optional
+            Time of the call; without it slowness goes unnoticed.
+        """
+        group = self._notes.config.endpoints.get(endpoint.service, ())
+        names = [item.name for item in group]
+        if endpoint.name in names:
+            self._evidence.outcome(
+                endpoint, names, ok=ok, seconds=seconds, now=now
+            )
+
+    def _present(self, config, service):
+        items = config.endpoints.get(service, ())
+        current = self._notes.config
+        if config is not current:
+            names = {item.name for item in current.endpoints.get(service, ())}
+            items = [item for item in items if item.name in names]
+        leaving = self._listing.leaving
+        return [item for item in items if item.name not in leaving]
+
+    def _in_reach(self, present, now):
+        """Leave out zones out of reach, unless none else is left."""
+        lost = self._gossip.lost_zones(now)
+        if not lost:
+            return present
+        near = [item for item in present if item.zone not in lost]
+        return near or present
+
+    def _is_due(self, name, now):
+        if not self._evidence.may_use(name, now):
+            return False
+        self._evidence.begin_trial(name, now)
+        return True
+
+    def _forget(self):
+        names = {
+            item.name
+            for group in self._notes.config.endpoints.values()
+            for item in group
+        }
+        self._evidence.forget(names)
+        for name in list(self._watching.reports):
+            if name not in names:
+                del self._watching.reports[name]
 
 
-@kernel.plugin("membership", needs=("gossip", "notes"))
+@kernel.plugin(
+    "membership",
+    needs=("endpoints", "gossip", "instance_list", "metrics", "notes"),
+)
 async def membership(core):
-    """Provide evidence about endpoints."""
+    """Provide evidence about endpoints and live instances."""
+    gossip = core.part("gossip")
+    notes = core.part("notes")
+    seen = evidence.Evidence(gossip=gossip, instance=core.settings.instance)
+    reader = listing.Listing(
+        settings=core.settings,
+        source=core.part("instance_list"),
+        notes=notes,
+        gossip=gossip,
+        clock=core.clock,
+    )
+    watcher = watching.Watching(
+        settings=core.settings,
+        notes=notes,
+        gossip=gossip,
+        evidence=seen,
+        client=core.part("endpoints"),
+        metrics=core.part("metrics"),
+        clock=core.clock,
+    )
+    core.spawn(reader.run(), name="instance list")
+    core.spawn(watcher.run(), name="watching")
     yield Membership(
-        notes=core.part("notes"),
-        gossip=core.part("gossip"),
+        notes=notes,
+        gossip=gossip,
+        evidence=seen,
+        listing=reader,
+        watching=watcher,
     )
+    await watcher.stop()
