--- a/sycamoreshed/membership/evidence.py
+++ b/sycamoreshed/membership/evidence.py
@@ -34,13 +34,15 @@
     ----------
     gossip : Gossip
     instance : str
+    log : DecisionLog
     wall : callable, optional
         Returns the wall clock in seconds; orders an observer's own words.
     """
 
-    def __init__(self, *, gossip, instance, wall=time.time):
+    def __init__(self, *, gossip, instance, log, wall=time.time):
         self._gossip = gossip
         self._instance = instance
+        self._log = log
         self._wall = wall
         self._records = {}
         self._peers = {}
@@ -84,7 +86,7 @@
         slow = ok and health.is_slow(seconds, times)
         if record.until is not None:
             if now >= record.until:
-                self._set(name, health.tried(record, now, ok=ok and not slow))
+                self._end_trial(name, record, now, ok=ok and not slow)
             return
         record = health.add(record, now, ok=ok, seconds=seconds, slow=slow)
         self._set(name, record)
@@ -93,16 +95,18 @@
             return
         self._tell(name, record, now)
         if record.row >= health.IN_A_ROW:
-            self.eject(name, now)
+            self.eject(name, "failures in a row", now)
             self.tell_down(name, True)
         elif self._is_gray(name, peers, now):
-            self.eject(name, now)
+            self.eject(name, "out of line with the rest", now)
 
-    def eject(self, name, now):
-        """Eject an endpoint unless it is out already."""
+    def eject(self, name, why, now):
+        """Eject an endpoint unless it is out already; log why."""
         record = self._records.get(name, health.Record())
         if record.until is None:
-            self._set(name, health.eject(record, now))
+            record = health.eject(record, now)
+            self._set(name, record)
+            self._write(name, record, why, now)
 
     def may_use(self, name, now):
         """Return whether an ejected endpoint is due for a trial call."""
@@ -134,6 +138,22 @@
             if name not in names:
                 del self._peers[name]
 
+    def _end_trial(self, name, record, now, *, ok):
+        record = health.tried(record, now, ok=ok)
+        self._set(name, record)
+        if record.until is None:
+            self._write(name, record, "trial calls went well", now)
+            self.tell_down(name, False)
+
+    def _write(self, name, record, why, now):
+        self._log.write(
+            now,
+            "return" if record.until is None else "eject",
+            endpoint=name,
+            choice=record.level,
+            why=why,
+        )
+
     def _set(self, name, record):
         self._records[name] = record
         if record.until is None:
@@ -158,7 +178,7 @@
         down = bool(value[2])
         own_word = now - self._good.get(name, -FRESH_S) < FRESH_S
         if down and not own_word:
-            self.eject(name, now)
+            self.eject(name, f"told by {value[1]}", now)
 
     def _hear_tally(self, key, value, now):
         name, _, observer = key.rpartition("|")
--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -6,6 +6,7 @@
 from sycamoreshed.membership import listing
 from sycamoreshed.membership import members
 from sycamoreshed.membership import watching
+from sycamoreshed.observe import logs
 
 __all__ = ["Membership"]
 
@@ -151,7 +152,9 @@
     """Provide evidence about endpoints and live instances."""
     gossip = core.part("gossip")
     notes = core.part("notes")
-    seen = evidence.Evidence(gossip=gossip, instance=core.settings.instance)
+    seen = evidence.Evidence(
+        gossip=gossip, instance=core.settings.instance, log=logs.DecisionLog()
+    )
     reader = listing.Listing(
         settings=core.settings,
         source=core.part("instance_list"),
--- a/sycamoreshed/membership/tests/test_membership.py
+++ b/sycamoreshed/membership/tests/test_membership.py
@@ -9,6 +9,7 @@
 from sycamoreshed.membership import listing
 from sycamoreshed.membership import membership
 from sycamoreshed.membership import records
+from sycamoreshed.observe import logs
 from testkit import builders
 
 NAMES = [f"encoder-{n}" for n in range(1, 5)]
@@ -61,7 +62,10 @@
     )
     spread = Spread()
     seen = evidence.Evidence(
-        gossip=spread, instance="entry-1", wall=lambda: 1.0
+        gossip=spread,
+        instance="entry-1",
+        log=logs.DecisionLog(),
+        wall=lambda: 1.0,
     )
     reader = listing.Listing(
         settings=None, source=None, notes=notes, gossip=spread, clock=None
--- a/sycamoreshed/membership/watching.py
+++ b/sycamoreshed/membership/watching.py
@@ -143,7 +143,8 @@
         count = self._failed.get(endpoint.name, 0) + 1
         self._failed[endpoint.name] = count
         if count >= FAILURES:
-            self._evidence.eject(endpoint.name, self._clock())
+            now = self._clock()
+            self._evidence.eject(endpoint.name, "no answer to probes", now)
             self._evidence.tell_down(endpoint.name, True)
 
     def _note_answer(self, endpoint, reply, first):
--- /dev/null
+++ b/tests/integration/test_leaving.py
@@ -0,0 +1,196 @@
+"""An endpoint or an instance leaves while work goes on."""
+
+import asyncio
+import contextlib
+
+from testkit import builders
+from testkit import processes
+from tests.integration import controls
+
+ZONES = ["north-a", "north-a", "north-b", "south-a"]
+SPECS = [
+    {"kind": "plain", "name": "catalogue-1"},
+    {"kind": "plain", "name": "catalogue-2"},
+    {"kind": "pool", "name": "encoder-1"},
+    {"kind": "pool", "name": "retriever-1"},
+    {"kind": "pool", "name": "reranker-1"},
+    {"kind": "engine", "name": "language-1"},
+    {"kind": "engine", "name": "language-2"},
+]
+
+
+async def send(cluster, index, pipeline, statuses):
+    while True:
+        status, _, _ = await cluster.call(index, pipeline, {"input": 1})
+        statuses.append(status)
+
+
+@contextlib.asynccontextmanager
+async def load(cluster, pipeline):
+    """Call a pipeline through all daemons; yield the statuses so far."""
+    statuses = []
+    tasks = [
+        asyncio.create_task(send(cluster, index, pipeline, statuses))
+        for index in range(len(cluster.daemons))
+        for _ in range(2)
+    ]
+    try:
+        yield statuses
+        assert not any(task.done() for task in tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def served(cluster, name):
+    return (await cluster.get(name, "/counts")).get("served", 0)
+
+
+async def until_quiet(cluster, name, statuses):
+    """Wait until an endpoint gets nothing while much else is answered."""
+
+    async def quiet():
+        before = await served(cluster, name)
+        target = len(statuses) + 60
+        while len(statuses) < target:
+            await asyncio.sleep(0.01)
+        return await served(cluster, name) == before
+
+    await controls.until(quiet)
+    before = await served(cluster, name)
+    target = len(statuses) + 100
+    while len(statuses) < target:
+        await asyncio.sleep(0.01)
+    assert await served(cluster, name) == before
+
+
+async def put_list(cluster, entries):
+    url = f"http://{cluster.addresses['instances']}/instances"
+    items = [
+        {
+            "name": name,
+            "address": cluster.addresses[name],
+            "zone": "north-a",
+            "state": status,
+            "generation": generation,
+        }
+        for name, status, generation in entries
+    ]
+    async with cluster.session.put(url, json={"instances": items}) as answer:
+        answer.raise_for_status()
+
+
+async def test_listed_leaver_gets_no_new_work_also_from_an_old_list():
+    """The platform lists an endpoint as leaving while it serves.
+
+    Its calls go on to their end; new ones would be cut off by its end.
+    The other endpoint fails often, so that retries look for a second.
+    """
+    async with processes.cluster(
+        daemons=4, zones=ZONES, specs=SPECS
+    ) as cluster:
+        async with load(cluster, "catalogue") as statuses:
+            await controls.until(lambda: served(cluster, "catalogue-1"))
+            await cluster.faults("catalogue-2", fail=0.3, paths=["/call"])
+            await put_list(cluster, [("catalogue-1", "leaving", 7)])
+            await until_quiet(cluster, "catalogue-1", statuses)
+            # A list from before must not bring it back.
+            await put_list(cluster, [("catalogue-1", "live", 6)])
+            await until_quiet(cluster, "catalogue-1", statuses)
+            await cluster.faults("catalogue-2")
+            before = await served(cluster, "catalogue-1")
+            await put_list(cluster, [("catalogue-1", "live", 8)])
+
+            async def is_back():
+                return await served(cluster, "catalogue-1") > before
+
+            await controls.until(is_back)
+
+
+async def test_resumed_streams_do_not_go_to_a_leaver():
+    """An engine breaks streams, and the only other one is leaving.
+
+    A stream resumed on the leaver would break again at its end.
+    """
+    async with processes.cluster(
+        daemons=4, zones=ZONES, specs=SPECS
+    ) as cluster:
+        async with load(cluster, "summary") as statuses:
+            await controls.until(lambda: served(cluster, "language-1"))
+            await put_list(cluster, [("language-1", "leaving", 7)])
+            await cluster.faults("language-2", break_=0.3, paths=["/generate"])
+            await until_quiet(cluster, "language-1", statuses)
+    assert 200 in statuses
+
+
+async def test_withdrawn_endpoint_gets_no_new_work():
+    """A release note withdraws an endpoint with load on it."""
+    async with processes.cluster(
+        daemons=4, zones=ZONES, specs=SPECS
+    ) as cluster:
+        async with load(cluster, "catalogue") as statuses:
+            await controls.until(lambda: served(cluster, "catalogue-1"))
+            note = builders.note(1, withdrawn={"endpoints": ["catalogue-1"]})
+            assert (await cluster.apply(3, note))[0] == 200
+            await until_quiet(cluster, "catalogue-1", statuses)
+            assert set(statuses) == {200}
+
+
+async def test_drained_instance_is_counted_out_before_it_is_gone():
+    """An operator drains an instance that still has a request in flight.
+
+    Its share of the limits has to pass to the others meanwhile.
+    """
+    specs = [{"kind": "plain", "name": "catalogue-1", "seconds": 3.0}]
+    async with processes.cluster(
+        daemons=4, zones=ZONES, specs=specs
+    ) as cluster:
+
+        async def live(total):
+            found = [
+                (await controls.get(cluster, index, "/control/status"))["live"]
+                for index in range(3)
+            ]
+            return all(item["total"] == total for item in found)
+
+        await controls.until(lambda: live(4))
+        running = asyncio.create_task(
+            cluster.call(3, "catalogue", {"input": 1})
+        )
+        await asyncio.sleep(0.2)
+        await controls.post(cluster, 3, "/control/drain")
+        await controls.until(lambda: live(3))
+        assert cluster.daemons[3].process.returncode is None
+        status, _, _ = await running
+        assert status == 200
+        assert await cluster.daemons[3].stop() == 0
+
+
+async def test_failing_one_call_in_five_is_ejected_and_comes_back():
+    """An endpoint fails one call in five, yet answers probes well."""
+    async with processes.cluster(
+        daemons=2, zones=ZONES[:2], specs=SPECS
+    ) as cluster:
+        async with load(cluster, "catalogue") as statuses:
+            await cluster.faults("catalogue-1", fail=0.2, paths=["/call"])
+
+            async def ejected():
+                lines = [
+                    line
+                    for daemon in cluster.daemons
+                    for line in daemon.lines
+                    if line.get("decision") == "eject"
+                ]
+                return [line["endpoint"] for line in lines]
+
+            found = await controls.until(ejected)
+            assert set(found) == {"catalogue-1"}
+            await cluster.faults("catalogue-1")
+            before = await served(cluster, "catalogue-1")
+
+            async def is_back():
+                return await served(cluster, "catalogue-1") > before + 50
+
+            await controls.until(is_back)
+            assert len(statuses) > 100
