--- /dev/null
+++ b/tests/integration/test_zones.py
@@ -0,0 +1,150 @@
+"""A zone loses the other zones and the platform, and comes back."""
+
+import asyncio
+import signal
+import time
+
+from testkit import processes
+from tests.integration import controls
+
+ZONES = ["north-a", "north-a", "north-b", "south-a", "south-a"]
+NORTH = [0, 1, 2]
+SOUTH = [3, 4]
+SPECS = [
+    {"kind": "plain", "name": "catalogue-1", "zone": "north-a"},
+    {"kind": "plain", "name": "catalogue-2", "zone": "south-a"},
+    {"kind": "plain", "name": "ballot-1", "zone": "north-a"},
+]
+NORTH_NAMES = ("entry-1", "entry-2", "entry-3", "catalogue-1", "ballot-1")
+SOUTH_NAMES = ("entry-4", "entry-5", "catalogue-2")
+PLATFORM = ("table", "objects", "instances", "weights")
+
+
+async def live(cluster, indexes):
+    found = [
+        (await controls.get(cluster, index, "/control/status"))["live"]
+        for index in indexes
+    ]
+    return [item["total"] for item in found]
+
+
+async def until_live(cluster, indexes, total):
+    async def reached():
+        return await live(cluster, indexes) == [total] * len(indexes)
+
+    await controls.until(reached)
+
+
+async def until_version(cluster, indexes, version):
+    async def reached():
+        found = await controls.versions(cluster, indexes)
+        return found == [version] * len(found)
+
+    await controls.until(reached)
+
+
+def cut(cluster, *, platform):
+    """Cut the south off, from the platform too if asked."""
+    away = NORTH_NAMES + (PLATFORM if platform else ())
+    cluster.cut(SOUTH, away)
+    cluster.cut(NORTH, SOUTH_NAMES)
+
+
+def heal(cluster):
+    cluster.cut([], NORTH_NAMES + SOUTH_NAMES + PLATFORM)
+
+
+async def serves(cluster, index):
+    """Return whether an instance answers with what it can reach.
+
+    While an endpoint out of reach is not yet ejected a call may wait for
+    it until the deadline; the caller is then told so.
+    """
+    status, _, body = await cluster.call(
+        index, "catalogue", {"input": 1}, Deadline_Ms="1000"
+    )
+    assert status == 200 or body["outcome"] in ("late", "failed", "not-run")
+    return status == 200
+
+
+async def test_zone_cut_off_serves_on_and_converges_by_itself():
+    """A zone loses all other zones and the platform for a while.
+
+    Its callers go on with the configuration in force there; a note that
+    is accepted elsewhere meanwhile comes into force once it is back, and
+    no instance goes back to what was before.
+    """
+    async with processes.cluster(
+        daemons=5, zones=ZONES, specs=SPECS, proxied=True
+    ) as cluster:
+        await until_live(cluster, range(5), 5)
+        await until_version(cluster, range(5), 1)
+        cut(cluster, platform=True)
+        status, _ = await cluster.apply(0, controls.team_note(1, "serra"))
+        assert status == 200
+        await until_version(cluster, NORTH, 2)
+        await until_live(cluster, NORTH, 3)
+        await until_live(cluster, SOUTH, 2)
+        for index in SOUTH:
+            await controls.until(lambda index=index: serves(cluster, index))
+            for _ in range(10):
+                assert await serves(cluster, index)
+        assert await controls.versions(cluster, SOUTH) == [1, 1]
+        status, _, body = await cluster.call(
+            3, "ballot", {"input": 1}, Idempotency_Key="k", Deadline_Ms="1500"
+        )
+        assert (status != 200, body["outcome"]) == (True, "not-run")
+        heal(cluster)
+        start = time.monotonic()
+        await until_version(cluster, range(5), 2)
+        configured = time.monotonic() - start
+        await until_live(cluster, range(5), 5)
+        converged = time.monotonic() - start
+        print(f"after the cut: version {configured:.2f} s, ", end="")
+        print(f"live counts {converged:.2f} s")
+        for index in range(5):
+            await controls.until(lambda index=index: serves(cluster, index))
+
+
+async def test_regions_that_lose_each_other_keep_up_by_the_table():
+    """Two regions lose each other; both still reach the platform."""
+    async with processes.cluster(
+        daemons=5, zones=ZONES, specs=SPECS, proxied=True
+    ) as cluster:
+        await until_live(cluster, range(5), 5)
+        cut(cluster, platform=False)
+        start = time.monotonic()
+        for version in (2, 3):
+            index = 0 if version == 2 else 4
+            note = controls.team_note(version - 1, f"t{version}")
+
+            async def accepted(index=index, note=note):
+                status, body = await cluster.apply(index, note)
+                assert status in (200, 503)
+                return status == 200
+
+            await controls.until(accepted)
+            await until_version(cluster, range(5), version)
+        print(f"two notes in {time.monotonic() - start:.2f} s")
+        heal(cluster)
+        await until_live(cluster, range(5), 5)
+
+
+async def test_paused_instance_wakes_into_the_present():
+    """An instance stops for a while, as in a pause of its machine.
+
+    On waking it must neither be held for dead nor hold the old version.
+    """
+    async with processes.cluster(
+        daemons=3, zones=ZONES[:3], specs=[]
+    ) as cluster:
+        await until_live(cluster, range(3), 3)
+        daemon = cluster.daemons[1]
+        daemon.send_signal(signal.SIGSTOP)
+        await until_live(cluster, [0, 2], 2)
+        await cluster.apply(0, controls.team_note(1, "serra"))
+        await until_version(cluster, [0, 2], 2)
+        daemon.send_signal(signal.SIGCONT)
+        await until_version(cluster, range(3), 2)
+        await until_live(cluster, range(3), 3)
+        assert await asyncio.wait_for(daemon.stop(), 40) == 0
