Tell truly whether a stage's call was sent, and never wait for a cancel

A stage that ran into its deadline was always told as sent, although it may have waited for an endpoint only; the cancel of a call was awaited by a task that was being cancelled itself, which held up a late answer by up to one second. Stages now end by the time they are given and say whether a call left; cancels are sent by tasks of their own, which the stop of the daemon waits for. A timeout while a connection is being opened counts as not sent.

A handler's unexpected exception becomes problem details of kind internal. Requests with a key go on when their caller goes away and hold up a drain; so do requests whose body is still on its way. Answers of kind draining close the connection. One decision log is shared by all parts.

--- a/sycamoreshed/adapters/endpoints.py
+++ b/sycamoreshed/adapters/endpoints.py
@@ -7,16 +7,18 @@
 import asyncio
 import typing
 
-import aiohttp
 import msgspec
 
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Call", "Chunk", "Endpoints", "StageAnswer"]
+__all__ = ["Call", "Chunk", "Endpoints", "StageAnswer", "cancel_quietly"]
 
 CANCEL_TIMEOUT_S = 1.0
+BUSY = 429
+
+_cancels = set()
 
 
 class Call(typing.NamedTuple):
@@ -81,6 +83,20 @@
     finish: str | None = None
 
 
+class Line(typing.TypedDict):
+    """One line of a stream as it is on the wire."""
+
+    request: str
+    stage: str
+    attempt: str
+    offset: int
+    token: typing.NotRequired[str]
+    finish: typing.NotRequired[str]
+
+
+_decode_line = msgspec.json.Decoder(Line).decode
+
+
 class Endpoints:
     """Client of endpoints.
 
@@ -112,19 +128,18 @@
             body=call._asdict(),
         )
         if isinstance(reply, kinds.Failure):
-            return reply
-        if reply.status == 429:
-            return kinds.Failure(kinds.Kind.REFUSED, "busy", sent=False)
+            return _stage_failure(reply)
         if reply.status != 200:
+            return _status_failure(reply.status)
+        if not isinstance(reply.body, dict) or "output" not in reply.body:
             return kinds.Failure(
-                kinds.Kind.STAGE_FAILED, f"status {reply.status}", sent=True
+                kinds.Kind.STAGE_FAILED, "answer without output", sent=True
             )
         if not self._is_answer_to(reply.body, call):
             return kinds.Failure(
                 kinds.Kind.STRAY_ANSWER, "answer to another call", sent=True
             )
-        size = reply.size + len(msgspec.json.encode(call.payload))
-        return StageAnswer(reply.body["output"], size)
+        return StageAnswer(reply.body["output"], reply.size + reply.sent_size)
 
     async def stream(self, endpoint, call, *, timeout):
         """Send one streamed call; yield `Chunk`, then perhaps `Failure`.
@@ -138,32 +153,29 @@
             async with self._session.post(
                 f"http://{endpoint.address}/generate",
                 data=msgspec.json.encode(call._asdict()),
-                timeout=aiohttp.ClientTimeout(total=timeout),
+                headers=web.JSON_HEADERS,
+                timeout=web.within(timeout),
             ) as response:
-                if response.status == 429:
-                    yield kinds.Failure(kinds.Kind.REFUSED, "busy")
-                    return
                 if response.status != 200:
-                    yield kinds.Failure(
-                        kinds.Kind.STAGE_FAILED,
-                        f"status {response.status}",
-                        sent=True,
-                    )
+                    yield _status_failure(response.status)
                     return
                 async for line in response.content:
-                    body = msgspec.json.decode(line)
-                    if not self._is_answer_to(body, call):
+                    chunk = self._chunk_of(_decode_line(line), call)
+                    if chunk is None:
                         continue
-                    chunk = Chunk(
-                        body["offset"], body.get("token"), body.get("finish")
-                    )
                     yield chunk
                     if chunk.finish is not None:
                         return
-        except aiohttp.ClientConnectorError as err:
+        except web.NOT_SENT as err:
             yield kinds.Failure(kinds.Kind.REFUSED, web.describe(err))
             return
-        except (*web.ERRORS, msgspec.DecodeError) as err:
+        except TimeoutError:
+            yield kinds.Failure(
+                kinds.Kind.LATE, "stream not whole in time", sent=True
+            )
+            return
+        except (*web.ERRORS, msgspec.DecodeError, ValueError) as err:
+            # A line that is cut off, is no JSON or is too long.
             yield kinds.Failure(
                 kinds.Kind.BROKEN_STREAM, web.describe(err), sent=True
             )
@@ -221,11 +233,24 @@
             body=body,
         )
 
+    def _chunk_of(self, line, call):
+        if not self._is_answer_to(line, call):
+            return None
+        token = line.get("token")
+        finish = line.get("finish")
+        if token is None and finish is None:
+            raise ValueError("line with neither token nor finish")
+        return Chunk(line["offset"], token, finish)
+
     def _is_answer_to(self, body, call):
-        named = (body.get("request"), body.get("stage"), body.get("attempt"))
-        if named == (call.request, call.stage, call.attempt):
+        if body.get("attempt") == call.attempt and (
+            body.get("request"),
+            body.get("stage"),
+        ) == (call.request, call.stage):
             return True
-        self._metrics.strays.labels("other-call").inc()
+        same = body.get("request") == call.request
+        why = "other-attempt" if same else "other-request"
+        self._metrics.strays.labels(why).inc()
         return False
 
 
@@ -236,9 +261,35 @@
         session=core.part("web"),
         metrics=core.part("metrics"),
     )
+    await asyncio.gather(*_cancels, return_exceptions=True)
+
+
+def _stage_failure(failure):
+    if failure.sent and failure.kind == kinds.Kind.REFUSED:
+        return failure._replace(kind=kinds.Kind.STAGE_FAILED)
+    return failure
+
+
+def _status_failure(status):
+    if status == BUSY:
+        return kinds.Failure(kinds.Kind.REFUSED, "busy", sent=False)
+    return kinds.Failure(
+        kinds.Kind.STAGE_FAILED, f"status {status}", sent=True
+    )
 
 
 async def cancel_quietly(client, endpoint, call):
-    """Cancel a call from a task of its own, whose failure is no matter."""
-    task = asyncio.ensure_future(client.cancel(endpoint, call))
-    await asyncio.shield(task)
+    """Begin to cancel a call; neither wait for it nor fail with it.
+
+    Notes
+    -----
+    Who calls this is often being cancelled itself, by a deadline or by
+    its caller's going away.  Waiting here would hold up a late answer by
+    the time of the cancel, up to a second when the endpoint hangs; and
+    a second cancellation during the wait would leave the rest undone.
+    The set keeps the task: the loop itself holds only a weak reference,
+    and a task that is collected never sends its cancel.
+    """
+    task = asyncio.create_task(client.cancel(endpoint, call))
+    _cancels.add(task)
+    task.add_done_callback(_cancels.discard)
--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -1,6 +1,5 @@
 """The one HTTP client of a daemon, and JSON over it."""
 
-import asyncio
 import typing
 
 import aiohttp
@@ -9,11 +8,22 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Reply", "fetch"]
+__all__ = ["ERRORS", "NOT_SENT", "Reply", "describe", "fetch", "within"]
 
 # Errors raised before a request's first byte can have left.
-_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.InvalidURL)
-ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+NOT_SENT = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    aiohttp.InvalidURL,
+)
+ERRORS = (aiohttp.ClientError, OSError)
+# A connection that is not open by then is taken for a network partition;
+# nothing was sent, so the time left can go to another endpoint.
+CONNECT_S = 1.0
+# aiohttp rounds timeouts above its threshold up to whole seconds, which
+# would let a call outlive its request's deadline.
+NO_ROUNDING_S = 1e9
+JSON_HEADERS = {"Content-Type": "application/json"}
 
 
 class Reply(typing.NamedTuple):
@@ -26,11 +36,14 @@
         Decoded JSON, or None.
     size : int
         Bytes of the body.
+    sent_size : int
+        Bytes of the request's body.
     """
 
     status: int
     body: typing.Any
     size: int
+    sent_size: int = 0
 
 
 async def fetch(session, method, address, path, *, timeout, body=None):
@@ -51,29 +64,41 @@
     Returns
     -------
     Reply or Failure
-        A failure is of kind ``refused``; its ``sent`` tells whether the
-        request may have reached the other side.
+        A failure is of kind ``late`` if the time passed, else of kind
+        ``refused``; its ``sent`` tells whether the request may have
+        reached the other side.
     """
-    data = None if body is None else msgspec.json.encode(body)
+    data = b"" if body is None else msgspec.json.encode(body)
     try:
         async with session.request(
             method,
             f"http://{address}{path}",
             data=data,
-            headers={"Content-Type": "application/json"},
-            timeout=aiohttp.ClientTimeout(total=max(timeout, 0.001)),
+            headers=JSON_HEADERS,
+            timeout=within(timeout),
         ) as response:
             raw = await response.read()
             decoded = msgspec.json.decode(raw) if raw else None
-            return Reply(response.status, decoded, len(raw))
-    except _NOT_SENT as err:
+            return Reply(response.status, decoded, len(raw), len(data))
+    except NOT_SENT as err:
         return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=False)
+    except TimeoutError:
+        return kinds.Failure(kinds.Kind.LATE, "no answer in time", sent=True)
     except ERRORS as err:
         return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=True)
     except msgspec.DecodeError as err:
         return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=True)
 
 
+def within(seconds):
+    """Return the timeout of a call that may take `seconds`."""
+    return aiohttp.ClientTimeout(
+        total=max(seconds, 0.001),
+        sock_connect=CONNECT_S,
+        ceil_threshold=NO_ROUNDING_S,
+    )
+
+
 def describe(error):
     """Return a short text for an exception."""
     return f"{type(error).__name__}: {error}"
--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -1,10 +1,14 @@
 """The callers' interface."""
 
+import asyncio
+
 from aiohttp import web
+from loguru import logger
 import msgspec
 
 from sycamoreshed.entry import answers
 from sycamoreshed.entry import events
+from sycamoreshed.entry import guard
 from sycamoreshed.entry import parsing
 from sycamoreshed.entry import problems
 from sycamoreshed.errors import kinds
@@ -12,6 +16,10 @@
 
 __all__ = ["Callers"]
 
+# A caller that sends its body more slowly than this holds a handler, and
+# with it the end of a drain, for nothing.
+BODY_S = 10.0
+
 
 class Callers:
     """Handlers of the callers' interface.
@@ -29,8 +37,22 @@
         self._runner = core.part("runner")
         self._once = core.part("once")
         self._metrics = core.part("metrics")
+        self._open = 0
+        self._runs = set()
         self.accepting = True
 
+    @property
+    def in_flight(self):
+        """Requests taken in and not yet answered.
+
+        Notes
+        -----
+        More than admission counts: a request whose body is still on its
+        way is not admitted yet, and one whose caller went away may still
+        run.  A drain that overlooked them would cut them off.
+        """
+        return self._open + len(self._runs)
+
     def routes(self):
         """Return the routes of the interface."""
         return [
@@ -42,28 +64,18 @@
 
     async def call(self, http):
         """Run a pipeline and answer."""
-        pipeline = http.match_info["pipeline"]
         refusal = self._refusal()
         if refusal is not None:
-            return problems.response(refusal)
+            return self._refuse(refusal)
+        start = self._core.clock()
+        self._open += 1
         try:
-            raw = await http.read()
-        except web.HTTPRequestEntityTooLarge:
-            limit = self._settings.max_body_bytes
-            return problems.response(
-                kinds.Failure(kinds.Kind.TOO_LARGE, f"more than {limit} bytes")
-            )
-        ask = parsing.parse(
-            http.headers,
-            pipeline,
-            raw,
-            config=self._notes.config,
-            region=self._settings.region,
-            now=self._core.clock(),
-        )
-        if isinstance(ask, kinds.Failure):
-            return problems.response(ask)
-        return await self._admitted(http, ask)
+            ask = await self._read(http, start)
+            if isinstance(ask, kinds.Failure):
+                return self._refuse(ask)
+            return await self._answer(http, ask, start)
+        finally:
+            self._open -= 1
 
     async def health(self, _http):
         """Tell that the process runs."""
@@ -99,48 +111,97 @@
             )
         return None
 
-    async def _admitted(self, http, ask):
+    def _refuse(self, failure, request=None):
+        self._metrics.sheds.labels(failure.kind).inc()
+        return problems.response(failure, request and request.id)
+
+    async def _read(self, http, now):
+        try:
+            async with asyncio.timeout(BODY_S):
+                raw = await http.read()
+        except TimeoutError:
+            return kinds.Failure(
+                kinds.Kind.BAD_REQUEST, "body came too slowly"
+            )
+        except web.HTTPRequestEntityTooLarge:
+            limit = self._settings.max_body_bytes
+            return kinds.Failure(
+                kinds.Kind.TOO_LARGE, f"more than {limit} bytes"
+            )
+        return parsing.parse(
+            http.headers,
+            http.match_info["pipeline"],
+            raw,
+            config=self._notes.config,
+            region=self._settings.region,
+            now=now,
+        )
+
+    async def _answer(self, http, ask, start):
+        request = ask.request
+        if request.key is not None:
+            # Goes on when its caller goes away, so that its outcome gets
+            # recorded; until then it holds its slot and holds up a drain.
+            run = asyncio.create_task(self._admitted(http, ask, start))
+            self._runs.add(run)
+            run.add_done_callback(self._runs.discard)
+            return await asyncio.shield(run)
+        return await self._admitted(http, ask, start)
+
+    async def _admitted(self, http, ask, start):
         request = ask.request
         ticket = await self._admission.enter(request, self._core.clock())
         if isinstance(ticket, kinds.Failure):
-            self._count(request, kinds.answer_for(ticket).outcome)
-            return problems.response(ticket, request.id)
+            self._count(request, kinds.answer_for(ticket).outcome, start)
+            return self._refuse(ticket, request)
         try:
             if ask.stream:
-                return await self._stream(http, request)
-            return await self._whole(request)
+                return await self._stream(http, request, start)
+            return await self._whole(request, start)
         finally:
             self._admission.leave(ticket, self._core.clock())
 
-    async def _whole(self, request):
-        if request.key is not None:
-            result = await self._once.run(request)
-        else:
-            result = await self._runner.run(request)
-            if not isinstance(result, kinds.Failure):
-                result = answers.encode(request, result)
+    async def _whole(self, request, start):
+        result = await self._run_to_end(request)
         if isinstance(result, kinds.Failure):
-            self._count(request, kinds.answer_for(result).outcome)
+            self._count(request, kinds.answer_for(result).outcome, start)
             return problems.response(result, request.id)
-        self._count(request, self._outcome(request))
+        self._count(request, self._outcome(request), start)
         return answers.response(result)
 
-    async def _stream(self, http, request):
+    async def _run_to_end(self, request):
+        if request.key is None:
+            result = await self._runner.run(request)
+            if not isinstance(result, kinds.Failure):
+                result = answers.encode(request, result)
+            return result
+        try:
+            return await self._once.run(request)
+        except Exception as err:
+            # Nobody can tell how far it came, so "failed", which invites
+            # a caller to send it again under a new key, would be wrong.
+            logger.opt(exception=err).error("run with a key failed")
+            failure = guard.internal(err)
+            return failure._replace(kind=kinds.Kind.OUTCOME_UNKNOWN)
+
+    async def _stream(self, http, request, start):
         stream = events.EventStream()
         await stream.prepare(http)
-
-        async def emit(offset, token):
-            await stream.send("token", token, number=offset)
-
-        result = await self._runner.run(request, emit=emit)
+        try:
+            result = await self._runner.run(request, emit=stream.token)
+        except ConnectionError:
+            raise
+        except Exception as err:
+            logger.opt(exception=err).error("streamed run failed")
+            result = guard.internal(err)
         if isinstance(result, kinds.Failure):
             details = problems.document(result, request.id)
             await stream.send("error", msgspec.json.encode(details).decode())
-            self._count(request, kinds.answer_for(result).outcome)
+            self._count(request, kinds.answer_for(result).outcome, start)
         else:
             data = answers.encode(request, result).decode()
             await stream.send("done", data)
-            self._count(request, self._outcome(request))
+            self._count(request, self._outcome(request), start)
         return await stream.end()
 
     def _outcome(self, request):
@@ -148,14 +209,17 @@
             return kinds.Outcome.LATE
         return kinds.Outcome.COMPLETE
 
-    def _count(self, request, outcome):
+    def _count(self, request, outcome, start):
         team = self._metrics.team_label(request.team)
         self._metrics.requests.labels(team, request.pipeline, outcome).inc()
+        self._metrics.request_seconds.labels(request.pipeline).observe(
+            self._core.clock() - start
+        )
 
 
 @kernel.plugin(
     "callers",
-    needs=("admission", "metrics", "notes", "once", "runner"),
+    needs=("admission", "guard", "metrics", "notes", "once", "runner"),
 )
 async def callers(core):
     """Provide the callers' interface."""
--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -17,6 +17,7 @@
 from sycamoreshed.adapters import web  # noqa: E402,F401
 from sycamoreshed.admission import admission  # noqa: E402,F401
 from sycamoreshed.entry import callers  # noqa: E402,F401
+from sycamoreshed.entry import guard  # noqa: E402,F401
 from sycamoreshed.entry import operators  # noqa: E402,F401
 from sycamoreshed.entry import servers  # noqa: E402
 from sycamoreshed.idempotency import once  # noqa: E402,F401
--- a/sycamoreshed/entry/events.py
+++ b/sycamoreshed/entry/events.py
@@ -24,6 +24,10 @@
         """Send the head of the answer."""
         await self._response.prepare(http)
 
+    async def token(self, offset, token):
+        """Send one token."""
+        await self.send("token", token, number=offset)
+
     async def send(self, event, data, *, number=None):
         """Send one event.
 
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -57,6 +57,10 @@
 async def drain(core):
     """Wait for the stop, then until no request is in flight.
 
+    After the grace a request that comes on any connection, also on one
+    kept open, is answered with kind ``draining`` and the connection is
+    closed.
+
     Notes
     -----
     ``/readyz`` fails first and new requests are still served during the
@@ -68,8 +72,8 @@
     logger.info("stopping: not ready any more")
     await asyncio.sleep(settings.grace_s)
     core.part("callers").accepting = False
-    admission = core.part("admission")
+    callers = core.part("callers")
     end = core.clock() + settings.drain_s
-    while admission.in_flight and core.clock() < end:
+    while callers.in_flight and core.clock() < end:
         await asyncio.sleep(POLL_S)
-    logger.bind(left=admission.in_flight).info("stopped")
+    logger.bind(left=callers.in_flight).info("stopped")
--- a/sycamoreshed/errors/kinds.py
+++ b/sycamoreshed/errors/kinds.py
@@ -30,6 +30,8 @@
     NOT_ASSIGNED = "not-assigned"
     UNKNOWN_PIPELINE = "unknown-pipeline"
     WITHDRAWN = "withdrawn"
+    UNKNOWN_PATH = "unknown-path"
+    WRONG_METHOD = "wrong-method"
     KEY_MISSING = "key-missing"
     KEY_CONFLICT = "key-conflict"
     KEY_UNKNOWN = "key-unknown"
@@ -108,6 +110,8 @@
     ),
     Kind.UNKNOWN_PIPELINE: Answer(404, "Unknown pipeline", Outcome.NOT_RUN),
     Kind.WITHDRAWN: Answer(410, "Pipeline withdrawn", Outcome.NOT_RUN),
+    Kind.UNKNOWN_PATH: Answer(404, "Unknown path", Outcome.NOT_RUN),
+    Kind.WRONG_METHOD: Answer(405, "Wrong method", Outcome.NOT_RUN),
     Kind.KEY_MISSING: Answer(400, "Idempotency-Key required", Outcome.NOT_RUN),
     Kind.KEY_CONFLICT: Answer(
         422, "Idempotency-Key used with another body", Outcome.NOT_RUN
--- a/sycamoreshed/kernel/kernel.py
+++ b/sycamoreshed/kernel/kernel.py
@@ -124,6 +124,11 @@
         """Return the part a plug-in provides."""
         return self._parts[name]
 
+    def guard(self, middleware):
+        """Put a middleware around all handlers of both web apps."""
+        self.public.middlewares.append(middleware)
+        self.control.middlewares.append(middleware)
+
     def spawn(self, coro, *, name):
         """Run a coroutine as a task that ends with the kernel.
 
--- a/sycamoreshed/observe/logs.py
+++ b/sycamoreshed/observe/logs.py
@@ -5,6 +5,8 @@
 from loguru import logger
 import msgspec
 
+from sycamoreshed.kernel import kernel
+
 __all__ = ["DecisionLog", "set_up"]
 
 # A burst must not turn into a flood of lines that slows what it reports
@@ -80,3 +82,14 @@
         self._count = 0
         if missed > 0:
             logger.bind(lines=missed).warning("decision lines left out")
+
+
+@kernel.plugin("decisions")
+async def decisions(_core):
+    """Provide the one decision log of a daemon.
+
+    Notes
+    -----
+    One for all parts, so that the bound holds for them together.
+    """
+    yield DecisionLog()
--- a/sycamoreshed/observe/metrics.py
+++ b/sycamoreshed/observe/metrics.py
@@ -15,11 +15,19 @@
 
 
 class Metrics:
-    """The daemon's counters and histograms."""
+    """The daemon's counters and histograms.
 
-    def __init__(self, *, registry=None):
+    Parameters
+    ----------
+    region : str
+        Of this instance; bytes to other regions are counted.
+    registry : CollectorRegistry, optional
+    """
+
+    def __init__(self, *, region="", registry=None):
         registry = registry or prometheus_client.CollectorRegistry()
         self._teams = set()
+        self._region = region
         self.registry = registry
         self.requests = prometheus_client.Counter(
             "sycamoreshed_requests",
@@ -33,6 +41,18 @@
             ["pipeline", "stage"],
             registry=registry,
         )
+        self.request_seconds = prometheus_client.Histogram(
+            "sycamoreshed_request_seconds",
+            "Time from a request's arrival to the end of its answer.",
+            ["pipeline"],
+            registry=registry,
+        )
+        self.sheds = prometheus_client.Counter(
+            "sycamoreshed_sheds",
+            "Requests turned away before any call was sent.",
+            ["kind"],
+            registry=registry,
+        )
         self.crossing_bytes = prometheus_client.Counter(
             "sycamoreshed_cross_region_bytes",
             "Bytes sent to and received from other regions.",
@@ -67,12 +87,27 @@
             return team
         return OTHER
 
+    def count_crossing(self, request, stage, endpoint, answer):
+        """Count the bytes of a call if it went to another region.
+
+        Parameters
+        ----------
+        request : Request
+        stage : StageSpec
+        endpoint : Endpoint
+        answer : StageAnswer
+        """
+        if endpoint.region != self._region:
+            self.crossing_bytes.labels(request.pipeline, stage["name"]).inc(
+                answer.size
+            )
+
     def render(self):
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
 
 
 @kernel.plugin("metrics")
-async def metrics(_kernel):
+async def metrics(core):
     """Provide the daemon's metrics."""
-    yield Metrics()
+    yield Metrics(region=core.settings.region)
--- a/sycamoreshed/orders/orders.py
+++ b/sycamoreshed/orders/orders.py
@@ -4,7 +4,6 @@
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
-from sycamoreshed.observe import logs
 from sycamoreshed.orders import leases
 
 __all__ = ["Reconciler", "wanted"]
@@ -97,7 +96,7 @@
         )
 
 
-@kernel.plugin("orders", needs=("endpoints", "notes", "table"))
+@kernel.plugin("orders", needs=("decisions", "endpoints", "notes", "table"))
 async def orders(core):
     """Provide the zone's reconciler."""
     zone = core.settings.zone
@@ -112,7 +111,7 @@
         notes=core.part("notes"),
         client=core.part("endpoints"),
         clock=core.clock,
-        log=logs.DecisionLog(),
+        log=core.part("decisions"),
     )
     core.spawn(part.run(), name="orders")
     yield part
--- a/sycamoreshed/pipeline/runner.py
+++ b/sycamoreshed/pipeline/runner.py
@@ -1,7 +1,5 @@
 """Runs an admitted request through the stages of its pipeline."""
 
-import asyncio
-
 from sycamoreshed.admission import budget as budgets
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -83,20 +81,20 @@
             request.pipeline, stage["name"]
         )
         try:
-            async with asyncio.timeout(max(seconds, 0)):
-                if service["kind"] == "engine":
-                    return await self._streamed.run(
-                        request, stage, payload, now + seconds, emit=emit
-                    )
-                return await self._unary.run(
-                    request,
-                    stage,
-                    payload,
-                    now + seconds,
-                    repeatable=service.get("repeatable", True),
+            # No timeout here: it would cut off the stage where only the
+            # stage knows whether a call was sent.  Both kinds of stage
+            # end by the time they are given.
+            if service["kind"] == "engine":
+                return await self._streamed.run(
+                    request, stage, payload, now + seconds, emit=emit
                 )
-        except TimeoutError:
-            return kinds.Failure(kinds.Kind.LATE, "deadline passed", sent=True)
+            return await self._unary.run(
+                request,
+                stage,
+                payload,
+                now + seconds,
+                repeatable=service.get("repeatable", True),
+            )
         finally:
             timer.observe(self._clock() - now)
 
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -1,5 +1,6 @@
 """One streamed stage: offsets, gaps, and resuming on another engine."""
 
+import asyncio
 import contextlib
 import uuid
 
@@ -8,10 +9,12 @@
 
 from sycamoreshed.adapters import endpoints as adapters
 from sycamoreshed.errors import kinds
+from sycamoreshed.pipeline import evidence
 
 __all__ = ["StreamedStage", "prefix_of"]
 
-MOST_ATTEMPTS = 3
+# In a row without a single new token; a long answer may break more often.
+MOST_FRUITLESS = 3
 PREFIX_BYTES = 256
 
 
@@ -53,58 +56,72 @@
         Returns
         -------
         StageAnswer or Failure
+            A failure's ``sent`` is true if any of the attempts may have
+            reached an engine.
         """
         self._budget.earn()
+        prefix = prefix_of(payload)
         tokens = []
         tried = set()
-        for attempt in range(MOST_ATTEMPTS):
+        sent = False
+        fruitless = 0
+        while True:
             now = self._clock()
             if now >= until:
-                break
+                return kinds.Failure(kinds.Kind.LATE, "no time left", sent)
             endpoint = self._router.choose(
-                request, stage, now, avoid=tried, prefix=prefix_of(payload)
+                request, stage, now, avoid=tried, prefix=prefix
             )
             if endpoint is None:
                 reason = f"no endpoint of {stage['service']}"
-                return kinds.Failure(
-                    kinds.Kind.NO_ENDPOINT, reason, bool(tried)
-                )
+                return kinds.Failure(kinds.Kind.NO_ENDPOINT, reason, sent)
             tried.add(endpoint.name)
-            result = await self._attempt(
-                request, stage, payload, until, endpoint, tokens, emit
+            had = len(tokens)
+            call = adapters.Call(
+                request=request.id,
+                stage=stage["name"],
+                attempt=uuid.uuid4().hex,
+                deadline_ms=(until - now) * 1000,
+                payload=payload,
+                priority=request.priority,
+                offset=had,
+                prefix=prefix,
+                adapter=stage.get("adapter"),
             )
+            result = await self._attempt(endpoint, call, until, tokens, emit)
             if not isinstance(result, kinds.Failure):
+                self._metrics.count_crossing(request, stage, endpoint, result)
                 return result
-            if attempt + 1 == MOST_ATTEMPTS or not self._budget.spend():
-                return result._replace(sent=True)
+            sent = sent or result.sent
+            fruitless = 1 if len(tokens) > had else fruitless + 1
+            if fruitless >= MOST_FRUITLESS or not self._budget.spend():
+                return result._replace(sent=sent)
             self._metrics.retries.labels(stage["name"], result.kind).inc()
-        return kinds.Failure(kinds.Kind.LATE, "no time left", bool(tried))
-
-    async def _attempt(
-        self, request, stage, payload, until, endpoint, tokens, emit
-    ):
-        now = self._clock()
-        call = adapters.Call(
-            request=request.id,
-            stage=stage["name"],
-            attempt=uuid.uuid4().hex,
-            deadline_ms=(until - now) * 1000,
-            payload=payload,
-            priority=request.priority,
-            offset=len(tokens),
-            prefix=prefix_of(payload),
-            adapter=stage.get("adapter"),
-        )
+
+    async def _attempt(self, endpoint, call, until, tokens, emit):
         self._router.loads.begin(endpoint)
-        result = None
+        # Stands for what is known if the attempt is cancelled from outside.
+        result = kinds.Failure(kinds.Kind.INTERNAL, "cancelled", sent=True)
         try:
-            result = await self._read(endpoint, call, until, tokens, emit)
+            # The client bounds each wait for the engine; this bounds also
+            # the waits for a caller that reads slowly.
+            async with asyncio.timeout(until - self._clock()):
+                result = await self._read(endpoint, call, until, tokens, emit)
+        except TimeoutError:
+            result = kinds.Failure(
+                kinds.Kind.LATE, "stream not whole in time", sent=True
+            )
         finally:
             self._router.loads.end(endpoint)
-            if not isinstance(result, adapters.StageAnswer):
+            if isinstance(result, kinds.Failure) and result.sent:
                 await adapters.cancel_quietly(self._client, endpoint, call)
-        ok = isinstance(result, adapters.StageAnswer)
-        self._membership.report(endpoint, ok=ok, now=self._clock())
+        evidence.report(
+            self._membership,
+            endpoint,
+            result,
+            given_s=call.deadline_ms / 1000,
+            now=self._clock(),
+        )
         return result
 
     async def _read(self, endpoint, call, until, tokens, emit):
--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.adapters import endpoints as adapters
 from sycamoreshed.errors import kinds
+from sycamoreshed.pipeline import evidence
 
 __all__ = ["UnaryStage"]
 
@@ -56,6 +57,7 @@
                 request, stage, payload, until, endpoint
             )
             if not isinstance(result, kinds.Failure):
+                self._metrics.count_crossing(request, stage, endpoint, result)
                 return result
             sent = sent or result.sent
             if sent and not repeatable:
@@ -89,19 +91,26 @@
             raise
         finally:
             self._router.loads.end(endpoint)
-        failed = isinstance(result, kinds.Failure)
-        self._membership.report(endpoint, ok=not failed, now=self._clock())
-        if failed and result.sent:
+        evidence.report(
+            self._membership,
+            endpoint,
+            result,
+            given_s=until - now,
+            now=self._clock(),
+        )
+        if isinstance(result, kinds.Failure) and result.sent:
             await adapters.cancel_quietly(self._client, endpoint, call)
         return result
 
     async def _may_retry(self, stage, failure, attempt, until):
         if attempt + 1 >= MOST_ATTEMPTS:
             return False
-        if self._clock() + LEAST_TIME_S >= until:
+        left = until - self._clock() - LEAST_TIME_S
+        if left <= 0:
             return False
         if not self._budget.spend():
             return False
         self._metrics.retries.labels(stage["name"], failure.kind).inc()
-        await asyncio.sleep(random.uniform(0, BACKOFF_S * 2**attempt))
+        pause = random.uniform(0, BACKOFF_S * 2**attempt)
+        await asyncio.sleep(min(pause, left))
         return True
--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -1,7 +1,6 @@
 """Chooses an endpoint for a stage and writes the decision line."""
 
 from sycamoreshed.kernel import kernel
-from sycamoreshed.observe import logs
 from sycamoreshed.routing import policies
 
 __all__ = ["Loads", "Router"]
@@ -88,11 +87,11 @@
         )
 
 
-@kernel.plugin("router", needs=("membership",))
+@kernel.plugin("router", needs=("decisions", "membership"))
 async def router(core):
     """Provide the router."""
     yield Router(
         settings=core.settings,
         membership=core.part("membership"),
-        log=logs.DecisionLog(),
+        log=core.part("decisions"),
     )
