Show with tests what streams, bad input and inner faults become

Stand-ins learn seven stream faults (a token left out, sent twice, a line of another attempt, a line that is no JSON, no finishing mark, one of another length, a cut) and the answer of an attempt given up. Each spoiled stream becomes whole on another engine, or ends with an error event.

Unknown keys of a body and priorities outside 0 to 9 are refused; they were passed over. Checks of typed dictionaries keep their type hints.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -13,6 +13,8 @@
 __all__ = ["Engine"]
 
 EVENT_LAG_S = 0.5
+ENDINGS = {"no_finish", "wrong_finish"}
+STREAM_FAULTS = ("break_", "skip", "garble", "repeat", "stray", *ENDINGS)
 
 
 class Engine:
@@ -145,7 +147,13 @@
 
     async def counts(self, _http):
         """Report counters, for tests and the bench."""
-        return web.json_response({**self.counters, "orders": len(self.orders)})
+        return web.json_response(
+            {
+                **self.counters,
+                "orders": len(self.orders),
+                "running": self._running,
+            }
+        )
 
     async def _enter(self, priority):
         if self._running < self._slots:
@@ -154,7 +162,13 @@
         self._sequence += 1
         woken = asyncio.get_running_loop().create_future()
         self._waiting.put_nowait((priority, self._sequence, woken))
-        await woken
+        try:
+            await woken
+        except asyncio.CancelledError:
+            # Woken and cancelled at once: the slot would be lost.
+            if woken.done() and not woken.cancelled():
+                self._leave()
+            raise
 
     def _leave(self):
         while not self._waiting.empty():
@@ -198,26 +212,51 @@
         answer = web.StreamResponse()
         answer.content_type = "application/x-ndjson"
         await answer.prepare(http)
-        broken_at = self._breaks_at()
+        faulty = self._faults.draw(STREAM_FAULTS)
+        middle = self._tokens // 2
         for offset in range(body.get("offset", 0), self._tokens):
             if body["attempt"] in self._cancelled:
                 return answer
-            if offset == broken_at:
-                http.transport.abort()
-                return answer
             await asyncio.sleep(self._token_s)
             token = f"{body['request'][:6]}-{offset} "
-            line = {**names, "offset": offset, "token": token}
-            await answer.write(msgspec.json.encode(line) + b"\n")
+            lines = [{**names, "offset": offset, "token": token}]
+            if offset == middle and faulty:
+                self.counters["faulted"] += 1
+                lines = _spoil(lines, names, offset, self._tokens, faulty)
+                if lines is None:
+                    http.transport.abort()
+                    return answer
+            for line in lines:
+                await answer.write(_encode(line))
             self.counters["tokens"] += 1
+            if offset == middle and faulty & ENDINGS:
+                return answer
         line = {**names, "offset": self._tokens, "finish": "stop"}
-        await answer.write(msgspec.json.encode(line) + b"\n")
+        await answer.write(_encode(line))
         return answer
 
-    def _breaks_at(self):
-        if self._faults.hits(self._faults.spec.get("break_", 0.0)):
-            return self._tokens // 2
+
+def _spoil(lines, names, offset, length, faulty):
+    """Return the lines that faults make of one; None cuts the stream."""
+    if "break_" in faulty:
         return None
+    if "skip" in faulty:
+        return []
+    if "garble" in faulty:
+        return [b'{"request": "']
+    if "repeat" in faulty:
+        lines = [{**lines[0], "offset": offset - 1}, *lines]
+    if "stray" in faulty:
+        other = {**lines[0], "attempt": "other", "token": "STRAY "}
+        lines = [other, *lines]
+    if "wrong_finish" in faulty:
+        lines = [{**names, "offset": length, "finish": "stop"}]
+    return lines
+
+
+def _encode(line):
+    raw = line if isinstance(line, bytes) else msgspec.json.encode(line)
+    return raw + b"\n"
 
 
 @registry.KINDS.register("engine")
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,10 +17,18 @@
     more.  ``fail``: share of calls answered with status 500 and without
     effect.  ``lose``: share of calls whose connection is closed after
     taking effect.  ``lose_next``: that many next calls lose their answer.
-    ``swap``: share of answers that name another call.  ``down``: close
-    every connection at once.  ``break_``: share
-    of streams cut off in the middle.  ``paths``: only paths with one of these
+    ``swap``: share of answers that name another call.  ``late``: share of
+    answers that name another attempt of the same call.  ``down``: close
+    every connection at once.  ``paths``: only paths with one of these
     beginnings.
+
+    Of streams, each a share and shown in the middle of a stream:
+    ``break_``: the connection is cut.  ``skip``: a token is left out.
+    ``repeat``: the token before is sent again.  ``no_finish``: the
+    stream ends early and without its finishing mark.  ``wrong_finish``:
+    it ends early, with a finishing mark of the full length.  ``stray``:
+    a line of another attempt comes between.  ``garble``: a line that is
+    no JSON.
     """
 
     delay_s: typing.NotRequired[float]
@@ -28,8 +36,15 @@
     fail: typing.NotRequired[float]
     lose: typing.NotRequired[float]
     lose_next: typing.NotRequired[int]
+    late: typing.NotRequired[float]
     swap: typing.NotRequired[float]
     break_: typing.NotRequired[float]
+    skip: typing.NotRequired[float]
+    repeat: typing.NotRequired[float]
+    no_finish: typing.NotRequired[float]
+    wrong_finish: typing.NotRequired[float]
+    stray: typing.NotRequired[float]
+    garble: typing.NotRequired[float]
     down: typing.NotRequired[bool]
     paths: typing.NotRequired[list[str]]
 
@@ -45,6 +60,10 @@
         """Draw whether something of this share happens."""
         return self._random.random() < share
 
+    def draw(self, names):
+        """Return those of the named faults that one call shows."""
+        return {name for name in names if self.hits(self.spec.get(name, 0.0))}
+
     def applies(self, path):
         """Return whether faults are meant for this path."""
         if path == "/faults":
--- a/standins/services.py
+++ b/standins/services.py
@@ -75,6 +75,8 @@
         )
 
     def _maybe_swapped(self, answer):
+        if self._faults.hits(self._faults.spec.get("late", 0.0)):
+            return {**answer, "attempt": "given up"}
         share = self._faults.spec.get("swap", 0.0)
         if self._last is not None and self._faults.hits(share):
             return self._last
--- a/sycamoreshed/entry/parsing.py
+++ b/sycamoreshed/entry/parsing.py
@@ -4,11 +4,11 @@
 import typing
 import uuid
 
-import msgspec
-
 from sycamoreshed.errors import kinds
+from sycamoreshed import exceptions
 from sycamoreshed.pipeline import requests
 from sycamoreshed.pipeline import runner
+from sycamoreshed.settings import checking
 
 __all__ = ["Ask", "check", "parse"]
 
@@ -18,6 +18,8 @@
 PRIORITY = "Priority"
 LONGEST_KEY = 200
 LONGEST_DEADLINE_MS = 600_000.0
+PRIORITIES = frozenset("0123456789")
+DEFAULT_PRIORITY = "1"
 
 
 class Body(typing.TypedDict):
@@ -77,10 +79,10 @@
         return refusal
     spec = config.entry("pipelines", pipeline)
     try:
-        body = msgspec.json.decode(raw, type=Body)
+        body = checking.decode(raw, Body, source="body")
         seconds = _deadline(headers, spec)
-        priority = int(headers.get(PRIORITY, "1"))
-    except (msgspec.MsgspecError, ValueError) as err:
+        priority = _priority(headers)
+    except (exceptions.CheckError, ValueError) as err:
         return kinds.Failure(kinds.Kind.BAD_REQUEST, str(err))
     key = headers.get(KEY)
     critical = runner.unrepeatable_stage(config, pipeline)
@@ -106,8 +108,19 @@
     return Ask(request, body.get("stream", False))
 
 
+def _priority(headers):
+    text = headers.get(PRIORITY, DEFAULT_PRIORITY)
+    if text not in PRIORITIES:
+        raise ValueError(f"{PRIORITY} must be one of 0 to 9")
+    return int(text)
+
+
 def _deadline(headers, spec):
-    value = float(headers.get(DEADLINE, spec["deadline_ms"]))
+    text = headers.get(DEADLINE, spec["deadline_ms"])
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
     if not math.isfinite(value) or not 0 < value <= LONGEST_DEADLINE_MS:
         raise ValueError(f"{DEADLINE} must be over 0, at most 600000")
     return value / 1000
--- /dev/null
+++ b/sycamoreshed/observe/tests/test_logs.py
@@ -0,0 +1,61 @@
+"""The decision log and its bound."""
+
+import contextlib
+import json
+
+import pytest
+
+from sycamoreshed.observe import logs
+
+
+@pytest.fixture
+def lines(capsys):
+    """Return a function that takes the lines logged since its last use."""
+    logs.set_up("INFO")
+
+    def taken():
+        text = capsys.readouterr().err
+        return [json.loads(line) for line in text.splitlines()]
+
+    yield taken
+    with contextlib.suppress(ValueError):
+        logs.logger.remove()
+
+
+def test_line_names_what_was_decided(lines):
+    log = logs.DecisionLog()
+    log.write(1.0, "route", request="r", choice="a", why="near", candidates=3)
+    (line,) = lines()
+    line.pop("time")
+    assert line == {
+        "level": "INFO",
+        "message": "decision",
+        "decision": "route",
+        "request": "r",
+        "choice": "a",
+        "why": "near",
+        "candidates": 3,
+    }
+
+
+def test_overload_is_counted_instead_of_logged(lines):
+    """Decisions come faster than lines may be written.
+
+    The log would otherwise take the time that the requests need.
+    """
+    log = logs.DecisionLog(rate=5)
+    for number in range(12):
+        log.write(1.0 + number / 100, "route", number=number)
+    assert [line["number"] for line in lines()] == list(range(5))
+    assert log.dropped == 7
+    log.write(2.0, "route", number=99)
+    missed, last = lines()
+    assert (missed["level"], missed["lines"]) == ("WARNING", 7)
+    assert last["number"] == 99
+    assert log.dropped == 7
+
+
+def test_level_keeps_decisions_out(lines):
+    logs.set_up("WARNING")
+    logs.DecisionLog().write(1.0, "route")
+    assert lines() == []
--- /dev/null
+++ b/sycamoreshed/observe/tests/test_metrics.py
@@ -0,0 +1,40 @@
+"""Metrics at the size to design for."""
+
+import types
+
+from sycamoreshed.adapters import endpoints
+from sycamoreshed.errors import kinds
+from sycamoreshed.observe import metrics
+
+TEAMS = 35_000
+PIPELINES = 13
+
+
+def test_series_stay_few_with_all_teams():
+    """Thousands of teams call; a scrape must not grow with them."""
+    part = metrics.Metrics()
+    for number in range(TEAMS):
+        team = part.team_label(f"team-{number}")
+        pipeline = f"pipeline-{number % PIPELINES}"
+        outcome = list(kinds.Outcome)[number % len(kinds.Outcome)]
+        part.requests.labels(team, pipeline, outcome).inc()
+    text = part.render().decode()
+    lines = [line for line in text.splitlines() if line[0] != "#"]
+    totals = [
+        line for line in lines if line.startswith("sycamoreshed_requests_tot")
+    ]
+    # The first teams have a series each; the others share one for each
+    # pipeline and outcome.
+    assert len(totals) == metrics.TEAM_LABELS + PIPELINES * len(kinds.Outcome)
+    assert sum(float(line.split()[-1]) for line in totals) == TEAMS
+
+
+def test_only_bytes_to_other_regions_are_counted():
+    part = metrics.Metrics(region="north")
+    request = types.SimpleNamespace(pipeline="summary")
+    answer = endpoints.StageAnswer("x", 100)
+    for region in ("north", "south", "south"):
+        endpoint = types.SimpleNamespace(region=region)
+        part.count_crossing(request, {"name": "encode"}, endpoint, answer)
+    counter = part.crossing_bytes.labels("summary", "encode")
+    assert counter._value.get() == 200
--- a/sycamoreshed/settings/checking.py
+++ b/sycamoreshed/settings/checking.py
@@ -4,6 +4,7 @@
 would hide a misspelt key, so those are looked for here.
 """
 
+import functools
 import re
 import typing
 
@@ -60,10 +61,14 @@
     return checked
 
 
+# Working them out takes longer than all of the rest of a check.
+_hints = functools.cache(typing.get_type_hints)
+
+
 def _refuse_unknown(document, kind, *, source, path):
     origin = typing.get_origin(kind)
     if typing.is_typeddict(kind):
-        hints = typing.get_type_hints(kind)
+        hints = _hints(kind)
         for key, value in document.items():
             if key not in hints:
                 known = ", ".join(sorted(hints))
--- /dev/null
+++ b/tests/integration/test_streams.py
@@ -0,0 +1,238 @@
+"""Streams that break, repeat, leave out, or outlive their caller."""
+
+import asyncio
+import contextlib
+import re
+
+import aiohttp
+import pytest
+
+from testkit import processes
+
+TOKENS = 16
+LONG = {"kind": "engine", "tokens": 100000, "token_s": 0.005}
+
+
+def specs(*engines):
+    """Return pools and the engines given, each with changes."""
+    result = [
+        {"kind": "pool", "name": f"{name}-1"}
+        for name in ("encoder", "retriever", "reranker")
+    ]
+    for number, changes in enumerate(engines, start=1):
+        result.append(
+            {"kind": "engine", "name": f"language-{number}", **changes}
+        )
+    return result
+
+
+async def metric(cluster, name, index=0):
+    """Return the sum of all series whose line begins with `name`."""
+    url = f"http://{cluster.daemons[index].public}/metrics"
+    async with cluster.session.get(url) as answer:
+        text = await answer.text()
+    values = re.findall(rf"^{re.escape(name)}\S* (\S+)$", text, re.M)
+    return sum(float(value) for value in values)
+
+
+@contextlib.asynccontextmanager
+async def streaming(cluster, *, said="dossier", **headers):
+    """Open a streamed summary."""
+    url = f"http://{cluster.daemons[0].public}/v1/pipelines/summary"
+    body = {"input": said, "stream": True}
+    headers = {"Team": "gaucho", **headers}
+    async with cluster.session.post(url, json=body, headers=headers) as answer:
+        yield answer
+
+
+def events_of(text):
+    """Return (event, id, data) of each event of a whole stream."""
+    pattern = r"event: (\w+)\n(?:id: (\d+)\n)?data: (.*)\n\n"
+    return re.findall(pattern, text)
+
+
+async def until(condition):
+    """Wait until a coroutine function returns something true."""
+    async with asyncio.timeout(20):
+        while not await condition():
+            await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize(
+    "fault, stray",
+    [
+        ("break_", None),
+        ("skip", None),
+        ("garble", None),
+        ("no_finish", None),
+        ("wrong_finish", None),
+        ("repeat", "duplicate-token"),
+        ("stray", "other-attempt"),
+    ],
+)
+async def test_faulty_stream_becomes_whole(fault, stray):
+    """An engine spoils each of its streams in the middle.
+
+    A reader of the summary would miss words, see words twice, or take a
+    half summary for a whole one.
+    """
+    async with processes.cluster(specs=specs({}, {})) as cluster:
+        await cluster.faults("language-1", **{fault: 1.0})
+        texts = []
+        counts = {}
+        while counts.get("faulted", 0) < 2 and len(texts) < 60:
+            async with streaming(cluster, said=str(len(texts))) as answer:
+                texts.append(await answer.text())
+            counts = await cluster.get("language-1", "/counts")
+        retries = await metric(cluster, "sycamoreshed_retries_total")
+        strays = await metric(
+            cluster, f'sycamoreshed_stray_answers_total{{why="{stray}"}}'
+        )
+    for text in texts:
+        events = events_of(text)
+        assert [event for event, _, _ in events] == ["token"] * TOKENS + [
+            "done"
+        ]
+        assert [int(number) for _, number, _ in events[:-1]] == list(
+            range(TOKENS)
+        )
+        assert re.fullmatch(
+            r"(\w{6})-0 " + "".join(rf"\1-{n} " for n in range(1, TOKENS)),
+            "".join(data for _, _, data in events[:-1]),
+        )
+    assert counts["faulted"] == 2
+    assert (retries, strays) == (
+        (0, counts["faulted"]) if stray else (counts["faulted"], 0)
+    )
+
+
+async def test_stream_that_cannot_be_mended_ends_with_an_error():
+    """All engines cut their streams off at the same token.
+
+    A reader must not take the half summary it has for a whole one.
+    """
+    async with processes.cluster(specs=specs({}, {})) as cluster:
+        for name in ("language-1", "language-2"):
+            await cluster.faults(name, no_finish=1.0, break_=1.0)
+        async with streaming(cluster) as answer:
+            events = events_of(await answer.text())
+    assert [event for event, _, _ in events] == ["token"] * 8 + ["error"]
+    assert '"outcome":"failed"' in events[-1][2]
+
+
+async def test_caller_that_goes_away_stops_the_engine():
+    """A member closes the page while a summary is being written.
+
+    The engine would go on for nobody, in a slot that others wait for.
+    """
+    async with processes.cluster(specs=specs(LONG)) as cluster:
+        async with streaming(cluster) as answer:
+            await answer.content.readuntil(b"\n\n")
+            answer.close()
+
+        async def stopped():
+            counts = await cluster.get("language-1", "/counts")
+            return counts["running"] == 0 and counts.get("cancelled") == 1
+
+        await until(stopped)
+        url = f"http://{cluster.daemons[0].control}/control/status"
+        async with cluster.session.get(url) as reply:
+            status = await reply.json()
+        retries = await metric(cluster, "sycamoreshed_retries_total")
+    assert status["in_flight"] == 0
+    assert retries == 0
+
+
+async def test_caller_of_a_whole_answer_that_goes_away_stops_its_calls():
+    """A caller gives up waiting for an encoder that hangs."""
+    async with processes.cluster(specs=specs({})) as cluster:
+        await cluster.faults("encoder-1", delay_s=60.0, paths=["/call"])
+        call = asyncio.create_task(cluster.call(0, "summary", {"input": 1}))
+
+        async def busy():
+            url = f"http://{cluster.daemons[0].control}/control/status"
+            async with cluster.session.get(url) as reply:
+                return (await reply.json())["in_flight"] == 1
+
+        async def cancelled():
+            counts = await cluster.get("encoder-1", "/counts")
+            return counts["cancelled"] == 1
+
+        await until(busy)
+        call.cancel()
+        await until(cancelled)
+        assert not await busy()
+
+
+@pytest.mark.parametrize("hangs", ["/generate", "/call"])
+async def test_deadline_cancels_calls_in_flight(hangs):
+    """The deadline passes during a stage; the answer says late.
+
+    The endpoint would otherwise work on for nobody.
+    """
+    async with processes.cluster(specs=specs(LONG)) as cluster:
+        name = "language-1" if hangs == "/generate" else "encoder-1"
+        if hangs == "/call":
+            await cluster.faults(name, delay_s=60.0, paths=["/call"])
+        status, headers, body = await cluster.call(
+            0, "summary", {"input": 1}, Deadline_Ms="400"
+        )
+
+        async def cancelled():
+            counts = await cluster.get(name, "/counts")
+            running = counts.get("running", 0)
+            return counts.get("cancelled") == 1 and running == 0
+
+        await until(cancelled)
+        async with streaming(cluster, **{"Deadline-Ms": "300"}) as answer:
+            events = events_of(await answer.text())
+    assert status == 504
+    assert body["outcome"] == headers["Outcome"] == "late"
+    assert events[-1][0] == "error"
+    assert '"outcome":"late"' in events[-1][2]
+
+
+async def test_answers_of_attempts_given_up_are_dropped():
+    """A pool answers a second attempt with the answer to the first.
+
+    What was given up may hold the outcome of another state of the
+    service, so it is not this attempt's answer.
+    """
+    pools = specs({})
+    async with processes.cluster(specs=pools) as cluster:
+        await cluster.faults("encoder-1", late=1.0)
+        answers = [
+            await cluster.call(0, "summary", {"input": 1}) for _ in range(4)
+        ]
+        strays = await metric(
+            cluster,
+            'sycamoreshed_stray_answers_total{why="other-attempt"}',
+        )
+    assert [(status, body["outcome"]) for status, _, body in answers] == [
+        (502, "failed")
+    ] * 4
+    assert strays >= 4
+
+
+async def test_connection_lost_by_the_caller_is_not_a_fault_of_ours():
+    """Callers vanish without closing in order, at any moment."""
+    async with processes.cluster(specs=specs(LONG)) as cluster:
+        for _ in range(5):
+            session = aiohttp.ClientSession()
+            url = f"http://{cluster.daemons[0].public}/v1/pipelines/summary"
+            answer = await session.post(
+                url,
+                json={"input": 1, "stream": True},
+                headers={"Team": "gaucho"},
+            )
+            await answer.content.readuntil(b"\n\n")
+            answer.connection.transport.abort()
+            await session.close()
+
+        async def idle():
+            counts = await cluster.get("language-1", "/counts")
+            return counts["running"] == 0
+
+        await until(idle)
+        lines = cluster.daemons[0].lines
+    assert not [line for line in lines if line["level"] == "ERROR"]
