Settle what lost store answers leave behind, and refuse at once

The thin path had these faults. A claim whose write was lost and read back absent told "not run", while the write could arrive later and leave a record that says begun for ever. A caller that went away during the claim cancelled it half way, with the same result. The key sent to endpoints was the bare one, so two teams with the same key shared it there; records were kept by pipeline, so a ballot cast through two pipelines of one service could run twice.

Others' files touched by a few lines: pipeline/runner.py (gate), entry/callers.py (a recorded answer is passed on as it is), entry/answers.py (encode_parts), errors/kinds.py (unknown key is outcome-unknown), adapters/web.py (no redirects).

--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -62,6 +62,9 @@
             data=data,
             headers={"Content-Type": "application/json"},
             timeout=aiohttp.ClientTimeout(total=max(timeout, 0.001)),
+            # A redirect of the kinds 307 and 308 would make aiohttp send
+            # a call that may not be repeated a second time.
+            allow_redirects=False,
         ) as response:
             raw = await response.read()
             decoded = msgspec.json.decode(raw) if raw else None
--- a/sycamoreshed/entry/answers.py
+++ b/sycamoreshed/entry/answers.py
@@ -5,18 +5,25 @@
 
 from sycamoreshed.errors import kinds
 
-__all__ = ["encode", "response"]
+__all__ = ["encode", "encode_parts", "response"]
 
 
 def encode(request, complete):
     """Return the body of a complete answer as bytes."""
+    return encode_parts(
+        request.id, request.config.version, complete.output, complete.stages
+    )
+
+
+def encode_parts(request_id, version, output, stages):
+    """Return the body of a complete answer, given its members."""
     return msgspec.json.encode(
         {
-            "request": request.id,
+            "request": request_id,
             "outcome": kinds.Outcome.COMPLETE,
-            "version": request.config.version,
-            "output": complete.output,
-            "stages": complete.stages,
+            "version": version,
+            "output": output,
+            "stages": stages,
         }
     )
 
--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -115,6 +115,9 @@
     async def _whole(self, request):
         if request.key is not None:
             result = await self._once.run(request)
+            if isinstance(result, web.Response):
+                self._count(request, result.headers["Outcome"])
+                return result
         else:
             result = await self._runner.run(request)
             if not isinstance(result, kinds.Failure):
--- a/sycamoreshed/errors/kinds.py
+++ b/sycamoreshed/errors/kinds.py
@@ -112,7 +112,9 @@
     Kind.KEY_CONFLICT: Answer(
         422, "Idempotency-Key used with another body", Outcome.NOT_RUN
     ),
-    Kind.KEY_UNKNOWN: Answer(404, "Unknown key", Outcome.NOT_RUN),
+    # Its request may be on its way to its record, so "not run" would be
+    # a promise nobody can keep.
+    Kind.KEY_UNKNOWN: Answer(404, "Unknown key", Outcome.OUTCOME_UNKNOWN),
     Kind.KEY_EXPIRED: Answer(410, "Key expired", Outcome.OUTCOME_UNKNOWN),
     Kind.IN_PROGRESS: Answer(
         409, "Request in progress", Outcome.OUTCOME_UNKNOWN, 1.0
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -8,13 +8,61 @@
 from sycamoreshed.entry import answers
 from sycamoreshed.entry import problems
 from sycamoreshed.errors import kinds
+from sycamoreshed.idempotency import asking  # noqa: F401
 from sycamoreshed.idempotency import decide
+from sycamoreshed.idempotency import keys
 from sycamoreshed.idempotency import records
 from sycamoreshed.kernel import kernel
+from sycamoreshed.pipeline import runner as runners
 
 __all__ = ["Once"]
 
 TEAM = "Team"
+OK = 200
+FLUSH_S = 5.0
+# Kinds that would not be told as "not run", and what is told instead
+# when nothing was sent that may not be repeated.
+_UNSENT = {
+    kinds.Kind.LATE: kinds.Kind.HOPELESS,
+    kinds.Kind.STAGE_FAILED: kinds.Kind.REFUSED,
+    kinds.Kind.BROKEN_STREAM: kinds.Kind.REFUSED,
+    kinds.Kind.STRAY_ANSWER: kinds.Kind.REFUSED,
+    kinds.Kind.OUTCOME_UNKNOWN: kinds.Kind.REFUSED,
+}
+
+
+class _Gate:
+    """Stands before and after the stage that may not be repeated.
+
+    Parameters
+    ----------
+    claim : coroutine function
+        Returns a `Claim`, `Replay` or `Failure`.
+    ask : coroutine function
+        Returns the `StageAnswer` endpoints know of, or None.
+    """
+
+    def __init__(self, *, claim, ask):
+        self._claim = claim
+        self._ask = ask
+        self.claimed = None
+        self.answer = None
+
+    async def before(self):
+        """Record the attempt; return None if the stage may be sent."""
+        result = await self._claim()
+        if not isinstance(result, records.Claim):
+            return result
+        self.claimed = result
+        return None
+
+    async def after(self, result):
+        """Ask what became of the call if its answer did not come."""
+        if isinstance(result, kinds.Failure) and result.sent:
+            result = await self._ask() or result
+        if not isinstance(result, kinds.Failure):
+            self.answer = result
+        return result
 
 
 class Once:
@@ -24,66 +72,214 @@
     ----------
     records : Records
     runner : Runner
+    asker : Asker
+    notes : Notes
+    instance : str
+    spawn : callable
+        Runs a coroutine in the background.
     """
 
-    def __init__(self, *, records, runner):
+    def __init__(self, *, records, runner, asker, notes, instance, spawn):
         self._records = records
         self._runner = runner
+        self._asker = asker
+        self._notes = notes
+        self._instance = instance
+        self._spawn = spawn
+        self._running = set()
 
     async def run(self, request):
         """Run a request, or return the first answer to its key.
 
         Returns
         -------
-        bytes or Failure
-            The body of the answer.
+        Response or Failure
         """
-        claim = await self._records.claim(request)
-        if isinstance(claim, kinds.Failure):
-            return claim
-        if isinstance(claim, records.Replay):
-            return claim.answer.encode()
-        # Shielded: a caller that goes away must not leave a call sent
-        # and its answer unrecorded.
-        run = asyncio.ensure_future(self._run_claimed(request, claim))
-        return await asyncio.shield(run)
+        if not keys.is_valid(request.key):
+            return kinds.Failure(
+                kinds.Kind.BAD_REQUEST,
+                "Idempotency-Key must be 1 to 200 visible ASCII characters",
+            )
+        # A task of its own: a caller that goes away would else leave a
+        # write or a call without anybody who settles its record.
+        task = self._spawn(self._run(request), name="run once")
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return await asyncio.shield(task)
 
     async def look_up(self, http):
         """Tell a caller what became of a request with a key."""
         team = http.headers.get(TEAM, "")
-        record = await self._records.look_up(
-            team, http.match_info["pipeline"], http.match_info["key"]
-        )
-        if isinstance(record, kinds.Failure):
-            return problems.response(record)
-        if record is None:
+        key = http.match_info["key"]
+        service = self._service_of(http.match_info)
+        if isinstance(service, kinds.Failure):
+            return problems.response(service)
+        row = await self._records.read(keys.record_key(team, service, key))
+        if isinstance(row, kinds.Failure):
+            return problems.response(row._replace(sent=True))
+        if row.value is None:
             return problems.response(
-                kinds.Failure(kinds.Kind.KEY_UNKNOWN, "nothing recorded")
+                kinds.Failure(kinds.Kind.KEY_UNKNOWN, "nothing is recorded")
             )
-        if record["state"] == decide.State.DONE:
-            return answers.response(record["answer"].encode())
-        outcome = kinds.Outcome.OUTCOME_UNKNOWN
-        if record["state"] == decide.State.NOT_RUN:
-            outcome = kinds.Outcome.NOT_RUN
-        raw = msgspec.json.encode({"outcome": outcome})
-        return answers.response(raw, outcome)
-
-    async def _run_claimed(self, request, claim):
-        result = await self._runner.run(request)
-        if not isinstance(result, kinds.Failure):
-            answer = answers.encode(request, result)
-            await self._records.finish(claim, answer.decode())
-            return answer
-        if not result.sent:
-            await self._records.release(claim)
-            return result
-        return result._replace(kind=kinds.Kind.OUTCOME_UNKNOWN)
+        told = await self._learn(row, service, keys.endpoint_key(team, key))
+        return _tell((told or row).value)
+
+    async def flush(self):
+        """Wait a while for runs whose callers have gone away."""
+        if self._running:
+            await asyncio.wait(set(self._running), timeout=FLUSH_S)
+
+    def _service_of(self, match):
+        if "service" in match:
+            return match["service"]
+        config, pipeline = self._notes.config, match["pipeline"]
+        stage = None
+        if config.entry("pipelines", pipeline) is not None:
+            stage = runners.unrepeatable_stage(config, pipeline)
+        if stage is None:
+            return kinds.Failure(
+                kinds.Kind.UNKNOWN_PIPELINE,
+                f"no pipeline {pipeline!r} with keys",
+            )
+        return stage["service"]
+
+    async def _run(self, request):
+        stages = request.spec["stages"]
+        names = [stage["name"] for stage in stages]
+        critical = runners.unrepeatable_stage(request.config, request.pipeline)
+        service = critical["service"]
+        row_key = keys.record_key(request.team, service, request.key)
+        known_as = keys.endpoint_key(request.team, request.key)
+        record = records.new_record(
+            request,
+            keys.digest(request.pipeline, request.body),
+            instance=self._instance,
+            stages=names if critical is stages[-1] else None,
+        )
+        if critical is not stages[0]:
+            end = await self._records.peek(row_key, record)
+            if end is not None:
+                return _respond(end)
+
+        async def learn(row):
+            return await self._learn(row, service, known_as)
+
+        async def claim():
+            return await self._records.claim(
+                row_key, record, request.deadline, ask=learn
+            )
+
+        async def ask():
+            return await self._asker.ask(request.config, service, known_as)
+
+        gate = _Gate(claim=claim, ask=ask)
+        sent = request._replace(key=known_as)
+        result = await self._runner.run(sent, gate=gate)
+        if gate.claimed is None:
+            return _respond(_unsent(result))
+        return await self._end(request, critical, gate, result)
+
+    async def _end(self, request, critical, gate, result):
+        failure = result if isinstance(result, kinds.Failure) else None
+        end = decide.after_run(failure, gate.answer is not None)
+        if end is decide.End.RELEASE:
+            await self._records.release(gate.claimed)
+            return _unsent(failure)
+        if end is decide.End.LEAVE:
+            path = f"/v1/pipelines/{request.pipeline}/keys/{request.key}"
+            return failure._replace(
+                kind=kinds.Kind.OUTCOME_UNKNOWN,
+                reason=f"{failure.reason}; ask later: GET {path}",
+            )
+        if failure is None:
+            raw, status = answers.encode(request, result), OK
+        else:
+            raw, status = _ran_document(request, critical, gate, failure)
+        replay = await self._records.finish(
+            gate.claimed, raw.decode(), status, request.deadline
+        )
+        return _respond(replay)
+
+    async def _learn(self, row, service, known_as):
+        record = row.value
+        if record["state"] != decide.State.BEGUN or "stages" not in record:
+            return None
+        answer = await self._asker.ask(self._notes.config, service, known_as)
+        if answer is None:
+            return None
+        raw = answers.encode_parts(
+            record["attempt"],
+            record["config"],
+            answer.output,
+            record["stages"],
+        )
+        return await self._records.complete(row, raw.decode())
+
+
+def _ran_document(request, critical, gate, failure):
+    """Return the body and status of a failure after the stage ran."""
+    failure = failure._replace(
+        reason=f"stage {critical['name']} ran; {failure.reason}", sent=True
+    )
+    details = problems.document(failure, request.id)
+    details["ran"] = {
+        "stage": critical["name"],
+        "output": gate.answer.output,
+    }
+    return msgspec.json.encode(details), details["status"]
+
+
+def _unsent(result):
+    """Return a failure so that it is told as "not run"."""
+    if not isinstance(result, kinds.Failure) or result.sent:
+        return result
+    return result._replace(kind=_UNSENT.get(result.kind, result.kind))
+
+
+def _respond(result):
+    if not isinstance(result, records.Replay):
+        return result
+    raw = result.answer.encode()
+    if result.status == OK:
+        return answers.response(raw)
+    outcome = msgspec.json.decode(raw)["outcome"]
+    return web.Response(
+        status=result.status,
+        body=raw,
+        content_type="application/problem+json",
+        headers={"Outcome": outcome},
+    )
+
+
+def _tell(record):
+    """Return the HTTP answer that tells of a record."""
+    if record["state"] == decide.State.DONE:
+        return _respond(records.Replay(record["answer"], record["status"]))
+    outcome = kinds.Outcome.OUTCOME_UNKNOWN
+    if record["state"] == decide.State.NOT_RUN:
+        outcome = kinds.Outcome.NOT_RUN
+    raw = msgspec.json.encode(
+        {"request": record["attempt"], "outcome": outcome}
+    )
+    return answers.response(raw, outcome)
 
 
-@kernel.plugin("once", needs=("records", "runner"))
+@kernel.plugin("once", needs=("asker", "notes", "records", "runner"))
 async def once(core):
     """Provide at-most-once execution, and look-ups by key."""
-    part = Once(records=core.part("records"), runner=core.part("runner"))
-    path = "/v1/pipelines/{pipeline}/keys/{key}"
-    core.public.add_routes([web.get(path, part.look_up)])
+    part = Once(
+        records=core.part("records"),
+        runner=core.part("runner"),
+        asker=core.part("asker"),
+        notes=core.part("notes"),
+        instance=core.settings.instance,
+        spawn=core.spawn,
+    )
+    core.public.add_routes(
+        [
+            web.get("/v1/pipelines/{pipeline}/keys/{key}", part.look_up),
+            web.get("/v1/services/{service}/keys/{key}", part.look_up),
+        ]
+    )
     yield part
+    await part.flush()
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -1,23 +1,30 @@
 """Records of requests that may not be repeated, in the table service."""
 
 import asyncio
+import random
 import time
 import typing
-import uuid
 
-import msgspec
-import xxhash
+from loguru import logger
 
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
+from sycamoreshed.idempotency import breaker
 from sycamoreshed.idempotency import decide
+from sycamoreshed.idempotency import store as stores
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Claim", "Records", "Replay", "record_key"]
+__all__ = ["Claim", "Records", "Replay", "new_record", "pauses"]
 
-PREFIX = "once/"
-POLL_S = 0.1
-FINISH_RETRY_S = 0.5
+FIRST_PAUSE_S = 0.03
+LONGEST_PAUSE_S = 1.0
+LONGEST_LATER_S = 4.0
+FLUSH_S = 5.0
+# The answer waits this long for its record; then it goes out and the
+# record is written in the background.
+FINISH_WAIT_S = 0.25
+OK = 200
+_AGAIN = (decide.Step.CLAIM_AGAIN, decide.Step.TRY_AGAIN)
 
 
 class Claim(typing.NamedTuple):
@@ -41,158 +48,307 @@
     """The first answer, as it was given."""
 
     answer: str
+    status: int
 
 
-def record_key(team, pipeline, key):
-    """Return the row key of a record."""
-    return f"{PREFIX}{team}/{pipeline}/{key}"
+def new_record(request, body, *, instance, stages=None):
+    """Return the record of an attempt that begins.
+
+    Parameters
+    ----------
+    request : Request
+    body : str
+        Digest of what it asks for.
+    instance : str
+    stages : list of str, optional
+        See `decide.Record`.
+    """
+    record = decide.Record(
+        state=decide.State.BEGUN,
+        attempt=request.id,
+        body=body,
+        pipeline=request.pipeline,
+        config=request.config.version,
+        instance=instance,
+        at=time.time(),
+    )
+    if stages is not None:
+        record["stages"] = list(stages)
+    return record
 
 
-def digest(body):
-    """Return a digest of a request's body."""
-    raw = msgspec.json.encode(body, order="deterministic")
-    return xxhash.xxh3_128_hexdigest(raw)
+def pauses(longest=LONGEST_PAUSE_S):
+    """Yield growing pauses in seconds, each drawn from its upper half.
+
+    Notes
+    -----
+    Many that wait for the same record, or for the store to come back,
+    would otherwise ask in step.
+    """
+    pause = FIRST_PAUSE_S
+    while True:
+        yield random.uniform(pause / 2, pause)
+        pause = min(pause * 2, longest)
 
 
 class Records:
-    """Claims, finishes and looks up records.
+    """Claims, finishes, releases and fences off records.
 
     Parameters
     ----------
-    table : Table
-    instance : str
+    store : Store
     clock : callable
+        Returns monotonic seconds.
     spawn : callable
         Runs a coroutine in the background.
     """
 
-    def __init__(self, *, table, instance, clock, spawn):
-        self._table = table
-        self._instance = instance
+    def __init__(self, *, store, clock, spawn):
+        self._store = store
         self._clock = clock
         self._spawn = spawn
+        self._later = set()
+
+    @property
+    def pending(self):
+        """Number of writes that go on in the background."""
+        return len(self._later)
 
-    async def claim(self, request):
-        """Record this attempt before anything is sent.
+    async def read(self, key):
+        """Return the row of a record, or a failure."""
+        return await self._store.read(key)
+
+    async def peek(self, key, record):
+        """Look for the end of a key before any stage runs.
+
+        Returns
+        -------
+        Replay, Failure or None
+            None when the stages before the claim may run.
+        """
+        row = await self._store.read(key)
+        step = decide.after_read(row, record["attempt"], record["body"])
+        if step in (decide.Step.CLAIM_AGAIN, decide.Step.WAIT):
+            return None
+        return self._conclude(step, row)
+
+    async def claim(self, key, record, deadline, *, ask):
+        """Record an attempt before anything is sent.
+
+        Parameters
+        ----------
+        key : str
+        record : Record
+        deadline : float
+            Monotonic seconds.
+        ask : coroutine function
+            Takes the row of another attempt that has begun; returns its
+            row as it is once its end was learnt, or None.
 
         Returns
         -------
         Claim, Replay or Failure
+            A failure has ``sent`` false if this attempt did not run and
+            never will.
         """
-        key = record_key(request.team, request.pipeline, request.key)
-        record = decide.Record(
-            state=decide.State.BEGUN,
-            attempt=uuid.uuid4().hex,
-            body=digest(request.body),
-            instance=self._instance,
-            at=time.time(),
-        )
-        if_version = tables.ABSENT
-        while self._clock() < request.deadline:
-            result = await self._table.write(
-                tables.Write(key, record, if_version)
-            )
-            step, row = await self._settle(result, key, record)
+        version = tables.ABSENT
+        in_doubt = False
+        for pause in pauses():
+            step, row, lost = await self._try(key, record, version)
+            in_doubt = in_doubt or lost
+            if step is decide.Step.WAIT:
+                step, row = await self._watch(key, record, deadline, ask, row)
             if step is decide.Step.SEND:
                 return Claim(key, record, row.version)
-            if step is decide.Step.CLAIM_AGAIN:
-                if_version = row.version
-                continue
-            if step is decide.Step.WAIT:
-                return await self._wait(key, record, request.deadline)
-            return self._conclude(step, row)
-        return kinds.Failure(kinds.Kind.STORE_AWAY, "no time to record")
-
-    async def finish(self, claim, answer):
-        """Store the answer; in the background if the store is away.
+            now = self._clock()
+            if step not in _AGAIN or decide.gives_up(
+                now, deadline, self._store.away
+            ):
+                break
+            if step is decide.Step.CLAIM_AGAIN and row.version != version:
+                version = row.version
+            else:
+                await asyncio.sleep(pause)
+        if in_doubt:
+            self._go_on(self._fence(key, record))
+        return self._conclude(step, row)
+
+    async def finish(self, claim, answer, status, deadline):
+        """Store an answer; in the background if that takes long.
 
         Parameters
         ----------
         claim : Claim
         answer : str
-            The body given to the caller.
+        status : int
+        deadline : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        Replay
+            What the caller is to be given.
         """
-        record = {
-            **claim.record,
-            "state": decide.State.DONE,
-            "answer": answer,
-        }
-        write = tables.Write(claim.key, record, claim.version)
-        result = await self._table.write(write)
-        if isinstance(result, kinds.Failure):
-            self._spawn(self._finish_later(write), name="finish record")
+        record = _done(claim.record, answer, status)
+        task = self._go_on(self._settle(claim, record))
+        seconds = min(deadline - self._clock(), FINISH_WAIT_S)
+        await asyncio.wait({task}, timeout=max(seconds, 0))
+        if task.done() and task.result() is not None:
+            return task.result()
+        return Replay(answer, status)
 
     async def release(self, claim):
         """Store that the call was not sent and never will be."""
         record = {**claim.record, "state": decide.State.NOT_RUN}
-        write = tables.Write(claim.key, record, claim.version)
-        result = await self._table.write(write)
-        if isinstance(result, kinds.Failure):
-            self._spawn(self._finish_later(write), name="release record")
+        task = self._go_on(self._settle(claim, record))
+        await asyncio.wait({task}, timeout=FINISH_WAIT_S)
 
-    async def look_up(self, team, pipeline, key):
-        """Return what is recorded.
+    async def complete(self, row, answer):
+        """Store the answer of an attempt whose instance has not.
+
+        Parameters
+        ----------
+        row : Row
+            Of an attempt that has begun.
+        answer : str
+            Made from the output an endpoint told.
 
         Returns
         -------
-        Record, None or Failure
+        Row
+            With the answer, whether it could be stored or not: it is the
+            same for whoever makes it.
         """
-        row = await self._table.read(record_key(team, pipeline, key))
-        if isinstance(row, kinds.Failure):
-            return row
-        return row.value
-
-    async def _settle(self, result, key, record):
-        step = decide.after_write(result, record["attempt"], record["body"])
-        if step is decide.Step.SEND:
-            return step, tables.Row(key, record, result.versions[0])
-        if step is not decide.Step.READ_BACK:
-            row = None
-            if isinstance(result, tables.Conflict):
-                row = result.rows[0]
-            return step, row
-        row = await self._table.read(key)
-        step = decide.after_read(row, record["attempt"], record["body"])
-        return step, row
+        record = _done(row.value, answer, OK)
+        result = await self._store.write(
+            tables.Write(row.key, record, row.version)
+        )
+        if isinstance(result, tables.Conflict):
+            now = result.rows[0]
+            if now.value and now.value["state"] == decide.State.DONE:
+                return now
+        return tables.Row(row.key, record, row.version)
+
+    async def flush(self):
+        """Wait a while for what goes on in the background."""
+        if self._later:
+            await asyncio.wait(set(self._later), timeout=FLUSH_S)
+        if self._later:
+            logger.bind(records=len(self._later)).warning(
+                "records left unsettled"
+            )
 
-    async def _wait(self, key, record, deadline):
-        while self._clock() + POLL_S < deadline:
-            await asyncio.sleep(POLL_S)
-            row = await self._table.read(key)
+    async def _try(self, key, record, version):
+        attempt, body = record["attempt"], record["body"]
+        result = await self._store.write(tables.Write(key, record, version))
+        step = decide.after_write(result, attempt, body)
+        if isinstance(result, tables.Written):
+            return step, tables.Row(key, record, result.versions[0]), False
+        if isinstance(result, tables.Conflict):
+            return step, result.rows[0], False
+        if step is not decide.Step.READ_BACK:
+            return step, None, False
+        row = await self._store.read(key)
+        return decide.after_read(row, attempt, body), row, True
+
+    async def _watch(self, key, record, deadline, ask, row):
+        step = decide.Step.WAIT
+        for pause in pauses():
+            told = await ask(row)
+            if told is not None:
+                return decide.Step.REPLAY, told
+            if decide.gives_up(self._clock() + pause, deadline, False):
+                return step, row
+            await asyncio.sleep(pause)
+            seen = await self._store.read(key)
+            if isinstance(seen, kinds.Failure):
+                continue
+            row = seen
             step = decide.after_read(row, record["attempt"], record["body"])
+            if step is not decide.Step.WAIT:
+                return step, row
+
+    async def _settle(self, claim, record):
+        version = claim.version
+        for pause in pauses(LONGEST_LATER_S):
+            result = await self._store.write(
+                tables.Write(claim.key, record, version)
+            )
+            step = decide.after_finish(result, record["attempt"])
             if step is decide.Step.REPLAY:
-                return Replay(row.value["answer"])
-        return kinds.Failure(
-            kinds.Kind.OUTCOME_UNKNOWN,
-            "another attempt with this key has begun; its end is not known",
-            sent=True,
-        )
+                return _replay(result.rows[0])
+            if step is decide.Step.CLAIM_AGAIN:
+                version = result.rows[0].version
+                continue
+            if step is not decide.Step.TRY_AGAIN:
+                return None
+            await asyncio.sleep(pause)
+
+    async def _fence(self, key, record):
+        gone = {**record, "state": decide.State.NOT_RUN}
+        for pause in pauses(LONGEST_LATER_S):
+            row = await self._store.read(key)
+            if not isinstance(row, kinds.Failure):
+                version = decide.fence_version(row, record["attempt"])
+                if version is None:
+                    return
+                result = await self._store.write(
+                    tables.Write(key, gone, version)
+                )
+                if isinstance(result, tables.Written):
+                    return
+            await asyncio.sleep(pause)
+
+    def _go_on(self, coro):
+        task = self._spawn(coro, name="settle record")
+        self._later.add(task)
+        task.add_done_callback(self._later.discard)
+        return task
 
     def _conclude(self, step, row):
         if step is decide.Step.REPLAY:
-            return Replay(row.value["answer"])
+            return _replay(row)
         if step is decide.Step.CONFLICT:
+            first = row.value["pipeline"]
+            return kinds.Failure(
+                kinds.Kind.KEY_CONFLICT,
+                f"the key was used with another body (pipeline {first!r})",
+            )
+        if step is decide.Step.WAIT:
             return kinds.Failure(
-                kinds.Kind.KEY_CONFLICT, "the key was used with another body"
+                kinds.Kind.OUTCOME_UNKNOWN,
+                f"request {row.value['attempt']} has begun with this key"
+                " and its end is not known",
+                sent=True,
             )
         return kinds.Failure(
-            kinds.Kind.STORE_AWAY, "the attempt could not be recorded"
+            kinds.Kind.STORE_AWAY,
+            "the request could not be recorded in time",
+            retry_after=self._store.retry_after,
         )
 
-    async def _finish_later(self, write):
-        while True:
-            await asyncio.sleep(FINISH_RETRY_S)
-            result = await self._table.write(write)
-            if not isinstance(result, kinds.Failure):
-                return
+
+def _done(record, answer, status):
+    return {
+        **record,
+        "state": decide.State.DONE,
+        "answer": answer,
+        "status": status,
+    }
+
+
+def _replay(row):
+    return Replay(row.value["answer"], row.value["status"])
 
 
 @kernel.plugin("records", needs=("table",))
 async def records(core):
     """Provide records of requests that may not be repeated."""
-    yield Records(
+    store = stores.Store(
         table=core.part("table"),
-        instance=core.settings.instance,
+        breaker=breaker.Breaker(),
         clock=core.clock,
-        spawn=core.spawn,
     )
+    part = Records(store=store, clock=core.clock, spawn=core.spawn)
+    yield part
+    await part.flush()
--- a/sycamoreshed/pipeline/runner.py
+++ b/sycamoreshed/pipeline/runner.py
@@ -39,7 +39,7 @@
         self._streamed = streamed_stage
         self._metrics = metrics
 
-    async def run(self, request, *, emit=None):
+    async def run(self, request, *, emit=None, gate=None):
         """Run all stages in order.
 
         Parameters
@@ -47,6 +47,10 @@
         request : Request
         emit : coroutine function, optional
             Takes offset and token of the last stage.
+        gate : object, optional
+            Stands before the stage that may not be repeated.  Its
+            coroutine ``before()`` returns None, or what ends the run;
+            ``after(result)`` returns the result to go on with.
 
         Returns
         -------
@@ -60,9 +64,16 @@
         sent = False
         for index, stage in enumerate(stages):
             last = index + 1 == len(stages)
+            guarded = gate is not None and stage is critical
+            if guarded:
+                end = await gate.before()
+                if end is not None:
+                    return end
             result = await self._run_stage(
                 request, index, payload, emit if last else None
             )
+            if guarded:
+                result = await gate.after(result)
             if isinstance(result, kinds.Failure):
                 counts = critical in (None, stage)
                 sent = sent or (result.sent and counts)
