--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,6 +17,8 @@
     more.  ``fail``: share of calls answered with status 500 and without
     effect.  ``lose``: share of calls whose connection is closed after
     taking effect.  ``lose_next``: that many next calls lose their answer.
+    ``late``: share of calls whose connection is closed at once, and that
+    take effect ``late_s`` later.
     ``swap``: share of answers that name another call.  ``down``: close
     every connection at once.  ``break_``: share
     of streams cut off in the middle.  ``paths``: only paths with one of these
@@ -28,6 +30,8 @@
     fail: typing.NotRequired[float]
     lose: typing.NotRequired[float]
     lose_next: typing.NotRequired[int]
+    late: typing.NotRequired[float]
+    late_s: typing.NotRequired[float]
     swap: typing.NotRequired[float]
     break_: typing.NotRequired[float]
     down: typing.NotRequired[bool]
@@ -39,6 +43,7 @@
 
     def __init__(self, *, seed=0):
         self._random = random.Random(seed)
+        self._late = set()
         self.spec = {}
 
     def hits(self, share):
@@ -74,6 +79,10 @@
                 await asyncio.sleep(seconds)
             if self.hits(spec.get("fail", 0.0)):
                 return web.json_response({"error": "fault"}, status=500)
+            if "late" in spec and self.hits(spec["late"]):
+                await http.read()
+                self._put_off(handler, http, spec.get("late_s", 0.5))
+                return _cut(http)
             answer = await handler(http)
             if self._loses(spec):
                 return _cut(http)
@@ -81,6 +90,15 @@
 
         return inject
 
+    def _put_off(self, handler, http, seconds):
+        async def later():
+            await asyncio.sleep(seconds)
+            await handler(http)
+
+        task = asyncio.create_task(later())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     def _loses(self, spec):
         if spec.get("lose_next", 0) > 0:
             spec["lose_next"] -= 1
--- a/standins/services.py
+++ b/standins/services.py
@@ -88,6 +88,7 @@
         super().__init__(faults=faults, slots=slots, seconds=seconds)
         self._runs = collections.Counter()
         self._outputs = {}
+        self._log = []
 
     def routes(self):
         """Return the routes of the endpoint."""
@@ -95,6 +96,7 @@
             *super().routes(),
             web.post("/lookup", self.look_up),
             web.get("/runs", self.runs),
+            web.get("/log", self.log),
         ]
 
     def output(self, body):
@@ -103,6 +105,9 @@
         if key is None:
             return super().output(body)
         self._runs[key] += 1
+        self._log.append(
+            {name: body[name] for name in ("key", "request", "attempt")}
+        )
         output = {"recorded": key, "run": self._runs[key]}
         self._outputs[key] = output
         return output
@@ -121,6 +126,10 @@
         """Report how often each key ran."""
         return web.json_response(self._runs)
 
+    async def log(self, _http):
+        """Report each run of a key: which request, which attempt."""
+        return web.json_response(self._log)
+
 
 @registry.KINDS.register("pool")
 def pool(spec, faults):
--- /dev/null
+++ b/sycamoreshed/idempotency/tests/test_decide.py
@@ -0,0 +1,140 @@
+"""Rows of the tables in DESIGN.md, "At most once"."""
+
+import pytest
+
+from sycamoreshed.adapters import table as tables
+from sycamoreshed.errors import kinds
+from sycamoreshed.idempotency import decide
+
+Step = decide.Step
+End = decide.End
+
+
+def failure(sent):
+    return kinds.Failure(kinds.Kind.STORE_AWAY, "", sent=sent)
+
+
+def row(state=None, attempt="a", body="x", version=3):
+    if state is None:
+        return tables.Row("k", None, tables.ABSENT)
+    value = {"state": state, "attempt": attempt, "body": body}
+    return tables.Row("k", value, version)
+
+
+READS = [
+    (failure(False), Step.TRY_AGAIN),
+    (failure(True), Step.TRY_AGAIN),
+    (row(), Step.CLAIM_AGAIN),
+    (row("begun", "a"), Step.SEND),
+    (row("begun", "b"), Step.WAIT),
+    (row("begun", "b", "y"), Step.CONFLICT),
+    (row("done", "b"), Step.REPLAY),
+    (row("done", "a"), Step.REPLAY),
+    (row("done", "b", "y"), Step.CONFLICT),
+    (row("not-run", "b"), Step.CLAIM_AGAIN),
+    (row("not-run", "b", "y"), Step.CONFLICT),
+    (row("not-run", "a"), Step.REFUSE),
+]
+
+
+@pytest.mark.parametrize(("found", "step"), READS)
+def test_after_read(found, step):
+    assert decide.after_read(found, "a", "x") is step
+
+
+@pytest.mark.parametrize(
+    ("result", "step"),
+    [
+        (tables.Written((1,)), Step.SEND),
+        (failure(True), Step.READ_BACK),
+        (failure(False), Step.TRY_AGAIN),
+        *(
+            (tables.Conflict((found,)), step)
+            for found, step in READS
+            if isinstance(found, tables.Row)
+        ),
+    ],
+)
+def test_after_write(result, step):
+    assert decide.after_write(result, "a", "x") is step
+
+
+@pytest.mark.parametrize(
+    ("found", "version"),
+    [
+        (row(), 0),
+        (row("begun", "a"), 3),
+        (row("begun", "b"), None),
+        (row("done", "a"), None),
+        (row("done", "b"), None),
+        (row("not-run", "a"), None),
+        (row("not-run", "b"), 3),
+    ],
+)
+def test_fence_version(found, version):
+    """A write whose answer was lost takes effect after its attempt ended.
+
+    Without the fence the member's key would be stuck at "unknown".
+    """
+    assert decide.fence_version(found, "a") == version
+
+
+@pytest.mark.parametrize(
+    ("result", "ran", "end"),
+    [
+        (None, True, End.FINISH),
+        (failure(False), False, End.RELEASE),
+        (failure(True), False, End.LEAVE),
+        (failure(True), True, End.FINISH),
+    ],
+)
+def test_after_run(result, ran, end):
+    assert decide.after_run(result, ran) is end
+
+
+@pytest.mark.parametrize(
+    ("result", "step"),
+    [
+        (tables.Written((4,)), Step.SEND),
+        (failure(True), Step.TRY_AGAIN),
+        (failure(False), Step.TRY_AGAIN),
+        (tables.Conflict((row("done", "a"),)), Step.REPLAY),
+        (tables.Conflict((row("begun", "a"),)), Step.CLAIM_AGAIN),
+        (tables.Conflict((row("not-run", "a"),)), Step.REFUSE),
+        (tables.Conflict((row("begun", "b"),)), Step.REFUSE),
+        (tables.Conflict((row("done", "b"),)), Step.REFUSE),
+        (tables.Conflict((row(),)), Step.REFUSE),
+    ],
+)
+def test_after_finish(result, step):
+    assert decide.after_finish(result, "a") is step
+
+
+RAN = {"state": "ran", "output": 7}
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected"),
+    [
+        ([], None),
+        ([{"state": "never"}], None),
+        ([failure(True), {"state": "never"}], None),
+        ([{"state": "ran"}], None),
+        ([{"state": "never"}, failure(False), RAN], RAN),
+    ],
+)
+def test_found(answers, expected):
+    """An endpoint says "never" of a call that is still on its way to it.
+
+    Told as "not run", the vote would count after the member was told it
+    had not.
+    """
+    assert decide.found(answers) == expected
+
+
+@pytest.mark.parametrize(
+    ("now", "away", "ends"),
+    [(1.0, False, False), (9.99, False, True), (1.0, True, True)],
+)
+def test_gives_up(now, away, ends):
+    assert decide.gives_up(now, 10.0, away) is ends
--- a/testkit/proxy.py
+++ b/testkit/proxy.py
@@ -32,6 +32,8 @@
         Close new and open connections at once.
     freeze : bool
         Keep connections open and forward nothing.
+    hold_answers : bool
+        Forward requests, and keep answers until it is unset.
     lose_answers : int
         That many next answers are swallowed and their connection closed,
         after the request was forwarded; -1 for all.
@@ -49,6 +51,7 @@
         self.delay_s = 0.0
         self.refuse = False
         self.freeze = False
+        self.hold_answers = False
         self.lose_answers = 0
         self.blocked = set()
         self.bytes_in = 0
@@ -105,6 +108,8 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
                 await self._gate(source)
+                while is_answer and self.hold_answers:
+                    await asyncio.sleep(POLL_S)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
                 if self.refuse or (is_answer and self._swallows()):
