--- a/standins/faults.py
+++ b/standins/faults.py
@@ -17,9 +17,11 @@
     more.  ``fail``: share of calls answered with status 500 and without
     effect.  ``lose``: share of calls whose connection is closed after
     taking effect.  ``lose_next``: that many next calls lose their answer.
-    ``swap``: share of answers that name another call.  ``late``: share of
-    answers that name another attempt of the same call.  ``down``: close
-    every connection at once.  ``paths``: only paths with one of these
+    ``late``: share of calls whose connection is closed at once, and that
+    take effect ``late_s`` later.  ``swap``: share of answers that name
+    another call.  ``other_attempt``: share of answers that name another
+    attempt of the same call.  ``down``: close every connection at once.
+    ``paths``: only paths with one of these
     beginnings.
 
     Of streams, each a share and shown in the middle of a stream:
@@ -37,7 +39,9 @@
     lose: typing.NotRequired[float]
     lose_next: typing.NotRequired[int]
     late: typing.NotRequired[float]
+    late_s: typing.NotRequired[float]
     swap: typing.NotRequired[float]
+    other_attempt: typing.NotRequired[float]
     break_: typing.NotRequired[float]
     skip: typing.NotRequired[float]
     repeat: typing.NotRequired[float]
@@ -54,6 +58,7 @@
 
     def __init__(self, *, seed=0):
         self._random = random.Random(seed)
+        self._late = set()
         self.spec = {}
 
     def hits(self, share):
@@ -93,6 +98,10 @@
                 await asyncio.sleep(seconds)
             if self.hits(spec.get("fail", 0.0)):
                 return web.json_response({"error": "fault"}, status=500)
+            if "late" in spec and self.hits(spec["late"]):
+                await http.read()
+                self._put_off(handler, http, spec.get("late_s", 0.5))
+                return _cut(http)
             answer = await handler(http)
             if self._loses(spec):
                 return _cut(http)
@@ -100,6 +109,15 @@
 
         return inject
 
+    def _put_off(self, handler, http, seconds):
+        async def later():
+            await asyncio.sleep(seconds)
+            await handler(http)
+
+        task = asyncio.create_task(later())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     def _loses(self, spec):
         if spec.get("lose_next", 0) > 0:
             spec["lose_next"] -= 1
