Measure the policy with open-loop load on real daemons

The policy under load can only be judged from outside, with arrivals that do not wait for answers and times counted from when a request was due.

Stand-ins take two more faults: a delay by source address, for the distance between regions, and a factor on the time that work takes.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,90 @@
+"""Command line of the bench: ``python -m bench``."""
+
+import itertools
+import json
+import os
+import pathlib
+import typing
+
+os.environ["UV_USE_IO_URING"] = "0"
+
+import cyclopts  # noqa: E402
+import uvloop  # noqa: E402
+
+from bench import plots  # noqa: E402
+from bench import runs  # noqa: E402
+
+__all__ = ["app"]
+
+app = cyclopts.App(name="bench", help=__doc__)
+
+
+@app.command
+def run(
+    scenario: str,
+    *,
+    seed: tuple[int, ...] = (1,),
+    out: pathlib.Path = pathlib.Path("out/bench"),
+    policy: tuple[str, ...] = ("",),
+    fairness: tuple[str, ...] = ("",),
+    load: tuple[float, ...] = (0.9,),
+    deployment: str = "cineclubes",
+    seconds: float = 10.0,
+    instances: int = 9,
+    settings: str = "{}",
+):
+    """Run a scenario, for each seed, policy, fairness and load given.
+
+    Parameters
+    ----------
+    seed, policy, fairness, load
+        May be repeated; an empty policy or fairness is the default one.
+    settings
+        JSON of further settings of the daemons.
+    """
+    more: dict[str, typing.Any] = json.loads(settings)
+    for number, level, order, name in itertools.product(
+        seed, load, fairness, policy
+    ):
+        changes = dict(more)
+        if name:
+            changes["routing"] = name
+        if order:
+            changes["fairness"] = order
+        result = uvloop.run(
+            runs.run(
+                scenario,
+                deployment=deployment,
+                seed=number,
+                seconds=seconds,
+                level=level,
+                changes=changes,
+                count=instances,
+            )
+        )
+        label = f"{deployment}-{scenario}-{level}-{name}-{order}-{number}"
+        _write(result, out / label)
+
+
+def _write(result, folder):
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / runs.RESULT).write_text(json.dumps(result, indent=1))
+    plots.draw(result, folder)
+    _print(runs.compare([result]))
+
+
+@app.command
+def compare(*paths: pathlib.Path):
+    """Print a table of results, one line for each setting."""
+    _print(runs.compare(runs.read(paths)))
+
+
+def _print(rows):
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    for row in rows:
+        cells = zip(row, widths, strict=True)
+        print("  ".join(cell.ljust(width) for cell, width in cells))
+
+
+if __name__ == "__main__":
+    app()
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,130 @@
+"""The load generator: sends each arrival at its time, and notes the end."""
+
+import asyncio
+import random
+import time
+import typing
+import uuid
+
+import aiohttp
+import msgspec
+
+__all__ = ["Sample", "send_all"]
+
+GRACE_S = 3.0
+# Below this share of the deadline the answer came from a refusal.
+_PIPELINE = "/v1/pipelines/"
+
+
+class Sample(typing.NamedTuple):
+    """What became of one arrival.
+
+    Parameters
+    ----------
+    at : float
+        When it was due, seconds since the start.
+    team, pipeline, outcome : str
+    seconds : float
+        From when it was due to the end of its answer.
+    first_s : float or None
+        From when it was due to the first token.
+    lag_s : float
+        How late the generator sent it.
+    attained : bool
+        Whole answer within the deadline.
+    """
+
+    at: float
+    team: str
+    pipeline: str
+    outcome: str
+    seconds: float
+    first_s: float | None
+    lag_s: float
+    attained: bool
+
+
+async def send_all(world, arrivals, *, seed):
+    """Send arrivals, not waiting for answers; return the samples.
+
+    Parameters
+    ----------
+    world : World
+    arrivals : list of Arrival
+    seed : int
+        Of the balancer's choices.
+
+    Returns
+    -------
+    list of Sample
+    """
+    rng = random.Random(seed)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        start = time.monotonic()
+        tasks = []
+        for arrival in arrivals:
+            wait = start + arrival.at - time.monotonic()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            daemon = rng.choice(world.ready or world.daemons)
+            send = _send(session, world, daemon, arrival, start)
+            tasks.append(asyncio.create_task(send))
+        return await asyncio.gather(*tasks)
+
+
+async def _send(session, world, daemon, arrival, start):
+    due = start + arrival.at
+    lag = time.monotonic() - due
+    spec = world.deployment.sections["pipelines"][arrival.pipeline]
+    deadline = spec["deadline_ms"] / 1000
+    body = {"input": arrival.text, "stream": arrival.pipeline == "summary"}
+    headers = {
+        "Team": arrival.team,
+        "Deadline-Ms": str(spec["deadline_ms"]),
+        "Idempotency-Key": uuid.uuid4().hex,
+    }
+    timeout = aiohttp.ClientTimeout(total=deadline + GRACE_S)
+    first = None
+    try:
+        async with session.post(
+            f"http://{daemon.public}{_PIPELINE}{arrival.pipeline}",
+            data=msgspec.json.encode(body),
+            headers=headers,
+            timeout=timeout,
+        ) as answer:
+            outcome, first = await _read(answer)
+    except (aiohttp.ClientError, TimeoutError, OSError) as err:
+        outcome = type(err).__name__
+    seconds = time.monotonic() - due
+    return Sample(
+        at=arrival.at,
+        team=arrival.team,
+        pipeline=arrival.pipeline,
+        outcome=outcome,
+        seconds=seconds,
+        first_s=None if first is None else first - due,
+        lag_s=lag,
+        attained=outcome == "complete" and seconds <= deadline,
+    )
+
+
+async def _read(answer):
+    """Return the outcome and when the first token came."""
+    if answer.content_type != "text/event-stream":
+        raw = await answer.read()
+        if answer.status == 200:
+            return answer.headers.get("Outcome", "complete"), None
+        return msgspec.json.decode(raw)["outcome"], None
+    first = None
+    last = b""
+    async for chunk in answer.content.iter_any():
+        if first is None:
+            first = time.monotonic()
+        last = (last + chunk)[-4096:]
+    if b"event: done" in last:
+        return "complete", first
+    if b'"outcome":"' in last:
+        tail = last.rpartition(b'"outcome":"')[2]
+        return tail.partition(b'"')[0].decode(), None
+    return "cut-off", None
--- /dev/null
+++ b/bench/runs.py
@@ -0,0 +1,160 @@
+"""One run of one scenario, and comparing several."""
+
+import asyncio
+import collections
+import json
+import pathlib
+import statistics
+import time
+
+from bench import arrivals
+from bench import deployments
+from bench import load
+from bench import results
+from bench import scenarios
+from bench import world as worlds
+
+__all__ = ["compare", "read", "run"]
+
+RESULT = "result.json"
+
+
+async def run(scenario, *, deployment, seed, seconds, level, changes, count):
+    """Run a scenario once.
+
+    Parameters
+    ----------
+    scenario, deployment : str
+    seed : int
+    seconds : float
+    level : float
+        Load as a share of the capacity.
+    changes : dict
+        To the daemons' settings.
+    count : int
+        Entry instances.
+
+    Returns
+    -------
+    dict
+    """
+    system = deployments.DEPLOYMENTS.get(deployment)()
+    plan = scenarios.SCENARIOS.get(scenario)(system, level, seconds)
+    drawn = arrivals.draw(
+        plan.phases, system.mix, seed=seed, prefixes=plan.prefixes
+    )
+    if "tariff" in changes:
+        changes = {**changes, "tariff": dict(system.tariff)}
+        if plan.hour is not None:
+            changes["tariff"]["hour"] = plan.hour
+    async with worlds.running(
+        system, instances=count, changes=changes
+    ) as world:
+        background = [
+            asyncio.create_task(world.balance()),
+            asyncio.create_task(_events(world, plan.events)),
+        ]
+        spent = time.process_time()
+        samples = await load.send_all(world, drawn, seed=seed)
+        spent = time.process_time() - spent
+        for task in background:
+            task.cancel()
+        ended = await asyncio.gather(*background, return_exceptions=True)
+        for error in ended:
+            if not isinstance(error, asyncio.CancelledError | None):
+                raise error
+        counted = await results.gather(world)
+    return {
+        "scenario": scenario,
+        "deployment": deployment,
+        "seed": seed,
+        "seconds": seconds,
+        "load": level,
+        "instances": count,
+        "settings": changes,
+        "figures": results.summarise(samples, seconds),
+        "counted": counted,
+        "generator_cpu_share": spent / seconds,
+    }
+
+
+async def _events(world, events):
+    start = time.monotonic()
+    for event in sorted(events):
+        await asyncio.sleep(max(0, start + event.at - time.monotonic()))
+        await getattr(world, event.action)(*event.arguments)
+
+
+def read(paths):
+    """Return the results in files and folders."""
+    found = []
+    for path in map(pathlib.Path, paths):
+        files = sorted(path.rglob(RESULT)) if path.is_dir() else [path]
+        found += [json.loads(file.read_text()) for file in files]
+    return found
+
+
+def compare(found):
+    """Return table rows: one for each setting, with mean and spread.
+
+    Parameters
+    ----------
+    found : list of dict
+
+    Returns
+    -------
+    list of list of str
+    """
+    groups = collections.defaultdict(list)
+    for result in found:
+        settings = {
+            name: value
+            for name, value in result["settings"].items()
+            if name != "tariff"
+        }
+        key = (
+            result["deployment"],
+            result["scenario"],
+            result["load"],
+            ",".join(f"{k}={v}" for k, v in sorted(settings.items())),
+        )
+        groups[key].append(result)
+    head = "deployment scenario load settings runs attainment settled"
+    head += " summaries/s least-team p95 first-p95 refused-p95 hits"
+    head += " crossing/1000 lag-p99"
+    rows = [head.split()]
+    for key, items in sorted(groups.items()):
+        columns = zip(*(_figures(item) for item in items), strict=True)
+        rows.append([*map(str, key), str(len(items)), *map(_mean, columns)])
+    return rows
+
+
+def _figures(result):
+    figures = result["figures"]
+    summary = figures["pipelines"]["summary"]
+    engines = result["counted"]["engines"]
+    crossing = sum(
+        stage.get("cross_region_bytes_total", 0)
+        for stage in result["counted"]["stages"].values()
+    )
+    served = engines.get("served") or 1
+    return (
+        figures["attainment"],
+        figures["settled"],
+        summary["goodput"],
+        min(figures["settled_teams"].values()),
+        (summary["seconds"] or {}).get("p95"),
+        (summary["first_s"] or {}).get("p95"),
+        (summary["refused_s"] or {}).get("p95"),
+        engines.get("prefix_hits", 0) / served,
+        crossing / figures["requests"] * 1000,
+        figures["generator_lag_s"]["p99"],
+    )
+
+
+def _mean(values):
+    known = [value for value in values if value is not None]
+    if not known:
+        return "-"
+    spread = max(known) - min(known)
+    return f"{statistics.fmean(known):.4g} ±{spread / 2:.2g}"
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,182 @@
+"""Scenarios: rates over time, and what happens at which moment."""
+
+import typing
+
+from bench import arrivals
+from bench import deployments
+from sycamoreshed.kernel import registry
+
+__all__ = ["SCENARIOS", "Event", "Plan"]
+
+SCENARIOS = registry.Registry(kind="scenario")
+
+
+class Event(typing.NamedTuple):
+    """Something done to the running system.
+
+    Parameters
+    ----------
+    at : float
+        Seconds since the start.
+    action : str
+        Name of a method of `bench.world.World`.
+    arguments : tuple
+    """
+
+    at: float
+    action: str
+    arguments: tuple = ()
+
+
+class Plan(typing.NamedTuple):
+    """What a scenario does.
+
+    Parameters
+    ----------
+    phases : list of Phase
+    events : list of Event
+    prefixes : int
+    hour : float or None
+        Hour of the day the daemons are told, for the tariff.
+    """
+
+    phases: list
+    events: list = []
+    prefixes: int = 0
+    hour: float | None = None
+
+
+def _rates(deployment, load, **times):
+    total = deployments.capacity(deployment) * load
+    return {
+        team: total * share * times.get(team, 1.0)
+        for team, share in deployment.shares.items()
+    }
+
+
+def _flat(deployment, load, seconds):
+    rates = _rates(deployment, load)
+    return [arrivals.Phase(0.0, seconds, rates)]
+
+
+def _engine(deployment, index=0):
+    engines = [s for s in deployment.specs if s["kind"] == "engine"]
+    return engines[index]["name"]
+
+
+@SCENARIOS.register("steady")
+def steady(deployment, load, seconds):
+    """Constant load."""
+    return Plan(_flat(deployment, load, seconds))
+
+
+@SCENARIOS.register("overload")
+def overload(deployment, load, seconds):
+    """Constant load, meant to be over the capacity."""
+    return Plan(_flat(deployment, load, seconds))
+
+
+@SCENARIOS.register("burst")
+def burst(deployment, load, seconds):
+    """One small team sends ten times its own from a third on."""
+    third = seconds / 3
+    team = list(deployment.shares)[-1]
+    return Plan(
+        [
+            arrivals.Phase(0.0, third, _rates(deployment, load)),
+            arrivals.Phase(
+                third, seconds, _rates(deployment, load, **{team: 10.0})
+            ),
+        ]
+    )
+
+
+@SCENARIOS.register("slow_stage")
+def slow_stage(deployment, load, seconds):
+    """All rerankers take thirty times as long in the middle third."""
+    names = [
+        spec["name"]
+        for spec in deployment.specs
+        if spec["service"] == "reranker"
+    ]
+    third = seconds / 3
+    return Plan(
+        _flat(deployment, load, seconds),
+        [
+            *(Event(third, "slow", (name, 30.0)) for name in names),
+            *(Event(2 * third, "slow", (name, 1.0)) for name in names),
+        ],
+    )
+
+
+@SCENARIOS.register("slow_engine")
+def slow_engine(deployment, load, seconds):
+    """One engine takes ten times as long, from the first second."""
+    name = _engine(deployment)
+    return Plan(
+        _flat(deployment, load, seconds),
+        [Event(1.0, "slow", (name, 10.0))],
+    )
+
+
+@SCENARIOS.register("lost_zone")
+def lost_zone(deployment, load, seconds):
+    """A zone, its instances and endpoints are gone from a third on."""
+    zone = deployment.zones[0]
+    return Plan(
+        _flat(deployment, load, seconds),
+        [Event(seconds / 3, "lose_zone", (zone,))],
+    )
+
+
+@SCENARIOS.register("store_outage")
+def store_outage(deployment, load, seconds):
+    """Table service and object store are away in the middle third."""
+    third = seconds / 3
+    return Plan(
+        _flat(deployment, load, seconds),
+        [
+            Event(third, "store", (False,)),
+            Event(2 * third, "store", (True,)),
+        ],
+    )
+
+
+@SCENARIOS.register("rolling_restart")
+def rolling_restart(deployment, load, seconds):
+    """Every entry instance is stopped and started, one after another."""
+    return Plan(
+        _flat(deployment, load, seconds),
+        [Event(1.0, "restart_all")],
+    )
+
+
+@SCENARIOS.register("prefix_skew")
+def prefix_skew(deployment, load, seconds):
+    """Prompts share 100 prefixes, drawn with a Zipf skew."""
+    return Plan(_flat(deployment, load, seconds), prefixes=100)
+
+
+@SCENARIOS.register("dawn")
+def dawn(deployment, load, seconds):
+    """The hour before dawn: load doubles from a third on."""
+    third = seconds / 3
+    return Plan(
+        [
+            arrivals.Phase(0.0, third, _rates(deployment, load / 2)),
+            arrivals.Phase(third, seconds, _rates(deployment, load)),
+        ],
+        hour=4.0,
+    )
+
+
+@SCENARIOS.register("recovery")
+def recovery(deployment, load, seconds):
+    """Three times the capacity, then `load` again for as long."""
+    half = seconds / 2
+    return Plan(
+        [
+            arrivals.Phase(0.0, half, _rates(deployment, 3.0)),
+            arrivals.Phase(half, seconds, _rates(deployment, load)),
+        ]
+    )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -171,7 +171,7 @@
             self.counters["prefix_hits"] += 1
             self._cache.move_to_end(prefix)
             return
-        await asyncio.sleep(self._prefill_s)
+        await asyncio.sleep(self._prefill_s * self._faults.slow)
         if prefix is not None:
             self._remember(prefix)
 
@@ -205,7 +205,7 @@
             if offset == broken_at:
                 http.transport.abort()
                 return answer
-            await asyncio.sleep(self._token_s)
+            await asyncio.sleep(self._token_s * self._faults.slow)
             token = f"{body['request'][:6]}-{offset} "
             line = {**names, "offset": offset, "token": token}
             await answer.write(msgspec.json.encode(line) + b"\n")
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -20,7 +20,8 @@
     ``swap``: share of answers that name another call.  ``down``: close
     every connection at once.  ``break_``: share
     of streams cut off in the middle.  ``paths``: only paths with one of these
-    beginnings.
+    beginnings.  ``delay_from``: added by source address.
+    ``slow``: factor on the time that work takes.
     """
 
     delay_s: typing.NotRequired[float]
@@ -32,6 +33,8 @@
     break_: typing.NotRequired[float]
     down: typing.NotRequired[bool]
     paths: typing.NotRequired[list[str]]
+    delay_from: typing.NotRequired[dict[str, float]]
+    slow: typing.NotRequired[float]
 
 
 class Faults:
@@ -41,6 +44,11 @@
         self._random = random.Random(seed)
         self.spec = {}
 
+    @property
+    def slow(self):
+        """Factor on the time that work takes."""
+        return self.spec.get("slow", 1.0)
+
     def hits(self, share):
         """Draw whether something of this share happens."""
         return self._random.random() < share
@@ -70,6 +78,7 @@
                 return _cut(http)
             seconds = spec.get("delay_s", 0.0)
             seconds += self._random.uniform(0, spec.get("jitter_s", 0.0))
+            seconds += spec.get("delay_from", {}).get(http.remote, 0.0)
             if seconds:
                 await asyncio.sleep(seconds)
             if self.hits(spec.get("fail", 0.0)):
--- a/standins/services.py
+++ b/standins/services.py
@@ -48,7 +48,7 @@
         """Serve one call."""
         body = await http.json()
         async with self._slots:
-            await asyncio.sleep(self._seconds)
+            await asyncio.sleep(self._seconds * self._faults.slow)
         self.served += 1
         answer = {**identity(body), "output": self.output(body)}
         answer, self._last = self._maybe_swapped(answer), answer
