--- a/standins/faults.py
+++ b/standins/faults.py
@@ -21,8 +21,9 @@
     take effect ``late_s`` later.  ``swap``: share of answers that name
     another call.  ``other_attempt``: share of answers that name another
     attempt of the same call.  ``down``: close every connection at once.
-    ``paths``: only paths with one of these
-    beginnings.
+    ``paths``: only paths with one of these beginnings.  ``delay_from``:
+    seconds added by source address.  ``slow``: factor on the time that
+    work takes.
 
     Of streams, each a share and shown in the middle of a stream:
     ``break_``: the connection is cut.  ``skip``: a token is left out.
@@ -51,6 +52,8 @@
     garble: typing.NotRequired[float]
     down: typing.NotRequired[bool]
     paths: typing.NotRequired[list[str]]
+    delay_from: typing.NotRequired[dict[str, float]]
+    slow: typing.NotRequired[float]
 
 
 class Faults:
@@ -61,6 +64,11 @@
         self._late = set()
         self.spec = {}
 
+    @property
+    def slow(self):
+        """Factor on the time that work takes."""
+        return self.spec.get("slow", 1.0)
+
     def hits(self, share):
         """Draw whether something of this share happens."""
         return self._random.random() < share
@@ -94,6 +102,7 @@
                 return _cut(http)
             seconds = spec.get("delay_s", 0.0)
             seconds += self._random.uniform(0, spec.get("jitter_s", 0.0))
+            seconds += spec.get("delay_from", {}).get(http.remote, 0.0)
             if seconds:
                 await asyncio.sleep(seconds)
             if self.hits(spec.get("fail", 0.0)):
