--- a/sycamoreshed/pipeline/runner.py
+++ b/sycamoreshed/pipeline/runner.py
@@ -1,7 +1,5 @@
 """Runs an admitted request through the stages of its pipeline."""
 
-import asyncio
-
 from sycamoreshed.admission import budget as budgets
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -39,7 +37,7 @@
         self._streamed = streamed_stage
         self._metrics = metrics
 
-    async def run(self, request, *, emit=None):
+    async def run(self, request, *, emit=None, gate=None):
         """Run all stages in order.
 
         Parameters
@@ -47,6 +45,10 @@
         request : Request
         emit : coroutine function, optional
             Takes offset and token of the last stage.
+        gate : object, optional
+            Stands before the stage that may not be repeated.  Its
+            coroutine ``before()`` returns None, or what ends the run;
+            ``after(result)`` returns the result to go on with.
 
         Returns
         -------
@@ -60,9 +62,16 @@
         sent = False
         for index, stage in enumerate(stages):
             last = index + 1 == len(stages)
+            guarded = gate is not None and stage is critical
+            if guarded:
+                end = await gate.before()
+                if end is not None:
+                    return end
             result = await self._run_stage(
                 request, index, payload, emit if last else None
             )
+            if guarded:
+                result = await gate.after(result)
             if isinstance(result, kinds.Failure):
                 counts = critical in (None, stage)
                 sent = sent or (result.sent and counts)
@@ -83,20 +92,20 @@
             request.pipeline, stage["name"]
         )
         try:
-            async with asyncio.timeout(max(seconds, 0)):
-                if service["kind"] == "engine":
-                    return await self._streamed.run(
-                        request, stage, payload, now + seconds, emit=emit
-                    )
-                return await self._unary.run(
-                    request,
-                    stage,
-                    payload,
-                    now + seconds,
-                    repeatable=service.get("repeatable", True),
+            # No timeout here: it would cut off the stage where only the
+            # stage knows whether a call was sent.  Both kinds of stage
+            # end by the time they are given.
+            if service["kind"] == "engine":
+                return await self._streamed.run(
+                    request, stage, payload, now + seconds, emit=emit
                 )
-        except TimeoutError:
-            return kinds.Failure(kinds.Kind.LATE, "deadline passed", sent=True)
+            return await self._unary.run(
+                request,
+                stage,
+                payload,
+                now + seconds,
+                repeatable=service.get("repeatable", True),
+            )
         finally:
             timer.observe(self._clock() - now)
 
