Close connections once the stop has begun, and show the drain

From the stop on each answer closes its connection, so that no request of a kept connection crosses with the end of the process. Two tests: callers in a loop, a kept connection and a call held by a frozen proxy; and 20 streams.

--- a/sycamoreshed/entry/problems.py
+++ b/sycamoreshed/entry/problems.py
@@ -45,14 +45,9 @@
 def response(failure, request_id=None):
     """Return the whole HTTP answer of a failure."""
     details = document(failure, request_id)
-    answer = web.Response(
+    return web.Response(
         status=details["status"],
         body=msgspec.json.encode(details),
         content_type="application/problem+json",
         headers=headers(failure),
     )
-    if failure.kind == kinds.Kind.DRAINING:
-        # On a connection kept open a caller would come back here until
-        # the process ends, and find its request cut off by that.
-        answer.force_close()
-    return answer
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -1,6 +1,7 @@
 """The daemon's listening sockets, and its graceful shutdown."""
 
 import asyncio
+import functools
 
 from aiohttp import web
 from loguru import logger
@@ -44,6 +45,7 @@
 async def servers(core):
     """Provide the listening sockets, after all routes are known."""
     settings = core.settings
+    core.public.on_response_prepare.append(functools.partial(_part, core))
     control = await listen(core.control, settings.control)
     public = await listen(core.public, settings.public)
     logger.bind(public=settings.public, control=settings.control).info(
@@ -54,12 +56,23 @@
     await control.cleanup()
 
 
+async def _part(core, _http, answer):
+    """Close the connection after an answer once the stop has begun.
+
+    A caller's next request on a connection kept open could cross with
+    the end of the process and be cut off; on a new one it comes to an
+    instance that stays.
+    """
+    if core.stopping.is_set():
+        answer.force_close()
+        answer.headers["Connection"] = "close"
+
+
 async def drain(core):
     """Wait for the stop, then until no request is in flight.
 
     After the grace a request that comes on any connection, also on one
-    kept open, is answered with kind ``draining`` and the connection is
-    closed.
+    kept open, is answered with kind ``draining``.
 
     Notes
     -----
--- /dev/null
+++ b/tests/integration/test_drain.py
@@ -0,0 +1,146 @@
+"""A planned stop cuts off no request in flight."""
+
+import asyncio
+import signal
+
+import aiohttp
+
+from testkit import processes
+
+CALLERS = 20
+HEADERS = {"Team": "gaucho"}
+RAW_CALL = (
+    b"POST /v1/pipelines/catalogue HTTP/1.1\r\nHost: a\r\nTeam: gaucho\r\n"
+    b'Content-Length: 12\r\n\r\n{"input": 1}'
+)
+
+
+async def raw_call(reader, writer):
+    """Call on a connection that is open; return head and whether it ends."""
+    writer.write(RAW_CALL)
+    head = await reader.readuntil(b"\r\n\r\n")
+    fields = dict(
+        line.split(": ", 1) for line in head.decode().split("\r\n")[1:-2]
+    )
+    await reader.readexactly(int(fields["Content-Length"]))
+    return head.split()[1], fields
+
+
+async def caller(cluster, results):
+    """Call again and again until told that the instance is stopping."""
+    async with aiohttp.ClientSession() as session:
+        url = f"http://{cluster.daemons[0].public}/v1/pipelines/catalogue"
+        while True:
+            async with session.post(
+                url, json={"input": 1}, headers=HEADERS
+            ) as answer:
+                body = await answer.json()
+                results.append(answer.status)
+                if answer.status != 200:
+                    return body
+
+
+async def ready(cluster):
+    """Return the status of /readyz."""
+    url = f"http://{cluster.daemons[0].public}/readyz"
+    async with cluster.session.get(url) as answer:
+        return answer.status
+
+
+async def in_flight(cluster):
+    """Return how many requests the first daemon has in flight."""
+    url = f"http://{cluster.daemons[0].control}/control/status"
+    async with cluster.session.get(url) as answer:
+        return (await answer.json())["in_flight"]
+
+
+async def test_stop_under_load():
+    """An operator stops an instance while callers use it.
+
+    Callers would see connections close on requests in flight, or wait
+    for an instance that is about to be gone.
+    """
+    async with processes.cluster(proxied=True, grace_s=4.0) as cluster:
+        daemon = cluster.daemons[0]
+        host, _, port = daemon.public.rpartition(":")
+        kept = await asyncio.open_connection(host, int(port))
+        assert (await raw_call(*kept))[0] == b"200"
+        encoders = [cluster.proxies[f"encoder-{n}"] for n in (1, 2)]
+        for proxy in encoders:
+            proxy.freeze = True
+        held = asyncio.create_task(
+            cluster.call(0, "summary", {"input": 1}, Deadline_Ms="240000")
+        )
+        results = []
+        callers = [
+            asyncio.create_task(caller(cluster, results))
+            for _ in range(CALLERS)
+        ]
+        while not await in_flight(cluster):
+            await asyncio.sleep(0.01)
+        daemon.send_signal(signal.SIGTERM)
+        while await ready(cluster) == 200:
+            await asyncio.sleep(0.01)
+        served = len(results)
+        told = await asyncio.gather(*callers)
+        again, fields = await raw_call(*kept)
+        assert await kept[0].read() == b""
+        kept[1].close()
+        assert not held.done()
+        for proxy in encoders:
+            proxy.freeze = False
+        status, headers, body = await held
+        code = await daemon.stop()
+    # Ready no more, yet served until the grace was over.
+    assert results[served:].count(200) > CALLERS
+    assert set(results) == {200, 503}
+    assert {body["type"] for body in told} == {
+        "urn:sycamoreshed:error:draining"
+    }
+    assert {body["outcome"] for body in told} == {"not-run"}
+    assert (again, fields["Connection"]) == (b"503", "close")
+    assert (status, headers["Connection"]) == (200, "close")
+    assert body["outcome"] == "complete"
+    assert code == 0
+
+
+async def test_stop_with_streams_in_flight():
+    """An operator stops an instance while summaries are being written."""
+    tokens = 300
+    specs = [
+        {"kind": "pool", "name": "encoder-1"},
+        {"kind": "pool", "name": "retriever-1"},
+        {"kind": "pool", "name": "reranker-1"},
+        {
+            "kind": "engine",
+            "name": "language-1",
+            "tokens": tokens,
+            "token_s": 0.005,
+            "slots": 64,
+        },
+    ]
+    async with processes.cluster(specs=specs) as cluster:
+        url = f"http://{cluster.daemons[0].public}/v1/pipelines/summary"
+        begun = asyncio.Semaphore(0)
+
+        async def stream(session):
+            async with session.post(
+                url, json={"input": 1, "stream": True}, headers=HEADERS
+            ) as answer:
+                first = await answer.content.readuntil(b"\n\n")
+                begun.release()
+                return (first + await answer.read()).decode()
+
+        async with aiohttp.ClientSession() as session:
+            streams = [
+                asyncio.create_task(stream(session)) for _ in range(CALLERS)
+            ]
+            for _ in range(CALLERS):
+                await begun.acquire()
+            cluster.daemons[0].send_signal(signal.SIGTERM)
+            texts = await asyncio.gather(*streams)
+        code = await cluster.daemons[0].stop()
+    for text in texts:
+        assert text.count("event: token\n") == tokens
+        assert text.count("event: done\n") == 1
+    assert code == 0
