--- a/sycamoreshed/cli/client.py
+++ b/sycamoreshed/cli/client.py
@@ -13,7 +13,15 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.settings import schema
 
-__all__ = ["AsJson", "Control", "Exit", "ask", "fetch", "show"]
+__all__ = [
+    "EXIT_CODES",
+    "AsJson",
+    "Control",
+    "Exit",
+    "ask",
+    "fetch",
+    "show",
+]
 
 TIMEOUT_S = 10.0
 
@@ -35,6 +43,12 @@
     UNREACHABLE = 4
 
 
+EXIT_CODES = (
+    "Exit codes: 0 done; 1 refused; 2 a file, a setting or an argument is "
+    "not valid; 3 the outcome is unknown; 4 the instance cannot be reached."
+)
+
+
 def ask(control, method, path, *, body=None, as_json=False):
     """Send one request, print the answer, return the exit code."""
     schema.check_address(control, source="--control", path="$")
--- a/sycamoreshed/cli/main.py
+++ b/sycamoreshed/cli/main.py
@@ -1,11 +1,8 @@
-"""The command line: the daemon and the operators' client.
-
-Exit codes: 0 done; 1 refused; 2 a file or argument is not valid; 3 the
-outcome is unknown; 4 the instance cannot be reached.
-"""
+"""The command line: the daemon and the operators' client."""
 
 import pathlib
 import sys
+import typing
 
 import cyclopts
 
@@ -17,27 +14,39 @@
 
 __all__ = ["app", "run"]
 
+LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
 app = cyclopts.App(
     name="sycamoreshed",
     help="Serve multi-stage model pipelines.",
+    help_epilogue=client.EXIT_CODES,
     version_flags=["--version"],
 )
 app.command(note.app)
 
 
 @app.command
-def serve(*, settings: pathlib.Path, log_level: str | None = None):
-    """Run an entry instance."""
+def serve(*, settings: pathlib.Path, log_level: LogLevel | None = None):
+    """Run an entry instance until SIGTERM, then drain it and exit with 0.
+
+    Parameters
+    ----------
+    settings
+        JSON file; docs/OPERATIONS.md lists its keys.
+    log_level
+        Goes before the one in the file; WARNING leaves out the decisions.
+    """
     checked = schema.load(settings)
+    daemon.check(checked, source=str(settings))
     if log_level is not None:
-        checked = checked._replace(log_level=log_level.upper())
+        checked = checked._replace(log_level=log_level)
     daemon.serve(checked)
 
 
 @app.command
 def check_settings(file: pathlib.Path, /):
     """Check a settings file."""
-    schema.load(file)
+    daemon.check(schema.load(file), source=str(file))
     print(f"{file}: valid")
 
 
--- /dev/null
+++ b/sycamoreshed/cli/tests/test_main.py
@@ -0,0 +1,148 @@
+"""The command line, run as operators run it."""
+
+import asyncio
+import json
+import socket
+import sys
+
+import pytest
+
+from testkit import builders
+
+PLATFORM = dict.fromkeys(("table", "objects", "instances"), "127.0.0.1:9")
+AT_A_TIME = 3
+
+# Change to valid settings, path named, words of what was expected.
+BAD_SETTINGS = [
+    ({"instnce": "a"}, "$.instnce", "unknown key; expected one of: advertise"),
+    ({"instance": 3}, "$.instance", "Expected `str`, got `int`"),
+    ({"instance": None}, "$.instance", "Expected `str`, got `null`"),
+    ({"zone": ...}, "$", "missing required field `zone`"),
+    ({"slots": 0}, "$.slots", "Expected `int` >= 1"),
+    ({"grace_s": "1"}, "$.grace_s", "Expected `float`, got `str`"),
+    ({"public": "localhost:80"}, "$.public", "expected an IP:port address"),
+    ({"public": "127.0.0.1:0"}, "$.public", "expected an IP:port address"),
+    ({"table": "10.0.0.1"}, "$.table", "expected an IP:port address"),
+    ({"peers": ["[::1]:7", "x:7"]}, "$.peers[1]", "expected an IP:port"),
+    ({"peers": [7]}, "$.peers[0]", "Expected `str`, got `int`"),
+    ({"log_level": "loud"}, "$.log_level", "Invalid enum value 'loud'"),
+    ({"routing": "nearest"}, "$.routing", "expected one of: "),
+]
+
+
+async def run(*args):
+    """Run the program; return exit code, output and errors."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "sycamoreshed",
+        *args,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    out, err = await process.communicate()
+    return process.returncode, out.decode(), err.decode()
+
+
+async def run_all(calls):
+    """Run the program with each list of arguments, few at a time."""
+    gate = asyncio.Semaphore(AT_A_TIME)
+
+    async def one(args):
+        async with gate:
+            return await run(*args)
+
+    return await asyncio.gather(*(one(args) for args in calls))
+
+
+def write(folder, name, **changes):
+    """Write a settings file; a change to ``...`` leaves a key out."""
+    document = builders.settings_document(
+        PLATFORM, public="127.0.0.1:80", control="127.0.0.1:81"
+    )
+    document = {
+        key: value
+        for key, value in {**document, **changes}.items()
+        if value is not ...
+    }
+    path = folder / name
+    path.write_text(json.dumps(document))
+    return str(path)
+
+
+async def test_settings_errors_are_one_line(tmp_path):
+    """An operator mistypes a setting; the daemon must not guess."""
+    files = [
+        write(tmp_path, f"{index}.json", **change)
+        for index, (change, _, _) in enumerate(BAD_SETTINGS)
+    ]
+    broken = tmp_path / "broken.json"
+    broken.write_text("{")
+    missing = str(tmp_path / "missing.json")
+    calls = [["check-settings", name] for name in files]
+    calls += [["check-settings", name] for name in (str(broken), missing)]
+    results = await run_all(calls)
+    expected = [
+        *zip(files, [row[1:] for row in BAD_SETTINGS], strict=True),
+        (str(broken), ("$", "expected JSON")),
+        (missing, ("$", "expected a readable file")),
+    ]
+    for result, (name, (path, words)) in zip(results, expected, strict=True):
+        code, out, err = result
+        assert (code, out) == (2, "")
+        assert err.count("\n") == 1
+        assert err.startswith(f"{name}: {path}: ")
+        assert words in err
+
+
+async def test_serve_refuses_the_same(tmp_path):
+    bad = write(tmp_path, "bad.json", slots=0)
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        used = f"127.0.0.1:{taken.getsockname()[1]}"
+        busy = write(tmp_path, "busy.json", control=used)
+        good = write(tmp_path, "good.json")
+        results = await run_all(
+            [
+                ["serve", "--settings", bad],
+                ["serve", "--settings", busy, "--log-level", "ERROR"],
+                ["serve", "--settings", good, "--log-level", "loud"],
+                ["serve", "--settings", good, "--bogus", "1"],
+                ["serve"],
+                ["check-settings", good],
+            ]
+        )
+    assert [code for code, _, _ in results] == [2, 2, 2, 2, 2, 0]
+    assert results[0][2].startswith(f"{bad}: $.slots: ")
+    assert results[1][2].startswith("settings: $.control: expected an addr")
+    assert results[5][1] == f"{good}: valid\n"
+
+
+async def test_commands_name_an_instance_that_is_away():
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        away = f"127.0.0.1:{free.getsockname()[1]}"
+        results = await run_all(
+            [
+                ["status", "--control", away],
+                ["drain", "--control", away, "--json"],
+                ["status", "--control", "localhost:1"],
+            ]
+        )
+    assert [code for code, _, _ in results] == [4, 4, 2]
+    assert all(out == "" for _, out, _ in results)
+    assert all(err.count("\n") == 1 for _, _, err in results)
+
+
+@pytest.mark.parametrize(
+    "command",
+    [[], ["serve"], ["check-settings"], ["status"], ["drain"], ["note"]],
+)
+async def test_help(command):
+    code, out, _ = await run(*command, "--help")
+    text = " ".join(out.split())
+    assert code == 0
+    assert "Usage: sycamoreshed" in text
+    for code in ("0 done", "1 refused", "2 a file", "3 the", "4 the"):
+        assert code in text
--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -20,6 +20,7 @@
 from sycamoreshed.entry import guard  # noqa: E402,F401
 from sycamoreshed.entry import operators  # noqa: E402,F401
 from sycamoreshed.entry import servers  # noqa: E402
+from sycamoreshed import exceptions  # noqa: E402
 from sycamoreshed.idempotency import once  # noqa: E402,F401
 from sycamoreshed.idempotency import records  # noqa: E402,F401
 from sycamoreshed.kernel import kernel  # noqa: E402
@@ -29,9 +30,30 @@
 from sycamoreshed.observe import metrics  # noqa: E402,F401
 from sycamoreshed.orders import orders  # noqa: E402,F401
 from sycamoreshed.pipeline import runner  # noqa: E402,F401
+from sycamoreshed.routing import policies  # noqa: E402
 from sycamoreshed.routing import router  # noqa: E402,F401
 
-__all__ = ["serve"]
+__all__ = ["check", "serve"]
+
+# Names in the settings that stand for what plug-ins registered.
+REGISTRIES = {"routing": policies.POLICIES}
+
+
+def check(settings, *, source):
+    """Check names in the settings against what is registered.
+
+    Raises
+    ------
+    CheckError
+    """
+    for name, registry in REGISTRIES.items():
+        known = registry.names()
+        if getattr(settings, name) not in known:
+            raise exceptions.CheckError(
+                source=source,
+                path=f"$.{name}",
+                expected=f"expected one of: {', '.join(known)}",
+            )
 
 
 def serve(settings):
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from loguru import logger
 
+from sycamoreshed import exceptions
 from sycamoreshed.kernel import kernel
 
 __all__ = ["drain", "split_address"]
@@ -26,8 +27,21 @@
     return host.strip("[]"), int(port)
 
 
-async def listen(app, address):
-    """Serve an application; return its runner."""
+async def listen(app, address, *, path):
+    """Serve an application; return its runner.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+    address : str
+    path : str
+        Where the address stands in the settings.
+
+    Raises
+    ------
+    CheckError
+        If the address cannot be listened on.
+    """
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -37,7 +51,14 @@
     )
     await runner.setup()
     host, port = split_address(address)
-    await web.TCPSite(runner, host, port, reuse_address=True).start()
+    try:
+        await web.TCPSite(runner, host, port, reuse_address=True).start()
+    except OSError as err:
+        raise exceptions.CheckError(
+            source="settings",
+            path=path,
+            expected=f"expected an address to listen on ({err.strerror})",
+        ) from None
     return runner
 
 
@@ -46,8 +67,8 @@
     """Provide the listening sockets, after all routes are known."""
     settings = core.settings
     core.public.on_response_prepare.append(functools.partial(_part, core))
-    control = await listen(core.control, settings.control)
-    public = await listen(core.public, settings.public)
+    control = await listen(core.control, settings.control, path="$.control")
+    public = await listen(core.public, settings.public, path="$.public")
     logger.bind(public=settings.public, control=settings.control).info(
         "serving"
     )
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -179,7 +179,7 @@
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        valid = 0 < int(port) < 65536
+        valid = port.isdecimal() and 0 < int(port) < 65536
     except ValueError:
         valid = False
     if not valid:
