--- a/sycamoreshed/config/state.py
+++ b/sycamoreshed/config/state.py
@@ -196,6 +196,10 @@
 
 def _check_pipeline(sections, name, spec, source):
     path = f"$.pipelines.{name}"
+    names = [stage["name"] for stage in spec["stages"]]
+    if len(set(names)) < len(names):
+        # Answers name their stage; two of a name could be confused.
+        _refuse(source, path, "a stage name is used twice")
     unrepeatable = 0
     for stage in spec["stages"]:
         service = sections["services"].get(stage["service"])
--- /dev/null
+++ b/sycamoreshed/pipeline/tests/test_runner.py
@@ -0,0 +1,95 @@
+"""Running stages in order, and the truth of the outcome."""
+
+import time
+
+import pytest
+
+from sycamoreshed.adapters import endpoints
+from sycamoreshed.config import state
+from sycamoreshed.errors import kinds
+from sycamoreshed import exceptions
+from sycamoreshed.observe import metrics
+from sycamoreshed.pipeline import requests
+from sycamoreshed.pipeline import runner
+from testkit import builders
+from testkit import fakes
+
+SENT = kinds.Failure(kinds.Kind.STAGE_FAILED, "x", sent=True)
+UNSENT = kinds.Failure(kinds.Kind.NO_ENDPOINT, "x")
+GOOD = endpoints.StageAnswer("out", 3)
+
+
+class Stages:
+    """Both kinds of stage; returns results by the stage's name."""
+
+    def __init__(self, **results):
+        self._results = results
+        self.ran = []
+
+    async def run(self, _request, stage, _payload, _until, **_options):
+        self.ran.append(stage["name"])
+        return self._results.get(stage["name"], GOOD)
+
+
+def config(*services):
+    """Return a configuration with a pipeline of one stage per service."""
+    stages = [
+        {"name": f"s{index}", "service": service}
+        for index, service in enumerate(services)
+    ]
+    spec = {"stages": stages, "deadline_ms": 5000}
+    note = builders.note(1, added={"pipelines": {"mixed": spec}})
+    return state.apply_note(builders.config(), note)
+
+
+async def run(stages, *services):
+    """Run a pipeline over some services."""
+    part = runner.Runner(
+        clock=time.monotonic,
+        unary_stage=stages,
+        streamed_stage=stages,
+        metrics=metrics.Metrics(),
+    )
+    request = fakes.request(config=config(*services), pipeline="mixed")
+    return await part.run(request)
+
+
+@pytest.mark.parametrize(
+    "services, failing, failure, sent",
+    [
+        (["encoder", "language"], "s0", UNSENT, False),
+        (["encoder", "language"], "s0", SENT, True),
+        (["encoder", "language"], "s1", UNSENT, True),
+        (["encoder", "ballot", "encoder"], "s0", SENT, False),
+        (["encoder", "ballot", "encoder"], "s1", UNSENT, False),
+        (["encoder", "ballot", "encoder"], "s1", SENT, True),
+        (["encoder", "ballot", "encoder"], "s2", UNSENT, True),
+    ],
+)
+async def test_failure_tells_whether_what_matters_ran(
+    services, failing, failure, sent
+):
+    """A stage fails before, at or after the one that counts.
+
+    A member told "not run" votes again: that must not make two votes.
+    """
+    stages = Stages(**{failing: failure})
+    result = await run(stages, *services)
+    assert (result.kind, result.sent) == (failure.kind, sent)
+    assert result.reason == f"stage {failing}: x"
+    assert stages.ran[-1] == failing
+
+
+async def test_whole_answer_names_its_stages():
+    result = await run(Stages(), "encoder", "language")
+    assert result == requests.Complete("out", ("s0", "s1"))
+
+
+def test_stage_name_used_twice_is_refused():
+    spec = {
+        "stages": [{"name": "a", "service": "encoder"}] * 2,
+        "deadline_ms": 10,
+    }
+    note = builders.note(1, added={"pipelines": {"twice": spec}})
+    with pytest.raises(exceptions.CheckError, match="used twice"):
+        state.apply_note(builders.config(), note)
