--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -1,10 +1,12 @@
 """The daemon's listening sockets, and its graceful shutdown."""
 
 import asyncio
+import functools
 
 from aiohttp import web
 from loguru import logger
 
+from sycamoreshed import exceptions
 from sycamoreshed.kernel import kernel
 
 __all__ = ["drain", "split_address"]
@@ -25,8 +27,21 @@
     return host.strip("[]"), int(port)
 
 
-async def listen(app, address):
-    """Serve an application; return its runner."""
+async def listen(app, address, *, path):
+    """Serve an application; return its runner.
+
+    Parameters
+    ----------
+    app : aiohttp.web.Application
+    address : str
+    path : str
+        Where the address stands in the settings.
+
+    Raises
+    ------
+    CheckError
+        If the address cannot be listened on.
+    """
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -36,7 +51,14 @@
     )
     await runner.setup()
     host, port = split_address(address)
-    await web.TCPSite(runner, host, port, reuse_address=True).start()
+    try:
+        await web.TCPSite(runner, host, port, reuse_address=True).start()
+    except OSError as err:
+        raise exceptions.CheckError(
+            source="settings",
+            path=path,
+            expected=f"expected an address to listen on ({err.strerror})",
+        ) from None
     return runner
 
 
@@ -44,8 +66,9 @@
 async def servers(core):
     """Provide the listening sockets, after all routes are known."""
     settings = core.settings
-    control = await listen(core.control, settings.control)
-    public = await listen(core.public, settings.public)
+    core.public.on_response_prepare.append(functools.partial(_part, core))
+    control = await listen(core.control, settings.control, path="$.control")
+    public = await listen(core.public, settings.public, path="$.public")
     logger.bind(public=settings.public, control=settings.control).info(
         "serving"
     )
@@ -54,12 +77,23 @@
     await control.cleanup()
 
 
+async def _part(core, _http, answer):
+    """Close the connection after an answer once the stop has begun.
+
+    A caller's next request on a connection kept open could cross with
+    the end of the process and be cut off; on a new one it comes to an
+    instance that stays.
+    """
+    if core.stopping.is_set():
+        answer.force_close()
+        answer.headers["Connection"] = "close"
+
+
 async def drain(core):
     """Wait for the stop, then until no request is in flight.
 
     After the grace a request that comes on any connection, also on one
-    kept open, is answered with kind ``draining`` and the connection is
-    closed.
+    kept open, is answered with kind ``draining``.
 
     Notes
     -----
