Keep leases safe through lost answers, restarts and pauses

The lease went by the version of its row alone: a holder whose answer was lost met an unknown version and waited behind itself, a row that had been deleted was taken at once, and the fencing number began again with it.

A holder knows its row by the id of the write, writes on the version it knows without reading, waits for an absent row like any other, honours longer terms of the holder before, and gives the lease up with a mark so that the successor need not wait. The row names the highest configuration version that orders were given for.

--- a/sycamoreshed/orders/leases.py
+++ b/sycamoreshed/orders/leases.py
@@ -1,11 +1,70 @@
-"""Leases in the table service, with fencing numbers that only grow."""
+"""How a lease is taken, kept and lost: decisions without any waiting.
+
+Each function takes what a candidate knows, a row of the table service or
+the outcome of a write, and the present time, and returns what it knows
+next.  `sycamoreshed.orders.keeper` does the reading and writing; the
+tests drive the same functions through every order of events.
+"""
 
 import typing
 
 from sycamoreshed.adapters import table as tables
-from sycamoreshed.errors import kinds
 
-__all__ = ["Held", "Lease"]
+__all__ = [
+    "Held",
+    "Seen",
+    "Sent",
+    "Standing",
+    "Terms",
+    "Value",
+    "is_valid",
+    "may_take",
+    "observe",
+    "on_conflict",
+    "on_written",
+    "propose",
+    "propose_release",
+]
+
+# Unanswered writes remembered; more than a few mean that the store is
+# away, and then the lease ends anyway.
+MOST_SENT = 8
+
+
+class Terms(typing.NamedTuple):
+    """Lengths in seconds that make a lease safe.
+
+    Parameters
+    ----------
+    seconds : float
+        Length of the lease.
+    margin : float
+        Time before its end from which the holder does not use it; must
+        exceed what two clocks can drift apart during the whole wait.
+    longest : float
+        Longest time between an order's leaving and its effect.
+    """
+
+    seconds: float = 6.0
+    margin: float = 1.0
+    longest: float = 2.0
+
+
+class Value(typing.TypedDict):
+    """Value of a lease's row.
+
+    ``attempt`` is unique for each write ever sent; ``config`` is the
+    highest configuration version that orders were given for;
+    ``seconds`` and ``longest`` are the holder's terms.
+    """
+
+    holder: str
+    attempt: str
+    fence: int
+    config: int
+    released: bool
+    seconds: float
+    longest: float
 
 
 class Held(typing.NamedTuple):
@@ -19,92 +78,269 @@
         Monotonic end, counted from before the write was sent.
     version : int
         Version of the row.
+    config : int
+        Configuration version named in the row.
     """
 
     fence: int
     until: float
     version: int
+    config: int
+
+
+class Seen(typing.NamedTuple):
+    """When a candidate first saw a version of the row (monotonic)."""
+
+    version: int
+    at: float
+
+
+class Sent(typing.NamedTuple):
+    """A write whose answer has not come: its id, time and contents."""
+
+    attempt: str
+    at: float
+    fence: int
+    config: int
+
+
+class Standing(typing.NamedTuple):
+    """What a candidate knows of a lease.
+
+    Parameters
+    ----------
+    held : Held or None
+    seen : Seen or None
+    sent : tuple of Sent
+        Writes without an answer; any may have taken effect.
+    floor : int
+        Highest fencing number known to have been used.
+    """
 
+    held: Held | None = None
+    seen: Seen | None = None
+    sent: tuple = ()
+    floor: int = 0
 
-class Lease:
-    """One named lease.
+
+def is_valid(standing, now, terms):
+    """Return whether an order may leave at monotonic time `now`.
+
+    Examples
+    --------
+    >>> held = Held(fence=1, until=6.0, version=1, config=0)
+    >>> is_valid(Standing(held=held), 4.9, Terms())
+    True
+    >>> is_valid(Standing(held=held), 5.0, Terms())
+    False
+    """
+    held = standing.held
+    return held is not None and now < held.until - terms.margin
+
+
+def observe(standing, row, now, terms):
+    """Take in a row that was read, or returned with a conflict.
 
     Parameters
     ----------
-    table : Table
-    name : str
+    standing : Standing
+    row : Row
+    now : float
+        Monotonic seconds, from after the answer.
+    terms : Terms
+
+    Returns
+    -------
+    Standing
+
+    Notes
+    -----
+    Our own row is known by the id of the write and not by the holder's
+    name.  If the answer to a renewal was lost, the version is one we
+    have never seen, and a holder that went by versions would wait as a
+    stranger behind itself; an instance restarted under its old name
+    would take its predecessor's lease for its own and skip the wait.
+    """
+    value = row.value or {}
+    own = _find(standing.sent, value.get("attempt"))
+    floor = max(standing.floor, value.get("fence", 0))
+    standing = standing._replace(floor=floor)
+    if own is not None and not value["released"]:
+        held = Held(own.fence, own.at + terms.seconds, row.version, own.config)
+        return standing._replace(held=held, seen=None, sent=())
+    if standing.seen is None or standing.seen.version != row.version:
+        standing = standing._replace(seen=Seen(row.version, now))
+    if not _is_own(standing, row) and not is_valid(standing, now, terms):
+        standing = standing._replace(held=None)
+    return standing
+
+
+def on_conflict(standing, row, attempt, now, terms):
+    """Take in that a write was refused, and the row that it met.
+
+    Parameters
+    ----------
+    standing : Standing
+    row : Row
+        Never stale: the store compared it with the write.
+    attempt : str
+    now : float
+        Monotonic seconds, from after the answer.
+    terms : Terms
+
+    Returns
+    -------
+    Standing
+        Without the lease, unless the row is an earlier write of ours.
+    """
+    kept = tuple(item for item in standing.sent if item.attempt != attempt)
+    standing = observe(standing._replace(sent=kept), row, now, terms)
+    if _is_own(standing, row):
+        return standing
+    return standing._replace(held=None)
+
+
+def may_take(standing, row, now, terms):
+    """Return whether a write to the row may be sent.
+
+    Parameters
+    ----------
+    standing : Standing
+        Which has observed `row`.
+    row : Row
+    now : float
+    terms : Terms
+
+    Returns
+    -------
+    bool
+
+    Notes
+    -----
+    No clock is shared, so the wait is counted from when this candidate
+    first saw the row's version: by then the holder had sent its write,
+    and its lease ends no later than the candidate's count of it.  The
+    longest order is waited out as well, because an engine that ignores
+    the fencing number would take a late order of the old holder after
+    one of the new.  A row that is absent is waited for like any other;
+    it may have been lost under a holder.  The holder's terms count if
+    they are longer, as they are while settings are being changed.
+    """
+    if _is_own(standing, row):
+        return True
+    value = row.value or {}
+    if value.get("released", False):
+        return True
+    if standing.seen is None or standing.seen.version != row.version:
+        return False
+    seconds = max(terms.seconds, value.get("seconds", 0.0))
+    longest = max(terms.longest, value.get("longest", 0.0))
+    return now - standing.seen.at > seconds + longest
+
+
+def propose(standing, row, now, terms, *, holder, attempt, config=0):
+    """Prepare the write that takes or renews the lease.
+
+    Parameters
+    ----------
+    standing : Standing
+    row : Row
+        As last known; the write holds only on its version.
+    now : float
+        Monotonic seconds before the write is sent.
+    terms : Terms
     holder : str
-    seconds : float
-        Length of the lease.
-    margin : float
-        Seconds before its end from which it is not used any more.
-    longest : float
-        Longest time an order sent under a lease may take.
+        For people; decides nothing.
+    attempt : str
+        Unique id of this write.
+    config : int
+        Configuration version that orders will be given for.
+
+    Returns
+    -------
+    tuple of Standing and (Write or None)
+    """
+    if not may_take(standing, row, now, terms):
+        return standing, None
+    value = row.value or {}
+    if _is_own(standing, row):
+        fence = standing.held.fence
+        config = max(config, standing.held.config)
+    else:
+        fence = standing.floor + 1
+        config = max(config, value.get("config", 0))
+    # An engine has met a higher number than ours: the row was lost once
+    # and began again.  Orders would be refused for ever without this.
+    if fence < standing.floor:
+        fence = standing.floor + 1
+    sent = Sent(attempt, now, fence, config)
+    write = tables.Write(
+        row.key, _value(sent, holder, terms, released=False), row.version
+    )
+    kept = (*standing.sent, sent)[-MOST_SENT:]
+    return standing._replace(sent=kept), write
+
+
+def on_written(standing, attempt, version, terms):
+    """Take in that a write took effect.
+
+    Parameters
+    ----------
+    standing : Standing
+    attempt : str
+    version : int
+        New version of the row.
+    terms : Terms
+
+    Returns
+    -------
+    Standing
+    """
+    sent = _find(standing.sent, attempt)
+    held = Held(sent.fence, sent.at + terms.seconds, version, sent.config)
+    floor = max(standing.floor, sent.fence)
+    return Standing(held=held, seen=None, sent=(), floor=floor)
+
+
+def propose_release(standing, key, terms, *, holder, attempt):
+    """Prepare the write that gives the lease up.
+
+    Returns
+    -------
+    tuple of Standing and (Write or None)
+        The standing holds nothing any more, whatever becomes of the
+        write: its answer may be lost.
 
     Notes
     -----
-    No clock is shared: a candidate waits until it has seen the row
-    unchanged for the whole lease and the longest order, by its own
-    monotonic clock.
+    The successor does not wait after reading this, so it may be sent
+    only once every order of ours has ended.
     """
+    held = standing.held
+    after = Standing(floor=standing.floor)
+    if held is None:
+        return after, None
+    sent = Sent(attempt, 0.0, held.fence, held.config)
+    value = _value(sent, holder, terms, released=True)
+    return after, tables.Write(key, value, held.version)
+
+
+def _is_own(standing, row):
+    held = standing.held
+    return held is not None and held.version == row.version
+
+
+def _find(sent, attempt):
+    return next((item for item in sent if item.attempt == attempt), None)
+
 
-    def __init__(
-        self, *, table, name, holder, seconds=6.0, margin=1.0, longest=2.0
-    ):
-        self._table = table
-        self._key = f"leases/{name}"
-        self._holder = holder
-        self._seconds = seconds
-        self._margin = margin
-        self._longest = longest
-        self._held = None
-        self._seen = None
-
-    @property
-    def fence(self):
-        """Fencing number of the lease last held, or None."""
-        return self._held.fence if self._held else None
-
-    def valid(self, now):
-        """Return whether an order may be sent at monotonic time `now`."""
-        held = self._held
-        return held is not None and now < held.until - self._margin
-
-    async def renew(self, clock):
-        """Take or renew the lease; return whether it is held.
-
-        Parameters
-        ----------
-        clock : callable
-            Returns monotonic seconds.
-        """
-        row = await self._table.read(self._key)
-        if isinstance(row, kinds.Failure):
-            return self.valid(clock())
-        now = clock()
-        if not self._may_take(row, now):
-            return False
-        fence = (row.value or {}).get("fence", 0)
-        if not self._is_own(row):
-            fence += 1
-        value = {"holder": self._holder, "fence": fence}
-        result = await self._table.write(
-            tables.Write(self._key, value, row.version)
-        )
-        if isinstance(result, tables.Written):
-            until = now + self._seconds
-            self._held = Held(fence, until, result.versions[0])
-            return True
-        return self.valid(clock())
-
-    def _is_own(self, row):
-        return self._held is not None and self._held.version == row.version
-
-    def _may_take(self, row, now):
-        if row.version == tables.ABSENT or self._is_own(row):
-            return True
-        if self._seen is None or self._seen[0] != row.version:
-            self._seen = (row.version, now)
-            return False
-        waited = now - self._seen[1]
-        return waited > self._seconds + self._longest
+def _value(sent, holder, terms, *, released):
+    return Value(
+        holder=holder,
+        attempt=sent.attempt,
+        fence=sent.fence,
+        config=sent.config,
+        released=released,
+        seconds=terms.seconds,
+        longest=terms.longest,
+    )
--- a/sycamoreshed/orders/orders.py
+++ b/sycamoreshed/orders/orders.py
@@ -5,6 +5,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.observe import logs
+from sycamoreshed.orders import keeper
 from sycamoreshed.orders import leases
 
 __all__ = ["Reconciler", "wanted"]
@@ -63,7 +64,7 @@
     async def run(self):
         """Reconcile again and again."""
         while True:
-            if await self._lease.renew(self._clock):
+            if await self._lease.renew():
                 await self._round()
             await asyncio.sleep(ROUND_S)
 
@@ -101,10 +102,12 @@
 async def orders(core):
     """Provide the zone's reconciler."""
     zone = core.settings.zone
-    lease = leases.Lease(
+    lease = keeper.Lease(
         table=core.part("table"),
         name=f"orders/{zone}",
         holder=core.settings.instance,
+        terms=leases.Terms(),
+        clock=core.clock,
     )
     part = Reconciler(
         lease=lease,
