--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,12 +7,15 @@
 from aiohttp import web
 import msgspec
 
+from standins import orders
 from standins import registry
 from standins import services
 
 __all__ = ["Engine"]
 
 EVENT_LAG_S = 0.5
+ENDINGS = {"no_finish", "wrong_finish"}
+STREAM_FAULTS = ("break_", "skip", "garble", "repeat", "stray", *ENDINGS)
 
 
 class Engine:
@@ -31,12 +34,12 @@
         Length of an answer.
     cache : int
         Prefixes held.
-    checks : bool
-        Whether orders with an old fencing number are refused.
+    book : OrderBook
+        What is loaded.
     """
 
     def __init__(
-        self, *, faults, slots, token_s, prefill_s, tokens, cache, checks
+        self, *, faults, slots, token_s, prefill_s, tokens, cache, book
     ):
         self._faults = faults
         self._slots = slots
@@ -45,27 +48,23 @@
         self._tokens = tokens
         self._cache = collections.OrderedDict()
         self._cache_size = cache
-        self._checks = checks
         self._waiting = asyncio.PriorityQueue()
         self._running = 0
         self._sequence = 0
         self._cancelled = set()
         self._events = []
-        self._loaded = None
-        self._fence = 0
         self._report = {"running": 0, "waiting": 0, "at": 0.0}
+        self._book = book
         self.counters = collections.Counter()
-        self.orders = []
 
     def routes(self):
         """Return the routes of the engine."""
         return [
+            *self._book.routes(),
             web.post("/generate", self.generate),
             web.post("/cancel", self.cancel),
             web.get("/load", self.load),
             web.get("/cache-events", self.cache_events),
-            web.get("/state", self.state),
-            web.post("/orders", self.order),
             web.post("/kv/export", self.kv_export),
             web.post("/kv/import", self.kv_import),
             web.get("/counts", self.counts),
@@ -74,6 +73,9 @@
     async def generate(self, http):
         """Stream an answer as JSON lines."""
         body = await http.json()
+        if not self._book.serving:
+            self.counters["refused_calls"] += 1
+            return web.json_response({"error": "loading"}, status=429)
         await self._enter(body["priority"])
         try:
             await self._prefill(body)
@@ -98,7 +100,11 @@
                 "slots": self._slots,
                 "at": now,
             }
-        report = {**self._report, "age_s": now - self._report["at"]}
+        report = {
+            **self._report,
+            "age_s": now - self._report["at"],
+            "loaded": self._book.loaded,
+        }
         return web.json_response(report)
 
     async def cache_events(self, http):
@@ -114,23 +120,6 @@
         ]
         return web.json_response({"events": events[:1000]})
 
-    async def state(self, _http):
-        """Report what is loaded."""
-        return web.json_response(
-            {"loaded": self._loaded, "fence": self._fence}
-        )
-
-    async def order(self, http):
-        """Take an order to load something."""
-        body = await http.json()
-        if self._checks and body["fence"] < self._fence:
-            self.counters["refused_orders"] += 1
-            return web.json_response({"fence": self._fence}, status=409)
-        self._fence = max(self._fence, body["fence"])
-        self._loaded = body["target"]
-        self.orders.append(body)
-        return web.json_response({"loaded": self._loaded})
-
     async def kv_export(self, http):
         """Hand out a cached prefix."""
         body = await http.json()
@@ -145,7 +134,14 @@
 
     async def counts(self, _http):
         """Report counters, for tests and the bench."""
-        return web.json_response({**self.counters, "orders": len(self.orders)})
+        return web.json_response(
+            {
+                **self.counters,
+                "orders": 0,
+                **self._book.counters,
+                "running": self._running,
+            }
+        )
 
     async def _enter(self, priority):
         if self._running < self._slots:
@@ -154,7 +150,13 @@
         self._sequence += 1
         woken = asyncio.get_running_loop().create_future()
         self._waiting.put_nowait((priority, self._sequence, woken))
-        await woken
+        try:
+            await woken
+        except asyncio.CancelledError:
+            # Woken and cancelled at once: the slot would be lost.
+            if woken.done() and not woken.cancelled():
+                self._leave()
+            raise
 
     def _leave(self):
         while not self._waiting.empty():
@@ -171,7 +173,7 @@
             self.counters["prefix_hits"] += 1
             self._cache.move_to_end(prefix)
             return
-        await asyncio.sleep(self._prefill_s)
+        await asyncio.sleep(self._prefill_s * self._faults.slow)
         if prefix is not None:
             self._remember(prefix)
 
@@ -198,26 +200,51 @@
         answer = web.StreamResponse()
         answer.content_type = "application/x-ndjson"
         await answer.prepare(http)
-        broken_at = self._breaks_at()
+        faulty = self._faults.draw(STREAM_FAULTS)
+        middle = self._tokens // 2
         for offset in range(body.get("offset", 0), self._tokens):
             if body["attempt"] in self._cancelled:
                 return answer
-            if offset == broken_at:
-                http.transport.abort()
-                return answer
-            await asyncio.sleep(self._token_s)
+            await asyncio.sleep(self._token_s * self._faults.slow)
             token = f"{body['request'][:6]}-{offset} "
-            line = {**names, "offset": offset, "token": token}
-            await answer.write(msgspec.json.encode(line) + b"\n")
+            lines = [{**names, "offset": offset, "token": token}]
+            if offset == middle and faulty:
+                self.counters["faulted"] += 1
+                lines = _spoil(lines, names, offset, self._tokens, faulty)
+                if lines is None:
+                    http.transport.abort()
+                    return answer
+            for line in lines:
+                await answer.write(_encode(line))
             self.counters["tokens"] += 1
+            if offset == middle and faulty & ENDINGS:
+                return answer
         line = {**names, "offset": self._tokens, "finish": "stop"}
-        await answer.write(msgspec.json.encode(line) + b"\n")
+        await answer.write(_encode(line))
         return answer
 
-    def _breaks_at(self):
-        if self._faults.hits(self._faults.spec.get("break_", 0.0)):
-            return self._tokens // 2
+
+def _spoil(lines, names, offset, length, faulty):
+    """Return the lines that faults make of one; None cuts the stream."""
+    if "break_" in faulty:
         return None
+    if "skip" in faulty:
+        return []
+    if "garble" in faulty:
+        return [b'{"request": "']
+    if "repeat" in faulty:
+        lines = [{**lines[0], "offset": offset - 1}, *lines]
+    if "stray" in faulty:
+        other = {**lines[0], "attempt": "other", "token": "STRAY "}
+        lines = [other, *lines]
+    if "wrong_finish" in faulty:
+        lines = [{**names, "offset": length, "finish": "stop"}]
+    return lines
+
+
+def _encode(line):
+    raw = line if isinstance(line, bytes) else msgspec.json.encode(line)
+    return raw + b"\n"
 
 
 @registry.KINDS.register("engine")
@@ -230,5 +257,12 @@
         prefill_s=spec.get("prefill_s", 0.01),
         tokens=spec.get("tokens", 16),
         cache=spec.get("cache", 64),
-        checks=spec.get("checks_orders", True),
+        book=orders.OrderBook(
+            checks=spec.get("checks_orders", True),
+            load_s=spec.get("load_s", 0.02),
+            size=spec.get("weight_bytes", 1000),
+            weights=spec.get("weights_address"),
+            serves_loading=spec.get("serves_loading", False),
+            broken=spec.get("broken", []),
+        ),
     )
--- a/sycamoreshed/orders/keeper.py
+++ b/sycamoreshed/orders/keeper.py
@@ -11,6 +11,7 @@
 # After a conflict the answer carries the row, which may turn out to be
 # our own write; one more try settles it.
 TRIES = 2
+SOON_S = 0.01
 
 
 class Lease:
@@ -68,6 +69,19 @@
         floor = max(self._standing.floor, fence)
         self._standing = self._standing._replace(floor=floor)
 
+    def wait_left(self):
+        """Return seconds until the row may be taken, None if not waiting.
+
+        A read just after the wait is over takes the lease sooner than
+        the next regular one.
+        """
+        seen = self._standing.seen
+        if seen is None:
+            return None
+        wait = self._terms.seconds + self._terms.longest
+        left = seen.at + wait - self._clock()
+        return left + SOON_S if left > 0 else None
+
     async def renew(self, *, config=0):
         """Take or renew the lease; return whether it is valid.
 
