--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -47,6 +47,12 @@
     max_control_bytes: typing.NotRequired[Positive]
     record_ttl_s: typing.NotRequired[Seconds]
     store_timeout_s: typing.NotRequired[Seconds]
+    lease_s: typing.NotRequired[Seconds]
+    lease_margin_s: typing.NotRequired[Seconds]
+    order_longest_s: typing.NotRequired[Seconds]
+    order_look_s: typing.NotRequired[Seconds]
+    loads_at_once: typing.NotRequired[Positive]
+    weight_rate: typing.NotRequired[Seconds]
     log_level: typing.NotRequired[LogLevel]
 
 
@@ -87,6 +93,18 @@
         How long a record of a non-repeatable request is kept.
     store_timeout_s : float
         Time for one call of the table service.
+    lease_s, lease_margin_s : float
+        Length of a zone's lease on orders to engines, and the time
+        before its end from which no order leaves.
+    order_longest_s : float
+        Longest time between an order's leaving and its effect.
+    order_look_s : float
+        Longest time after which a settled engine is read back.
+    loads_at_once : int
+        Engines of a zone that load at a time.
+    weight_rate : float
+        Bytes a second that a zone may take from the weight store; zero
+        for no limit.
     log_level : str
         Least level that is logged.
     """
@@ -111,6 +129,12 @@
     max_control_bytes: int = 1 << 26
     record_ttl_s: float = 86400.0
     store_timeout_s: float = 0.5
+    lease_s: float = 6.0
+    lease_margin_s: float = 1.0
+    order_longest_s: float = 2.0
+    order_look_s: float = 15.0
+    loads_at_once: int = 4
+    weight_rate: float = 0.0
     log_level: str = "INFO"
 
 
