--- a/standins/faults.py
+++ b/standins/faults.py
@@ -19,6 +19,7 @@
     taking effect.  ``lose_next``: that many next calls lose their answer.
     ``late``: share of calls whose connection is closed at once, and that
     take effect ``late_s`` later.
+    ``serial_s``: calls are served one after another, each for so long.
     ``swap``: share of answers that name another call.  ``down``: close
     every connection at once.  ``break_``: share
     of streams cut off in the middle.  ``paths``: only paths with one of these
@@ -32,6 +33,7 @@
     lose_next: typing.NotRequired[int]
     late: typing.NotRequired[float]
     late_s: typing.NotRequired[float]
+    serial_s: typing.NotRequired[float]
     swap: typing.NotRequired[float]
     break_: typing.NotRequired[float]
     down: typing.NotRequired[bool]
@@ -44,6 +46,7 @@
     def __init__(self, *, seed=0):
         self._random = random.Random(seed)
         self._late = set()
+        self._serial = asyncio.Lock()
         self.spec = {}
 
     def hits(self, share):
@@ -77,6 +80,9 @@
             seconds += self._random.uniform(0, spec.get("jitter_s", 0.0))
             if seconds:
                 await asyncio.sleep(seconds)
+            if "serial_s" in spec:
+                async with self._serial:
+                    await asyncio.sleep(spec["serial_s"])
             if self.hits(spec.get("fail", 0.0)):
                 return web.json_response({"error": "fault"}, status=500)
             if "late" in spec and self.hits(spec["late"]):
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -116,7 +116,10 @@
             return problems.response(service)
         row = await self._records.read(keys.record_key(team, service, key))
         if isinstance(row, kinds.Failure):
-            return problems.response(row._replace(sent=True))
+            # Not "not run", which is what a store that is away means to
+            # a request: this one was sent earlier and may have run.
+            unknown = row._replace(kind=kinds.Kind.OUTCOME_UNKNOWN, sent=True)
+            return problems.response(unknown)
         if row.value is None:
             return problems.response(
                 kinds.Failure(kinds.Kind.KEY_UNKNOWN, "nothing is recorded")
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -6,6 +6,7 @@
 import typing
 
 from loguru import logger
+import prometheus_client
 
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
@@ -341,14 +342,29 @@
     return Replay(row.value["answer"], row.value["status"])
 
 
-@kernel.plugin("records", needs=("table",))
+@kernel.plugin("records", needs=("metrics", "table"))
 async def records(core):
     """Provide records of requests that may not be repeated."""
+    registry = core.part("metrics").registry
+    calls = prometheus_client.Counter(
+        "sycamoreshed_record_calls",
+        "Calls of the table service for records, by result.",
+        ["result"],
+        registry=registry,
+    )
+    pending = prometheus_client.Gauge(
+        "sycamoreshed_records_pending",
+        "Writes of records that go on in the background.",
+        registry=registry,
+    )
     store = stores.Store(
         table=core.part("table"),
         breaker=breaker.Breaker(),
         clock=core.clock,
+        calls=calls,
+        spawn=core.spawn,
     )
     part = Records(store=store, clock=core.clock, spawn=core.spawn)
+    pending.set_function(lambda: part.pending)
     yield part
     await part.flush()
--- a/sycamoreshed/idempotency/store.py
+++ b/sycamoreshed/idempotency/store.py
@@ -1,6 +1,9 @@
 """The table service as records use it: behind a breaker."""
 
+from loguru import logger
+
 from sycamoreshed.errors import kinds
+from sycamoreshed.idempotency import groups
 
 __all__ = ["Store"]
 
@@ -14,12 +17,24 @@
     breaker : Breaker
     clock : callable
         Returns monotonic seconds.
+    calls : prometheus_client.Counter
+        With the label ``result``: ``ok``, ``failed`` or ``refused``.
+    spawn : callable
+        Runs a coroutine in the background.
+    group : int
+        Most writes in one transaction.
     """
 
-    def __init__(self, *, table, breaker, clock):
+    def __init__(
+        self, *, table, breaker, clock, calls, spawn, group=groups.MOST
+    ):
         self._table = table
         self._breaker = breaker
         self._clock = clock
+        self._calls = calls
+        self._groups = groups.Groups(
+            write=self._write, spawn=spawn, most=group
+        )
 
     @property
     def away(self):
@@ -33,31 +48,46 @@
 
     async def read(self, key):
         """Read one row; see `Table.read`."""
-        return await self._call(self._table.read, key)
+        return self._refusal() or await self._count(self._table.read(key))
 
     async def scan(self, prefix, *, after, limit):
         """Read rows in order of key; see `Table.scan`."""
-        return await self._call(
-            self._table.scan, prefix, after=after, limit=limit
+        return self._refusal() or await self._count(
+            self._table.scan(prefix, after=after, limit=limit)
         )
 
-    async def write(self, *writes):
-        """Write rows, all or none; see `Table.write`.
+    async def write(self, write):
+        """Write one row, perhaps in one transaction with others.
 
         Notes
         -----
         A failure of the breaker itself has ``sent`` false.
         """
-        return await self._call(self._table.write, *writes)
-
-    async def _call(self, func, *args, **named):
-        if not self._breaker.allows(self._clock()):
-            return kinds.Failure(
-                kinds.Kind.STORE_AWAY,
-                "the store is away",
-                retry_after=self.retry_after,
-            )
-        result = await func(*args, **named)
+        return self._refusal() or await self._groups.write(write)
+
+    async def write_all(self, *writes):
+        """Write rows, all or none; see `Table.write`."""
+        return self._refusal() or await self._write(*writes)
+
+    async def _write(self, *writes):
+        return await self._count(self._table.write(*writes))
+
+    def _refusal(self):
+        if self._breaker.allows(self._clock()):
+            return None
+        self._calls.labels("refused").inc()
+        return kinds.Failure(
+            kinds.Kind.STORE_AWAY,
+            "the store is away",
+            retry_after=self.retry_after,
+        )
+
+    async def _count(self, call):
+        result = await call
         ok = not isinstance(result, kinds.Failure)
+        self._calls.labels("ok" if ok else "failed").inc()
+        was_away = self.away
         self._breaker.report(ok=ok, now=self._clock())
+        if self.away != was_away:
+            logger.bind(away=self.away).warning("store breaker")
         return result
--- a/tests/integration/once_kit.py
+++ b/testkit/ballots.py
@@ -1,4 +1,4 @@
-"""What the tests of at-most-once execution share."""
+"""Casting ballots through real daemons, for tests and the bench."""
 
 import asyncio
 import contextlib
@@ -76,6 +76,16 @@
     return None
 
 
+async def metric(cluster, index, name):
+    """Return the value of one sample of a daemon's metrics, or zero."""
+    url = f"http://{cluster.daemons[index].public}/metrics"
+    async with cluster.session.get(url) as answer:
+        for line in (await answer.text()).splitlines():
+            if line.startswith(f"{name} "):
+                return float(line.split()[-1])
+    return 0.0
+
+
 async def until(func, *args):
     """Poll until the result of a coroutine function is true."""
     async with asyncio.timeout(LIMIT_S):
--- a/tests/integration/test_once.py
+++ b/tests/integration/test_once.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.integration import once_kit
+from testkit import ballots
 
 CALL = ["/call"]
 WRITE = ["/transact"]
@@ -23,14 +23,14 @@
 
     The member hears nothing, comes again, and the vote counts once.
     """
-    async with once_kit.cluster() as cluster:
+    async with ballots.cluster() as cluster:
         await cluster.faults("table", delay_s=60, paths=WRITE)
-        first = asyncio.create_task(once_kit.cast(cluster, 0, "k"))
+        first = asyncio.create_task(ballots.cast(cluster, 0, "k"))
         await asyncio.sleep(0.2)
         await cluster.daemons[0].kill()
         await cluster.faults("table")
-        again = await once_kit.until_complete(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        again = await ballots.until_complete(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert (await first).status is None
     assert [run["request"] for run in runs] == [
         json.loads(again.raw)["request"]
@@ -43,15 +43,15 @@
     Nobody can know that it did not send, so the member hears "unknown"
     and never "not run", and the vote does not count.
     """
-    async with once_kit.cluster(store_timeout_s=20) as cluster:
-        once_kit.hold(cluster, ["table"], True)
-        first = asyncio.create_task(once_kit.cast(cluster, 0, "k"))
-        await once_kit.until(once_kit.state_of, cluster, "k")
+    async with ballots.cluster(store_timeout_s=20) as cluster:
+        ballots.hold(cluster, ["table"], True)
+        first = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        await ballots.until(ballots.state_of, cluster, "k")
         await cluster.daemons[0].kill()
-        once_kit.hold(cluster, ["table"], False)
-        again = await once_kit.cast(cluster, 1, "k", ms=1000)
-        asked = await once_kit.ask(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        ballots.hold(cluster, ["table"], False)
+        again = await ballots.cast(cluster, 1, "k", ms=1000)
+        asked = await ballots.ask(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert (await first).status is None
     assert again.outcome == asked.outcome == "outcome-unknown"
     assert runs == []
@@ -64,15 +64,15 @@
     Where the endpoint can be asked by key the member gets the answer
     through another instance; else "unknown".  The vote counts once.
     """
-    async with once_kit.cluster(lookup=lookup) as cluster:
-        once_kit.hold(cluster, once_kit.BALLOTS, True)
-        first = asyncio.create_task(once_kit.cast(cluster, 0, "k"))
-        runs = await once_kit.until(once_kit.log, cluster, "k")
+    async with ballots.cluster(lookup=lookup) as cluster:
+        ballots.hold(cluster, ballots.BALLOTS, True)
+        first = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        runs = await ballots.until(ballots.log, cluster, "k")
         await cluster.daemons[0].kill()
-        once_kit.hold(cluster, once_kit.BALLOTS, False)
-        again = await once_kit.cast(cluster, 1, "k", ms=1500)
-        asked = await once_kit.ask(cluster, 1, "k")
-        later = await once_kit.log(cluster, "k")
+        ballots.hold(cluster, ballots.BALLOTS, False)
+        again = await ballots.cast(cluster, 1, "k", ms=1500)
+        asked = await ballots.ask(cluster, 1, "k")
+        later = await ballots.log(cluster, "k")
     assert (await first).status is None
     assert len(later) == 1
     if not lookup:
@@ -88,19 +88,19 @@
 
     What another instance tells later has to be the same, byte for byte.
     """
-    async with once_kit.cluster() as cluster:
-        once_kit.hold(cluster, once_kit.BALLOTS, True)
-        call = asyncio.create_task(once_kit.cast(cluster, 0, "k"))
-        await once_kit.until(once_kit.log, cluster, "k")
+    async with ballots.cluster() as cluster:
+        ballots.hold(cluster, ballots.BALLOTS, True)
+        call = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        await ballots.until(ballots.log, cluster, "k")
         cluster.proxies["table"].refuse = True
-        once_kit.hold(cluster, once_kit.BALLOTS, False)
+        ballots.hold(cluster, ballots.BALLOTS, False)
         first = await call
         await cluster.daemons[0].kill()
         cluster.proxies["table"].refuse = False
-        state = await once_kit.state_of(cluster, "k")
-        again = await once_kit.until_complete(cluster, 1, "k")
-        after = await once_kit.state_of(cluster, "k")
-        runs = await once_kit.log(cluster, "k")
+        state = await ballots.state_of(cluster, "k")
+        again = await ballots.until_complete(cluster, 1, "k")
+        after = await ballots.state_of(cluster, "k")
+        runs = await ballots.log(cluster, "k")
     assert first.outcome == "complete"
     assert (state, after) == ("begun", "done")
     assert again == first
@@ -114,19 +114,19 @@
     paused one finds that it is late, sends nothing and tells "not run";
     after that the vote can be cast with the same key.
     """
-    async with once_kit.cluster() as cluster:
-        once_kit.hold(cluster, ["table"], True)
-        first = asyncio.create_task(once_kit.cast(cluster, 0, "k", ms=700))
-        await once_kit.until(once_kit.state_of, cluster, "k")
+    async with ballots.cluster() as cluster:
+        ballots.hold(cluster, ["table"], True)
+        first = asyncio.create_task(ballots.cast(cluster, 0, "k", ms=700))
+        await ballots.until(ballots.state_of, cluster, "k")
         cluster.daemons[0].send_signal(signal.SIGSTOP)
-        once_kit.hold(cluster, ["table"], False)
-        during = await once_kit.cast(cluster, 1, "k", ms=1500)
-        asked = await once_kit.ask(cluster, 1, "k")
-        none = await once_kit.log(cluster, "k")
+        ballots.hold(cluster, ["table"], False)
+        during = await ballots.cast(cluster, 1, "k", ms=1500)
+        asked = await ballots.ask(cluster, 1, "k")
+        none = await ballots.log(cluster, "k")
         cluster.daemons[0].send_signal(signal.SIGCONT)
         paused = await first
-        again = await once_kit.until_complete(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        again = await ballots.until_complete(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert during.outcome == asked.outcome == "outcome-unknown"
     assert none == []
     assert paused.outcome == "not-run"
@@ -139,10 +139,10 @@
     ("names", "lookup", "expected"),
     [
         (("table",), False, "complete"),
-        (once_kit.BALLOTS, True, "complete"),
-        (once_kit.BALLOTS, False, "outcome-unknown"),
-        (("table", *once_kit.BALLOTS), True, "complete"),
-        (("table", *once_kit.BALLOTS), False, "outcome-unknown"),
+        (ballots.BALLOTS, True, "complete"),
+        (ballots.BALLOTS, False, "outcome-unknown"),
+        (("table", *ballots.BALLOTS), True, "complete"),
+        (("table", *ballots.BALLOTS), False, "outcome-unknown"),
     ],
 )
 async def test_answers_lost_after_taking_effect(names, lookup, expected):
@@ -150,16 +150,16 @@
 
     The vote counts once and the member hears the truth, then and later.
     """
-    async with once_kit.cluster(lookup=lookup) as cluster:
+    async with ballots.cluster(lookup=lookup) as cluster:
         await lose_answers(cluster, names, 1.0)
-        call = asyncio.create_task(once_kit.cast(cluster, 0, "k"))
-        await once_kit.until(once_kit.log, cluster, "k")
+        call = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        await ballots.until(ballots.log, cluster, "k")
         await lose_answers(cluster, ("table",), 0.0)
         first = await call
         await lose_answers(cluster, names, 0.0)
-        again = await once_kit.cast(cluster, 1, "k", ms=1500)
-        asked = await once_kit.ask(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        again = await ballots.cast(cluster, 1, "k", ms=1500)
+        asked = await ballots.ask(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert first.outcome == again.outcome == asked.outcome == expected
     if expected == "complete":
         assert first == again == asked
@@ -172,13 +172,13 @@
     The member hears "not run".  Without a fence the late record would
     block the key for ever; with one the next request runs.
     """
-    async with once_kit.cluster() as cluster:
+    async with ballots.cluster() as cluster:
         await cluster.faults("table", late=1.0, late_s=3.0, paths=WRITE)
-        first = await once_kit.cast(cluster, 0, "k", ms=1500)
-        await once_kit.until(once_kit.state_of, cluster, "k")
+        first = await ballots.cast(cluster, 0, "k", ms=1500)
+        await ballots.until(ballots.state_of, cluster, "k")
         await cluster.faults("table")
-        again = await once_kit.until_complete(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        again = await ballots.until_complete(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert first.outcome == "not-run"
     assert [run["request"] for run in runs] == [
         json.loads(again.raw)["request"]
@@ -191,12 +191,12 @@
     "Never" is what it says when asked in between; the member must not
     hear "not run" then.
     """
-    async with once_kit.cluster() as cluster:
-        for name in once_kit.BALLOTS:
+    async with ballots.cluster() as cluster:
+        for name in ballots.BALLOTS:
             await cluster.faults(name, late=1.0, late_s=2.0, paths=CALL)
-        first = await once_kit.cast(cluster, 0, "k", ms=1500)
-        again = await once_kit.cast(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        first = await ballots.cast(cluster, 0, "k", ms=1500)
+        again = await ballots.cast(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert first.outcome == "outcome-unknown"
     assert again.outcome == "complete"
     assert len(runs) == 1
@@ -207,12 +207,12 @@
 
     All get the first answer, byte for byte, and the vote counts once.
     """
-    async with once_kit.cluster(daemons=5) as cluster:
-        calls = [once_kit.cast(cluster, n % 5, "k") for n in range(15)]
+    async with ballots.cluster(daemons=5) as cluster:
+        calls = [ballots.cast(cluster, n % 5, "k") for n in range(15)]
         told = await asyncio.gather(*calls)
-        later = await once_kit.cast(cluster, 3, "k")
-        asked = await once_kit.ask(cluster, 4, "k")
-        runs = await once_kit.log(cluster, "k")
+        later = await ballots.cast(cluster, 3, "k")
+        asked = await ballots.ask(cluster, 4, "k")
+        runs = await ballots.log(cluster, "k")
     assert {*told, later, asked} == {told[0]}
     assert told[0].outcome == "complete"
     assert len(runs) == 1
@@ -224,17 +224,17 @@
     The member hears that the stage ran, with its output, and hears the
     same again later, also when the engine works once more.
     """
-    async with once_kit.cluster() as cluster:
+    async with ballots.cluster() as cluster:
         for name in ("language-1", "language-2"):
             await cluster.faults(name, fail=1.0, paths=["/generate"])
-        first = await once_kit.cast(cluster, 0, "k", pipeline="middle")
+        first = await ballots.cast(cluster, 0, "k", pipeline="middle")
         for name in ("language-1", "language-2"):
             await cluster.faults(name)
-        again = await once_kit.cast(cluster, 1, "k", pipeline="middle")
-        asked = await once_kit.ask(cluster, 1, "k", pipeline="middle")
-        whole = await once_kit.cast(cluster, 1, "k2", pipeline="middle")
-        other = await once_kit.cast(cluster, 1, "k")
-        runs = await once_kit.log(cluster)
+        again = await ballots.cast(cluster, 1, "k", pipeline="middle")
+        asked = await ballots.ask(cluster, 1, "k", pipeline="middle")
+        whole = await ballots.cast(cluster, 1, "k2", pipeline="middle")
+        other = await ballots.cast(cluster, 1, "k")
+        runs = await ballots.log(cluster)
     assert first.outcome == "failed"
     ran = json.loads(first.raw)["ran"]
     assert ran == {
@@ -249,15 +249,15 @@
 
 async def test_stage_before_the_ballot_fails():
     """The encoder fails before the vote; nothing is recorded or counted."""
-    async with once_kit.cluster() as cluster:
+    async with ballots.cluster() as cluster:
         for name in ("encoder-1", "encoder-2"):
             await cluster.faults(name, fail=1.0, paths=CALL)
-        first = await once_kit.cast(cluster, 0, "k", pipeline="middle")
-        state = await once_kit.state_of(cluster, "k")
+        first = await ballots.cast(cluster, 0, "k", pipeline="middle")
+        state = await ballots.state_of(cluster, "k")
         for name in ("encoder-1", "encoder-2"):
             await cluster.faults(name)
-        again = await once_kit.cast(cluster, 1, "k", pipeline="middle")
-        runs = await once_kit.log(cluster, "k")
+        again = await ballots.cast(cluster, 1, "k", pipeline="middle")
+        runs = await ballots.log(cluster, "k")
     assert first.outcome == "not-run"
     assert state is None
     assert again.outcome == "complete"
@@ -269,27 +269,27 @@
 
     The instance goes on, so the answer is there when the member returns.
     """
-    async with once_kit.cluster() as cluster:
-        once_kit.hold(cluster, once_kit.BALLOTS, True)
-        call = asyncio.create_task(once_kit.cast(cluster, 0, "k"))
-        await once_kit.until(once_kit.log, cluster, "k")
+    async with ballots.cluster() as cluster:
+        ballots.hold(cluster, ballots.BALLOTS, True)
+        call = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        await ballots.until(ballots.log, cluster, "k")
         call.cancel()
         await asyncio.gather(call, return_exceptions=True)
-        once_kit.hold(cluster, once_kit.BALLOTS, False)
-        again = await once_kit.cast(cluster, 1, "k")
-        runs = await once_kit.log(cluster, "k")
+        ballots.hold(cluster, ballots.BALLOTS, False)
+        again = await ballots.cast(cluster, 1, "k")
+        runs = await ballots.log(cluster, "k")
     assert again.outcome == "complete"
     assert len(runs) == 1
 
 
 async def test_keys_that_cannot_be_used_are_refused():
-    async with once_kit.cluster(daemons=1) as cluster:
+    async with ballots.cluster(daemons=1) as cluster:
         for key in ("a b", "x" * 201, "\u00e9"):
-            told = await once_kit.cast(cluster, 0, key)
+            told = await ballots.cast(cluster, 0, key)
             assert (told.status, told.outcome) == (400, "not-run")
-        unknown = await once_kit.ask(cluster, 0, "nobody")
-        longest = await once_kit.cast(cluster, 0, "/%?~" * 50)
-        asked = await once_kit.ask(cluster, 0, "/%?~" * 50)
+        unknown = await ballots.ask(cluster, 0, "nobody")
+        longest = await ballots.cast(cluster, 0, "/%?~" * 50)
+        asked = await ballots.ask(cluster, 0, "/%?~" * 50)
     assert (unknown.status, unknown.outcome) == (404, "outcome-unknown")
     assert longest.outcome == "complete"
     assert asked == longest
