--- a/standins/services.py
+++ b/standins/services.py
@@ -48,7 +48,7 @@
         """Serve one call."""
         body = await http.json()
         async with self._slots:
-            await asyncio.sleep(self._seconds)
+            await asyncio.sleep(self._seconds * self._faults.slow)
         self.served += 1
         answer = {**identity(body), "output": self.output(body)}
         answer, self._last = self._maybe_swapped(answer), answer
@@ -75,6 +75,8 @@
         )
 
     def _maybe_swapped(self, answer):
+        if self._faults.hits(self._faults.spec.get("other_attempt", 0.0)):
+            return {**answer, "attempt": "given up"}
         share = self._faults.spec.get("swap", 0.0)
         if self._last is not None and self._faults.hits(share):
             return self._last
