--- a/sycamoreshed/idempotency/groups.py
+++ b/sycamoreshed/idempotency/groups.py
@@ -8,8 +8,6 @@
 
 __all__ = ["Groups", "split"]
 
-MOST = 64
-
 
 class _Waiting(typing.NamedTuple):
     write: tables.Write
@@ -67,7 +65,7 @@
     near its limit answers later, so groups grow by themselves.
     """
 
-    def __init__(self, *, write, spawn, most=MOST):
+    def __init__(self, *, write, spawn, most):
         self._write = write
         self._spawn = spawn
         self._most = most
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -363,6 +363,7 @@
         clock=core.clock,
         calls=calls,
         spawn=core.spawn,
+        group=core.settings.record_group,
     )
     part = Records(store=store, clock=core.clock, spawn=core.spawn)
     pending.set_function(lambda: part.pending)
--- a/sycamoreshed/idempotency/store.py
+++ b/sycamoreshed/idempotency/store.py
@@ -25,9 +25,7 @@
         Most writes in one transaction.
     """
 
-    def __init__(
-        self, *, table, breaker, clock, calls, spawn, group=groups.MOST
-    ):
+    def __init__(self, *, table, breaker, clock, calls, spawn, group):
         self._table = table
         self._breaker = breaker
         self._clock = clock
--- a/sycamoreshed/idempotency/tests/test_groups.py
+++ b/sycamoreshed/idempotency/tests/test_groups.py
@@ -39,7 +39,7 @@
     hear of a conflict that is not theirs.
     """
     table = SlowTable()
-    part = groups.Groups(write=table.write, spawn=spawn)
+    part = groups.Groups(write=table.write, spawn=spawn, most=8)
     first = begin(part, "a")
     writes, answer = await table.calls.get()
     assert [write.key for write in writes] == ["a"]
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -46,6 +46,7 @@
     max_body_bytes: typing.NotRequired[Positive]
     max_control_bytes: typing.NotRequired[Positive]
     record_ttl_s: typing.NotRequired[Seconds]
+    record_group: typing.NotRequired[Positive]
     store_timeout_s: typing.NotRequired[Seconds]
     log_level: typing.NotRequired[LogLevel]
 
@@ -85,6 +86,8 @@
         Largest body of a caller's, of a peer's or operator's request.
     record_ttl_s : float
         How long a record of a non-repeatable request is kept.
+    record_group : int
+        Most writes of records in one transaction.
     store_timeout_s : float
         Time for one call of the table service.
     log_level : str
@@ -110,6 +113,7 @@
     max_body_bytes: int = 1 << 20
     max_control_bytes: int = 1 << 26
     record_ttl_s: float = 86400.0
+    record_group: int = 64
     store_timeout_s: float = 0.5
     log_level: str = "INFO"
 
