--- a/sycamoreshed/idempotency/keys.py
+++ b/sycamoreshed/idempotency/keys.py
@@ -2,26 +2,67 @@
 
 import re
 import urllib.parse
+import uuid
 
 import msgspec
 import xxhash
 
-__all__ = ["PREFIX", "digest", "endpoint_key", "is_valid", "record_key"]
+from sycamoreshed.errors import kinds
+
+__all__ = [
+    "PREFIX",
+    "SLACK_S",
+    "digest",
+    "endpoint_key",
+    "fault",
+    "issued_at",
+    "record_key",
+]
 
 PREFIX = "once/"
+# How far callers' and instances' clocks may be apart, twice.
+SLACK_S = 600.0
 _VALID = re.compile(r"[\x21-\x7e]{1,200}")
 
 
-def is_valid(key):
-    """Return whether a caller's key may be used.
+def issued_at(key):
+    """Return when a key was made, if it tells.
+
+    Returns
+    -------
+    float or None
+        Wall-clock seconds of a UUID of version 7; None for other keys.
+
+    Examples
+    --------
+    >>> issued_at("01890a5d-ac96-774b-bcce-b302099a8057")
+    1688096058.518
+    >>> issued_at("vote-7") is None
+    True
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != 7:
+        return None
+    return (parsed.int >> 80) / 1000
+
+
+def fault(key, now, ttl_s):
+    """Return why a caller's key may not be used.
 
     Parameters
     ----------
     key : str
+    now : float
+        Wall-clock seconds.
+    ttl_s : float
+        How long records are kept.
 
     Returns
     -------
-    bool
+    Failure or None
 
     Notes
     -----
@@ -29,12 +70,40 @@
     from one library to the next, so the key that is asked for later
     would not be the one that was recorded.
 
+    A dated key whose record may have been swept is refused.  It could
+    otherwise run a second time, a day after it ran first.
+
     Examples
     --------
-    >>> is_valid("vote-7"), is_valid("a b"), is_valid("")
-    (True, False, False)
+    >>> fault("vote-7", 0.0, 10.0) is None
+    True
+    >>> fault("a b", 0.0, 10.0).kind
+    <Kind.BAD_REQUEST: 'bad-request'>
+    >>> dated = "01890a5d-ac96-774b-bcce-b302099a8057"
+    >>> fault(dated, 1688096060.0, 10.0) is None
+    True
+    >>> fault(dated, 1688096069.0, 10.0).kind
+    <Kind.KEY_EXPIRED: 'key-expired'>
+    >>> fault(dated, 1688095000.0, 10.0).kind
+    <Kind.BAD_REQUEST: 'bad-request'>
     """
-    return _VALID.fullmatch(key) is not None
+    if _VALID.fullmatch(key) is None:
+        return kinds.Failure(
+            kinds.Kind.BAD_REQUEST,
+            "Idempotency-Key must be 1 to 200 visible ASCII characters",
+        )
+    issued = issued_at(key)
+    if issued is None:
+        return None
+    if issued + ttl_s < now:
+        return kinds.Failure(
+            kinds.Kind.KEY_EXPIRED, f"made {now - issued:.0f} s ago"
+        )
+    if issued - SLACK_S / 2 > now:
+        return kinds.Failure(
+            kinds.Kind.BAD_REQUEST, "Idempotency-Key is dated in the future"
+        )
+    return None
 
 
 def record_key(team, service, key):
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -1,6 +1,7 @@
 """Runs requests that may not be repeated, and tells what became of them."""
 
 import asyncio
+import time
 
 from aiohttp import web
 import msgspec
@@ -12,6 +13,7 @@
 from sycamoreshed.idempotency import decide
 from sycamoreshed.idempotency import keys
 from sycamoreshed.idempotency import records
+from sycamoreshed.idempotency import sweep  # noqa: F401
 from sycamoreshed.kernel import kernel
 from sycamoreshed.pipeline import runner as runners
 
@@ -75,16 +77,21 @@
     asker : Asker
     notes : Notes
     instance : str
+    ttl_s : float
+        How long records are kept.
     spawn : callable
         Runs a coroutine in the background.
     """
 
-    def __init__(self, *, records, runner, asker, notes, instance, spawn):
+    def __init__(
+        self, *, records, runner, asker, notes, instance, ttl_s, spawn
+    ):
         self._records = records
         self._runner = runner
         self._asker = asker
         self._notes = notes
         self._instance = instance
+        self._ttl_s = ttl_s
         self._spawn = spawn
         self._running = set()
 
@@ -95,11 +102,9 @@
         -------
         Response or Failure
         """
-        if not keys.is_valid(request.key):
-            return kinds.Failure(
-                kinds.Kind.BAD_REQUEST,
-                "Idempotency-Key must be 1 to 200 visible ASCII characters",
-            )
+        refusal = keys.fault(request.key, time.time(), self._ttl_s)
+        if refusal is not None:
+            return refusal
         # A task of its own: a caller that goes away would else leave a
         # write or a call without anybody who settles its record.
         task = self._spawn(self._run(request), name="run once")
@@ -276,6 +281,7 @@
         asker=core.part("asker"),
         notes=core.part("notes"),
         instance=core.settings.instance,
+        ttl_s=core.settings.record_ttl_s,
         spawn=core.spawn,
     )
     core.public.add_routes(
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -105,7 +105,7 @@
     """
 
     def __init__(self, *, store, clock, spawn):
-        self._store = store
+        self.store = store
         self._clock = clock
         self._spawn = spawn
         self._later = set()
@@ -117,7 +117,7 @@
 
     async def read(self, key):
         """Return the row of a record, or a failure."""
-        return await self._store.read(key)
+        return await self.store.read(key)
 
     async def peek(self, key, record):
         """Look for the end of a key before any stage runs.
@@ -127,7 +127,7 @@
         Replay, Failure or None
             None when the stages before the claim may run.
         """
-        row = await self._store.read(key)
+        row = await self.store.read(key)
         step = decide.after_read(row, record["attempt"], record["body"])
         if step in (decide.Step.CLAIM_AGAIN, decide.Step.WAIT):
             return None
@@ -163,7 +163,7 @@
                 return Claim(key, record, row.version)
             now = self._clock()
             if step not in _AGAIN or decide.gives_up(
-                now, deadline, self._store.away
+                now, deadline, self.store.away
             ):
                 break
             if step is decide.Step.CLAIM_AGAIN and row.version != version:
@@ -221,7 +221,7 @@
             same for whoever makes it.
         """
         record = _done(row.value, answer, OK)
-        result = await self._store.write(
+        result = await self.store.write(
             tables.Write(row.key, record, row.version)
         )
         if isinstance(result, tables.Conflict):
@@ -241,7 +241,7 @@
 
     async def _try(self, key, record, version):
         attempt, body = record["attempt"], record["body"]
-        result = await self._store.write(tables.Write(key, record, version))
+        result = await self.store.write(tables.Write(key, record, version))
         step = decide.after_write(result, attempt, body)
         if isinstance(result, tables.Written):
             return step, tables.Row(key, record, result.versions[0]), False
@@ -249,7 +249,7 @@
             return step, result.rows[0], False
         if step is not decide.Step.READ_BACK:
             return step, None, False
-        row = await self._store.read(key)
+        row = await self.store.read(key)
         return decide.after_read(row, attempt, body), row, True
 
     async def _watch(self, key, record, deadline, ask, row):
@@ -261,7 +261,7 @@
             if decide.gives_up(self._clock() + pause, deadline, False):
                 return step, row
             await asyncio.sleep(pause)
-            seen = await self._store.read(key)
+            seen = await self.store.read(key)
             if isinstance(seen, kinds.Failure):
                 continue
             row = seen
@@ -272,7 +272,7 @@
     async def _settle(self, claim, record):
         version = claim.version
         for pause in pauses(LONGEST_LATER_S):
-            result = await self._store.write(
+            result = await self.store.write(
                 tables.Write(claim.key, record, version)
             )
             step = decide.after_finish(result, record["attempt"])
@@ -288,12 +288,12 @@
     async def _fence(self, key, record):
         gone = {**record, "state": decide.State.NOT_RUN}
         for pause in pauses(LONGEST_LATER_S):
-            row = await self._store.read(key)
+            row = await self.store.read(key)
             if not isinstance(row, kinds.Failure):
                 version = decide.fence_version(row, record["attempt"])
                 if version is None:
                     return
-                result = await self._store.write(
+                result = await self.store.write(
                     tables.Write(key, gone, version)
                 )
                 if isinstance(result, tables.Written):
@@ -325,7 +325,7 @@
         return kinds.Failure(
             kinds.Kind.STORE_AWAY,
             "the request could not be recorded in time",
-            retry_after=self._store.retry_after,
+            retry_after=self.store.retry_after,
         )
 
 
--- a/tests/integration/test_once.py
+++ b/tests/integration/test_once.py
@@ -287,9 +287,15 @@
         for key in ("a b", "x" * 201, "\u00e9"):
             told = await ballots.cast(cluster, 0, key)
             assert (told.status, told.outcome) == (400, "not-run")
+        # Dated 2023: its record would have been swept long ago.
+        old = "01890a5d-ac96-774b-bcce-b302099a8057"
+        expired = await ballots.cast(cluster, 0, old)
+        runs = await ballots.log(cluster)
         unknown = await ballots.ask(cluster, 0, "nobody")
         longest = await ballots.cast(cluster, 0, "/%?~" * 50)
         asked = await ballots.ask(cluster, 0, "/%?~" * 50)
+    assert (expired.status, expired.outcome) == (410, "outcome-unknown")
+    assert runs == []
     assert (unknown.status, unknown.outcome) == (404, "outcome-unknown")
     assert longest.outcome == "complete"
     assert asked == longest
