--- a/sycamoreshed/idempotency/decide.py
+++ b/sycamoreshed/idempotency/decide.py
@@ -258,7 +258,8 @@
     would run after the caller was told that it had not.
     """
     for answer in answers:
-        if isinstance(answer, kinds.Failure):
+        # A failure, or JSON that is no object at all.
+        if not isinstance(answer, dict):
             continue
         if answer.get("state") == "ran" and "output" in answer:
             return answer
