--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PY := $(VENV)/bin/python
 JOBS ?= 6
+DIST ?= dist
 STAMP := $(VENV)/.installed
 
 .PHONY: setup lint format test demo bench dist lock
@@ -32,9 +33,11 @@
 	$(PY) -m bench run steady --seed 1 --out out/bench
 
 dist: setup
-	mkdir -p dist
-	$(PY) -m shiv --quiet -c sycamoreshed -o dist/sycamoreshed \
-	    --no-modify --reproducible -r requirements/run.lock . 
+	# What an earlier build left would be packed again.
+	rm -rf build
+	mkdir -p $(DIST)
+	$(PY) -m shiv --quiet -c sycamoreshed -o $(DIST)/sycamoreshed \
+	    --no-modify --reproducible -r requirements/run.lock .
 
 lock:
 	$(PY) -m piptools compile --quiet --strip-extras --no-emit-index-url \
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -21,6 +21,7 @@
 START_S = 20.0
 STOP_S = 40.0
 HOST = "127.0.0.1"
+PROGRAM = (sys.executable, "-m", "sycamoreshed")
 
 
 def free_port(host=HOST):
@@ -31,11 +32,25 @@
 
 
 class Daemon:
-    """One entry instance as a real process."""
+    """One entry instance as a real process.
 
-    def __init__(self, *, document, folder):
+    Parameters
+    ----------
+    document : dict
+        Its settings.
+    folder : pathlib.Path
+        Where settings and log go.
+    program : sequence of str
+        How to run it.
+    env : dict, optional
+        Added to the environment.
+    """
+
+    def __init__(self, *, document, folder, program=PROGRAM, env=None):
         self._folder = folder
         self._log = folder / f"{document['instance']}.log"
+        self._program = program
+        self._env = env or {}
         self.document = document
         self.process = None
 
@@ -69,15 +84,13 @@
         path.write_text(json.dumps(self.document))
         with open(self._log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "sycamoreshed",
+                *self._program,
                 "serve",
                 "--settings",
                 str(path),
                 stderr=log,
                 stdout=log,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **self._env},
             )
         await self._wait_for("/healthz")
 
@@ -227,7 +240,14 @@
 
 @contextlib.asynccontextmanager
 async def cluster(
-    *, daemons=1, specs=None, zones=None, proxied=False, **changes
+    *,
+    daemons=1,
+    specs=None,
+    zones=None,
+    proxied=False,
+    program=PROGRAM,
+    env=None,
+    **changes,
 ):
     """Run stand-ins and daemons with the builders' configuration.
 
@@ -241,6 +261,10 @@
     proxied : bool
         Put a proxy before each stand-in and each daemon's control
         address.
+    program : sequence of str
+        How to run a daemon.
+    env : dict, optional
+        Added to the environment of each daemon.
     **changes
         To the settings of each daemon.
     """
@@ -259,7 +283,12 @@
                 reached[name] = await _put_proxy(result, name, address)
         documents = await _documents(result, reached, zones, changes)
         for document in documents:
-            daemon = Daemon(document=document, folder=pathlib.Path(folder))
+            daemon = Daemon(
+                document=document,
+                folder=pathlib.Path(folder),
+                program=program,
+                env=env,
+            )
             result.daemons.append(daemon)
             await daemon.start()
         await _configure(result, specs, reached)
