--- /dev/null
+++ b/bench/overhead.py
@@ -0,0 +1,234 @@
+"""What the request path adds over calling an endpoint directly.
+
+``python -m bench.overhead`` starts a daemon and stand-ins, sends the same
+calls to a stand-in directly and through the daemon, in turns, and prints
+medians over the repetitions with their spread.  ``--idle`` measures what
+daemons use when nobody calls.
+"""
+
+import argparse
+import asyncio
+import json
+import statistics
+import time
+import typing
+
+from testkit import proc
+from testkit import processes
+
+__all__ = ["main"]
+
+IN_FLIGHT = (1, 16, 64)
+SERVICE_S = 0.1
+TOKENS = 100
+TOKEN_S = 0.01
+RUN_S = 2.0
+IDLE_S = 20.0
+SLOTS = 256
+HEADERS = {"Team": "gaucho", "Deadline-Ms": "60000"}
+BODY = {"input": "dossier " * 32}
+
+
+class Run(typing.NamedTuple):
+    """One run at one number of calls in flight.
+
+    Parameters
+    ----------
+    median, p95 : float
+        Seconds of a call.
+    calls : int
+    processor : float
+        Seconds the daemon ran for a call.
+    """
+
+    median: float
+    p95: float
+    calls: int
+    processor: float
+
+
+def specs():
+    """Return stand-ins of a unary service and an engine."""
+    plain = {"kind": "plain", "slots": SLOTS, "seconds": SERVICE_S}
+    engine = {"kind": "engine", "slots": SLOTS, "tokens": TOKENS}
+    return [
+        {"name": "catalogue-1", **plain},
+        {"name": "language-1", "token_s": TOKEN_S, **engine},
+        {"name": "encoder-1", "kind": "pool"},
+        {"name": "retriever-1", "kind": "pool"},
+        {"name": "reranker-1", "kind": "pool"},
+    ]
+
+
+def direct_body(number):
+    """Return the body the daemon would send to an endpoint."""
+    return {
+        "request": f"r{number}",
+        "stage": "read",
+        "attempt": f"a{number}",
+        "deadline_ms": 60000.0,
+        "payload": BODY["input"],
+        "priority": 1,
+        "offset": 0,
+        "prefix": "p",
+    }
+
+
+async def post(cluster, url, body):
+    """Send one call and read all of its answer."""
+    async with cluster.session.post(url, json=body, headers=HEADERS) as answer:
+        raw = await answer.read()
+        answer.raise_for_status()
+    if b"event: error" in raw:
+        raise RuntimeError(raw.decode())
+
+
+async def measure(cluster, url, make_body, in_flight):
+    """Keep so many calls in flight for a while."""
+    pid = cluster.daemons[0].process.pid
+    times = []
+    end = time.perf_counter() + RUN_S
+
+    async def worker():
+        while True:
+            start = time.perf_counter()
+            await post(cluster, url, make_body(len(times)))
+            now = time.perf_counter()
+            times.append(now - start)
+            if now > end:
+                return
+
+    before = proc.usage(pid).seconds
+    await asyncio.gather(*(worker() for _ in range(in_flight)))
+    used = proc.usage(pid).seconds - before
+    times.sort()
+    return Run(
+        statistics.median(times),
+        times[int(len(times) * 0.95)],
+        len(times),
+        used / len(times),
+    )
+
+
+async def compare(cluster, direct, path, in_flight, repetitions):
+    """Measure both ways in turns; return pairs of runs."""
+    pairs = []
+    for _ in range(repetitions):
+        one = await measure(cluster, *direct, in_flight)
+        other = await measure(cluster, *path, in_flight)
+        pairs.append((one, other))
+    return pairs
+
+
+def spread(values, digits=3):
+    """Return median and range as a dictionary."""
+    return {
+        "median": round(statistics.median(values), digits),
+        "least": round(min(values), digits),
+        "most": round(max(values), digits),
+    }
+
+
+def report(kind, in_flight, pairs, pieces):
+    """Print one line of figures, in milliseconds."""
+    line = {
+        "kind": kind,
+        "in_flight": in_flight,
+        "calls": sum(other.calls for _, other in pairs),
+        "ratio": spread([b.median / a.median for a, b in pairs]),
+        "added_ms": spread([(b.median - a.median) * 1e3 for a, b in pairs]),
+        "added_p95_ms": spread([(b.p95 - a.p95) * 1e3 for a, b in pairs]),
+        "processor_ms": spread(
+            [b.processor * 1e3 / pieces for _, b in pairs], 4
+        ),
+    }
+    print(json.dumps(line), flush=True)
+
+
+async def busy(repetitions, program):
+    """Measure calls, whole and streamed."""
+    async with processes.cluster(specs=specs(), program=program) as cluster:
+        daemon = f"http://{cluster.daemons[0].public}/v1/pipelines"
+        plain = f"http://{cluster.addresses['catalogue-1']}/call"
+        engine = f"http://{cluster.addresses['language-1']}/generate"
+        unary = (
+            (plain, direct_body),
+            (f"{daemon}/catalogue", lambda _: BODY),
+            1,
+        )
+        streamed = (
+            (engine, direct_body),
+            (f"{daemon}/write", lambda _: {**BODY, "stream": True}),
+            TOKENS,
+        )
+        note = {
+            "id": "bench",
+            "base": 1,
+            "author": "bench",
+            "added": {"pipelines": {"write": WRITE}},
+        }
+        await cluster.apply(0, note)
+        for kind, (direct, path, pieces) in (
+            ("unary", unary),
+            ("streamed", streamed),
+        ):
+            for in_flight in IN_FLIGHT:
+                pairs = await compare(
+                    cluster, direct, path, in_flight, repetitions
+                )
+                report(kind, in_flight, pairs, pieces)
+
+
+WRITE = {
+    "stages": [{"name": "write", "service": "language"}],
+    "deadline_ms": 60000,
+}
+
+
+async def idle(program):
+    """Measure three daemons that nobody calls."""
+    async with processes.cluster(
+        daemons=3, proxied=True, program=program
+    ) as cluster:
+        await asyncio.sleep(5)
+        pids = [daemon.process.pid for daemon in cluster.daemons]
+        before = [proc.usage(pid) for pid in pids]
+        sent = traffic(cluster)
+        await asyncio.sleep(IDLE_S)
+        after = [proc.usage(pid) for pid in pids]
+        moved = traffic(cluster) - sent
+    shares = [
+        (b.seconds - a.seconds) / IDLE_S * 100
+        for a, b in zip(before, after, strict=True)
+    ]
+    line = {
+        "kind": "idle",
+        "core_percent": spread(shares),
+        "resident_mb": spread([b.resident / 2**20 for b in after], 1),
+        "control_bytes_per_s": round(moved / IDLE_S / len(pids)),
+    }
+    print(json.dumps(line), flush=True)
+
+
+def traffic(cluster):
+    """Return the bytes that went through all proxies, both ways."""
+    return sum(
+        proxy.bytes_in + proxy.bytes_out for proxy in cluster.proxies.values()
+    )
+
+
+def main():
+    """Run the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--repetitions", type=int, default=5)
+    parser.add_argument("--idle", action="store_true")
+    parser.add_argument("--program", nargs="+", default=processes.PROGRAM)
+    args = parser.parse_args()
+    if args.idle:
+        asyncio.run(idle(args.program))
+    else:
+        asyncio.run(busy(args.repetitions, args.program))
+
+
+if __name__ == "__main__":
+    main()
--- a/testkit/proc.py
+++ b/testkit/proc.py
@@ -6,7 +6,6 @@
 
 __all__ = ["Footprint", "Usage", "footprint", "usage"]
 
-TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
 
@@ -67,9 +66,21 @@
 
 def usage(pid):
     """Return the `Usage` of a process."""
-    fields = _fields(pathlib.Path("/proc") / str(pid))
-    seconds = (int(fields[11]) + int(fields[12])) / TICKS
-    return Usage(seconds, int(fields[21]) * PAGE)
+    root = pathlib.Path("/proc") / str(pid)
+    fields = _fields(root)
+    return Usage(_run_seconds(root), int(fields[21]) * PAGE)
+
+
+def _run_seconds(root):
+    # In nanoseconds for each thread; the ticks of `stat` are too coarse
+    # for a short run.
+    return (
+        sum(
+            int((task / "schedstat").read_text().split()[0])
+            for task in (root / "task").iterdir()
+        )
+        / 1e9
+    )
 
 
 def _fields(root):
