--- a/standins/engine.py
+++ b/standins/engine.py
@@ -185,7 +185,7 @@
             self.counters["prefix_hits"] += 1
             self._cache.move_to_end(prefix)
             return
-        await asyncio.sleep(self._prefill_s)
+        await asyncio.sleep(self._prefill_s * self._faults.slow)
         if prefix is not None:
             self._remember(prefix)
 
@@ -217,7 +217,7 @@
         for offset in range(body.get("offset", 0), self._tokens):
             if body["attempt"] in self._cancelled:
                 return answer
-            await asyncio.sleep(self._token_s)
+            await asyncio.sleep(self._token_s * self._faults.slow)
             token = f"{body['request'][:6]}-{offset} "
             lines = [{**names, "offset": offset, "token": token}]
             if offset == middle and faulty:
--- a/standins/services.py
+++ b/standins/services.py
@@ -48,7 +48,7 @@
         """Serve one call."""
         body = await http.json()
         async with self._slots:
-            await asyncio.sleep(self._seconds)
+            await asyncio.sleep(self._seconds * self._faults.slow)
         self.served += 1
         answer = {**identity(body), "output": self.output(body)}
         answer, self._last = self._maybe_swapped(answer), answer
@@ -75,7 +75,7 @@
         )
 
     def _maybe_swapped(self, answer):
-        if self._faults.hits(self._faults.spec.get("late", 0.0)):
+        if self._faults.hits(self._faults.spec.get("other_attempt", 0.0)):
             return {**answer, "attempt": "given up"}
         share = self._faults.spec.get("swap", 0.0)
         if self._last is not None and self._faults.hits(share):
@@ -90,6 +90,7 @@
         super().__init__(faults=faults, slots=slots, seconds=seconds)
         self._runs = collections.Counter()
         self._outputs = {}
+        self._log = []
 
     def routes(self):
         """Return the routes of the endpoint."""
@@ -97,6 +98,7 @@
             *super().routes(),
             web.post("/lookup", self.look_up),
             web.get("/runs", self.runs),
+            web.get("/log", self.log),
         ]
 
     def output(self, body):
@@ -105,6 +107,9 @@
         if key is None:
             return super().output(body)
         self._runs[key] += 1
+        self._log.append(
+            {name: body[name] for name in ("key", "request", "attempt")}
+        )
         output = {"recorded": key, "run": self._runs[key]}
         self._outputs[key] = output
         return output
@@ -123,6 +128,10 @@
         """Report how often each key ran."""
         return web.json_response(self._runs)
 
+    async def log(self, _http):
+        """Report each run of a key: which request, which attempt."""
+        return web.json_response(self._log)
+
 
 @registry.KINDS.register("pool")
 def pool(spec, faults):
--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -163,6 +163,9 @@
 
     async def _whole(self, request, start):
         result = await self._run_to_end(request)
+        if isinstance(result, web.Response):
+            self._count(request, result.headers["Outcome"], start)
+            return result
         if isinstance(result, kinds.Failure):
             self._count(request, kinds.answer_for(result).outcome, start)
             return problems.response(result, request.id)
--- a/sycamoreshed/settings/checking.py
+++ b/sycamoreshed/settings/checking.py
@@ -61,8 +61,10 @@
     return checked
 
 
-# Working them out takes longer than all of the rest of a check.
-_hints = functools.cache(typing.get_type_hints)
+@functools.cache
+def _hints(kind):
+    """Return the keys of a type; asking anew costs more than the check."""
+    return typing.get_type_hints(kind)
 
 
 def _refuse_unknown(document, kind, *, source, path):
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -201,7 +201,7 @@
     """
     pools = specs({})
     async with processes.cluster(specs=pools) as cluster:
-        await cluster.faults("encoder-1", late=1.0)
+        await cluster.faults("encoder-1", other_attempt=1.0)
         answers = [
             await cluster.call(0, "summary", {"input": 1}) for _ in range(4)
         ]
