--- a/sycamoreshed/entry/events.py
+++ b/sycamoreshed/entry/events.py
@@ -9,7 +9,7 @@
 
 
 def event(name, body, *, number=None):
-    """Return one event as bytes.
+    r"""Return one event as bytes.
 
     Parameters
     ----------
@@ -27,8 +27,8 @@
 
     Examples
     --------
-    >>> event("token", {"token": "a\\r\\n"}, number=3)
-    b'event: token\\nid: 3\\ndata: {"token":"a\\\\r\\\\n"}\\n\\n'
+    >>> event("token", {"token": "a\r\n"}, number=3)
+    b'event: token\nid: 3\ndata: {"token":"a\\r\\n"}\n\n'
     """
     head = f"event: {name}\n"
     if number is not None:
