Admit through a fair queue and an adaptive limit before each service

A request was admitted to 256 slots an instance, so at 200% load the queue stood at the engines, where nothing orders teams and nothing is refused.

Now each instance has a gate before each engine service: its share of the endpoints' slots, adapted by how long requests run against their deadline; weighted fair queueing between teams; refusal on arrival when the estimated wait does not fit the deadline. Requests are held back before the first stage, so a refusal is truly 'not run'.

--- a/sycamoreshed/admission/admission.py
+++ b/sycamoreshed/admission/admission.py
@@ -1,43 +1,60 @@
 """Admission: which request may run here, and in what order."""
 
-import asyncio
-import collections
-import typing
+import functools
+import itertools
 
-from sycamoreshed.errors import kinds
+from sycamoreshed.admission import fairqueue
+from sycamoreshed.admission import gate as gates
+from sycamoreshed.admission import limiters
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Admission", "Ticket"]
+__all__ = ["Admission", "gate_service"]
 
+DEFAULT_WEIGHT = 1.0
 
-class Ticket(typing.NamedTuple):
-    """Leave to run; given back by `Admission.leave`."""
 
-    request: str
-    team: str
+def gate_service(config, pipeline):
+    """Return the service whose slots bound a pipeline.
+
+    Notes
+    -----
+    That is its first engine, since engines are what is scarce, else the
+    service of its first stage.  Requests are held back before their
+    first stage and not between stages: what is refused there has cost
+    nothing and truly did not run.
+    """
+    stages = config.sections["pipelines"][pipeline]["stages"]
+    services = config.sections["services"]
+    for stage in stages:
+        if services[stage["service"]]["kind"] == "engine":
+            return stage["service"]
+    return stages[0]["service"]
 
 
 class Admission:
-    """Bounded queue before a bounded number of slots.
+    """A gate for each service, and the teams' limits before them.
 
     Parameters
     ----------
-    slots : int
-    queue : int
+    settings : Settings
+    instances : callable
+        Takes monotonic seconds, returns the number of live instances.
     clock : callable
     """
 
-    def __init__(self, *, slots, queue, clock):
-        self._free = slots
-        self._most = queue
+    def __init__(self, *, settings, instances, clock):
+        self._settings = settings
+        self._instances = instances
         self._clock = clock
-        self._waiting = collections.deque()
-        self._running = {}
+        self._gates = {}
+        self._numbers = itertools.count()
 
     @property
     def in_flight(self):
         """Requests running or waiting."""
-        return len(self._running) + len(self._waiting)
+        return sum(
+            gate.running + gate.waiting for gate in self._gates.values()
+        )
 
     async def enter(self, request, now):
         """Wait for a slot.
@@ -51,57 +68,67 @@
         Returns
         -------
         Ticket or Failure
+            A failure is returned at once when waiting would be in vain.
         """
-        if request.deadline <= now:
-            return kinds.Failure(kinds.Kind.HOPELESS, "no time left")
-        ticket = Ticket(request.id, request.team)
-        if self._free:
-            self._free -= 1
-            self._running[ticket.request] = ticket
-            return ticket
-        if len(self._waiting) >= self._most:
-            return kinds.Failure(kinds.Kind.SHED, "queue full")
-        return await self._wait(ticket, request.deadline - now)
+        service = gate_service(request.config, request.pipeline)
+        gate = self._gate(service)
+        slots = _slots(request.config, service)
+        gate.limiter.resize(slots, self._instances(now))
+        entry = self._entry(request, gate, now)
+        refusal = gate.refusal(entry, request.deadline, now)
+        if refusal is not None:
+            return refusal
+        seconds = request.spec["deadline_ms"] / 1000
+        return await gate.enter(entry, seconds, now)
 
     def leave(self, ticket, now):
         """Give a slot back."""
-        del self._running[ticket.request]
-        while self._waiting:
-            next_ticket, woken = self._waiting.popleft()
-            if not woken.done():
-                self._running[next_ticket.request] = next_ticket
-                woken.set_result(next_ticket)
-                return
-        self._free += 1
-
-    async def _wait(self, ticket, seconds):
-        woken = asyncio.get_running_loop().create_future()
-        item = (ticket, woken)
-        self._waiting.append(item)
-        try:
-            async with asyncio.timeout(seconds):
-                return await asyncio.shield(woken)
-        except TimeoutError:
-            return self._give_up(item)
-        except asyncio.CancelledError:
-            if not isinstance(self._give_up(item), kinds.Failure):
-                self.leave(ticket, self._clock())
-            raise
-
-    def _give_up(self, item):
-        ticket, woken = item
-        if woken.done():
-            return ticket
-        woken.cancel()
-        self._waiting.remove(item)
-        return kinds.Failure(kinds.Kind.SHED, "deadline passed in queue")
+        ticket.gate.leave(ticket, now)
+
+    def _entry(self, request, gate, now):
+        team = request.config.entry("teams", request.team) or {}
+        # Waiting on would only end in a late answer, so the caller is
+        # told as soon as that is clear.
+        need = gate.run_time(request.pipeline).low(now)
+        return fairqueue.Entry(
+            request=request.id,
+            team=request.team,
+            pipeline=request.pipeline,
+            weight=team.get("weight", DEFAULT_WEIGHT),
+            rank=(request.priority, request.deadline, next(self._numbers)),
+            give_up=request.deadline - need,
+        )
+
+    def _gate(self, service):
+        gate = self._gates.get(service)
+        if gate is None:
+            settings = self._settings
+            limiter = limiters.LIMITERS.get(settings.limiter)
+            gate = self._gates[service] = gates.Gate(
+                queue=fairqueue.ORDERS.get(settings.fairness)(),
+                limiter=limiter(most=settings.slots),
+                most=settings.queue,
+                clock=self._clock,
+                estimating=settings.limiter != "fixed",
+            )
+        return gate
+
+
+@functools.lru_cache(maxsize=256)
+def _total_slots(endpoints):
+    return sum(endpoint.slots for endpoint in endpoints)
+
+
+def _slots(config, service):
+    return max(1, _total_slots(config.endpoints.get(service, ())))
 
 
 @kernel.plugin("admission")
 async def admission(core):
     """Provide admission."""
+    peers = max(1, len(core.settings.peers))
     yield Admission(
-        slots=core.settings.slots,
-        queue=core.settings.queue,
+        settings=core.settings,
+        instances=lambda now: peers,
         clock=core.clock,
     )
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -39,6 +39,7 @@
     advertise: typing.NotRequired[str]
     routing: typing.NotRequired[str]
     fairness: typing.NotRequired[str]
+    limiter: typing.NotRequired[str]
     slots: typing.NotRequired[Positive]
     queue: typing.NotRequired[Positive]
     grace_s: typing.NotRequired[Seconds]
@@ -73,6 +74,8 @@
         Name of the routing policy.
     fairness : str
         Name of the admission order.
+    limiter : str
+        Name of the rule for how many requests run at a time.
     slots : int
         Requests this instance runs at a time.
     queue : int
@@ -103,6 +106,7 @@
     advertise: str = ""
     routing: str = "least_loaded"
     fairness: str = "weighted_fair"
+    limiter: str = "adaptive"
     slots: int = 256
     queue: int = 1024
     grace_s: float = 1.0
