Choose endpoints by expected time, prefix home and crossing cost

Least in flight, seen from one of nine instances, knows a ninth of the load and crosses regions at will. 'balanced' compares a random few endpoints (own zone, own region, others) and the prompt prefix's homes by rendezvous hashing, by expected time and by the tariff: the risk of being late grows with the square of the part of the time left, and is weighed against the price of the bytes that cross.

The fair queue held state for teams for ever and broke ties by name, both found by a test with 35,000 teams; state is now dropped when nobody waits and ties go by arrival.

--- a/bench/runs.py
+++ b/bench/runs.py
@@ -17,6 +17,7 @@
 __all__ = ["compare", "read", "run"]
 
 RESULT = "result.json"
+NOON = 12.0
 
 
 async def run(scenario, *, deployment, seed, seconds, level, changes, count):
@@ -43,10 +44,9 @@
     drawn = arrivals.draw(
         plan.phases, system.mix, seed=seed, prefixes=plan.prefixes
     )
-    if "tariff" in changes:
-        changes = {**changes, "tariff": dict(system.tariff)}
-        if plan.hour is not None:
-            changes["tariff"]["hour"] = plan.hour
+    hour = NOON if plan.hour is None else plan.hour
+    tariff = {**system.tariff, "hour": hour}
+    changes = {"tariff": tariff, **changes}
     async with worlds.running(
         system, instances=count, changes=changes
     ) as world:
--- a/sycamoreshed/admission/admission.py
+++ b/sycamoreshed/admission/admission.py
@@ -87,9 +87,9 @@
 
     def _entry(self, request, gate, now):
         team = request.config.entry("teams", request.team) or {}
-        # Waiting on would only end in a late answer, so the caller is
-        # told as soon as that is clear.
-        need = gate.run_time(request.pipeline).low(now)
+        # Begun later than this it would most likely end late, and have
+        # taken a slot from one that would not.
+        need = gate.run_time(request.pipeline).high(now)
         return fairqueue.Entry(
             request=request.id,
             team=request.team,
--- a/sycamoreshed/admission/fairqueue.py
+++ b/sycamoreshed/admission/fairqueue.py
@@ -76,9 +76,6 @@
         """Return how many would be taken before a new entry."""
         return len(self._entries)
 
-    def passed(self, team, weight):
-        """Count a request that did not have to wait."""
-
 
 class _Team:
     """The queue of one team; ``tag`` is the start tag of its head."""
@@ -119,6 +116,7 @@
         self._virtual = 0.0
         self._length = 0
         self._served = 0
+        self._pushes = 0
 
     def __len__(self):
         return self._length
@@ -140,7 +138,7 @@
     def pop(self):
         """Take the head of the team whose start tag is least."""
         while True:
-            _, name = heapq.heappop(self._heap)
+            _, _, name = heapq.heappop(self._heap)
             team = self._teams[name]
             team.in_heap = False
             if team.entries:
@@ -150,6 +148,8 @@
         self._serve(team)
         if team.entries:
             self._push(name, team)
+        elif not self._length:
+            self._forget()
         return entry
 
     def remove(self, entry):
@@ -188,12 +188,6 @@
             count += min(max(turns, 0), len(other.entries))
         return count
 
-    def passed(self, team, weight):
-        """Count a request that did not have to wait."""
-        state = self._team(team, weight)
-        state.tag = max(state.tag, self._virtual)
-        self._serve(state)
-
     def _serve(self, team):
         self._virtual = max(self._virtual, team.tag)
         team.tag += 1.0 / team.weight
@@ -211,7 +205,16 @@
     def _push(self, name, team):
         if not team.in_heap:
             team.in_heap = True
-            heapq.heappush(self._heap, (team.tag, name))
+            # Equal tags go by order of arrival, or names early in the
+            # alphabet would go first for ever.
+            self._pushes += 1
+            heapq.heappush(self._heap, (team.tag, self._pushes, name))
+
+    def _forget(self):
+        """Begin anew: nobody waits, so nobody was kept from anything."""
+        self._teams.clear()
+        self._heap.clear()
+        self._virtual = 0.0
 
     def _sweep(self):
         idle = [
--- a/sycamoreshed/admission/gate.py
+++ b/sycamoreshed/admission/gate.py
@@ -5,8 +5,8 @@
 import random
 import typing
 
-from sycamoreshed.admission import estimates
 from sycamoreshed.errors import kinds
+from sycamoreshed.routing import estimates
 
 __all__ = ["Gate", "Ticket"]
 
@@ -101,7 +101,6 @@
         Ticket or Failure
         """
         if self._has_slot() and not self.waiting:
-            self._queue.passed(entry.team, entry.weight)
             return self._start(entry, deadline_s, now)
         woken = asyncio.get_running_loop().create_future()
         entry = entry._replace(woken=woken)
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -100,7 +100,9 @@
         try:
             result = await self._read(endpoint, call, until, tokens, emit)
         finally:
-            self._router.loads.end(endpoint)
+            self._router.finished(
+                request, stage, endpoint, result, now, self._clock()
+            )
             if not isinstance(result, adapters.StageAnswer):
                 await adapters.cancel_quietly(self._client, endpoint, call)
         ok = isinstance(result, adapters.StageAnswer)
--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -78,6 +78,7 @@
             adapter=stage.get("adapter"),
         )
         self._router.loads.begin(endpoint)
+        result = None
         try:
             result = await self._client.call(
                 endpoint, call, timeout=until - now
@@ -88,7 +89,9 @@
             await adapters.cancel_quietly(self._client, endpoint, call)
             raise
         finally:
-            self._router.loads.end(endpoint)
+            self._router.finished(
+                request, stage, endpoint, result, now, self._clock()
+            )
         failed = isinstance(result, kinds.Failure)
         self._membership.report(endpoint, ok=not failed, now=self._clock())
         if failed and result.sent:
--- a/sycamoreshed/admission/estimates.py
+++ b/sycamoreshed/routing/estimates.py
@@ -47,25 +47,26 @@
         self._mean += (UP if error > 0 else DOWN) * error
         self._deviation += SPREAD * (abs(error) - self._deviation)
 
-    def mean(self, now):
+    def mean(self, now, *, fading=True):
         """Return the mean in seconds, or None if nothing is known."""
-        if self._mean is None:
-            return None
-        return self._mean * self._fade(now)
+        if self._mean is None or not fading:
+            return self._mean
+        return self._mean * self.weight(now)
 
     def low(self, now):
         """Return what few durations are under, or zero."""
         if self._mean is None:
             return 0.0
-        return max(0.0, self._mean - self._deviation) * self._fade(now)
+        return max(0.0, self._mean - self._deviation) * self.weight(now)
 
     def high(self, now):
         """Return what few durations are over, or zero."""
         if self._mean is None:
             return 0.0
-        return (self._mean + 2 * self._deviation) * self._fade(now)
+        return (self._mean + 2 * self._deviation) * self.weight(now)
 
-    def _fade(self, now):
+    def weight(self, now):
+        """Return how much of the estimate still holds, at most one."""
         old = now - self._at - STALE_AFTER_S
         if old <= 0:
             return 1.0
--- /dev/null
+++ b/sycamoreshed/routing/loads.py
@@ -0,0 +1,159 @@
+"""What an instance knows of each endpoint's load and speed."""
+
+import collections
+import math
+import typing
+
+from sycamoreshed.routing import estimates
+
+__all__ = ["Loads", "NO_REPORTS"]
+
+# After this time half of what a report said of others' calls still holds.
+REPORT_HALF_LIFE_S = 2.0
+OLDEST_REPORT_S = 10.0
+SIZE_WEIGHT = 0.1
+# How much longer a call takes when all slots are taken; it also makes
+# the least loaded the choice among those that have a free slot.
+FULL_BATCH = 0.5
+FIRST_SECONDS = 0.05
+NO_REPORTS = {}
+
+
+class _Known(typing.NamedTuple):
+    """A report, and our own calls in flight when it was measured."""
+
+    measured: float
+    others: float
+
+
+class Loads:
+    """Own calls in flight, lagged reports, and measured times.
+
+    Parameters
+    ----------
+    reports : callable, optional
+        Returns reports by endpoint name: a dictionary with ``running``
+        and ``waiting``, and the monotonic time it was measured at.
+    """
+
+    def __init__(self, *, reports=lambda: NO_REPORTS):
+        self._reports = reports
+        self._in_flight = collections.Counter()
+        self._known = {}
+        self._times = {}
+        self._services = {}
+        self._sizes = {}
+
+    def begin(self, endpoint):
+        """Count a call of our own."""
+        self._in_flight[endpoint.name] += 1
+
+    def end(self, endpoint):
+        """Count a call of our own as over."""
+        self._in_flight[endpoint.name] -= 1
+        if not self._in_flight[endpoint.name]:
+            del self._in_flight[endpoint.name]
+
+    def observe(self, endpoint, seconds, now, *, whole):
+        """Take in how long a call took.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        seconds : float
+        now : float
+            Monotonic seconds.
+        whole : bool
+            False if it was given up: then it would have taken longer, so
+            it counts only if it was slow already.
+        """
+        crowd = max(1.0, self.estimate(endpoint, now))
+        alone = seconds / crowd
+        name = endpoint.name
+        if not whole and alone < (self._mean_of(endpoint, now) or 0.0):
+            return
+        if name not in self._times:
+            self._times[name] = estimates.Estimate()
+        self._times[name].add(alone, now)
+        if whole:
+            service = endpoint.service
+            if service not in self._services:
+                self._services[service] = estimates.Estimate()
+            self._services[service].add(alone, now)
+
+    def observe_size(self, pipeline, stage, size):
+        """Take in the bytes a stage's call sent and received."""
+        key = (pipeline, stage)
+        old = self._sizes.get(key, size)
+        self._sizes[key] = old + SIZE_WEIGHT * (size - old)
+
+    def size(self, pipeline, stage):
+        """Return the bytes expected of a stage's call."""
+        return self._sizes.get((pipeline, stage), 0.0)
+
+    def estimate(self, endpoint, now):
+        """Return calls in flight as a share of the endpoint's slots.
+
+        Notes
+        -----
+        A report counts all callers and lags, so our own calls of its
+        time are taken off it, our present ones are added, and what is
+        left is discounted by its age.
+        """
+        own = self._in_flight.get(endpoint.name, 0)
+        report = self._reports().get(endpoint.name)
+        if report is None:
+            return own / endpoint.slots
+        others = self._others(endpoint.name, report, own)
+        age = now - report[1]
+        if age < OLDEST_REPORT_S:
+            own += others * 0.5 ** (max(age, 0.0) / REPORT_HALF_LIFE_S)
+        return own / endpoint.slots
+
+    def seconds(self, endpoint, now):
+        """Return the time one more call is expected to take."""
+        alone = self._mean_of(endpoint, now)
+        if alone is None:
+            alone = FIRST_SECONDS
+        load = self.estimate(endpoint, now) + 1.0 / endpoint.slots
+        return alone * (1.0 + FULL_BATCH * load + max(0.0, load - 1.0))
+
+    def adapters(self, endpoint):
+        """Return the adapters an endpoint reported, or None."""
+        report = self._reports().get(endpoint.name)
+        return report[0].get("adapters") if report else None
+
+    def forget(self, names):
+        """Drop what is held for endpoints other than `names`."""
+        for held in (self._known, self._times):
+            for name in set(held) - names:
+                del held[name]
+
+    def _others(self, name, report, own):
+        body, measured = report
+        known = self._known.get(name)
+        if known is None or known.measured != measured:
+            total = body.get("running", 0) + body.get("waiting", 0)
+            known = _Known(measured, max(0.0, total - own))
+            self._known[name] = known
+        return known.others
+
+    def _mean_of(self, endpoint, now):
+        """Return the time of a call alone, or None if none is known.
+
+        Notes
+        -----
+        An endpoint that was found slow is not called, so nothing would
+        be measured there ever again; its estimate moves to that of its
+        service as it gets older.
+        """
+        service = self._services.get(endpoint.service)
+        usual = service.mean(now, fading=False) if service else None
+        times = self._times.get(endpoint.name)
+        if times is None:
+            return usual
+        own = times.mean(now, fading=False)
+        if usual is None or own <= usual:
+            return own
+        faded = math.log(own / usual) * times.weight(now)
+        return usual * math.exp(faded)
--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -1,45 +1,49 @@
 """Chooses an endpoint for a stage and writes the decision line."""
 
+import datetime
+
+from sycamoreshed.adapters import endpoints as adapters
+from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.observe import logs
+from sycamoreshed.routing import loads
 from sycamoreshed.routing import policies
+from sycamoreshed.routing import tariffs
 
-__all__ = ["Loads", "Router"]
-
-
-class Loads:
-    """What is known of the load of each endpoint."""
-
-    def __init__(self):
-        self._in_flight = {}
+__all__ = ["Router", "local_hour"]
 
-    def begin(self, endpoint):
-        """Count a call of our own."""
-        count = self._in_flight.get(endpoint.name, 0)
-        self._in_flight[endpoint.name] = count + 1
 
-    def end(self, endpoint):
-        """Count a call of our own as over."""
-        count = self._in_flight[endpoint.name] - 1
-        if count:
-            self._in_flight[endpoint.name] = count
-        else:
-            del self._in_flight[endpoint.name]
-
-    def estimate(self, endpoint, now):
-        """Return the load as a share of slots."""
-        return self._in_flight.get(endpoint.name, 0) / endpoint.slots
+def local_hour():
+    """Return the hour of the day, from 0 to 24."""
+    now = datetime.datetime.now()
+    return now.hour + now.minute / 60
 
 
 class Router:
-    """Chooses endpoints by the policy the settings name."""
-
-    def __init__(self, *, settings, membership, log):
+    """Chooses endpoints by the policy the settings name.
+
+    Parameters
+    ----------
+    settings : Settings
+    membership : Membership
+    log : DecisionLog
+    metrics : Metrics
+    hour : callable, optional
+        Returns the hour of the day, for the tariff.
+    """
+
+    def __init__(self, *, settings, membership, log, metrics, hour=local_hour):
         self._settings = settings
         self._membership = membership
         self._log = log
+        self._metrics = metrics
+        self._hour = hour
         self._policy = policies.POLICIES.get(settings.routing)
-        self.loads = Loads()
+        self._tariff = settings.tariff or tariffs.DEFAULT
+        self._turn = 0
+        self.loads = loads.Loads(
+            reports=lambda: getattr(membership, "reports", loads.NO_REPORTS)
+        )
 
     def choose(self, request, stage, now, *, avoid=(), prefix=None):
         """Choose an endpoint for a stage.
@@ -65,16 +69,54 @@
         usable = fresh or candidates
         choice = None
         if usable:
-            situation = policies.Situation(
-                zone=self._settings.zone,
-                region=self._settings.region,
-                prefix=prefix,
-                loads=self.loads,
-            )
+            situation = self._situation(request, stage, now, prefix)
             choice = self._policy(usable, situation, now)
         self._write(request, stage, usable, choice, now)
         return choice
 
+    def finished(self, request, stage, endpoint, result, began, now):
+        """Take in how a call ended, for later choices.
+
+        Parameters
+        ----------
+        request : Request
+        stage : StageSpec
+        endpoint : Endpoint
+        result : StageAnswer, Failure or None
+            None if the call was given up.
+        began, now : float
+            Monotonic seconds.
+        """
+        self.loads.end(endpoint)
+        whole = isinstance(result, adapters.StageAnswer)
+        refused = isinstance(result, kinds.Failure) and not result.sent
+        if not refused:
+            self.loads.observe(endpoint, now - began, now, whole=whole)
+        if not whole:
+            return
+        self.loads.observe_size(request.pipeline, stage["name"], result.size)
+        if endpoint.region != self._settings.region:
+            self._metrics.crossing_bytes.labels(
+                request.pipeline, stage["name"]
+            ).inc(result.size)
+
+    def _situation(self, request, stage, now, prefix):
+        self._turn += 1
+        hour = self._tariff.get("hour")
+        if hour is None:
+            hour = self._hour()
+        return policies.Situation(
+            zone=self._settings.zone,
+            region=self._settings.region,
+            prefix=prefix,
+            loads=self.loads,
+            budget_s=request.deadline - now,
+            crossing_bytes=self.loads.size(request.pipeline, stage["name"]),
+            worth=tariffs.worth_at(self._tariff, hour),
+            adapter=stage.get("adapter"),
+            turn=self._turn,
+        )
+
     def _write(self, request, stage, usable, choice, now):
         self._log.write(
             now,
@@ -88,11 +130,12 @@
         )
 
 
-@kernel.plugin("router", needs=("membership",))
+@kernel.plugin("router", needs=("membership", "metrics"))
 async def router(core):
     """Provide the router."""
     yield Router(
         settings=core.settings,
         membership=core.part("membership"),
         log=logs.DecisionLog(),
+        metrics=core.part("metrics"),
     )
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -24,6 +24,28 @@
 LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 
 
+class TariffHours(typing.TypedDict):
+    """Hours of the day in which attainment has another worth."""
+
+    begin: float
+    end: float
+    attainment: Seconds
+
+
+class Tariff(typing.TypedDict):
+    """What attainment is worth against crossing regions.
+
+    ``attainment``: cost units of one request answered in time.
+    ``crossing_mb``: cost units of a megabyte between regions.  ``hour``:
+    taken for the hour of the day, for trials.
+    """
+
+    attainment: Seconds
+    crossing_mb: Seconds
+    hours: typing.NotRequired[list[TariffHours]]
+    hour: typing.NotRequired[float]
+
+
 class Document(typing.TypedDict):
     """The settings file as it is written; see `Settings`."""
 
@@ -40,6 +62,7 @@
     routing: typing.NotRequired[str]
     fairness: typing.NotRequired[str]
     limiter: typing.NotRequired[str]
+    tariff: typing.NotRequired[Tariff]
     slots: typing.NotRequired[Positive]
     queue: typing.NotRequired[Positive]
     grace_s: typing.NotRequired[Seconds]
@@ -76,8 +99,10 @@
         Name of the admission order.
     limiter : str
         Name of the rule for how many requests run at a time.
+    tariff : Tariff or None
+        What attainment is worth against cost; None for the default.
     slots : int
-        Requests this instance runs at a time.
+        Most requests this instance runs at a time.
     queue : int
         Requests that may wait here.
     grace_s : float
@@ -104,9 +129,10 @@
     instance_list: str
     peers: tuple = ()
     advertise: str = ""
-    routing: str = "least_loaded"
+    routing: str = "balanced"
     fairness: str = "weighted_fair"
     limiter: str = "adaptive"
+    tariff: dict | None = None
     slots: int = 256
     queue: int = 1024
     grace_s: float = 1.0
