--- a/sycamoreshed/admission/admission.py
+++ b/sycamoreshed/admission/admission.py
@@ -11,6 +11,7 @@
 __all__ = ["Admission", "gate_service"]
 
 DEFAULT_WEIGHT = 1.0
+COUNT_S = 1.0
 
 
 def gate_service(config, pipeline):
@@ -123,12 +124,27 @@
     return max(1, _total_slots(config.endpoints.get(service, ())))
 
 
-@kernel.plugin("admission")
+class _LiveCount:
+    """The number of live instances, counted anew once a second."""
+
+    def __init__(self, *, membership):
+        self._membership = membership
+        self._until = float("-inf")
+        self._total = 1
+
+    def __call__(self, now):
+        if now >= self._until:
+            self._until = now + COUNT_S
+            live = self._membership.live_instances(now)
+            self._total = max(1, live.total)
+        return self._total
+
+
+@kernel.plugin("admission", needs=("membership",))
 async def admission(core):
     """Provide admission."""
-    peers = max(1, len(core.settings.peers))
     yield Admission(
         settings=core.settings,
-        instances=lambda now: peers,
+        instances=_LiveCount(membership=core.part("membership")),
         clock=core.clock,
     )
--- a/sycamoreshed/routing/loads.py
+++ b/sycamoreshed/routing/loads.py
@@ -81,15 +81,14 @@
                 self._services[service] = estimates.Estimate()
             self._services[service].add(alone, now)
 
-    def observe_size(self, pipeline, stage, size):
+    def observe_size(self, stage, size):
         """Take in the bytes a stage's call sent and received."""
-        key = (pipeline, stage)
-        old = self._sizes.get(key, size)
-        self._sizes[key] = old + SIZE_WEIGHT * (size - old)
+        old = self._sizes.get(stage, size)
+        self._sizes[stage] = old + SIZE_WEIGHT * (size - old)
 
-    def size(self, pipeline, stage):
+    def size(self, stage):
         """Return the bytes expected of a stage's call."""
-        return self._sizes.get((pipeline, stage), 0.0)
+        return self._sizes.get(stage, 0.0)
 
     def estimate(self, endpoint, now):
         """Return calls in flight as a share of the endpoint's slots.
--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -5,7 +5,6 @@
 from sycamoreshed.adapters import endpoints as adapters
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
-from sycamoreshed.observe import logs
 from sycamoreshed.routing import loads
 from sycamoreshed.routing import policies
 from sycamoreshed.routing import tariffs
@@ -27,16 +26,14 @@
     settings : Settings
     membership : Membership
     log : DecisionLog
-    metrics : Metrics
     hour : callable, optional
         Returns the hour of the day, for the tariff.
     """
 
-    def __init__(self, *, settings, membership, log, metrics, hour=local_hour):
+    def __init__(self, *, settings, membership, log, hour=local_hour):
         self._settings = settings
         self._membership = membership
         self._log = log
-        self._metrics = metrics
         self._hour = hour
         self._policy = policies.POLICIES.get(settings.routing)
         self._tariff = settings.tariff or tariffs.DEFAULT
@@ -74,14 +71,13 @@
         self._write(request, stage, usable, choice, now)
         return choice
 
-    def finished(self, request, stage, endpoint, result, began, now):
+    def finished(self, endpoint, call, result, began, now):
         """Take in how a call ended, for later choices.
 
         Parameters
         ----------
-        request : Request
-        stage : StageSpec
         endpoint : Endpoint
+        call : Call
         result : StageAnswer, Failure or None
             None if the call was given up.
         began, now : float
@@ -92,13 +88,8 @@
         refused = isinstance(result, kinds.Failure) and not result.sent
         if not refused:
             self.loads.observe(endpoint, now - began, now, whole=whole)
-        if not whole:
-            return
-        self.loads.observe_size(request.pipeline, stage["name"], result.size)
-        if endpoint.region != self._settings.region:
-            self._metrics.crossing_bytes.labels(
-                request.pipeline, stage["name"]
-            ).inc(result.size)
+        if whole:
+            self.loads.observe_size(call.stage, result.size)
 
     def _situation(self, request, stage, now, prefix):
         self._turn += 1
@@ -111,7 +102,7 @@
             prefix=prefix,
             loads=self.loads,
             budget_s=request.deadline - now,
-            crossing_bytes=self.loads.size(request.pipeline, stage["name"]),
+            crossing_bytes=self.loads.size(stage["name"]),
             worth=tariffs.worth_at(self._tariff, hour),
             adapter=stage.get("adapter"),
             turn=self._turn,
@@ -130,12 +121,11 @@
         )
 
 
-@kernel.plugin("router", needs=("membership", "metrics"))
+@kernel.plugin("router", needs=("decisions", "membership"))
 async def router(core):
     """Provide the router."""
     yield Router(
         settings=core.settings,
         membership=core.part("membership"),
-        log=logs.DecisionLog(),
-        metrics=core.part("metrics"),
+        log=core.part("decisions"),
     )
