--- a/sycamoreshed/entry/tests/test_callers.py
+++ b/sycamoreshed/entry/tests/test_callers.py
@@ -65,7 +65,7 @@
         metrics=metrics.Metrics(),
     )
     core._parts["admission"] = admission.Admission(
-        slots=4, queue=4, clock=core.clock
+        settings=core.settings, instances=lambda now: 1, clock=core.clock
     )
     core.guard(guard.guarded)
     entry = callers.Callers(core=core)
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -99,6 +99,7 @@
             self._metrics.retries.labels(stage["name"], result.kind).inc()
 
     async def _attempt(self, endpoint, call, until, tokens, emit):
+        began = self._clock()
         self._router.loads.begin(endpoint)
         # Stands for what is known if the attempt is cancelled from outside.
         result = kinds.Failure(kinds.Kind.INTERNAL, "cancelled", sent=True)
@@ -112,7 +113,7 @@
                 kinds.Kind.LATE, "stream not whole in time", sent=True
             )
         finally:
-            self._router.loads.end(endpoint)
+            self._router.finished(endpoint, call, result, began, self._clock())
             if isinstance(result, kinds.Failure) and result.sent:
                 await adapters.cancel_quietly(self._client, endpoint, call)
         evidence.report(
--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -80,6 +80,7 @@
             adapter=stage.get("adapter"),
         )
         self._router.loads.begin(endpoint)
+        result = None
         try:
             result = await self._client.call(
                 endpoint, call, timeout=until - now
@@ -90,7 +91,7 @@
             await adapters.cancel_quietly(self._client, endpoint, call)
             raise
         finally:
-            self._router.loads.end(endpoint)
+            self._router.finished(endpoint, call, result, now, self._clock())
         evidence.report(
             self._membership,
             endpoint,
