--- a/sycamoreshed/entry/noteroutes.py
+++ b/sycamoreshed/entry/noteroutes.py
@@ -118,7 +118,7 @@
         return _json({**body, **await self._versions()})
 
     async def _versions(self):
-        alive = self._gossip.alive(self._core.clock())
+        alive = self._gossip.view.alive(self._core.clock())
         names = {item.name for item in alive}
         gate = asyncio.Semaphore(ASKED_AT_ONCE)
         found = await asyncio.gather(*[self._ask(gate, i) for i in alive])
@@ -128,7 +128,7 @@
             zones.setdefault(member.zone, {})[member.name] = version
         lost = [
             item.name
-            for item in self._gossip.known()
+            for item in self._gossip.view.known()
             if item.name not in names
         ]
         return {"regions": regions, "out_of_reach": sorted(lost)}
--- a/sycamoreshed/membership/evidence.py
+++ b/sycamoreshed/membership/evidence.py
@@ -133,7 +133,7 @@
                 self._good.pop(name, None)
                 self._told.pop(name, None)
                 self._checked.pop(name, None)
-                self._gossip.drop(DOWN, name)
+                self._gossip.view.drop(DOWN, name)
         for name in list(self._peers):
             if name not in names:
                 del self._peers[name]
@@ -190,7 +190,7 @@
         if now - self._checked.get(name, -CHECK_S) < CHECK_S:
             return False
         self._checked[name] = now
-        instances = self._gossip.near_count(now)
+        instances = len(self._gossip.view.near(now))
         tally = self._pooled(name, instances, now)
         rest = [
             self._pooled(item, instances, now)
--- a/sycamoreshed/membership/listing.py
+++ b/sycamoreshed/membership/listing.py
@@ -77,11 +77,7 @@
 
     def _is_reader(self):
         zone = self._settings.zone
-        names = [
-            item.name
-            for item in self._gossip.alive(self._clock())
-            if item.zone == zone
-        ]
+        names = [item.name for item in self._gossip.view.near(self._clock())]
         return self._settings.instance in rendezvous.top(
             f"list {zone}", names, READERS
         )
--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -6,7 +6,6 @@
 from sycamoreshed.membership import listing
 from sycamoreshed.membership import members
 from sycamoreshed.membership import watching
-from sycamoreshed.observe import logs
 
 __all__ = ["Membership"]
 
@@ -85,7 +84,7 @@
         return members.count(
             [
                 item
-                for item in self._gossip.alive(now)
+                for item in self._gossip.view.alive(now)
                 if item.name not in leaving
             ]
         )
@@ -120,7 +119,7 @@
 
     def _in_reach(self, present, now):
         """Leave out zones out of reach, unless none else is left."""
-        lost = self._gossip.lost_zones(now)
+        lost = self._gossip.view.lost_zones(now)
         if not lost:
             return present
         near = [item for item in present if item.zone not in lost]
@@ -146,14 +145,23 @@
 
 @kernel.plugin(
     "membership",
-    needs=("endpoints", "gossip", "instance_list", "metrics", "notes"),
+    needs=(
+        "decisions",
+        "endpoints",
+        "gossip",
+        "instance_list",
+        "metrics",
+        "notes",
+    ),
 )
 async def membership(core):
     """Provide evidence about endpoints and live instances."""
     gossip = core.part("gossip")
     notes = core.part("notes")
     seen = evidence.Evidence(
-        gossip=gossip, instance=core.settings.instance, log=logs.DecisionLog()
+        gossip=gossip,
+        instance=core.settings.instance,
+        log=core.part("decisions"),
     )
     reader = listing.Listing(
         settings=core.settings,
--- a/sycamoreshed/membership/tests/test_membership.py
+++ b/sycamoreshed/membership/tests/test_membership.py
@@ -23,6 +23,10 @@
         self.heard = {}
         self.lost = set()
 
+    @property
+    def view(self):
+        return self
+
     def on_record(self, topic, func, *, own=False):
         self.heard[topic] = (func, own)
 
@@ -44,8 +48,8 @@
     def set_listed(self, addresses):
         self.addresses = set(addresses)
 
-    def near_count(self, now):
-        return 2
+    def near(self, now):
+        return [None, None]
 
     def lost_zones(self, now):
         return self.lost
--- a/sycamoreshed/membership/watching.py
+++ b/sycamoreshed/membership/watching.py
@@ -107,9 +107,7 @@
         """Return endpoints to watch, and whether as the first watcher."""
         zone = self._settings.zone
         own = self._settings.instance
-        names = [
-            item.name for item in self._gossip.alive(now) if item.zone == zone
-        ]
+        names = [item.name for item in self._gossip.view.near(now)]
         basis = (self._notes.config.version, names)
         if self._basis == basis:
             return self._duties
--- a/sycamoreshed/notes/spreading.py
+++ b/sycamoreshed/notes/spreading.py
@@ -77,11 +77,7 @@
 
     def _is_poller(self):
         zone = self._settings.zone
-        names = [
-            item.name
-            for item in self._gossip.alive(self._clock())
-            if item.zone == zone
-        ]
+        names = [item.name for item in self._gossip.view.near(self._clock())]
         chosen = rendezvous.top(f"poll {zone}", names, POLLERS)
         return self._settings.instance in chosen or not names
 
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -20,6 +20,7 @@
 __all__ = ["Cluster", "Daemon", "cluster", "free_port"]
 
 START_S = 20.0
+START_AT_ONCE = 4
 STOP_S = 40.0
 HOST = "127.0.0.1"
 
@@ -262,7 +263,9 @@
         for document in documents:
             daemon = Daemon(document=document, folder=pathlib.Path(folder))
             result.daemons.append(daemon)
-            await daemon.start()
+        for first in range(0, len(documents), START_AT_ONCE):
+            batch = result.daemons[first : first + START_AT_ONCE]
+            await asyncio.gather(*[daemon.start() for daemon in batch])
         await _configure(result, specs, reached)
         yield result
 
