--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -32,6 +32,34 @@
         return probe.getsockname()[1]
 
 
+class Ports:
+    """Ports kept for daemons until the end of a test.
+
+    Notes
+    -----
+    A port that is merely looked up can be taken by an outgoing
+    connection before the daemon listens on it.  A socket that is bound
+    and does not listen keeps it from that, and does not hinder a
+    listener, since both allow the reuse of the address.
+    """
+
+    def __init__(self):
+        self._sockets = []
+
+    def take(self, host):
+        """Return a port that stays reserved."""
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((host, 0))
+        self._sockets.append(holder)
+        return holder.getsockname()[1]
+
+    def close(self):
+        """Give all ports back."""
+        for holder in self._sockets:
+            holder.close()
+
+
 class Daemon:
     """One entry instance as a real process."""
 
@@ -259,7 +287,8 @@
         if proxied:
             for name, address in addresses.items():
                 reached[name] = await _put_proxy(result, name, address)
-        documents = await _documents(result, reached, zones, changes)
+        ports = stack.enter_context(contextlib.closing(Ports()))
+        documents = await _documents(result, reached, zones, ports, changes)
         for document in documents:
             daemon = Daemon(document=document, folder=pathlib.Path(folder))
             result.daemons.append(daemon)
@@ -270,7 +299,7 @@
         yield result
 
 
-async def _documents(running, reached, zones, changes):
+async def _documents(running, reached, zones, ports, changes):
     documents = []
     # A network of its own for each cluster: daemons connect from their
     # own addresses, and a connection of another cluster could otherwise
@@ -280,13 +309,13 @@
         # An address of its own, so that proxies can tell daemons apart.
         own = f"{network}.{index + 1}"
         name = f"entry-{index + 1}"
-        control = f"{own}:{free_port(own)}"
+        control = f"{own}:{ports.take(own)}"
         advertise = control
         if "table" in running.proxies:
             advertise = await _put_proxy(running, name, control)
         document = builders.settings_document(
             reached,
-            public=f"{own}:{free_port(own)}",
+            public=f"{own}:{ports.take(own)}",
             control=control,
             advertise=advertise,
             instance=name,
