--- a/sycamoreshed/adapters/objects.py
+++ b/sycamoreshed/adapters/objects.py
@@ -40,16 +40,19 @@
         return True if reply.status == 200 else _refused(reply)
 
     async def delete(self, name):
-        """Delete an object, whether there is one or not.
+        """Delete an object.
 
         Returns
         -------
-        True or Failure
+        bool or Failure
+            False if there was none.
         """
         reply = await self._fetch("DELETE", name)
         if isinstance(reply, kinds.Failure):
             return reply
-        return True if reply.status in (200, 404) else _refused(reply)
+        if reply.status == 404:
+            return False
+        return True if reply.status == 200 else _refused(reply)
 
     async def _fetch(self, method, name, *, body=None):
         reply = await web.fetch(
--- a/sycamoreshed/config/schema.py
+++ b/sycamoreshed/config/schema.py
@@ -116,9 +116,11 @@
 
 
 class Document(typing.TypedDict):
-    """A whole configuration, as snapshots and peers hold it."""
+    """A configuration, or part number ``part`` of ``parts`` of one."""
 
     version: int
+    part: int
+    parts: int
     sections: Sections
     withdrawn: list[str]
 
--- a/sycamoreshed/config/state.py
+++ b/sycamoreshed/config/state.py
@@ -5,6 +5,8 @@
 only the table of their names and not what it refers to.
 """
 
+import itertools
+import math
 import typing
 
 import msgspec
@@ -21,12 +23,16 @@
     "Endpoint",
     "apply_note",
     "check_note",
+    "check_part",
     "compile_config",
+    "count_parts",
     "document",
-    "from_document",
+    "join_parts",
+    "part_of",
 ]
 
 DEFAULT_SLOTS = 8
+PART_TEAMS = 4000
 
 
 class Endpoint(typing.NamedTuple):
@@ -161,26 +167,63 @@
 
 
 def document(config):
-    """Return a configuration as a `schema.Document`."""
+    """Return a configuration as one `schema.Document`."""
     return schema.Document(
         version=config.version,
+        part=0,
+        parts=1,
         sections=config.sections,
         withdrawn=sorted(config.withdrawn),
     )
 
 
-def from_document(body):
-    """Return the `Config` of a document made by `document`.
+def count_parts(config):
+    """Return in how many parts a configuration is told."""
+    return max(1, math.ceil(len(config.sections["teams"]) / PART_TEAMS))
+
+
+def part_of(config, number):
+    """Return one part of a configuration as a `schema.Document`.
+
+    Notes
+    -----
+    A configuration of 35,000 teams takes 20 ms to encode and 60 ms to
+    decode and check.  Done in one go, every request of the instance would
+    wait so long; in parts others are served in between.
+    """
+    teams = config.sections["teams"]
+    first = number * PART_TEAMS
+    some = itertools.islice(teams.items(), first, first + PART_TEAMS)
+    sections = dict(config.sections) if number == 0 else {}
+    sections["teams"] = dict(some)
+    return schema.Document(
+        version=config.version,
+        part=number,
+        parts=count_parts(config),
+        sections=sections,
+        withdrawn=sorted(config.withdrawn) if number == 0 else [],
+    )
+
+
+def check_part(body):
+    """Return a decoded body as a `schema.Document`.
 
     Raises
     ------
     msgspec.ValidationError
         If it is not one.
     """
-    checked = msgspec.convert(body, schema.Document)
-    return compile_config(
-        checked["version"], checked["sections"], checked["withdrawn"]
-    )
+    return msgspec.convert(body, schema.Document)
+
+
+def join_parts(parts):
+    """Return the `Config` of all parts, in order."""
+    sections = dict(parts[0]["sections"])
+    teams = {}
+    for part in parts:
+        teams.update(part["sections"]["teams"])
+    sections["teams"] = teams
+    return compile_config(parts[0]["version"], sections, parts[0]["withdrawn"])
 
 
 def check_note(raw, *, source):
--- a/sycamoreshed/entry/noteroutes.py
+++ b/sycamoreshed/entry/noteroutes.py
@@ -43,6 +43,7 @@
             web.get("/control/notes/history", self.history),
             web.get("/control/notes/show", self.show),
             web.get("/control/notes/status", self.status),
+            web.get("/control/config", self.part),
             web.get("/control/version", self.version),
         ]
 
@@ -51,6 +52,15 @@
         after = int(http.query.get("after", "0"))
         return _json(self._notes.since(after))
 
+    async def part(self, http):
+        """Give a peer one part of the configuration in force."""
+        config = self._notes.config
+        number = int(http.query["part"])
+        is_there = 0 <= number < state.count_parts(config)
+        if int(http.query["version"]) != config.version or not is_there:
+            raise web.HTTPConflict(text="another version is in force")
+        return _json(state.part_of(config, number))
+
     async def version(self, _http):
         """Tell the version in force here."""
         return _json({"version": self._notes.config.version})
--- a/sycamoreshed/notes/notes.py
+++ b/sycamoreshed/notes/notes.py
@@ -99,14 +99,15 @@
         Returns
         -------
         dict
-            With ``version`` and either ``notes`` in order or ``config``.
+            With ``version`` and ``notes`` in order, or without these if
+            the peer has to fetch the whole configuration.
         """
         own = self._config.version
         missing = range(version + 1, own + 1)
         if all(item in self._recent for item in missing):
             notes = [self._recent[item] for item in missing]
             return {"version": own, "notes": notes}
-        return {"version": own, "config": state.document(self._config)}
+        return {"version": own}
 
     async def follow(self):
         """Read notes after the version in force and apply them.
--- a/sycamoreshed/notes/rows.py
+++ b/sycamoreshed/notes/rows.py
@@ -58,6 +58,6 @@
     return f"note-ids/{note_id}"
 
 
-def object_name(version):
-    """Return the name of the snapshot of a version."""
-    return f"config/{version:010d}"
+def object_name(version, part):
+    """Return the name of a part of the snapshot of a version."""
+    return f"config/{version:010d}/{part}"
--- a/sycamoreshed/notes/snapshots.py
+++ b/sycamoreshed/notes/snapshots.py
@@ -20,6 +20,7 @@
 # With those before swept, notes reach back some three days.
 MOST_SNAPSHOTS = 40
 MOST_SWEPT = 100
+MOST_PARTS = 100
 
 
 def after_storing(pointer, version):
@@ -81,13 +82,7 @@
         usable = [item for item in versions if at is None or item <= at]
         if not usable:
             return None
-        body = await self._objects.get(rows.object_name(usable[-1]))
-        if body is None or isinstance(body, kinds.Failure):
-            return body
-        try:
-            return state.from_document(body)
-        except msgspec.ValidationError as err:
-            return kinds.Failure(kinds.Kind.STORE_AWAY, str(err))
+        return await self._load(usable[-1])
 
     async def maybe_store(self, config):
         """Store a snapshot if enough notes were accepted since the last.
@@ -107,9 +102,7 @@
             self._newest = pointer["versions"][-1]
         if config.version - self._newest < EVERY:
             return False
-        name = rows.object_name(config.version)
-        stored = await self._objects.put(name, state.document(config))
-        if isinstance(stored, kinds.Failure):
+        if not await self._store(config):
             return False
         changed, dropped = after_storing(pointer, config.version)
         # Only once the object is there: a pointer to none would leave
@@ -124,6 +117,38 @@
         await self._sweep(changed["versions"][0], dropped)
         return True
 
+    async def _load(self, version):
+        parts = []
+        while not parts or len(parts) < parts[0]["parts"]:
+            body = await self._objects.get(
+                rows.object_name(version, len(parts))
+            )
+            if isinstance(body, kinds.Failure):
+                return body
+            if body is None:
+                return kinds.Failure(kinds.Kind.STORE_AWAY, "no such part")
+            try:
+                parts.append(state.check_part(body))
+            except msgspec.ValidationError as err:
+                return kinds.Failure(kinds.Kind.STORE_AWAY, str(err))
+        return state.join_parts(parts)
+
+    async def _store(self, config):
+        for number in range(state.count_parts(config)):
+            stored = await self._objects.put(
+                rows.object_name(config.version, number),
+                state.part_of(config, number),
+            )
+            if isinstance(stored, kinds.Failure):
+                return False
+        return True
+
+    async def _delete(self, version):
+        for number in range(MOST_PARTS):
+            name = rows.object_name(version, number)
+            if await self._objects.delete(name) is not True:
+                return
+
     async def _sweep(self, oldest, dropped):
         """Delete dropped snapshots and notes up to the oldest kept.
 
@@ -133,7 +158,7 @@
         a burst of writes; as many come between two snapshots at most.
         """
         for version in dropped:
-            await self._objects.delete(rows.object_name(version))
+            await self._delete(version)
         found = await self._table.scan(rows.PREFIX, limit=MOST_SWEPT)
         if isinstance(found, kinds.Failure):
             return
--- a/sycamoreshed/notes/spreading.py
+++ b/sycamoreshed/notes/spreading.py
@@ -103,28 +103,46 @@
 
     async def _fetch(self, address):
         version = self._notes.config.version
-        reply = await web.fetch(
-            self._session,
-            "GET",
-            address,
-            f"/control/notes?after={version}",
-            timeout=PULL_S,
-        )
-        if isinstance(reply, kinds.Failure) or reply.status != 200:
+        body = await self._get(address, f"/control/notes?after={version}")
+        if body is None:
             return
-        self._bytes.inc(reply.size)
         try:
-            if "config" in reply.body:
-                self._notes.replace(state.from_document(reply.body["config"]))
+            if "notes" not in body:
+                await self._fetch_whole(address, body["version"])
                 return
-            accepted = msgspec.convert(
-                reply.body["notes"], list[rows.Accepted]
-            )
+            accepted = msgspec.convert(body["notes"], list[rows.Accepted])
         except msgspec.ValidationError:
             return
         for number, item in enumerate(accepted, version + 1):
             self._notes.advance(number, item)
 
+    async def _fetch_whole(self, address, version):
+        """Fetch a configuration in parts.
+
+        Notes
+        -----
+        If the peer comes to a newer version in between, its parts are of
+        two versions; it then refuses, and its next message starts this
+        again.
+        """
+        parts = []
+        while not parts or len(parts) < parts[0]["parts"]:
+            path = f"/control/config?version={version}&part={len(parts)}"
+            body = await self._get(address, path)
+            if body is None:
+                return
+            parts.append(state.check_part(body))
+        self._notes.replace(state.join_parts(parts))
+
+    async def _get(self, address, path):
+        reply = await web.fetch(
+            self._session, "GET", address, path, timeout=PULL_S
+        )
+        if isinstance(reply, kinds.Failure) or reply.status != 200:
+            return None
+        self._bytes.inc(reply.size)
+        return reply.body
+
 
 @kernel.plugin(
     "notes", needs=("gossip", "metrics", "snapshots", "table", "web")
--- a/sycamoreshed/notes/tests/fakes.py
+++ b/sycamoreshed/notes/tests/fakes.py
@@ -93,5 +93,6 @@
         return True
 
     async def delete(self, name):
-        self.held.pop(name, None)
-        return AWAY if self.away else True
+        if self.away:
+            return AWAY
+        return self.held.pop(name, None) is not None
--- a/sycamoreshed/notes/tests/test_notes.py
+++ b/sycamoreshed/notes/tests/test_notes.py
@@ -29,6 +29,15 @@
 )
 
 
+def through_parts(config):
+    """Return a configuration after its way through encoded parts."""
+    parts = []
+    for number in range(state.count_parts(config)):
+        raw = msgspec.json.encode(state.part_of(config, number))
+        parts.append(state.check_part(msgspec.json.decode(raw)))
+    return state.join_parts(parts)
+
+
 def fresh_notes():
     return notes.Notes(table=None, snapshots=None)
 
@@ -51,8 +60,8 @@
             other = fresh_notes()
             other.replace(VERSIONS[version])
             body = other.since(before)
-            if "config" in body:
-                held.replace(state.from_document(body["config"]))
+            if "notes" not in body:
+                held.replace(through_parts(other.config))
         assert held.config.version >= before
         assert held.config == VERSIONS[held.config.version]
 
@@ -65,9 +74,15 @@
     assert held.since(8) == {"version": 8, "notes": []}
     loaded = fresh_notes()
     loaded.replace(VERSIONS[8])
-    raw = msgspec.json.encode(loaded.since(5))
-    config = state.from_document(msgspec.json.decode(raw)["config"])
-    assert config == VERSIONS[8]
+    assert loaded.since(5) == {"version": 8}
+
+
+@pytest.mark.parametrize("teams, count", [(0, 1), (3992, 1), (3993, 2)])
+def test_parts_joined_are_the_whole(teams, count):
+    added = {"teams": {f"n{i}": {"rate": i + 1} for i in range(teams)}}
+    config = state.apply_note(VERSIONS[8], builders.note(8, added=added))
+    assert state.count_parts(config) == count
+    assert through_parts(config) == config
 
 
 def test_ready_only_when_settled_and_with_a_configuration():
@@ -97,7 +112,7 @@
     table, objects = fakes.FakeTable(), fakes.FakeObjects()
     _, held, store = await accept_many(32, table, objects, monkeypatch)
     assert sorted(objects.held) == [
-        rows.object_name(item) for item in (20, 25, 30)
+        rows.object_name(item, 0) for item in (20, 25, 30)
     ]
     deltas = [key for key in table.rows if key.startswith(rows.PREFIX)]
     assert min(deltas) == rows.note_key(21)
