--- a/standins/objects.py
+++ b/standins/objects.py
@@ -8,10 +8,15 @@
 
 
 class ObjectStore:
-    """Named blobs."""
+    """Named blobs.
 
-    def __init__(self):
+    The fault ``stale`` (a share) answers with the object before the last.
+    """
+
+    def __init__(self, *, faults):
+        self._faults = faults
         self._objects = {}
+        self._before = {}
 
     def routes(self):
         """Return the routes of the service."""
@@ -24,14 +29,20 @@
 
     async def get(self, http):
         """Answer with one object."""
-        raw = self._objects.get(http.match_info["name"])
+        name = http.match_info["name"]
+        is_stale = self._faults.hits(self._faults.spec.get("stale", 0.0))
+        raw = (self._before if is_stale else self._objects).get(name)
         if raw is None:
             return web.json_response({"error": "no object"}, status=404)
         return web.Response(body=raw, content_type="application/json")
 
     async def put(self, http):
         """Store one object."""
-        self._objects[http.match_info["name"]] = await http.read()
+        name = http.match_info["name"]
+        raw = await http.read()
+        if name in self._objects:
+            self._before[name] = self._objects[name]
+        self._objects[name] = raw
         return web.json_response({"stored": True})
 
     async def delete(self, http):
@@ -49,4 +60,4 @@
 @registry.KINDS.register("objects")
 def objects(spec, faults):
     """Make an object store."""
-    return ObjectStore()
+    return ObjectStore(faults=faults)
