--- a/tests/integration/test_notes.py
+++ b/tests/integration/test_notes.py
@@ -164,6 +164,42 @@
     assert found == [2]
 
 
+async def test_starter_loads_the_snapshot_and_passes_it_on():
+    """An instance starts late, and then one that sees nothing but it.
+
+    The first has no single notes to pass on, so it passes on the whole.
+    """
+    async with processes.cluster(
+        daemons=3, specs=NO_ENDPOINTS, proxied=True
+    ) as cluster:
+        for base in range(1, 53):
+            status, _ = await cluster.apply(
+                0, controls.team_note(base, f"t{base}")
+            )
+            assert status == 200
+
+        async def is_stored():
+            found = await cluster.get("objects", "/names")
+            return [name for name in found["names"] if "config/" in name]
+
+        assert len(await controls.until(is_stored)) == 1
+        await until_version(cluster, range(3), 53)
+        for index in (1, 2):
+            await cluster.daemons[index].kill()
+        await cluster.daemons[1].start()
+        await cluster.daemons[1].wait_ready()
+        cluster.cut([2], (*PLATFORM, "entry-1"))
+        cluster.proxies["entry-3"].blocked = {cluster.daemons[0].source}
+        await cluster.daemons[2].start()
+        await cluster.daemons[2].wait_ready()
+        shown = [
+            await controls.get(cluster, index, "/control/notes/show")
+            for index in range(3)
+        ]
+    assert shown[0]["version"] == 53
+    assert shown[0] == shown[1] == shown[2]
+
+
 async def watch_readiness(cluster, index, ready):
     """Do what the platform's balancer does: ask whether to send here."""
     url = f"http://{cluster.daemons[index].public}/readyz"
