--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -1,6 +1,5 @@
 """Runs requests that may not be repeated, and tells what became of them."""
 
-import asyncio
 import time
 
 from aiohttp import web
@@ -21,7 +20,6 @@
 
 TEAM = "Team"
 OK = 200
-FLUSH_S = 5.0
 # Kinds that would not be told as "not run", and what is told instead
 # when nothing was sent that may not be repeated.
 _UNSENT = {
@@ -79,21 +77,15 @@
     instance : str
     ttl_s : float
         How long records are kept.
-    spawn : callable
-        Runs a coroutine in the background.
     """
 
-    def __init__(
-        self, *, records, runner, asker, notes, instance, ttl_s, spawn
-    ):
+    def __init__(self, *, records, runner, asker, notes, instance, ttl_s):
         self._records = records
         self._runner = runner
         self._asker = asker
         self._notes = notes
         self._instance = instance
         self._ttl_s = ttl_s
-        self._spawn = spawn
-        self._running = set()
 
     async def run(self, request):
         """Run a request, or return the first answer to its key.
@@ -101,16 +93,16 @@
         Returns
         -------
         Response or Failure
+
+        Notes
+        -----
+        Not to be cancelled when the caller goes away: a write or a call
+        would be left without anybody who settles its record.
         """
         refusal = keys.fault(request.key, time.time(), self._ttl_s)
         if refusal is not None:
             return refusal
-        # A task of its own: a caller that goes away would else leave a
-        # write or a call without anybody who settles its record.
-        task = self._spawn(self._run(request), name="run once")
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-        return await asyncio.shield(task)
+        return await self._run(request)
 
     async def look_up(self, http):
         """Tell a caller what became of a request with a key."""
@@ -132,11 +124,6 @@
         told = await self._learn(row, service, keys.endpoint_key(team, key))
         return _tell((told or row).value)
 
-    async def flush(self):
-        """Wait a while for runs whose callers have gone away."""
-        if self._running:
-            await asyncio.wait(set(self._running), timeout=FLUSH_S)
-
     def _service_of(self, match):
         if "service" in match:
             return match["service"]
@@ -282,7 +269,6 @@
         notes=core.part("notes"),
         instance=core.settings.instance,
         ttl_s=core.settings.record_ttl_s,
-        spawn=core.spawn,
     )
     core.public.add_routes(
         [
@@ -291,4 +277,3 @@
         ]
     )
     yield part
-    await part.flush()
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -258,9 +258,12 @@
             told = await ask(row)
             if told is not None:
                 return decide.Step.REPLAY, told
-            if decide.gives_up(self._clock() + pause, deadline, False):
+            now = self._clock()
+            if decide.gives_up(now, deadline, False):
                 return step, row
-            await asyncio.sleep(pause)
+            # The last look is as late as it may be.
+            left = deadline - now - decide.MARGIN_S
+            await asyncio.sleep(min(pause, left))
             seen = await self.store.read(key)
             if isinstance(seen, kinds.Failure):
                 continue
--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -32,11 +32,20 @@
         return Told(None, None, None)
 
 
-async def cast(cluster, index, key, *, body="film", pipeline="ballot", ms=8e3):
+async def cast(
+    cluster,
+    index,
+    key,
+    *,
+    body="film",
+    pipeline="ballot",
+    ms=8e3,
+    team="gaucho",
+):
     """Cast a ballot through a daemon."""
     address = cluster.daemons[index].public
     headers = {
-        "Team": "gaucho",
+        "Team": team,
         "Idempotency-Key": key,
         "Deadline-Ms": str(ms),
     }
--- a/tests/integration/test_once.py
+++ b/tests/integration/test_once.py
@@ -123,6 +123,8 @@
         during = await ballots.cast(cluster, 1, "k", ms=1500)
         asked = await ballots.ask(cluster, 1, "k")
         none = await ballots.log(cluster, "k")
+        # At least so long; every timeout has passed by then.
+        await asyncio.sleep(1.0)
         cluster.daemons[0].send_signal(signal.SIGCONT)
         paused = await first
         again = await ballots.until_complete(cluster, 1, "k")
@@ -282,6 +284,24 @@
     assert len(runs) == 1
 
 
+async def test_teams_that_choose_the_same_key_share_nothing():
+    """Two teams number their votes from one.
+
+    A team would get the other's answer, and its own vote would be lost.
+    """
+    async with ballots.cluster(daemons=1) as cluster:
+        for name in ballots.BALLOTS:
+            await cluster.faults(name, lose=1.0, paths=CALL)
+        told = [
+            await ballots.cast(cluster, 0, "1", team=team)
+            for team in ("gaucho", "ilha")
+        ]
+        runs = await ballots.log(cluster)
+    keys = [json.loads(item.raw)["output"]["recorded"] for item in told]
+    assert keys == ["gaucho/1", "ilha/1"]
+    assert sorted(run["key"] for run in runs) == keys
+
+
 async def test_keys_that_cannot_be_used_are_refused():
     async with ballots.cluster(daemons=1) as cluster:
         for key in ("a b", "x" * 201, "\u00e9"):
