Split the settling of records off, and end what would hang

Writes in the background are settling.py, what callers are told is telling.py. An exception in a group's write (an answer the adapter does not know) left all its requests waiting for ever; it counts as unknown now. A pipeline with two stages that may not be repeated is refused: one record cannot tell of both.

--- a/sycamoreshed/idempotency/groups.py
+++ b/sycamoreshed/idempotency/groups.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing
 
+from loguru import logger
+
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 
@@ -92,7 +94,14 @@
 
     async def _send(self, group):
         writes = [item.write for item in group]
-        results = split(writes, await self._write(*writes))
+        try:
+            result = await self._write(*writes)
+        except Exception as err:
+            # An answer nobody foresaw.  Without this all requests of the
+            # group would wait for ever, each holding a slot.
+            logger.opt(exception=err).error("write of records failed")
+            result = kinds.Failure(kinds.Kind.STORE_AWAY, repr(err), sent=True)
+        results = split(writes, result)
         again = []
         for item, result in zip(group, results, strict=True):
             if result is None:
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -3,7 +3,6 @@
 import time
 
 from aiohttp import web
-import msgspec
 
 from sycamoreshed.entry import answers
 from sycamoreshed.entry import problems
@@ -12,23 +11,15 @@
 from sycamoreshed.idempotency import decide
 from sycamoreshed.idempotency import keys
 from sycamoreshed.idempotency import records
+from sycamoreshed.idempotency import settling
 from sycamoreshed.idempotency import sweep  # noqa: F401
+from sycamoreshed.idempotency import telling
 from sycamoreshed.kernel import kernel
 from sycamoreshed.pipeline import runner as runners
 
 __all__ = ["Once"]
 
 TEAM = "Team"
-OK = 200
-# Kinds that would not be told as "not run", and what is told instead
-# when nothing was sent that may not be repeated.
-_UNSENT = {
-    kinds.Kind.LATE: kinds.Kind.HOPELESS,
-    kinds.Kind.STAGE_FAILED: kinds.Kind.REFUSED,
-    kinds.Kind.BROKEN_STREAM: kinds.Kind.REFUSED,
-    kinds.Kind.STRAY_ANSWER: kinds.Kind.REFUSED,
-    kinds.Kind.OUTCOME_UNKNOWN: kinds.Kind.REFUSED,
-}
 
 
 class _Gate:
@@ -51,7 +42,7 @@
     async def before(self):
         """Record the attempt; return None if the stage may be sent."""
         result = await self._claim()
-        if not isinstance(result, records.Claim):
+        if not isinstance(result, settling.Claim):
             return result
         self.claimed = result
         return None
@@ -100,6 +91,8 @@
         would be left without anybody who settles its record.
         """
         refusal = keys.fault(request.key, time.time(), self._ttl_s)
+        if refusal is None:
+            refusal = _two_stages(request)
         if refusal is not None:
             return refusal
         return await self._run(request)
@@ -122,7 +115,7 @@
                 kinds.Failure(kinds.Kind.KEY_UNKNOWN, "nothing is recorded")
             )
         told = await self._learn(row, service, keys.endpoint_key(team, key))
-        return _tell((told or row).value)
+        return telling.tell((told or row).value)
 
     def _service_of(self, match):
         if "service" in match:
@@ -154,7 +147,7 @@
         if critical is not stages[0]:
             end = await self._records.peek(row_key, record)
             if end is not None:
-                return _respond(end)
+                return telling.respond(end)
 
         async def learn(row):
             return await self._learn(row, service, known_as)
@@ -171,15 +164,15 @@
         sent = request._replace(key=known_as)
         result = await self._runner.run(sent, gate=gate)
         if gate.claimed is None:
-            return _respond(_unsent(result))
+            return telling.respond(telling.unsent(result))
         return await self._end(request, critical, gate, result)
 
     async def _end(self, request, critical, gate, result):
         failure = result if isinstance(result, kinds.Failure) else None
         end = decide.after_run(failure, gate.answer is not None)
         if end is decide.End.RELEASE:
-            await self._records.release(gate.claimed)
-            return _unsent(failure)
+            await self._records.settler.release(gate.claimed)
+            return telling.unsent(failure)
         if end is decide.End.LEAVE:
             path = f"/v1/pipelines/{request.pipeline}/keys/{request.key}"
             return failure._replace(
@@ -187,13 +180,15 @@
                 reason=f"{failure.reason}; ask later: GET {path}",
             )
         if failure is None:
-            raw, status = answers.encode(request, result), OK
+            raw, status = answers.encode(request, result), telling.OK
         else:
-            raw, status = _ran_document(request, critical, gate, failure)
-        replay = await self._records.finish(
+            raw, status = telling.ran_document(
+                request, critical, gate.answer.output, failure
+            )
+        replay = await self._records.settler.finish(
             gate.claimed, raw.decode(), status, request.deadline
         )
-        return _respond(replay)
+        return telling.respond(replay)
 
     async def _learn(self, row, service, known_as):
         record = row.value
@@ -211,52 +206,26 @@
         return await self._records.complete(row, raw.decode())
 
 
-def _ran_document(request, critical, gate, failure):
-    """Return the body and status of a failure after the stage ran."""
-    failure = failure._replace(
-        reason=f"stage {critical['name']} ran; {failure.reason}", sent=True
-    )
-    details = problems.document(failure, request.id)
-    details["ran"] = {
-        "stage": critical["name"],
-        "output": gate.answer.output,
-    }
-    return msgspec.json.encode(details), details["status"]
-
-
-def _unsent(result):
-    """Return a failure so that it is told as "not run"."""
-    if not isinstance(result, kinds.Failure) or result.sent:
-        return result
-    return result._replace(kind=_UNSENT.get(result.kind, result.kind))
-
-
-def _respond(result):
-    if not isinstance(result, records.Replay):
-        return result
-    raw = result.answer.encode()
-    if result.status == OK:
-        return answers.response(raw)
-    outcome = msgspec.json.decode(raw)["outcome"]
-    return web.Response(
-        status=result.status,
-        body=raw,
-        content_type="application/problem+json",
-        headers={"Outcome": outcome},
-    )
-
+def _two_stages(request):
+    """Return a failure if two stages may not be repeated, or None.
 
-def _tell(record):
-    """Return the HTTP answer that tells of a record."""
-    if record["state"] == decide.State.DONE:
-        return _respond(records.Replay(record["answer"], record["status"]))
-    outcome = kinds.Outcome.OUTCOME_UNKNOWN
-    if record["state"] == decide.State.NOT_RUN:
-        outcome = kinds.Outcome.NOT_RUN
-    raw = msgspec.json.encode(
-        {"request": record["attempt"], "outcome": outcome}
+    Notes
+    -----
+    One record cannot tell of two calls: were the first done and the
+    answer of the second lost, no outcome would be true of both.
+    """
+    services = request.config.sections["services"]
+    names = [
+        stage["name"]
+        for stage in request.spec["stages"]
+        if not services[stage["service"]].get("repeatable", True)
+    ]
+    if len(names) < 2:
+        return None
+    return kinds.Failure(
+        kinds.Kind.BAD_REQUEST,
+        f"stages {names} may not be repeated; a pipeline may have one",
     )
-    return answers.response(raw, outcome)
 
 
 @kernel.plugin("once", needs=("asker", "notes", "records", "runner"))
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -1,57 +1,24 @@
 """Records of requests that may not be repeated, in the table service."""
 
 import asyncio
-import random
 import time
-import typing
 
-from loguru import logger
 import prometheus_client
 
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 from sycamoreshed.idempotency import breaker
 from sycamoreshed.idempotency import decide
+from sycamoreshed.idempotency import settling
 from sycamoreshed.idempotency import store as stores
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Claim", "Records", "Replay", "new_record", "pauses"]
+__all__ = ["Records", "new_record"]
 
-FIRST_PAUSE_S = 0.03
-LONGEST_PAUSE_S = 1.0
-LONGEST_LATER_S = 4.0
-FLUSH_S = 5.0
-# The answer waits this long for its record; then it goes out and the
-# record is written in the background.
-FINISH_WAIT_S = 0.25
 OK = 200
 _AGAIN = (decide.Step.CLAIM_AGAIN, decide.Step.TRY_AGAIN)
 
 
-class Claim(typing.NamedTuple):
-    """Leave to send the call, once.
-
-    Parameters
-    ----------
-    key : str
-        Row key of the record.
-    record : Record
-    version : int
-        Version of the row.
-    """
-
-    key: str
-    record: decide.Record
-    version: int
-
-
-class Replay(typing.NamedTuple):
-    """The first answer, as it was given."""
-
-    answer: str
-    status: int
-
-
 def new_record(request, body, *, instance, stages=None):
     """Return the record of an attempt that begins.
 
@@ -78,42 +45,21 @@
     return record
 
 
-def pauses(longest=LONGEST_PAUSE_S):
-    """Yield growing pauses in seconds, each drawn from its upper half.
-
-    Notes
-    -----
-    Many that wait for the same record, or for the store to come back,
-    would otherwise ask in step.
-    """
-    pause = FIRST_PAUSE_S
-    while True:
-        yield random.uniform(pause / 2, pause)
-        pause = min(pause * 2, longest)
-
-
 class Records:
-    """Claims, finishes, releases and fences off records.
+    """Claims records, and completes those of others.
 
     Parameters
     ----------
     store : Store
     clock : callable
         Returns monotonic seconds.
-    spawn : callable
-        Runs a coroutine in the background.
+    settler : Settler
     """
 
-    def __init__(self, *, store, clock, spawn):
+    def __init__(self, *, store, clock, settler):
         self.store = store
         self._clock = clock
-        self._spawn = spawn
-        self._later = set()
-
-    @property
-    def pending(self):
-        """Number of writes that go on in the background."""
-        return len(self._later)
+        self.settler = settler
 
     async def read(self, key):
         """Return the row of a record, or a failure."""
@@ -154,13 +100,13 @@
         """
         version = tables.ABSENT
         in_doubt = False
-        for pause in pauses():
+        for pause in settling.pauses():
             step, row, lost = await self._try(key, record, version)
             in_doubt = in_doubt or lost
             if step is decide.Step.WAIT:
                 step, row = await self._watch(key, record, deadline, ask, row)
             if step is decide.Step.SEND:
-                return Claim(key, record, row.version)
+                return settling.Claim(key, record, row.version)
             now = self._clock()
             if step not in _AGAIN or decide.gives_up(
                 now, deadline, self.store.away
@@ -171,39 +117,9 @@
             else:
                 await asyncio.sleep(pause)
         if in_doubt:
-            self._go_on(self._fence(key, record))
+            self.settler.fence(key, record)
         return self._conclude(step, row)
 
-    async def finish(self, claim, answer, status, deadline):
-        """Store an answer; in the background if that takes long.
-
-        Parameters
-        ----------
-        claim : Claim
-        answer : str
-        status : int
-        deadline : float
-            Monotonic seconds.
-
-        Returns
-        -------
-        Replay
-            What the caller is to be given.
-        """
-        record = _done(claim.record, answer, status)
-        task = self._go_on(self._settle(claim, record))
-        seconds = min(deadline - self._clock(), FINISH_WAIT_S)
-        await asyncio.wait({task}, timeout=max(seconds, 0))
-        if task.done() and task.result() is not None:
-            return task.result()
-        return Replay(answer, status)
-
-    async def release(self, claim):
-        """Store that the call was not sent and never will be."""
-        record = {**claim.record, "state": decide.State.NOT_RUN}
-        task = self._go_on(self._settle(claim, record))
-        await asyncio.wait({task}, timeout=FINISH_WAIT_S)
-
     async def complete(self, row, answer):
         """Store the answer of an attempt whose instance has not.
 
@@ -220,7 +136,7 @@
             With the answer, whether it could be stored or not: it is the
             same for whoever makes it.
         """
-        record = _done(row.value, answer, OK)
+        record = settling.done(row.value, answer, OK)
         result = await self.store.write(
             tables.Write(row.key, record, row.version)
         )
@@ -230,15 +146,6 @@
                 return now
         return tables.Row(row.key, record, row.version)
 
-    async def flush(self):
-        """Wait a while for what goes on in the background."""
-        if self._later:
-            await asyncio.wait(set(self._later), timeout=FLUSH_S)
-        if self._later:
-            logger.bind(records=len(self._later)).warning(
-                "records left unsettled"
-            )
-
     async def _try(self, key, record, version):
         attempt, body = record["attempt"], record["body"]
         result = await self.store.write(tables.Write(key, record, version))
@@ -254,7 +161,7 @@
 
     async def _watch(self, key, record, deadline, ask, row):
         step = decide.Step.WAIT
-        for pause in pauses():
+        for pause in settling.pauses():
             told = await ask(row)
             if told is not None:
                 return decide.Step.REPLAY, told
@@ -272,46 +179,9 @@
             if step is not decide.Step.WAIT:
                 return step, row
 
-    async def _settle(self, claim, record):
-        version = claim.version
-        for pause in pauses(LONGEST_LATER_S):
-            result = await self.store.write(
-                tables.Write(claim.key, record, version)
-            )
-            step = decide.after_finish(result, record["attempt"])
-            if step is decide.Step.REPLAY:
-                return _replay(result.rows[0])
-            if step is decide.Step.CLAIM_AGAIN:
-                version = result.rows[0].version
-                continue
-            if step is not decide.Step.TRY_AGAIN:
-                return None
-            await asyncio.sleep(pause)
-
-    async def _fence(self, key, record):
-        gone = {**record, "state": decide.State.NOT_RUN}
-        for pause in pauses(LONGEST_LATER_S):
-            row = await self.store.read(key)
-            if not isinstance(row, kinds.Failure):
-                version = decide.fence_version(row, record["attempt"])
-                if version is None:
-                    return
-                result = await self.store.write(
-                    tables.Write(key, gone, version)
-                )
-                if isinstance(result, tables.Written):
-                    return
-            await asyncio.sleep(pause)
-
-    def _go_on(self, coro):
-        task = self._spawn(coro, name="settle record")
-        self._later.add(task)
-        task.add_done_callback(self._later.discard)
-        return task
-
     def _conclude(self, step, row):
         if step is decide.Step.REPLAY:
-            return _replay(row)
+            return settling.replay(row)
         if step is decide.Step.CONFLICT:
             first = row.value["pipeline"]
             return kinds.Failure(
@@ -332,19 +202,6 @@
         )
 
 
-def _done(record, answer, status):
-    return {
-        **record,
-        "state": decide.State.DONE,
-        "answer": answer,
-        "status": status,
-    }
-
-
-def _replay(row):
-    return Replay(row.value["answer"], row.value["status"])
-
-
 @kernel.plugin("records", needs=("metrics", "table"))
 async def records(core):
     """Provide records of requests that may not be repeated."""
@@ -368,7 +225,8 @@
         spawn=core.spawn,
         group=core.settings.record_group,
     )
-    part = Records(store=store, clock=core.clock, spawn=core.spawn)
-    pending.set_function(lambda: part.pending)
+    settler = settling.Settler(store=store, clock=core.clock, spawn=core.spawn)
+    part = Records(store=store, clock=core.clock, settler=settler)
+    pending.set_function(lambda: settler.pending)
     yield part
-    await part.flush()
+    await settler.flush()
--- a/sycamoreshed/idempotency/tests/test_groups.py
+++ b/sycamoreshed/idempotency/tests/test_groups.py
@@ -71,3 +71,21 @@
         _, answer = await table.calls.get()
         answer.set_result(LOST)
     assert await asyncio.gather(*tasks) == [LOST] * 3
+
+
+async def test_an_answer_nobody_foresaw_ends_the_wait():
+    """The store answers with something the adapter does not know.
+
+    All requests whose writes were in the group would hang.
+    """
+    table = SlowTable()
+    part = groups.Groups(write=table.write, spawn=spawn, most=8)
+    tasks = begin(part, "a")
+    _, answer = await table.calls.get()
+    answer.set_exception(KeyError("versions"))
+    (result,) = await asyncio.gather(*tasks)
+    assert result.sent
+    tasks = begin(part, "b")
+    _, answer = await table.calls.get()
+    answer.set_result(tables.Written((1,)))
+    assert await asyncio.gather(*tasks) == [tables.Written((1,))]
