Hold teams to a limit of the whole system by parts that follow demand

A fixed split by live instances refuses a team whose requests arrive in one place; borrowing with grants needs messages for each team on each change.

--- a/sycamoreshed/admission/admission.py
+++ b/sycamoreshed/admission/admission.py
@@ -6,12 +6,12 @@
 from sycamoreshed.admission import fairqueue
 from sycamoreshed.admission import gate as gates
 from sycamoreshed.admission import limiters
+from sycamoreshed.admission import limits
 from sycamoreshed.kernel import kernel
 
 __all__ = ["Admission", "gate_service"]
 
 DEFAULT_WEIGHT = 1.0
-COUNT_S = 1.0
 
 
 def gate_service(config, pipeline):
@@ -38,13 +38,16 @@
     Parameters
     ----------
     settings : Settings
+    limits : Limits or None
+        None for no limits.
     instances : callable
         Takes monotonic seconds, returns the number of live instances.
     clock : callable
     """
 
-    def __init__(self, *, settings, instances, clock):
+    def __init__(self, *, settings, instances, clock, limits=None):
         self._settings = settings
+        self._limits = limits
         self._instances = instances
         self._clock = clock
         self._gates = {}
@@ -77,6 +80,8 @@
         gate.limiter.resize(slots, self._instances(now))
         entry = self._entry(request, gate, now)
         refusal = gate.refusal(entry, request.deadline, now)
+        if refusal is None:
+            refusal = self._over_limit(request, now)
         if refusal is not None:
             return refusal
         seconds = request.spec["deadline_ms"] / 1000
@@ -86,6 +91,12 @@
         """Give a slot back."""
         ticket.gate.leave(ticket, now)
 
+    def _over_limit(self, request, now):
+        spec = request.config.entry("teams", request.team)
+        if self._limits is None or spec is None:
+            return None
+        return self._limits.check(request.team, spec, now)
+
     def _entry(self, request, gate, now):
         team = request.config.entry("teams", request.team) or {}
         # Begun later than this it would most likely end late, and have
@@ -124,27 +135,12 @@
     return max(1, _total_slots(config.endpoints.get(service, ())))
 
 
-class _LiveCount:
-    """The number of live instances, counted anew once a second."""
-
-    def __init__(self, *, membership):
-        self._membership = membership
-        self._until = float("-inf")
-        self._total = 1
-
-    def __call__(self, now):
-        if now >= self._until:
-            self._until = now + COUNT_S
-            live = self._membership.live_instances(now)
-            self._total = max(1, live.total)
-        return self._total
-
-
-@kernel.plugin("admission", needs=("membership",))
+@kernel.plugin("admission", needs=("limits", "membership"))
 async def admission(core):
     """Provide admission."""
     yield Admission(
         settings=core.settings,
-        instances=_LiveCount(membership=core.part("membership")),
+        limits=core.part("limits"),
+        instances=limits.LiveCount(membership=core.part("membership")),
         clock=core.clock,
     )
