Give stages what measured times leave, and try slow calls elsewhere

A stage's time was a fixed share of the deadline, so a slow early stage was cut off while later ones needed little. Now it may use all that the later stages, by their measured times, will most likely not need; a request whose remaining stages cannot be done is ended before the next.

A call that takes longer than hardly any is followed by a second one, if its stage may be repeated and the retry budget has a token; a stream without its first token moves to another engine once.

--- a/sycamoreshed/pipeline/runner.py
+++ b/sycamoreshed/pipeline/runner.py
@@ -36,6 +36,7 @@
         self._unary = unary_stage
         self._streamed = streamed_stage
         self._metrics = metrics
+        self._times = deadlines.StageTimes()
 
     async def run(self, request, *, emit=None, gate=None):
         """Run all stages in order.
@@ -86,7 +87,12 @@
         now = self._clock()
         stages = request.spec["stages"]
         stage = stages[index]
-        seconds = deadlines.stage_budget(stages, index, request.deadline, now)
+        ends = (request.pipeline, stages, index, request.deadline, now)
+        if index and self._times.hopeless(*ends):
+            return kinds.Failure(
+                kinds.Kind.LATE, "less time left than it takes"
+            )
+        seconds = self._times.budget(*ends)
         service = request.config.entry("services", stage["service"])
         timer = self._metrics.stage_seconds.labels(
             request.pipeline, stage["name"]
@@ -96,18 +102,25 @@
             # stage knows whether a call was sent.  Both kinds of stage
             # end by the time they are given.
             if service["kind"] == "engine":
-                return await self._streamed.run(
+                result = await self._streamed.run(
                     request, stage, payload, now + seconds, emit=emit
                 )
-            return await self._unary.run(
-                request,
-                stage,
-                payload,
-                now + seconds,
-                repeatable=service.get("repeatable", True),
-            )
+            else:
+                result = await self._unary.run(
+                    request,
+                    stage,
+                    payload,
+                    now + seconds,
+                    repeatable=service.get("repeatable", True),
+                )
         finally:
-            timer.observe(self._clock() - now)
+            ended = self._clock()
+            timer.observe(ended - now)
+        if not isinstance(result, kinds.Failure):
+            self._times.add(
+                request.pipeline, stage["name"], ended - now, ended
+            )
+        return result
 
 
 @kernel.plugin(
@@ -120,7 +133,7 @@
         "client": core.part("endpoints"),
         "router": core.part("router"),
         "membership": core.part("membership"),
-        "budget": budgets.RetryBudget(),
+        "budget": budgets.RetryBudget(share=core.settings.retry_share),
         "metrics": core.part("metrics"),
     }
     yield Runner(
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -10,6 +10,7 @@
 from sycamoreshed.adapters import endpoints as adapters
 from sycamoreshed.errors import kinds
 from sycamoreshed.pipeline import evidence
+from sycamoreshed.pipeline import hedges
 
 __all__ = ["StreamedStage", "prefix_of"]
 
@@ -88,17 +89,25 @@
                 prefix=prefix,
                 adapter=stage.get("adapter"),
             )
-            result = await self._attempt(endpoint, call, until, tokens, emit)
+            patience = None
+            if len(tried) == 1:
+                patience = self._router.loads.patience(endpoint, now)
+            result = await self._attempt(
+                endpoint, call, until, tokens, emit, patience
+            )
             if not isinstance(result, kinds.Failure):
                 self._metrics.count_crossing(request, stage, endpoint, result)
                 return result
             sent = sent or result.sent
+            if result is hedges.MOVED:
+                self._metrics.retries.labels(stage["name"], "moved").inc()
+                continue
             fruitless = 1 if len(tokens) > had else fruitless + 1
             if fruitless >= MOST_FRUITLESS or not self._budget.spend():
                 return result._replace(sent=sent)
             self._metrics.retries.labels(stage["name"], result.kind).inc()
 
-    async def _attempt(self, endpoint, call, until, tokens, emit):
+    async def _attempt(self, endpoint, call, until, tokens, emit, patience):
         began = self._clock()
         self._router.loads.begin(endpoint)
         # Stands for what is known if the attempt is cancelled from outside.
@@ -106,16 +115,28 @@
         try:
             # The client bounds each wait for the engine; this bounds also
             # the waits for a caller that reads slowly.
-            async with asyncio.timeout(until - self._clock()):
-                result = await self._read(endpoint, call, until, tokens, emit)
+            async with asyncio.timeout(until - began) as timer:
+                first = hedges.Patience(
+                    timer=timer,
+                    seconds=patience,
+                    budget=self._budget,
+                )
+                result = await self._read(
+                    endpoint, call, until, tokens, emit, first
+                )
         except TimeoutError:
             result = kinds.Failure(
                 kinds.Kind.LATE, "stream not whole in time", sent=True
             )
+            if first.moved:
+                result = hedges.MOVED
         finally:
+            first.met()
             self._router.finished(endpoint, call, result, began, self._clock())
             if isinstance(result, kinds.Failure) and result.sent:
                 await adapters.cancel_quietly(self._client, endpoint, call)
+        if result is hedges.MOVED:
+            return result
         evidence.report(
             self._membership,
             endpoint,
@@ -125,13 +146,17 @@
         )
         return result
 
-    async def _read(self, endpoint, call, until, tokens, emit):
+    async def _read(self, endpoint, call, until, tokens, emit, first):
         timeout = until - self._clock()
         chunks = self._client.stream(endpoint, call, timeout=timeout)
         async with contextlib.aclosing(chunks):
             async for chunk in chunks:
                 if isinstance(chunk, kinds.Failure):
                     return chunk
+                if first.met():
+                    self._router.loads.observe_first(
+                        endpoint, first.waited, self._clock()
+                    )
                 fault = await self._take(chunk, tokens, emit)
                 if fault is not None:
                     return fault
--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -1,12 +1,14 @@
 """One unary stage: attempts, retries, and what an attempt's end means."""
 
 import asyncio
+import functools
 import random
 import uuid
 
 from sycamoreshed.adapters import endpoints as adapters
 from sycamoreshed.errors import kinds
 from sycamoreshed.pipeline import evidence
+from sycamoreshed.pipeline import hedges
 
 __all__ = ["UnaryStage"]
 
@@ -53,11 +55,16 @@
                 reason = f"no endpoint of {stage['service']}"
                 return kinds.Failure(kinds.Kind.NO_ENDPOINT, reason, sent)
             tried.add(endpoint.name)
-            result = await self.attempt(
-                request, stage, payload, until, endpoint
+            result = await hedges.first_answer(
+                functools.partial(
+                    self._call, request, stage, payload, until, endpoint
+                ),
+                functools.partial(
+                    self._other, request, stage, payload, until, tried
+                ),
+                seconds=self._patience(endpoint, now, repeatable),
             )
             if not isinstance(result, kinds.Failure):
-                self._metrics.count_crossing(request, stage, endpoint, result)
                 return result
             sent = sent or result.sent
             if sent and not repeatable:
@@ -66,6 +73,33 @@
                 break
         return result._replace(sent=sent)
 
+    def _patience(self, endpoint, now, repeatable):
+        if not repeatable:
+            return None
+        return self._router.loads.patience(endpoint, now)
+
+    def _other(self, request, stage, payload, until, tried):
+        """Return a second attempt beside a slow one, or None."""
+        now = self._clock()
+        if until - now < LEAST_TIME_S or self._budget.tokens < 1:
+            return None
+        endpoint = self._router.choose(request, stage, now, avoid=tried)
+        if endpoint is None or endpoint.name in tried:
+            return None
+        self._budget.spend()
+        tried.add(endpoint.name)
+        self._metrics.retries.labels(stage["name"], "hedge").inc()
+        return self._call(request, stage, payload, until, endpoint)
+
+    async def _call(self, request, stage, payload, until, endpoint):
+        began = self._clock()
+        result = await self.attempt(request, stage, payload, until, endpoint)
+        if isinstance(result, adapters.StageAnswer):
+            self._metrics.count_crossing(request, stage, endpoint, result)
+            now = self._clock()
+            self._router.loads.observe_first(endpoint, now - began, now)
+        return result
+
     async def attempt(self, request, stage, payload, until, endpoint):
         """Send one call to one endpoint, and report its outcome."""
         now = self._clock()
--- a/sycamoreshed/routing/estimates.py
+++ b/sycamoreshed/routing/estimates.py
@@ -65,6 +65,10 @@
             return 0.0
         return (self._mean + 2 * self._deviation) * self.weight(now)
 
+    def unusual(self):
+        """Return what hardly any duration is over; it does not fade."""
+        return self._mean + max(self._mean, 4 * self._deviation)
+
     def weight(self, now):
         """Return how much of the estimate still holds, at most one."""
         old = now - self._at - STALE_AFTER_S
--- a/sycamoreshed/routing/loads.py
+++ b/sycamoreshed/routing/loads.py
@@ -34,14 +34,18 @@
     reports : callable, optional
         Returns reports by endpoint name: a dictionary with ``running``
         and ``waiting``, and the monotonic time it was measured at.
+    hedging : bool
+        Whether a slow attempt may be followed by another.
     """
 
-    def __init__(self, *, reports=lambda: NO_REPORTS):
+    def __init__(self, *, reports=lambda: NO_REPORTS, hedging=True):
+        self._hedging = hedging
         self._reports = reports
         self._in_flight = collections.Counter()
         self._known = {}
         self._times = {}
         self._services = {}
+        self._firsts = {}
         self._sizes = {}
 
     def begin(self, endpoint):
@@ -81,6 +85,20 @@
                 self._services[service] = estimates.Estimate()
             self._services[service].add(alone, now)
 
+    def observe_first(self, endpoint, seconds, now):
+        """Take in how long the first byte of an answer took."""
+        firsts = self._firsts.get(endpoint.service)
+        if firsts is None:
+            firsts = self._firsts[endpoint.service] = estimates.Estimate()
+        firsts.add(seconds, now)
+
+    def patience(self, endpoint, now):
+        """Return seconds after which no answer yet is unusual, or None."""
+        firsts = self._firsts.get(endpoint.service)
+        if firsts is None or not self._hedging:
+            return None
+        return firsts.unusual()
+
     def observe_size(self, stage, size):
         """Take in the bytes a stage's call sent and received."""
         old = self._sizes.get(stage, size)
--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -39,7 +39,7 @@
         self._tariff = settings.tariff or tariffs.DEFAULT
         self._turn = 0
         self.loads = loads.Loads(
-            reports=lambda: getattr(membership, "reports", loads.NO_REPORTS)
+            reports=lambda: membership.reports, hedging=settings.hedging
         )
 
     def choose(self, request, stage, now, *, avoid=(), prefix=None):
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -63,6 +63,8 @@
     fairness: typing.NotRequired[str]
     limiter: typing.NotRequired[str]
     tariff: typing.NotRequired[Tariff]
+    hedging: typing.NotRequired[bool]
+    retry_share: typing.NotRequired[Seconds]
     slots: typing.NotRequired[Positive]
     queue: typing.NotRequired[Positive]
     grace_s: typing.NotRequired[Seconds]
@@ -101,6 +103,10 @@
         Name of the rule for how many requests run at a time.
     tariff : Tariff or None
         What attainment is worth against cost; None for the default.
+    hedging : bool
+        Whether a second attempt may begin while a slow one runs.
+    retry_share : float
+        Retries and hedges for each first attempt.
     slots : int
         Most requests this instance runs at a time.
     queue : int
@@ -133,6 +139,8 @@
     fairness: str = "weighted_fair"
     limiter: str = "adaptive"
     tariff: dict | None = None
+    hedging: bool = True
+    retry_share: float = 0.1
     slots: int = 256
     queue: int = 1024
     grace_s: float = 1.0
