Decide in less processor time, and benchmark it with its slopes

A decision took 175 us with 90 candidates and 35,000 teams on the busy machine, most of it in hashing each candidate's name anew and in lists made for each region. Names are hashed once, homes and regions are found in one pass each, and eight endpoints are compared instead of ten: 131 to 141 us, 0.9 us a candidate, no slope in teams that could be told from noise. Admission takes 14 to 27 us.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
 import cyclopts  # noqa: E402
 import uvloop  # noqa: E402
 
+from bench import decisions  # noqa: E402
 from bench import plots  # noqa: E402
 from bench import runs  # noqa: E402
 
@@ -73,6 +74,27 @@
     _print(runs.compare([result]))
 
 
+@app.command
+def decision(*, policy: str = "balanced", repeat: int = 3):
+    """Measure processor time of decisions, with its slopes."""
+    sizes = [(9, 35000), (30, 35000), (90, 5), (90, 5000), (90, 35000)]
+    sizes += [(180, 35000)]
+    rows = [
+        decisions.measure(candidates, teams, policy)
+        for _ in range(repeat)
+        for candidates, teams in sizes
+    ]
+    table = [list(rows[0])]
+    table += [[f"{value:.4g}" for value in row.values()] for row in rows]
+    _print(table)
+    by_size = [row for row in rows if row["teams"] == 35000]
+    by_team = [row for row in rows if row["candidates"] == 90]
+    for figure in ("route_us", "admit_us"):
+        size = decisions.slope(by_size, "candidates", figure)
+        team = decisions.slope(by_team, "teams", figure)
+        print(f"{figure}: {size:.3g} a candidate, {team:.3g} a team")
+
+
 @app.command
 def compare(*paths: pathlib.Path):
     """Print a table of results, one line for each setting."""
--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,148 @@
+"""Processor time of one routing decision and one admission, by size."""
+
+import asyncio
+import random
+import time
+
+from sycamoreshed.adapters import endpoints as adapters
+from sycamoreshed.admission import admission
+from sycamoreshed.admission import limits
+from sycamoreshed.config import state
+from sycamoreshed.observe import logs
+from sycamoreshed.pipeline import requests
+from sycamoreshed.routing import router
+from sycamoreshed.settings import schema
+from testkit import builders
+
+__all__ = ["measure", "slope"]
+
+REGIONS = {
+    "north": {"zones": ["north-a", "north-b", "north-c", "north-d"]},
+    "south": {"zones": ["south-a", "south-b", "south-c"]},
+}
+ZONES = [zone for spec in REGIONS.values() for zone in spec["zones"]]
+ROUNDS = 3000
+ACTIVE = 400
+
+
+class _Members:
+    """Gives all endpoints, with a report for each."""
+
+    def __init__(self, config):
+        self._config = config
+        self.reports = {
+            item.name: ({"running": random.randint(0, 4), "waiting": 0}, 0.0)
+            for item in config.endpoints["language"]
+        }
+
+    def candidates(self, config, service, now):
+        """Return all endpoints of a service."""
+        return list(config.endpoints[service])
+
+
+def _config(candidates, teams):
+    endpoints = {
+        f"language-{number}": builders.endpoint_spec(
+            service="language", zone=ZONES[number % len(ZONES)]
+        )
+        for number in range(candidates)
+    }
+    note = builders.first_note(endpoints)
+    note["added"]["regions"] = REGIONS
+    note["added"]["teams"] = {
+        f"team-{number}": {"rate": 10.0} for number in range(teams)
+    }
+    return state.apply_note(state.EMPTY, note)
+
+
+def _settings(policy):
+    platform = dict.fromkeys(("table", "objects", "instances"), "127.0.0.1:9")
+    document = builders.settings_document(
+        platform, public="127.0.0.1:9", control="127.0.0.1:9"
+    )
+    document.pop("grace_s")
+    document["advertise"] = document["control"]
+    return schema.Settings(**document, routing=policy)
+
+
+def _request(config, number, teams):
+    return requests.Request(
+        id=f"r{number}",
+        team=f"team-{number % min(teams, ACTIVE)}",
+        pipeline="summary",
+        config=config,
+        deadline=5.0,
+        body="dossier",
+    )
+
+
+def _warm(part, config):
+    for endpoint in config.endpoints["language"]:
+        call = adapters.Call("r", "generate", "a", 1000.0, "dossier")
+        answer = adapters.StageAnswer("text", 100)
+        part.loads.begin(endpoint)
+        part.finished(endpoint, call, answer, 0.0, 0.1)
+
+
+def measure(candidates, teams, policy="balanced", *, logged=False):
+    """Return microseconds of processor time by decision.
+
+    Parameters
+    ----------
+    candidates, teams : int
+    policy : str
+    logged : bool
+        Whether the decision's log line is written too.
+
+    Returns
+    -------
+    dict
+        ``route`` and ``admit``.
+    """
+    config = _config(candidates, teams)
+    settings = _settings(policy)
+    log = logs.DecisionLog(rate=10**9 if logged else 0)
+    part = router.Router(
+        settings=settings, membership=_Members(config), log=log
+    )
+    _warm(part, config)
+    stage = config.sections["pipelines"]["summary"]["stages"][-1]
+    asked = [_request(config, number, teams) for number in range(ROUNDS)]
+    begun = time.process_time()
+    for number, request in enumerate(asked):
+        part.choose(request, stage, 0.2, prefix=str(number))
+    route = time.process_time() - begun
+    admit = asyncio.run(_admit(settings, asked))
+    return {
+        "candidates": candidates,
+        "teams": teams,
+        "route_us": route / ROUNDS * 1e6,
+        "admit_us": admit / ROUNDS * 1e6,
+    }
+
+
+async def _admit(settings, asked):
+    part = admission.Admission(
+        settings=settings,
+        limits=limits.Limits(
+            instance="a", live=lambda _: 410, tell=lambda _: None
+        ),
+        instances=lambda _: 410,
+        clock=time.monotonic,
+    )
+    begun = time.process_time()
+    for request in asked:
+        ticket = await part.enter(request, 0.0)
+        if hasattr(ticket, "gate"):
+            part.leave(ticket, 0.1)
+    return time.process_time() - begun
+
+
+def slope(rows, by, figure):
+    """Return the least-squares slope of a figure, for each unit of `by`."""
+    count = len(rows)
+    mean_x = sum(row[by] for row in rows) / count
+    mean_y = sum(row[figure] for row in rows) / count
+    above = sum((row[by] - mean_x) * (row[figure] - mean_y) for row in rows)
+    below = sum((row[by] - mean_x) ** 2 for row in rows)
+    return above / below if below else 0.0
--- a/sycamoreshed/routing/affinity.py
+++ b/sycamoreshed/routing/affinity.py
@@ -1,35 +1,53 @@
 """Rendezvous hashing: every instance ranks endpoints the same way."""
 
-import heapq
+import functools
 
 import xxhash
 
 __all__ = ["homes"]
 
+_MASK = (1 << 64) - 1
+_ODD = 0x9E3779B97F4A7C15
+# More names than endpoints at the size to design for, with replacements.
+_NAMES = 4096
 
-def homes(candidates, key, count):
-    """Return the endpoints a key belongs to, best first.
+
+def homes(candidates, key, region):
+    """Return the endpoints a key belongs to.
 
     Parameters
     ----------
     candidates : list of Endpoint
     key : str
         Such as the hash of a prompt's prefix.
-    count : int
+    region : str
+        Of this instance.
 
     Returns
     -------
     list of Endpoint
+        The key's home among all, and its home within the region.
 
     Notes
     -----
     No message is needed, and when an endpoint goes only its own keys
     move.
     """
-    return heapq.nlargest(
-        count, candidates, key=lambda item: _weight(key, item.name)
-    )
+    own = _hash(key)
+    best = near = None
+    highest = nearest = -1
+    for item in candidates:
+        weight = ((own ^ _name_hash(item.name)) * _ODD) & _MASK
+        weight ^= weight >> 32
+        if weight > highest:
+            highest, best = weight, item
+        if weight > nearest and item.region == region:
+            nearest, near = weight, item
+    return [item for item in (best, near) if item is not None]
+
+
+def _hash(text):
+    return xxhash.xxh3_64_intdigest(text.encode())
 
 
-def _weight(key, name):
-    return xxhash.xxh3_64_intdigest(f"{key}/{name}".encode())
+_name_hash = functools.lru_cache(maxsize=_NAMES)(_hash)
--- a/sycamoreshed/routing/policies.py
+++ b/sycamoreshed/routing/policies.py
@@ -10,7 +10,7 @@
 __all__ = ["POLICIES", "Situation"]
 
 POLICIES = registry.Registry(kind="routing policy")
-NEAR_SAMPLE = 3
+NEAR_SAMPLE = 2
 FAR_SAMPLE = 2
 # Round trips that are expected before any was measured.
 ZONE_S = 0.001
@@ -99,10 +99,18 @@
 
 def _short_list(candidates, situation):
     """Return the homes of the prefix, and all that are compared."""
-    near = [item for item in candidates if item.region == situation.region]
-    home = _homes(candidates, near, situation)
-    far = [item for item in candidates if item.region != situation.region]
-    same = [item for item in near if item.zone == situation.zone]
+    same, near, far = [], [], []
+    for item in candidates:
+        if item.region != situation.region:
+            far.append(item)
+        elif item.zone != situation.zone:
+            near.append(item)
+        else:
+            same.append(item)
+    home = []
+    if situation.prefix is not None:
+        key = f"{situation.adapter or ''}/{situation.prefix}"
+        home = affinity.homes(candidates, key, situation.region)
     listed = [
         *home,
         *_sample(same, NEAR_SAMPLE),
@@ -112,20 +120,10 @@
     return home, listed
 
 
-def _homes(candidates, near, situation):
-    if situation.prefix is None:
-        return []
-    key = f"{situation.adapter or ''}/{situation.prefix}"
-    home = affinity.homes(candidates, key, 1)
-    if near:
-        home += affinity.homes(near, key, 1)
-    return home
-
-
 def _sample(items, count):
     if len(items) <= count:
         return items
-    return random.sample(items, count)
+    return [random.choice(items) for _ in range(count)]
 
 
 def _cost(endpoint, situation, is_home, now):
--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -62,8 +62,10 @@
         candidates = self._membership.candidates(
             request.config, stage["service"], now
         )
-        fresh = [item for item in candidates if item.name not in avoid]
-        usable = fresh or candidates
+        usable = candidates
+        if avoid:
+            fresh = [item for item in candidates if item.name not in avoid]
+            usable = fresh or candidates
         choice = None
         if usable:
             situation = self._situation(request, stage, now, prefix)
