--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -39,7 +39,7 @@
         self._tariff = settings.tariff or tariffs.DEFAULT
         self._turn = 0
         self.loads = loads.Loads(
-            reports=lambda: getattr(membership, "reports", loads.NO_REPORTS)
+            reports=lambda: membership.reports, hedging=settings.hedging
         )
 
     def choose(self, request, stage, now, *, avoid=(), prefix=None):
@@ -62,8 +62,10 @@
         candidates = self._membership.candidates(
             request.config, stage["service"], now
         )
-        fresh = [item for item in candidates if item.name not in avoid]
-        usable = fresh or candidates
+        usable = candidates
+        if avoid:
+            fresh = [item for item in candidates if item.name not in avoid]
+            usable = fresh or candidates
         choice = None
         if usable:
             situation = self._situation(request, stage, now, prefix)
