Test the table and engine interfaces by failure tables

The table adapter took any status below 500 for an answer: a refusal for too many calls raised KeyError in whoever read the row, and so did a body of another shape. Both are failures now, and a refusal is told as without effect. The stand-in shows stale reads and limits of calls a second.

Orders use the same timeouts as other calls; aiohttp rounds longer ones up to whole seconds, past the longest order.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -23,7 +23,8 @@
     attempt of the same call.  ``down``: close every connection at once.
     ``paths``: only paths with one of these beginnings.  ``delay_from``:
     seconds added by source address.  ``slow``: factor on the time that
-    work takes.
+    work takes.  ``stale``: share of reads of rows that are answered with
+    the row as it was before its last write.
 
     Of streams, each a share and shown in the middle of a stream:
     ``break_``: the connection is cut.  ``skip``: a token is left out.
@@ -54,6 +55,7 @@
     paths: typing.NotRequired[list[str]]
     delay_from: typing.NotRequired[dict[str, float]]
     slow: typing.NotRequired[float]
+    stale: typing.NotRequired[float]
 
 
 class Faults:
--- a/standins/table.py
+++ b/standins/table.py
@@ -1,6 +1,9 @@
 """Stand-in for the platform's table service."""
 
 import bisect
+import collections
+import math
+import time
 
 from aiohttp import web
 
@@ -10,15 +13,24 @@
 
 
 class TableStore:
-    """Rows with versions, and transactions on them."""
+    """Rows with versions, and transactions on them.
 
-    def __init__(self, *, faults):
+    Parameters
+    ----------
+    faults : Faults
+    reads_per_s, writes_per_s : float
+        Calls beyond these are refused with status 429.
+    """
+
+    def __init__(self, *, faults, reads_per_s, writes_per_s):
         self._faults = faults
+        self._limits = {"reads": reads_per_s, "writes": writes_per_s}
+        self._window = (0, collections.Counter())
+        self._before = {}
         self._rows = {}
         self._keys = []
         self._versions = 0
-        self.reads = 0
-        self.writes = 0
+        self.counters = collections.Counter()
 
     def routes(self):
         """Return the routes of the service."""
@@ -31,15 +43,21 @@
 
     async def read(self, http):
         """Answer with one row."""
-        self.reads += 1
+        if self._count("reads"):
+            return _too_many()
         key = http.match_info["key"]
-        if key not in self._rows:
+        row = self._row(key)
+        if self._faults.hits(self._faults.spec.get("stale", 0.0)):
+            self.counters["stale_reads"] += 1
+            row = self._before.get(key, row)
+        if not row["version"]:
             return web.json_response({"error": "no row"}, status=404)
-        return web.json_response(self._row(key))
+        return web.json_response(row)
 
     async def scan(self, http):
         """Answer with the rows of a prefix after a key."""
-        self.reads += 1
+        if self._count("reads"):
+            return _too_many()
         prefix = http.query["prefix"]
         after = http.query.get("after", "")
         limit = int(http.query.get("limit", "1000"))
@@ -56,7 +74,8 @@
     async def transact(self, http):
         """Write all rows or none."""
         body = await http.json()
-        self.writes += 1
+        if self._count("writes"):
+            return _too_many()
         stale = [
             write["key"]
             for write in body["writes"]
@@ -72,12 +91,25 @@
         """Answer with how often the service was used."""
         return web.json_response(
             {
-                "reads": self.reads,
-                "writes": self.writes,
+                "reads": 0,
+                "writes": 0,
+                **self.counters,
                 "rows": len(self._rows),
             }
         )
 
+    def _count(self, what):
+        """Count a call; return whether it is one too many."""
+        second = int(time.monotonic())
+        if second != self._window[0]:
+            self._window = (second, collections.Counter())
+        self._window[1][what] += 1
+        if self._window[1][what] > self._limits[what]:
+            self.counters[f"refused_{what}"] += 1
+            return True
+        self.counters[what] += 1
+        return False
+
     def _version(self, key):
         return self._rows[key][1] if key in self._rows else 0
 
@@ -87,6 +119,7 @@
 
     def _put(self, write):
         key = write["key"]
+        self._before[key] = self._row(key)
         if write["value"] is None:
             if self._rows.pop(key, None) is not None:
                 del self._keys[bisect.bisect_left(self._keys, key)]
@@ -101,4 +134,12 @@
 @registry.KINDS.register("table")
 def table(spec, faults):
     """Make a table service."""
-    return TableStore(faults=faults)
+    return TableStore(
+        faults=faults,
+        reads_per_s=spec.get("reads_per_s", math.inf),
+        writes_per_s=spec.get("writes_per_s", math.inf),
+    )
+
+
+def _too_many():
+    return web.json_response({"error": "too many"}, status=429)
--- a/sycamoreshed/adapters/engines.py
+++ b/sycamoreshed/adapters/engines.py
@@ -6,7 +6,6 @@
 
 import typing
 
-import aiohttp
 import msgspec
 
 from sycamoreshed.adapters import web
@@ -128,12 +127,17 @@
             async with self._session.post(
                 f"http://{endpoint.address}/orders",
                 data=body(),
-                headers={"Content-Type": "application/json"},
-                timeout=aiohttp.ClientTimeout(total=timeout),
+                headers=web.JSON_HEADERS,
+                timeout=web.within(timeout),
+                allow_redirects=False,
             ) as response:
                 raw = await response.read()
-        except aiohttp.ClientConnectorError as err:
+        except web.NOT_SENT as err:
             return kinds.Failure(kinds.Kind.REFUSED, web.describe(err))
+        except TimeoutError:
+            return kinds.Failure(
+                kinds.Kind.LATE, "no answer in time", sent=True
+            )
         except web.ERRORS as err:
             reason = web.describe(err)
             if lapsed:
--- a/sycamoreshed/adapters/table.py
+++ b/sycamoreshed/adapters/table.py
@@ -3,6 +3,8 @@
 import typing
 import urllib.parse
 
+import msgspec
+
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -43,6 +45,24 @@
     rows: tuple
 
 
+class _RowBody(typing.TypedDict):
+    key: str
+    value: typing.Any
+    version: int
+
+
+class _Scanned(typing.TypedDict):
+    rows: list[_RowBody]
+
+
+class _Refused(typing.TypedDict):
+    conflicts: list[_RowBody]
+
+
+class _Done(typing.TypedDict):
+    versions: list[int]
+
+
 class Table:
     """Client of the table service.
 
@@ -68,12 +88,13 @@
             Of kind ``store-away``.
         """
         path = "/rows/" + urllib.parse.quote(key, safe="")
-        reply = await self._fetch("GET", path)
+        reply = await self._fetch("GET", path, other=404)
         if isinstance(reply, kinds.Failure):
             return reply
         if reply.status == 404:
             return Row(key, None, ABSENT)
-        return Row(key, reply.body["value"], reply.body["version"])
+        body = _converted(reply.body, _RowBody)
+        return body if isinstance(body, kinds.Failure) else Row(**body)
 
     async def scan(self, prefix, *, after="", limit=1000):
         """Read rows whose key begins with `prefix`, in order of key.
@@ -88,7 +109,10 @@
         reply = await self._fetch("GET", f"/scan?{query}")
         if isinstance(reply, kinds.Failure):
             return reply
-        return [Row(**row) for row in reply.body["rows"]]
+        body = _converted(reply.body, _Scanned)
+        if isinstance(body, kinds.Failure):
+            return body
+        return [Row(**row) for row in body["rows"]]
 
     async def write(self, *writes):
         """Write rows, all or none.
@@ -100,15 +124,20 @@
             taken effect or may do so later.
         """
         body = {"writes": [write._asdict() for write in writes]}
-        reply = await self._fetch("POST", "/transact", body=body)
+        reply = await self._fetch("POST", "/transact", body=body, other=409)
         if isinstance(reply, kinds.Failure):
             return reply
         if reply.status == 409:
-            rows = tuple(Row(**row) for row in reply.body["conflicts"])
-            return Conflict(rows)
-        return Written(tuple(reply.body["versions"]))
-
-    async def _fetch(self, method, path, *, body=None):
+            body = _converted(reply.body, _Refused)
+            if isinstance(body, kinds.Failure):
+                return body
+            return Conflict(tuple(Row(**row) for row in body["conflicts"]))
+        body = _converted(reply.body, _Done)
+        if isinstance(body, kinds.Failure):
+            return body
+        return Written(tuple(body["versions"]))
+
+    async def _fetch(self, method, path, *, body=None, other=200):
         reply = await web.fetch(
             self._session,
             method,
@@ -119,13 +148,27 @@
         )
         if isinstance(reply, kinds.Failure):
             return reply._replace(kind=kinds.Kind.STORE_AWAY)
-        if reply.status >= 500:
+        if reply.status not in (200, other):
+            # A refusal, as of too many calls a second, had no effect;
+            # after an error of the service nobody knows.
             return kinds.Failure(
-                kinds.Kind.STORE_AWAY, f"status {reply.status}", sent=True
+                kinds.Kind.STORE_AWAY,
+                f"status {reply.status}",
+                sent=reply.status >= 500,
             )
         return reply
 
 
+def _converted(body, kind):
+    """Return a body as `kind`; what is between may answer anything."""
+    try:
+        return msgspec.convert(body, kind)
+    except msgspec.ValidationError as err:
+        return kinds.Failure(
+            kinds.Kind.STORE_AWAY, web.describe(err), sent=True
+        )
+
+
 @kernel.plugin("table", needs=("web",))
 async def table(core):
     """Provide the client of the table service."""
--- /dev/null
+++ b/sycamoreshed/adapters/tests/test_engines.py
@@ -0,0 +1,126 @@
+"""What the adapter makes of each fault of an engine's control calls."""
+
+import pytest
+
+from sycamoreshed.adapters import engines
+from sycamoreshed.adapters.tests import serving
+from sycamoreshed.config import state as configs
+from sycamoreshed.errors import kinds
+
+LATE = kinds.Kind.LATE
+REFUSED = kinds.Kind.REFUSED
+FAILED = kinds.Kind.STAGE_FAILED
+TARGET = {"model": "m", "version": "1", "adapters": [], "role": "both"}
+ORDER = {"fence": 5, "config": 3, "target": TARGET}
+# Faults of the proxy, of the stand-in, kind of a look, outcome of an
+# order (kind and whether it may take effect), orders the engine took.
+FAULTS = {
+    "none": ({}, {}, None, True, 1),
+    "refused": ({"refuse": True}, {}, REFUSED, (REFUSED, True), 0),
+    "closed": ({}, {"down": True}, REFUSED, (REFUSED, True), 0),
+    "silent": ({"freeze": True}, {}, LATE, (LATE, True), 0),
+    "slow": ({"delay_s": 1.0}, {}, LATE, (LATE, True), None),
+    "error": ({}, {"fail": 1.0}, FAILED, (FAILED, True), 0),
+    "effect without answer": ({}, {"lose": 1.0}, REFUSED, (REFUSED, True), 1),
+    "late effect": (
+        {},
+        {"late": 1.0, "late_s": 0.0, "paths": ["/orders"]},
+        None,
+        (REFUSED, True),
+        None,
+    ),
+}
+
+
+def _endpoint(address):
+    return configs.Endpoint("e", address, "s", "z", "r", 8, True)
+
+
+async def _order(client, endpoint, order=ORDER, *, allowed=True, timeout=0.3):
+    result = await client.order(
+        endpoint, order, timeout=timeout, allowed=lambda: allowed
+    )
+    if isinstance(result, kinds.Failure):
+        return result.kind, result.sent
+    return result
+
+
+@pytest.mark.parametrize("name", FAULTS)
+async def test_each_fault_has_one_outcome(name):
+    """An engine is away, slow, or takes an order without answering.
+
+    An order taken for lost could still arrive, and a lease released by
+    then would let the next holder's order be overwritten.
+    """
+    in_proxy, in_engine, look, order, taken = FAULTS[name]
+    async with serving.running("engine") as (session, proxy, fault):
+        client = engines.Engines(session=session)
+        endpoint = _endpoint(proxy.address)
+        for key, value in in_proxy.items():
+            setattr(proxy, key, value)
+        fault.spec = dict(in_engine)
+        state = await client.state(endpoint, timeout=0.3)
+        result = await _order(client, endpoint)
+        for key in in_proxy:
+            setattr(proxy, key, 0)
+        fault.spec = {}
+        after = await client.state(endpoint, timeout=10.0)
+    assert getattr(state, "kind", None) == look
+    assert result == order
+    if taken is not None:
+        assert after.fence == (5 if taken else 0)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+async def test_old_fencing_number(checks):
+    async with serving.running("engine", checks_orders=checks) as running:
+        session, proxy, _ = running
+        client = engines.Engines(session=session)
+        endpoint = _endpoint(proxy.address)
+        await _order(client, endpoint)
+        old = {**ORDER, "fence": 4, "target": None}
+        result = await _order(client, endpoint, old)
+        state = await client.state(endpoint, timeout=10.0)
+    assert result == (engines.Outdated(5) if checks else True)
+    assert (state.loaded or state.loading) == (TARGET if checks else None)
+
+
+async def test_order_does_not_leave_once_the_lease_lapsed():
+    """The holder is paused between deciding on an order and sending it.
+
+    Without the last question its order would arrive after those of the
+    next holder, and an engine that ignores numbers would take it.
+    """
+    async with serving.running("engine") as (session, proxy, _):
+        client = engines.Engines(session=session)
+        endpoint = _endpoint(proxy.address)
+        result = await _order(client, endpoint, allowed=False, timeout=5.0)
+        state = await client.state(endpoint, timeout=10.0)
+    assert result == (kinds.Kind.LEASE_LOST, False)
+    assert state.fence == 0
+
+
+@pytest.mark.parametrize("body", [None, [], {}, {"loaded": 3}, "x"])
+async def test_answer_that_is_no_state(body):
+    reply = engines._checked(engines.web.Reply(200, body, 0), engines.State)
+    assert reply.kind is FAILED
+
+
+async def test_events_load_and_cache_are_read():
+    async with serving.running("engine") as (session, proxy, _):
+        client = engines.Engines(session=session)
+        endpoint = _endpoint(proxy.address)
+        load = await client.load(endpoint, timeout=10.0)
+        events = await client.cache_events(endpoint, after=0, timeout=10.0)
+        held = await client.kv_import(endpoint, "p", timeout=10.0)
+        told = await client.kv_export(endpoint, "p", timeout=10.0)
+        proxy.refuse = True
+        away = [
+            await client.load(endpoint, timeout=0.3),
+            await client.cache_events(endpoint, after=0, timeout=0.3),
+            await client.kv_export(endpoint, "p", timeout=0.3),
+        ]
+    assert load["loaded"] is None
+    assert events == []
+    assert (held["imported"], told["held"]) == (True, True)
+    assert [item.kind for item in away] == [REFUSED] * 3
--- a/sycamoreshed/orders/rollout.py
+++ b/sycamoreshed/orders/rollout.py
@@ -62,7 +62,7 @@
     on with the version before.
     """
     serving = _serving(states, dead)
-    floors = _floors(assigned, zone_placements, states, dead)
+    floors = _floors(assigned, zone_placements, dead)
     loads -= sum(state.loading is not None for state in states.values())
     result = []
     for name, placement in sorted(assigned.items()):
@@ -93,7 +93,7 @@
     )
 
 
-def _floors(assigned, zone_placements, states, dead):
+def _floors(assigned, zone_placements, dead):
     """Return how many must go on serving, by model.
 
     With an engine dead for long the floor could forbid every step; the
@@ -106,7 +106,7 @@
     alive = collections.Counter(
         placement.target["model"]
         for name, placement in assigned.items()
-        if name in states and name not in dead
+        if name not in dead
     )
     return {
         model: min(floor, max(alive[model] - 1, 0))
--- /dev/null
+++ b/sycamoreshed/orders/tests/test_watches.py
@@ -0,0 +1,64 @@
+from sycamoreshed.adapters import engines as control
+from sycamoreshed.errors import kinds
+from sycamoreshed.orders import pacing
+from sycamoreshed.orders import watches
+
+TARGET = {"model": "m", "version": "1", "adapters": [], "role": "both"}
+SILENT = kinds.Failure(kinds.Kind.LATE, "no answer in time", sent=True)
+
+
+def test_settled_engine_is_read_back_ever_more_rarely():
+    watch = watches.Watch(longest=15.0)
+    now = 0.0
+    times = []
+    for _ in range(8):
+        watch.take(control.State(TARGET), TARGET, now)
+        times.append(watch.look_at - now)
+        now = watch.look_at
+    assert times == [0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 15.0, 15.0]
+    assert watch.take(control.State(None), TARGET, now)
+    assert watch.look_at == now + 0.5
+
+
+def test_silent_engine_is_dead_after_a_while_and_told_once():
+    watch = watches.Watch(longest=15.0)
+    watch.take(control.State(TARGET), TARGET, 0.0)
+    told = []
+    now = watch.look_at
+    for _ in range(8):
+        if watch.take(SILENT, TARGET, now):
+            told.append((now, watch.is_dead(now)))
+        now = watch.look_at
+    assert [dead for _, dead in told] == [False, True]
+    assert watch.take(control.State(TARGET), TARGET, now)
+    assert not watch.is_dead(now)
+
+
+def test_orders_back_off_until_one_is_taken():
+    watch = watches.Watch(longest=15.0)
+    waits = []
+    for _ in range(7):
+        watch.ordered(0.0, ok=False)
+        waits.append(watch.order_at)
+    assert 0.25 <= waits[0] <= 0.5
+    assert 5.0 <= waits[-1] <= 10.0
+    watch.ordered(0.0, ok=True)
+    assert watch.order_at == watches.SOON_S
+
+
+def test_few_instances_stand_by_quickly():
+    names = [f"entry-{number}" for number in range(59)]
+    waits = [pacing.standby_s("z", name, names, 2.0) for name in names]
+    quick = [wait for wait in waits if wait <= 2.5]
+    assert len(quick) == pacing.STANDBYS
+    assert min(wait for wait in waits if wait not in quick) >= 45.0
+    reads = sum(1 / wait for wait in waits)
+    assert reads < 3.5
+
+
+def test_loads_of_the_holder_before_count():
+    pace = pacing.Pace(rate=10.0)
+    pace.add(50.0, now=0.0)
+    assert not pace.take(1.0, now=4.0)
+    assert pace.take(0.0, now=4.0)
+    assert pace.take(1.0, now=5.0)
--- a/sycamoreshed/orders/watches.py
+++ b/sycamoreshed/orders/watches.py
@@ -31,6 +31,7 @@
         self._longest = longest
         self._interval = SOON_S
         self._silent_since = None
+        self._told_dead = False
         self._failures = 0
         self.state = None
         self.look_at = 0.0
@@ -81,13 +82,15 @@
         return changed
 
     def _fall_silent(self, now):
-        was_dead = self.is_dead(now=self.look_at)
         first = self._silent_since is None
         if first:
             self._silent_since = now
+            self._told_dead = False
         self._interval = min(2 * self._interval, self._longest)
         self.look_at = now + self._interval
-        return first or self.is_dead(now) != was_dead
+        fresh = self.is_dead(now) and not self._told_dead
+        self._told_dead = self._told_dead or fresh
+        return first or fresh
 
     def ordered(self, now, *, ok):
         """Take in whether an order was taken; an answer is not the end.
