Keep callers from engines that load, and split orders by job

Load reports lag; refusals cost a retry each.

An engine with an order under way counts as not serving and as loading until it is read back; its state told of before the order, and the next plan could have taken a second engine away.

--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -28,6 +28,7 @@
         self._evidence = evidence
         self._listing = listing
         self._watching = watching
+        self._withheld = None
         notes.on_change(self._forget)
 
     @property
@@ -57,6 +58,7 @@
         """
         present = self._present(config, service)
         present = self._in_reach(present, now)
+        present = self._without_withheld(present, now)
         out = self._evidence.out
         if out.isdisjoint(item.name for item in present):
             return present
@@ -71,6 +73,16 @@
             or self._is_due(item.name, now)
         ]
 
+    def withhold(self, func):
+        """Give nothing new to endpoints that a function names.
+
+        Parameters
+        ----------
+        func : callable
+            Takes the present time, returns names of engines that load.
+        """
+        self._withheld = func
+
     def live_instances(self, now):
         """Return how many entry instances are alive, and by zone.
 
@@ -125,6 +137,14 @@
         near = [item for item in present if item.zone not in lost]
         return near or present
 
+    def _without_withheld(self, present, now):
+        """Leave out engines that load, unless none else is left."""
+        names = self._withheld(now) if self._withheld else None
+        if not names:
+            return present
+        kept = [item for item in present if item.name not in names]
+        return kept or present
+
     def _is_due(self, name, now):
         if not self._evidence.may_use(name, now):
             return False
--- /dev/null
+++ b/sycamoreshed/orders/giving.py
@@ -0,0 +1,119 @@
+"""Gives one order to one engine."""
+
+import asyncio
+
+import prometheus_client
+
+from sycamoreshed.adapters import engines as control
+from sycamoreshed.errors import kinds
+
+__all__ = ["Giver"]
+
+# The word that an engine is about to load reaches the instances first.
+SPREAD_S = 0.4
+# Longest time that an engine's calls are waited for before a load.
+DRAIN_S = 6.0
+POLL_S = 0.25
+LOAD_TIMEOUT_S = 1.0
+
+
+class Giver:
+    """Empties an engine if it serves, then sends the order.
+
+    Parameters
+    ----------
+    lease : Lease
+    client : Engines
+    away : Away
+    clock : callable
+    log : DecisionLog
+    registry : CollectorRegistry
+    """
+
+    def __init__(self, *, lease, client, away, clock, log, registry):
+        self._lease = lease
+        self._client = client
+        self._away = away
+        self._clock = clock
+        self._log = log
+        self._unsure_until = 0.0
+        self._orders = prometheus_client.Counter(
+            "sycamoreshed_engine_orders",
+            "Orders given to engines.",
+            ["outcome"],
+            registry=registry,
+        )
+
+    @property
+    def unsure_until(self):
+        """Monotonic time by which every order has ended."""
+        return self._unsure_until
+
+    async def give(self, engine, step, fence):
+        """Give an order; return whether the engine took it.
+
+        Parameters
+        ----------
+        engine : Engine
+        step : Step
+        fence : int
+            Fencing number of the lease the step was decided under.
+
+        Returns
+        -------
+        bool
+        """
+        if step.interrupts:
+            await self._empty(engine)
+        order = control.Order(
+            fence=fence, config=self._lease.config, target=step.target
+        )
+        self._log.write(
+            self._clock(),
+            "place",
+            endpoint=engine.name,
+            choice=step.target,
+            why=step.why,
+            fence=fence,
+        )
+        longest = self._lease.terms.longest
+        result = await self._client.order(
+            engine.endpoint,
+            order,
+            timeout=longest / 2,
+            allowed=lambda: self._is_allowed(fence),
+        )
+        self._take_outcome(result, self._clock() + longest)
+        return result is True
+
+    async def _empty(self, engine):
+        """Keep new calls from an engine, and let it finish those it has.
+
+        A load cuts streams off on some engines, and refuses calls on all
+        of them; callers would see the change of version as failures.
+        """
+        begin = self._clock()
+        self._away.tell(engine.name, True, begin)
+        await asyncio.sleep(SPREAD_S)
+        while self._clock() < begin + DRAIN_S:
+            load = await self._client.load(
+                engine.endpoint, timeout=LOAD_TIMEOUT_S
+            )
+            if isinstance(load, kinds.Failure) or not load.get("running"):
+                return
+            await asyncio.sleep(POLL_S)
+
+    def _is_allowed(self, fence):
+        valid = self._lease.valid(self._clock())
+        return valid and self._lease.fence == fence
+
+    def _take_outcome(self, result, end):
+        if isinstance(result, control.Outdated):
+            self._lease.raise_floor(result.fence)
+            self._orders.labels("outdated").inc()
+        elif isinstance(result, kinds.Failure):
+            self._orders.labels(str(result.kind)).inc()
+            if result.sent:
+                self._unsure_until = max(self._unsure_until, end)
+        else:
+            self._orders.labels("taken").inc()
--- a/sycamoreshed/orders/keeper.py
+++ b/sycamoreshed/orders/keeper.py
@@ -5,6 +5,7 @@
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 from sycamoreshed.orders import leases
+from sycamoreshed.orders import records
 
 __all__ = ["Lease"]
 
@@ -34,7 +35,7 @@
         self._holder = holder
         self._terms = terms
         self._clock = clock
-        self._standing = leases.Standing()
+        self._standing = records.Standing()
         self.reads = 0
         self.writes = 0
 
--- a/sycamoreshed/orders/leases.py
+++ b/sycamoreshed/orders/leases.py
@@ -6,17 +6,10 @@
 tests drive the same functions through every order of events.
 """
 
-import typing
-
 from sycamoreshed.adapters import table as tables
+from sycamoreshed.orders import records
 
 __all__ = [
-    "Held",
-    "Seen",
-    "Sent",
-    "Standing",
-    "Terms",
-    "Value",
     "is_valid",
     "may_take",
     "observe",
@@ -31,107 +24,15 @@
 MOST_SENT = 8
 
 
-class Terms(typing.NamedTuple):
-    """Lengths in seconds that make a lease safe.
-
-    Parameters
-    ----------
-    seconds : float
-        Length of the lease.
-    margin : float
-        Time before its end from which the holder does not use it; must
-        exceed what two clocks can drift apart during the whole wait.
-    longest : float
-        Longest time between an order's leaving and its effect.
-    """
-
-    seconds: float = 6.0
-    margin: float = 1.0
-    longest: float = 2.0
-
-
-class Value(typing.TypedDict):
-    """Value of a lease's row.
-
-    ``attempt`` is unique for each write ever sent; ``config`` is the
-    highest configuration version that orders were given for;
-    ``seconds`` and ``longest`` are the holder's terms.
-    """
-
-    holder: str
-    attempt: str
-    fence: int
-    config: int
-    released: bool
-    seconds: float
-    longest: float
-
-
-class Held(typing.NamedTuple):
-    """A lease as its holder knows it.
-
-    Parameters
-    ----------
-    fence : int
-        Fencing number.
-    until : float
-        Monotonic end, counted from before the write was sent.
-    version : int
-        Version of the row.
-    config : int
-        Configuration version named in the row.
-    """
-
-    fence: int
-    until: float
-    version: int
-    config: int
-
-
-class Seen(typing.NamedTuple):
-    """When a candidate first saw a version of the row (monotonic)."""
-
-    version: int
-    at: float
-
-
-class Sent(typing.NamedTuple):
-    """A write whose answer has not come: its id, time and contents."""
-
-    attempt: str
-    at: float
-    fence: int
-    config: int
-
-
-class Standing(typing.NamedTuple):
-    """What a candidate knows of a lease.
-
-    Parameters
-    ----------
-    held : Held or None
-    seen : Seen or None
-    sent : tuple of Sent
-        Writes without an answer; any may have taken effect.
-    floor : int
-        Highest fencing number known to have been used.
-    """
-
-    held: Held | None = None
-    seen: Seen | None = None
-    sent: tuple = ()
-    floor: int = 0
-
-
 def is_valid(standing, now, terms):
     """Return whether an order may leave at monotonic time `now`.
 
     Examples
     --------
-    >>> held = Held(fence=1, until=6.0, version=1, config=0)
-    >>> is_valid(Standing(held=held), 4.9, Terms())
+    >>> held = records.Held(fence=1, until=6.0, version=1, config=0)
+    >>> is_valid(records.Standing(held=held), 4.9, records.Terms())
     True
-    >>> is_valid(Standing(held=held), 5.0, Terms())
+    >>> is_valid(records.Standing(held=held), 5.0, records.Terms())
     False
     """
     held = standing.held
@@ -166,10 +67,12 @@
     floor = max(standing.floor, value.get("fence", 0))
     standing = standing._replace(floor=floor)
     if own is not None and not value["released"]:
-        held = Held(own.fence, own.at + terms.seconds, row.version, own.config)
+        held = records.Held(
+            own.fence, own.at + terms.seconds, row.version, own.config
+        )
         return standing._replace(held=held, seen=None, sent=())
     if standing.seen is None or standing.seen.version != row.version:
-        standing = standing._replace(seen=Seen(row.version, now))
+        standing = standing._replace(seen=records.Seen(row.version, now))
     if not _is_own(standing, row) and not is_valid(standing, now, terms):
         standing = standing._replace(held=None)
     return standing
@@ -273,7 +176,7 @@
     # and began again.  Orders would be refused for ever without this.
     if fence < standing.floor:
         fence = standing.floor + 1
-    sent = Sent(attempt, now, fence, config)
+    sent = records.Sent(attempt, now, fence, config)
     write = tables.Write(
         row.key, _value(sent, holder, terms, released=False), row.version
     )
@@ -297,9 +200,11 @@
     Standing
     """
     sent = _find(standing.sent, attempt)
-    held = Held(sent.fence, sent.at + terms.seconds, version, sent.config)
+    held = records.Held(
+        sent.fence, sent.at + terms.seconds, version, sent.config
+    )
     floor = max(standing.floor, sent.fence)
-    return Standing(held=held, seen=None, sent=(), floor=floor)
+    return records.Standing(held=held, seen=None, sent=(), floor=floor)
 
 
 def propose_release(standing, key, terms, *, holder, attempt):
@@ -317,10 +222,10 @@
     only once every order of ours has ended.
     """
     held = standing.held
-    after = Standing(floor=standing.floor)
+    after = records.Standing(floor=standing.floor)
     if held is None:
         return after, None
-    sent = Sent(attempt, 0.0, held.fence, held.config)
+    sent = records.Sent(attempt, 0.0, held.fence, held.config)
     value = _value(sent, holder, terms, released=True)
     return after, tables.Write(key, value, held.version)
 
@@ -335,7 +240,7 @@
 
 
 def _value(sent, holder, terms, *, released):
-    return Value(
+    return records.Value(
         holder=holder,
         attempt=sent.attempt,
         fence=sent.fence,
--- a/sycamoreshed/orders/rollout.py
+++ b/sycamoreshed/orders/rollout.py
@@ -16,6 +16,8 @@
         None unloads.
     size : float
         Bytes that it takes from the weight store.
+    interrupts : bool
+        Whether the engine serves now and will not during the load.
     why : str
         For the decision line.
     """
@@ -23,6 +25,7 @@
     engine: str
     target: dict | None
     size: float
+    interrupts: bool
     why: str
 
 
@@ -37,7 +40,7 @@
     return state.loaded == target and state.loading is None
 
 
-def steps(assigned, zone_placements, states, dead, *, loads):
+def steps(assigned, zone_placements, states, dead, *, loads, pending=()):
     """Return the orders that may be given now.
 
     Parameters
@@ -48,6 +51,9 @@
     dead : set of str
     loads : int
         Engines that may load at a time, those loading now included.
+    pending : collection of str
+        Engines with an order under way that were not read back since;
+        their states tell of before the order.
 
     Returns
     -------
@@ -61,13 +67,18 @@
     does not load stops the change at its first engine, and the others go
     on with the version before.
     """
-    serving = _serving(states, dead)
+    serving = _serving(states, {*dead, *pending})
     floors = _floors(assigned, zone_placements, dead)
-    loads -= sum(state.loading is not None for state in states.values())
+    loads -= sum(
+        name in pending or state.loading is not None
+        for name, state in states.items()
+    )
     result = []
     for name, placement in sorted(assigned.items()):
         state = states.get(name)
-        if state is None or _is_on_its_way(state, placement.target):
+        if state is None or name in pending:
+            continue
+        if _is_on_its_way(state, placement.target):
             continue
         size = _size(state, placement)
         if size is not None and loads <= 0:
@@ -75,12 +86,18 @@
         if not _may_interrupt(state, serving, floors):
             continue
         loads -= size is not None
-        result.append(Step(name, placement.target, size or 0.0, "note"))
+        interrupts = size is not None and _is_serving(state)
+        result.append(
+            Step(name, placement.target, size or 0.0, interrupts, "note")
+        )
     for name, state in sorted(states.items()):
-        if name in dead or not _is_left_over(name, state, assigned):
+        if name in dead or name in pending:
+            continue
+        if not _is_left_over(name, state, assigned):
             continue
         if _may_unload(state, assigned, states):
-            result.append(Step(name, None, 0.0, "left over"))
+            serves = _is_serving(state)
+            result.append(Step(name, None, 0.0, serves, "left over"))
     return result
 
 
@@ -89,7 +106,7 @@
     return collections.Counter(
         state.loaded["model"]
         for name, state in states.items()
-        if name not in dead and state.serving and state.loaded is not None
+        if name not in dead and _is_serving(state)
     )
 
 
@@ -114,6 +131,10 @@
     }
 
 
+def _is_serving(state):
+    return state.serving and state.loaded is not None
+
+
 def _is_on_its_way(state, target):
     if state.loading is not None:
         return state.loading == target
@@ -133,7 +154,7 @@
 
 def _may_interrupt(state, serving, floors):
     """Return whether an engine may be taken away, and count it as gone."""
-    if state.loaded is None or not state.serving:
+    if not _is_serving(state):
         return True
     model = state.loaded["model"]
     if serving[model] - 1 < floors.get(model, 0):
--- a/sycamoreshed/orders/tests/exploration.py
+++ b/sycamoreshed/orders/tests/exploration.py
@@ -13,9 +13,10 @@
 
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.orders import leases
+from sycamoreshed.orders import records
 
 KEY = "leases/z"
-TERMS = leases.Terms(seconds=3, margin=1, longest=2)
+TERMS = records.Terms(seconds=3, margin=1, longest=2)
 FOREVER = -9
 
 
@@ -31,7 +32,7 @@
     """One candidate: times by its own clock, `last` by the real one."""
 
     clock: int = 0
-    standing: leases.Standing = leases.Standing()
+    standing: records.Standing = records.Standing()
     waiting: str | None = None
     attempts: int = 0
     restarts: int = 0
@@ -248,7 +249,7 @@
         sides.append(
             side._replace(
                 clock=0,
-                standing=leases.Standing(held, seen, sent, floor),
+                standing=records.Standing(held, seen, sent, floor),
                 stopped=stopped,
                 last=max(side.last - world.time, -terms.longest),
             )
--- a/sycamoreshed/orders/tests/test_leases.py
+++ b/sycamoreshed/orders/tests/test_leases.py
@@ -4,6 +4,7 @@
 
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.orders import leases
+from sycamoreshed.orders import records
 from sycamoreshed.orders.tests import exploration
 
 BOUNDS = {
@@ -15,7 +16,7 @@
 REAL = types.SimpleNamespace(
     **{name: getattr(leases, name) for name in leases.__all__}
 )
-TERMS = leases.Terms(seconds=6.0, margin=1.0, longest=2.0)
+TERMS = records.Terms(seconds=6.0, margin=1.0, longest=2.0)
 
 
 def _counted_from_answer(standing, attempt, version, terms):
@@ -89,7 +90,7 @@
 
 
 def _row(version, **value):
-    base = leases.Value(
+    base = records.Value(
         holder="x",
         attempt="other",
         fence=4,
@@ -101,34 +102,34 @@
     return tables.Row("leases/z", {**base, **value}, version)
 
 
-HELD = leases.Held(fence=4, until=6.0, version=3, config=7)
-SEEN = leases.Standing(seen=leases.Seen(3, 0.0), floor=4)
-SENT = leases.Standing(sent=(leases.Sent("mine", 0.0, 4, 7),))
+HELD = records.Held(fence=4, until=6.0, version=3, config=7)
+SEEN = records.Standing(seen=records.Seen(3, 0.0), floor=4)
+SENT = records.Standing(sent=(records.Sent("mine", 0.0, 4, 7),))
 # What is known, the row that is read, when, and the fence proposed.
 READS = {
-    "first sight": (leases.Standing(), _row(3), 100.0, None),
+    "first sight": (records.Standing(), _row(3), 100.0, None),
     "lease and order not over": (SEEN, _row(3), 8.0, None),
     "lease and order over": (SEEN, _row(3), 8.1, 5),
     "renewed meanwhile": (SEEN, _row(4), 8.1, None),
     "holder has longer terms": (SEEN, _row(3, seconds=9.0), 8.1, None),
-    "released": (leases.Standing(), _row(3, released=True), 0.0, 5),
+    "released": (records.Standing(), _row(3, released=True), 0.0, 5),
     "own, answer was lost": (SENT, _row(5, attempt="mine"), 1.0, 4),
     "own, but of an earlier process": (
-        leases.Standing(),
+        records.Standing(),
         _row(5, holder="x", attempt="mine"),
         1.0,
         None,
     ),
-    "own and long over": (leases.Standing(held=HELD), _row(3), 900.0, 4),
+    "own and long over": (records.Standing(held=HELD), _row(3), 900.0, 4),
     "row lost": (SEEN, tables.Row("leases/z", None, 0), 8.1, None),
     "row lost and waited for": (
-        leases.Standing(seen=leases.Seen(0, 0.0), floor=4),
+        records.Standing(seen=records.Seen(0, 0.0), floor=4),
         tables.Row("leases/z", None, 0),
         8.1,
         5,
     ),
     "an engine has met a higher fence": (
-        leases.Standing(held=HELD, floor=9),
+        records.Standing(held=HELD, floor=9),
         _row(3),
         1.0,
         10,
@@ -151,13 +152,13 @@
 
 
 def test_conflict_with_a_stranger_ends_the_lease_at_once():
-    standing = leases.Standing(held=HELD)
+    standing = records.Standing(held=HELD)
     assert leases.is_valid(standing, 0.0, TERMS)
     after = leases.on_conflict(standing, _row(9), "mine", 0.0, TERMS)
     assert not leases.is_valid(after, 0.0, TERMS)
 
 
 def test_stale_read_does_not_end_the_lease():
-    standing = leases.Standing(held=HELD)
+    standing = records.Standing(held=HELD)
     after = leases.observe(standing, _row(2), 0.0, TERMS)
     assert leases.is_valid(after, 0.0, TERMS)
--- a/sycamoreshed/orders/watches.py
+++ b/sycamoreshed/orders/watches.py
@@ -34,6 +34,7 @@
         self._told_dead = False
         self._failures = 0
         self.state = None
+        self.pending = False
         self.look_at = 0.0
         self.order_at = 0.0
 
@@ -71,8 +72,9 @@
         if isinstance(state, kinds.Failure):
             return self._fall_silent(now)
         came_back = self._silent_since is not None
-        changed = state != self.state or came_back
+        changed = state != self.state or came_back or self.pending
         self.state = state
+        self.pending = False
         self._silent_since = None
         if changed or not rollout.is_settled(state, target):
             self._interval = SOON_S
--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -178,3 +178,127 @@
     """Look again after more than the longest time between read-backs."""
     await asyncio.sleep(2 * FAST["order_look_s"])
     await until_loaded(cluster, engine_names, version)
+
+
+async def test_version_changes_under_load_with_the_floor_serving():
+    """Operators change a model's version while callers use it.
+
+    Were all engines to load at once, every answer would be late.
+    """
+    specs = engines(4, load_s=0.3, weights="weights", weight_bytes=1e5)
+    others = [
+        {"kind": "pool", "name": f"{service}-1"}
+        for service in ("encoder", "retriever", "reranker")
+    ]
+    async with processes.cluster(specs=[*specs, *others], **FAST) as cluster:
+        await place(cluster, 1, "added", placement("v1", 4))
+        await until_loaded(cluster, names(specs), "v1")
+        stop = asyncio.Event()
+        callers = [asyncio.create_task(_call(cluster, stop)) for _ in range(4)]
+        begin = await _last_change(cluster, specs)
+        await place(cluster, 2, "changed", placement("v2", 4, floor=3))
+        await until_loaded(cluster, names(specs), "v2")
+        stop.set()
+        answers = sum(await asyncio.gather(*callers), [])
+        least = await _least_serving(cluster, specs, begin)
+        weights = await cluster.get("weights", "/counts")
+    print(f"answers {len(answers)}, least serving {least}, {weights}")
+    assert set(answers) == {200}
+    assert least == 3
+    assert weights["loads"] == 8
+
+
+async def _call(cluster, stop):
+    answers = []
+    while not stop.is_set():
+        answer = await cluster.call(0, "summary", {"input": "x"})
+        answers.append(answer[0])
+    return answers
+
+
+async def _changes(cluster, specs):
+    result = []
+    for name in names(specs):
+        body = await cluster.get(name, "/history")
+        result += [(at, name, serving) for at, serving, _ in body["history"]]
+    return sorted(result)
+
+
+async def _last_change(cluster, specs):
+    return (await _changes(cluster, specs))[-1][0]
+
+
+async def _least_serving(cluster, specs, begin):
+    """Return the fewest engines that served at any time after `begin`."""
+    serving = {}
+    least = len(specs)
+    for at, name, is_serving in await _changes(cluster, specs):
+        serving[name] = is_serving
+        if at > begin:
+            least = min(least, sum(serving.values()))
+    return least
+
+
+async def test_loads_keep_to_the_weight_stores_rate():
+    """Twenty engines need a model from a store with a rate.
+
+    All at once would leave each load waiting for all the others, past
+    what engines put up with.
+    """
+    size = 1e5
+    specs = engines(8, weights="weights", weight_bytes=size)
+    changes = {**FAST, "loads_at_once": 2, "weight_rate": 8e5}
+    async with processes.cluster(specs=specs, **changes) as cluster:
+        await place(cluster, 1, "added", placement("v1", 8, weight_bytes=size))
+        await until_loaded(cluster, names(specs), "v1")
+        weights = await cluster.get("weights", "/counts")
+    print(weights)
+    assert weights["loads"] == 8
+    assert weights["most"] <= 2
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [{"lose": 0.5}, {"fail": 0.5}, {"late": 0.5, "late_s": 0.3}],
+    ids=["answers lost", "errors", "late effect"],
+)
+async def test_orders_are_repeated_until_they_hold(fault):
+    """An engine loses every second answer, or fails, or is late.
+
+    An order given once and taken for granted would leave the old version
+    on some engine for ever.
+    """
+    specs = engines(3)
+    async with processes.cluster(specs=specs, **FAST) as cluster:
+        for name in names(specs):
+            await cluster.faults(name, **fault, paths=["/orders", "/state"])
+        await place(cluster, 1, "added", placement("v1", 3))
+        await until(
+            lambda: _all_have(cluster, specs, "v1"), what="v1 everywhere"
+        )
+        await place(cluster, 2, "changed", placement("v2", 3))
+        await until(
+            lambda: _all_have(cluster, specs, "v2"), what="v2 everywhere"
+        )
+
+
+async def _all_have(cluster, specs, version):
+    found = []
+    for name in names(specs):
+        body = await cluster.get(name, "/history")
+        found.append(body["history"][-1][1:])
+    return found == [[True, version]] * len(specs)
+
+
+async def test_silent_engine_holds_up_nobody_else():
+    """One engine's machine is frozen when operators place a model.
+
+    A reconciler that takes engines in turn would wait for it each time.
+    """
+    specs = engines(4)
+    async with processes.cluster(specs=specs, proxied=True, **FAST) as cluster:
+        cluster.proxies["language-1"].freeze = True
+        await place(cluster, 1, "added", placement("v1", 4))
+        await until_loaded(cluster, names(specs), "v1", 3)
+        cluster.proxies["language-1"].freeze = False
+        await until_loaded(cluster, names(specs), "v1", 4)
