--- a/sycamoreshed/adapters/engines.py
+++ b/sycamoreshed/adapters/engines.py
@@ -15,6 +15,8 @@
 __all__ = ["Engines", "Order", "Outdated", "State", "Target"]
 
 CONFLICT = 409
+# Request and status lines with headers, both ways.
+LINES_BYTES = 330
 
 
 class Target(typing.TypedDict):
@@ -69,12 +71,13 @@
     Parameters
     ----------
     session : aiohttp.ClientSession
+    traffic : prometheus_client.Counter
+        Bytes of control traffic.
     """
 
-    def __init__(self, *, session):
+    def __init__(self, *, session, traffic):
         self._session = session
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self._traffic = traffic
 
     async def state(self, endpoint, *, timeout):
         """Read back what an engine has loaded.
@@ -143,8 +146,8 @@
             if lapsed:
                 return kinds.Failure(kinds.Kind.LEASE_LOST, reason)
             return kinds.Failure(kinds.Kind.REFUSED, reason, sent=True)
-        self.sent_bytes += len(msgspec.json.encode(order))
-        self.received_bytes += len(raw)
+        size = len(msgspec.json.encode(order)) + len(raw)
+        self._traffic.inc(LINES_BYTES + size)
         return _order_outcome(response.status, raw)
 
     async def load(self, endpoint, *, timeout):
@@ -199,7 +202,7 @@
         )
         if isinstance(reply, kinds.Failure):
             return reply
-        self.received_bytes += reply.size
+        self._traffic.inc(LINES_BYTES + reply.size + reply.sent_size)
         if reply.status != 200:
             return kinds.Failure(
                 kinds.Kind.STAGE_FAILED, f"status {reply.status}", sent=True
@@ -241,7 +244,8 @@
         )
 
 
-@kernel.plugin("engines", needs=("web",))
+@kernel.plugin("engines", needs=("metrics", "web"))
 async def engines(core):
     """Provide the client of the engines' control interface."""
-    yield Engines(session=core.part("web"))
+    traffic = core.part("metrics").control_bytes.labels("orders")
+    yield Engines(session=core.part("web"), traffic=traffic)
--- a/sycamoreshed/adapters/tests/test_engines.py
+++ b/sycamoreshed/adapters/tests/test_engines.py
@@ -6,6 +6,7 @@
 from sycamoreshed.adapters.tests import serving
 from sycamoreshed.config import state as configs
 from sycamoreshed.errors import kinds
+from sycamoreshed.observe import metrics
 
 LATE = kinds.Kind.LATE
 REFUSED = kinds.Kind.REFUSED
@@ -36,6 +37,11 @@
     return configs.Endpoint("e", address, "s", "z", "r", 8, True)
 
 
+def _client(session):
+    traffic = metrics.Metrics().control_bytes.labels("orders")
+    return engines.Engines(session=session, traffic=traffic)
+
+
 async def _order(client, endpoint, order=ORDER, *, allowed=True, timeout=0.3):
     result = await client.order(
         endpoint, order, timeout=timeout, allowed=lambda: allowed
@@ -54,7 +60,7 @@
     """
     in_proxy, in_engine, look, order, taken = FAULTS[name]
     async with serving.running("engine") as (session, proxy, fault):
-        client = engines.Engines(session=session)
+        client = _client(session)
         endpoint = _endpoint(proxy.address)
         for key, value in in_proxy.items():
             setattr(proxy, key, value)
@@ -75,7 +81,7 @@
 async def test_old_fencing_number(checks):
     async with serving.running("engine", checks_orders=checks) as running:
         session, proxy, _ = running
-        client = engines.Engines(session=session)
+        client = _client(session)
         endpoint = _endpoint(proxy.address)
         await _order(client, endpoint)
         old = {**ORDER, "fence": 4, "target": None}
@@ -92,7 +98,7 @@
     next holder, and an engine that ignores numbers would take it.
     """
     async with serving.running("engine") as (session, proxy, _):
-        client = engines.Engines(session=session)
+        client = _client(session)
         endpoint = _endpoint(proxy.address)
         result = await _order(client, endpoint, allowed=False, timeout=5.0)
         state = await client.state(endpoint, timeout=10.0)
@@ -108,7 +114,7 @@
 
 async def test_events_load_and_cache_are_read():
     async with serving.running("engine") as (session, proxy, _):
-        client = engines.Engines(session=session)
+        client = _client(session)
         endpoint = _endpoint(proxy.address)
         load = await client.load(endpoint, timeout=10.0)
         events = await client.cache_events(endpoint, after=0, timeout=10.0)
--- a/sycamoreshed/orders/away.py
+++ b/sycamoreshed/orders/away.py
@@ -1,8 +1,8 @@
-"""Tells all instances which engines are about to load.
+"""Tells all instances which engines do not serve, or soon will not.
 
-An engine that loads refuses calls.  Load reports lag and refusals cost
-each caller a retry, so the holder of the lease tells before it orders,
-and an engine gets nothing new from the time the word has spread.
+An engine that loads, or has nothing loaded, refuses calls.  Load reports
+lag and refusals cost each caller a retry, so the holder of the lease tells
+before it orders, and an engine gets nothing new once the word has spread.
 """
 
 import time
@@ -15,17 +15,17 @@
 # A holder that died cannot take its word back; it repeats it this often,
 # and others forget what is not repeated.
 REPEAT_S = 5.0
-FORGET_S = 15.0
+FORGET_S = 60.0
 
 
 @topics.topic(LOADING, urgent=True)
 def merge(held, came):
-    """Keep the newest word: wall clock (ms), teller, 1 if loading."""
+    """Keep the newest word: wall clock (ms), teller, 1 if away."""
     return topics.newest(held, came)
 
 
 class Away:
-    """Engines that get no new calls because they load.
+    """Engines that get no new calls because they do not serve.
 
     Parameters
     ----------
@@ -44,7 +44,7 @@
         gossip.on_record(LOADING, self._hear, own=True)
 
     def names(self, now):
-        """Return the names of engines that load, as of `now`."""
+        """Return the names of engines that are away, as of `now`."""
         if not self._until:
             return frozenset()
         return {name for name, until in self._until.items() if now < until}
--- a/sycamoreshed/orders/reconciler.py
+++ b/sycamoreshed/orders/reconciler.py
@@ -72,6 +72,7 @@
         self._placements = []
         self._mark = None
         self._stale = True
+        self._fresh = True
         self._ended = asyncio.Event()
 
     async def run(self):
@@ -147,6 +148,7 @@
         if self._mark is None or self._mark[0] != mark[0]:
             # What was read before another held the lease tells nothing.
             kept = {}
+            self._fresh = True
         self._mark = mark
         config = self._notes.config
         self._engines = assignment.engines(config, self._zone)
@@ -184,6 +186,9 @@
             {name: watch.state for name, watch in known.items()},
             dead,
         )
+        if self._fresh:
+            self._fresh = False
+            self._count_loads(known, now)
         answering = {
             name: watch.state
             for name, watch in known.items()
@@ -202,6 +207,13 @@
         for step in steps:
             self._try_step(step, now)
 
+    def _count_loads(self, known, now):
+        """Count what the holder before has begun against the rate."""
+        for name, watch in known.items():
+            placement = self._assigned.get(name)
+            if placement is not None and watch.state.loading is not None:
+                self._pace.add(placement.size, now=now)
+
     def _try_step(self, step, now):
         watch = self._watches[step.engine]
         if watch.order_at > now or watch.state.config > self._lease.config:
@@ -234,9 +246,8 @@
         now = self._clock()
         if isinstance(state, control.State):
             self._lease.raise_floor(state.fence)
-            # Repeats that it loads, or tells that it serves again.
-            is_away = state.loading is not None and not state.serving
-            self._away.tell(engine.name, is_away, now)
+            # Repeats that it does not serve, or tells that it does again.
+            self._away.tell(engine.name, not state.serving, now)
         if watch.take(state, self._target(engine.name), now):
             self._stale = True
 
--- /dev/null
+++ b/sycamoreshed/orders/tests/test_keeper.py
@@ -0,0 +1,114 @@
+import random
+
+import pytest
+
+from sycamoreshed.adapters import table as tables
+from sycamoreshed.adapters.tests import serving
+from sycamoreshed.orders import keeper
+from sycamoreshed.orders import records
+
+TERMS = records.Terms(seconds=6.0, margin=1.0, longest=2.0)
+TIMEOUT_S = 5.0
+
+
+class Clock:
+    """A clock that only the test moves."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+def _lease(session, address, clock, holder):
+    table = tables.Table(session=session, address=address, timeout=TIMEOUT_S)
+    return keeper.Lease(
+        table=table, name="z", holder=holder, terms=TERMS, clock=clock
+    )
+
+
+@pytest.mark.parametrize("seed", range(4))
+async def test_faulty_store_never_makes_two_holders(seed):
+    """Reads are stale, answers are lost, writes take effect late.
+
+    With two holders at once each engine gets the orders of both.
+    """
+    chance = random.Random(seed)
+    clock = Clock()
+    ends = {}
+    fences = []
+    async with serving.running("table") as (session, proxy, fault):
+        fault.spec = {
+            "stale": 0.3,
+            "lose": 0.2,
+            "fail": 0.1,
+            "late": 0.1,
+            "late_s": 0.01,
+            "paths": ["/rows", "/transact"],
+        }
+        sides = [_lease(session, proxy.address, clock, name) for name in "abc"]
+        for _ in range(400):
+            clock.now += chance.choice((0.0, 0.3, 1.0, 1.0, 4.0))
+            side = chance.choice(sides)
+            await side.renew()
+            for item in sides:
+                if not item.valid(clock.now):
+                    continue
+                # Orders of the others have ended, the longest included.
+                for other, end in ends.items():
+                    assert other is item or end <= clock.now
+                ends[item] = clock.now + TERMS.longest
+                if not fences or fences[-1] != item.fence:
+                    fences.append(item.fence)
+    assert len(fences) > 3
+    assert fences == sorted(set(fences))
+
+
+async def test_holder_reads_nothing_and_writes_once_a_renewal():
+    clock = Clock()
+    async with serving.running("table") as (session, proxy, _):
+        lease = _lease(session, proxy.address, clock, "a")
+        await lease.renew()
+        clock.now += 9.0
+        assert await lease.renew(config=3)
+        before = (lease.reads, lease.writes)
+        for _ in range(5):
+            clock.now += 2.0
+            assert await lease.renew()
+        after = (lease.reads, lease.writes)
+    assert after == (before[0], before[1] + 5)
+    assert lease.config == 3
+
+
+async def test_release_lets_the_next_one_in_at_once():
+    clock = Clock()
+    async with serving.running("table") as (session, proxy, _):
+        first = _lease(session, proxy.address, clock, "a")
+        second = _lease(session, proxy.address, clock, "b")
+        await first.renew()
+        clock.now += 9.0
+        assert await first.renew()
+        assert not await second.renew()
+        assert await first.release()
+        assert not first.valid(clock.now)
+        assert await second.renew()
+    assert second.fence == 2
+
+
+async def test_store_away_ends_the_lease_by_its_clock():
+    clock = Clock()
+    async with serving.running("table") as (session, proxy, _):
+        lease = _lease(session, proxy.address, clock, "a")
+        await lease.renew()
+        clock.now += 9.0
+        assert await lease.renew()
+        proxy.refuse = True
+        clock.now += 4.9
+        assert await lease.renew()
+        clock.now += 0.2
+        assert not await lease.renew()
+        proxy.refuse = False
+        # Nobody else took it meanwhile, so no wait is needed.
+        assert await lease.renew()
+    assert lease.fence == 1
