--- a/sycamoreshed/orders/watches.py
+++ b/sycamoreshed/orders/watches.py
@@ -31,8 +31,10 @@
         self._longest = longest
         self._interval = SOON_S
         self._silent_since = None
+        self._told_dead = False
         self._failures = 0
         self.state = None
+        self.pending = False
         self.look_at = 0.0
         self.order_at = 0.0
 
@@ -70,8 +72,9 @@
         if isinstance(state, kinds.Failure):
             return self._fall_silent(now)
         came_back = self._silent_since is not None
-        changed = state != self.state or came_back
+        changed = state != self.state or came_back or self.pending
         self.state = state
+        self.pending = False
         self._silent_since = None
         if changed or not rollout.is_settled(state, target):
             self._interval = SOON_S
@@ -81,13 +84,15 @@
         return changed
 
     def _fall_silent(self, now):
-        was_dead = self.is_dead(now=self.look_at)
         first = self._silent_since is None
         if first:
             self._silent_since = now
+            self._told_dead = False
         self._interval = min(2 * self._interval, self._longest)
         self.look_at = now + self._interval
-        return first or self.is_dead(now) != was_dead
+        fresh = self.is_dead(now) and not self._told_dead
+        self._told_dead = self._told_dead or fresh
+        return first or fresh
 
     def ordered(self, now, *, ok):
         """Take in whether an order was taken; an answer is not the end.
