Ask the view, not the exchange, which instances are alive

Cause: the exchange with peers was split from what is known of peers while the keeper of the orders' lease still asked the exchange. The task that keeps the lease died at its first step, so no engine got an order: five tests failed, three of orders, and two that look for errors in logs and on standard error.

--- a/sycamoreshed/orders/orders.py
+++ b/sycamoreshed/orders/orders.py
@@ -58,7 +58,7 @@
     gossip = core.part("gossip")
 
     def peers(now):
-        alive = gossip.alive(now)
+        alive = gossip.view.alive(now)
         return [item.name for item in alive if item.zone == settings.zone]
 
     return duty.Duty(
