--- a/sycamoreshed/config/schema.py
+++ b/sycamoreshed/config/schema.py
@@ -75,22 +75,34 @@
 
 
 class EndpointSpec(typing.TypedDict):
-    """One endpoint.  ``checks_orders``: refuses old fencing numbers."""
+    """One endpoint.  ``checks_orders``: refuses old fencing numbers.
+
+    ``rack`` names what fails as one; replicas are spread over racks.
+    """
 
     address: str
     service: str
     zone: str
     slots: typing.NotRequired[Count]
     checks_orders: typing.NotRequired[bool]
+    rack: typing.NotRequired[str]
 
 
 class PlacementSpec(typing.TypedDict):
-    """A model version and how many engines of each zone serve it."""
+    """A model version and how many engines of each zone serve it.
+
+    ``floor`` engines of a zone go on serving while versions change, one
+    less than the replicas if it is left out.  ``weight_bytes`` is what
+    one load takes from the weight store.
+    """
 
     model: str
     version: str
     replicas: dict[str, Count]
     adapters: typing.NotRequired[list[str]]
+    role: typing.NotRequired[typing.Literal["both", "prefill", "decode"]]
+    floor: typing.NotRequired[typing.Annotated[int, msgspec.Meta(ge=0)]]
+    weight_bytes: typing.NotRequired[Positive]
 
 
 class Sections(typing.TypedDict):
@@ -116,9 +128,11 @@
 
 
 class Document(typing.TypedDict):
-    """A whole configuration, as snapshots and peers hold it."""
+    """A configuration, or part number ``part`` of ``parts`` of one."""
 
     version: int
+    part: int
+    parts: int
     sections: Sections
     withdrawn: list[str]
 
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -20,8 +20,10 @@
 __all__ = ["Cluster", "Daemon", "cluster", "free_port"]
 
 START_S = 20.0
+START_AT_ONCE = 4
 STOP_S = 40.0
 HOST = "127.0.0.1"
+PROGRAM = (sys.executable, "-m", "sycamoreshed")
 
 
 def free_port(host=HOST):
@@ -31,12 +33,54 @@
         return probe.getsockname()[1]
 
 
+class Ports:
+    """Ports kept for daemons until the end of a test.
+
+    Notes
+    -----
+    A port that is merely looked up can be taken by an outgoing
+    connection before the daemon listens on it.  A socket that is bound
+    and does not listen keeps it from that, and does not hinder a
+    listener, since both allow the reuse of the address.
+    """
+
+    def __init__(self):
+        self._sockets = []
+
+    def take(self, host):
+        """Return a port that stays reserved."""
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((host, 0))
+        self._sockets.append(holder)
+        return holder.getsockname()[1]
+
+    def close(self):
+        """Give all ports back."""
+        for holder in self._sockets:
+            holder.close()
+
+
 class Daemon:
-    """One entry instance as a real process."""
+    """One entry instance as a real process.
+
+    Parameters
+    ----------
+    document : dict
+        Its settings.
+    folder : pathlib.Path
+        Where settings and log go.
+    program : sequence of str
+        How to run it.
+    env : dict, optional
+        Added to the environment.
+    """
 
-    def __init__(self, *, document, folder):
+    def __init__(self, *, document, folder, program=PROGRAM, env=None):
         self._folder = folder
         self._log = folder / f"{document['instance']}.log"
+        self._program = program
+        self._env = env or {}
         self.document = document
         self.process = None
 
@@ -70,15 +114,13 @@
         path.write_text(json.dumps(self.document))
         with open(self._log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "sycamoreshed",
+                *self._program,
                 "serve",
                 "--settings",
                 str(path),
                 stderr=log,
                 stdout=log,
-                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                env={**os.environ, "PYTHONUNBUFFERED": "1", **self._env},
             )
         await self._wait_for("/healthz")
 
@@ -228,7 +270,14 @@
 
 @contextlib.asynccontextmanager
 async def cluster(
-    *, daemons=1, specs=None, zones=None, proxied=False, **changes
+    *,
+    daemons=1,
+    specs=None,
+    zones=None,
+    proxied=False,
+    program=PROGRAM,
+    env=None,
+    **changes,
 ):
     """Run stand-ins and daemons with the builders' configuration.
 
@@ -242,6 +291,10 @@
     proxied : bool
         Put a proxy before each stand-in and each daemon's control
         address.
+    program : sequence of str
+        How to run a daemon.
+    env : dict, optional
+        Added to the environment of each daemon.
     **changes
         To the settings of each daemon.
     """
@@ -258,16 +311,24 @@
         if proxied:
             for name, address in addresses.items():
                 reached[name] = await _put_proxy(result, name, address)
-        documents = await _documents(result, reached, zones, changes)
+        ports = stack.enter_context(contextlib.closing(Ports()))
+        documents = await _documents(result, reached, zones, ports, changes)
         for document in documents:
-            daemon = Daemon(document=document, folder=pathlib.Path(folder))
+            daemon = Daemon(
+                document=document,
+                folder=pathlib.Path(folder),
+                program=program,
+                env=env,
+            )
             result.daemons.append(daemon)
-            await daemon.start()
+        for first in range(0, len(documents), START_AT_ONCE):
+            batch = result.daemons[first : first + START_AT_ONCE]
+            await asyncio.gather(*[daemon.start() for daemon in batch])
         await _configure(result, specs, reached)
         yield result
 
 
-async def _documents(running, reached, zones, changes):
+async def _documents(running, reached, zones, ports, changes):
     documents = []
     # A network of its own for each cluster: daemons connect from their
     # own addresses, and a connection of another cluster could otherwise
@@ -277,13 +338,13 @@
         # An address of its own, so that proxies can tell daemons apart.
         own = f"{network}.{index + 1}"
         name = f"entry-{index + 1}"
-        control = f"{own}:{free_port(own)}"
+        control = f"{own}:{ports.take(own)}"
         advertise = control
         if "table" in running.proxies:
             advertise = await _put_proxy(running, name, control)
         document = builders.settings_document(
             reached,
-            public=f"{own}:{free_port(own)}",
+            public=f"{own}:{ports.take(own)}",
             control=control,
             advertise=advertise,
             instance=name,
