--- a/sycamoreshed/orders/tests/test_leases.py
+++ b/sycamoreshed/orders/tests/test_leases.py
@@ -10,7 +10,7 @@
 BOUNDS = {
     "renewals": exploration.Bounds(attempts=(2, 1), drift=0),
     "restarts and drift": exploration.Bounds(
-        attempts=(1, 1), restarts=1, drift=2
+        attempts=(1, 1), restarts=1, drift=3
     ),
 }
 REAL = types.SimpleNamespace(
@@ -36,8 +36,8 @@
     return True
 
 
-def _beyond_its_end(standing, now, terms):
-    return REAL.is_valid(standing, now, terms._replace(margin=-1))
+def _without_margin(standing, now, terms):
+    return REAL.is_valid(standing, now, terms._replace(margin=0))
 
 
 def _by_name(standing, row, now, terms):
@@ -56,7 +56,7 @@
     "longest order not waited for": ("may_take", _without_longest),
     "taken at first sight": ("may_take", _at_first_sight),
     "restarted holder goes by its name": ("may_take", _by_name),
-    "used beyond its end": ("is_valid", _beyond_its_end),
+    "margin left out": ("is_valid", _without_margin),
     "fence not raised": ("propose", _same_fence),
 }
 
