--- a/bench/tests/test_chaos.py
+++ b/bench/tests/test_chaos.py
@@ -29,7 +29,11 @@
         ([whole(), whole(), NOTHING], [RUN], 0),
         ([heard("outcome-unknown")], [RUN], 0),
         ([heard("not-run", "other"), whole()], [RUN], 0),
-        ([heard("failed", ran={"output": {"recorded": "gaucho/k"}})], [RUN], 0),
+        (
+            [heard("failed", ran={"output": {"recorded": "gaucho/k"}})],
+            [RUN],
+            0,
+        ),
         ([], [RUN, RUN], 1),
         ([heard("not-run")], [RUN], 1),
         ([whole()], [], 1),
