Let a drain wait for the latest deadline, and count a stream's bytes

A request with a deadline beyond drain_s was cut off by a planned stop. Bytes of a stream to another region are those on the wire, no longer the length of its text.

--- a/sycamoreshed/adapters/endpoints.py
+++ b/sycamoreshed/adapters/endpoints.py
@@ -76,11 +76,14 @@
         None in the finishing mark.
     finish : str or None
         ``stop`` in the finishing mark, whose offset is the length.
+    size : int
+        In the finishing mark, bytes of the call both ways.
     """
 
     offset: int
     token: str | None
     finish: str | None = None
+    size: int = 0
 
 
 class Line(typing.TypedDict):
@@ -149,10 +152,12 @@
         A stream that ends without its finishing mark yields a failure,
         so that a broken one is never taken for whole.
         """
+        data = msgspec.json.encode(call._asdict())
+        size = len(data)
         try:
             async with self._session.post(
                 web.url_of(endpoint.address, "/generate"),
-                data=msgspec.json.encode(call._asdict()),
+                data=data,
                 headers=web.JSON_HEADERS,
                 timeout=web.within(timeout),
             ) as response:
@@ -160,12 +165,14 @@
                     yield _status_failure(response.status)
                     return
                 async for line in response.content:
+                    size += len(line)
                     chunk = self._chunk_of(_decode_line(line), call)
                     if chunk is None:
                         continue
-                    yield chunk
                     if chunk.finish is not None:
+                        yield chunk._replace(size=size)
                         return
+                    yield chunk
         except web.NOT_SENT as err:
             yield kinds.Failure(kinds.Kind.REFUSED, web.describe(err))
             return
--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -41,6 +41,7 @@
         self._metrics = core.part("metrics")
         self._open = 0
         self._runs = set()
+        self._latest = 0.0
         self.accepting = True
 
     @property
@@ -55,6 +56,11 @@
         """
         return self._open + len(self._runs)
 
+    @property
+    def latest_deadline(self):
+        """Latest deadline of any request taken in, monotonic seconds."""
+        return self._latest
+
     def routes(self):
         """Return the routes of the interface."""
         return [
@@ -75,6 +81,7 @@
             ask = await self._read(http, start)
             if isinstance(ask, kinds.Failure):
                 return self._refuse(ask)
+            self._latest = max(self._latest, ask.request.deadline)
             return await self._answer(http, ask, start)
         finally:
             self._open -= 1
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -12,6 +12,8 @@
 __all__ = ["drain", "split_address"]
 
 POLL_S = 0.05
+# For writing the answers of requests that end with their deadline.
+MARGIN_S = 1.0
 MAX_HEADER_BYTES = 16384
 
 
@@ -108,6 +110,10 @@
     core.part("callers").accepting = False
     callers = core.part("callers")
     end = core.clock() + settings.drain_s
-    while callers.in_flight and core.clock() < end:
+    while callers.in_flight:
+        # Each request ends by its deadline, so waiting until the latest
+        # one cuts none off even if the settings say less.
+        if core.clock() > max(end, callers.latest_deadline + MARGIN_S):
+            break
         await asyncio.sleep(POLL_S)
     logger.bind(left=callers.in_flight).info("stopped")
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -136,7 +136,7 @@
                     return fault
                 if chunk.finish is not None:
                     text = "".join(tokens)
-                    return adapters.StageAnswer(text, len(text))
+                    return adapters.StageAnswer(text, chunk.size)
         return kinds.Failure(kinds.Kind.BROKEN_STREAM, "ended", sent=True)
 
     async def _take(self, chunk, tokens, emit):
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -80,7 +80,8 @@
     grace_s : float
         Seconds between ``/readyz`` failing and the end of accepting.
     drain_s : float
-        Longest time for requests in flight after that.
+        Time for requests in flight after that; longer if one of them has
+        a later deadline.
     max_body_bytes, max_control_bytes : int
         Largest body of a caller's, of a peer's or operator's request.
     record_ttl_s : float
--- a/tests/integration/test_drain.py
+++ b/tests/integration/test_drain.py
@@ -1,6 +1,7 @@
 """A planned stop cuts off no request in flight."""
 
 import asyncio
+import json
 import signal
 
 import aiohttp
@@ -54,13 +55,29 @@
         return (await answer.json())["in_flight"]
 
 
+async def command(name, daemon):
+    """Run an operators' command; return exit code and output."""
+    process = await asyncio.create_subprocess_exec(
+        *processes.PROGRAM,
+        name,
+        "--control",
+        daemon.control,
+        "--json",
+        stdout=asyncio.subprocess.PIPE,
+    )
+    out, _ = await process.communicate()
+    return process.returncode, out.decode()
+
+
 async def test_stop_under_load():
     """An operator stops an instance while callers use it.
 
     Callers would see connections close on requests in flight, or wait
     for an instance that is about to be gone.
     """
-    async with processes.cluster(proxied=True, grace_s=4.0) as cluster:
+    async with processes.cluster(
+        proxied=True, grace_s=4.0, drain_s=0.0
+    ) as cluster:
         daemon = cluster.daemons[0]
         host, _, port = daemon.public.rpartition(":")
         kept = await asyncio.open_connection(host, int(port))
@@ -104,6 +121,28 @@
     assert code == 0
 
 
+async def test_operators_drain_command():
+    """An operator drains an instance by the command line."""
+    async with processes.cluster() as cluster:
+        daemon = cluster.daemons[0]
+        calls = [
+            asyncio.create_task(cluster.call(0, "summary", {"input": number}))
+            for number in range(CALLERS)
+        ]
+        while not await in_flight(cluster):
+            await asyncio.sleep(0.01)
+        before = await command("status", daemon)
+        drained = await command("drain", daemon)
+        answers = await asyncio.gather(*calls)
+        code = await daemon.process.wait()
+    assert before[0] == drained[0] == 0
+    status = json.loads(before[1])
+    assert (status["instance"], status["stopping"]) == ("entry-1", False)
+    assert json.loads(drained[1]) == {"stopping": True}
+    assert [status for status, _, _ in answers] == [200] * CALLERS
+    assert code == 0
+
+
 async def test_stop_with_streams_in_flight():
     """An operator stops an instance while summaries are being written."""
     tokens = 300
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -1,6 +1,7 @@
 """The whole path, through real processes."""
 
 import asyncio
+import re
 import signal
 
 from testkit import processes
@@ -18,6 +19,38 @@
     assert len(body["output"].split()) == 16
 
 
+async def test_bytes_to_other_regions_are_counted_by_stage():
+    """Traffic between regions is paid by volume."""
+    specs = processes.endpoint_specs(1)
+    for spec in specs:
+        if spec["name"] in ("encoder-1", "language-1"):
+            spec["zone"] = "south-a"
+    said = "x" * 5000
+    async with processes.cluster(specs=specs) as cluster:
+        status, _, _ = await cluster.call(0, "summary", {"input": said})
+        url = f"http://{cluster.daemons[0].public}/metrics"
+        async with cluster.session.get(url) as answer:
+            text = await answer.text()
+        lines = cluster.daemons[0].lines
+    pattern = r'cross_region_bytes_total\{.*stage="(\w+)"\} (\S+)'
+    moved = {name: float(size) for name, size in re.findall(pattern, text)}
+    assert status == 200
+    assert set(moved) == {"encode", "generate"}
+    # The input there and, wrapped, back; one prompt and 16 lines.
+    assert 10000 < moved["encode"] < 12000
+    assert 5000 + 16 * 100 < moved["generate"] < 12000
+    routed = [line for line in lines if line.get("decision") == "route"]
+    assert [line["stage"] for line in routed] == [
+        "encode",
+        "retrieve",
+        "rerank",
+        "generate",
+    ]
+    for line in routed:
+        assert line["team"] == "gaucho"
+        assert line["candidates"] and line["choice"] and line["why"]
+
+
 # Each a share of calls; by stand-in.
 MIXED_UP = {
     "encoder-1": {"swap": 0.3, "late": 0.1, "jitter_s": 0.02},
