--- a/examples/demo.py
+++ b/examples/demo.py
@@ -12,6 +12,12 @@
 ZONES = ["north-a", "north-b", "north-a"]
 
 
+def check(status):
+    """End the demonstration if an answer is not whole."""
+    if status != 200:
+        raise SystemExit(1)
+
+
 async def stream_answer(cluster):
     """Stream one summary and print its tokens."""
     url = f"http://{cluster.daemons[1].public}/v1/pipelines/summary"
@@ -41,15 +47,19 @@
                 index, "summary", {"input": f"dossier {index}"}
             )
             print(f"summary through {index + 1}: {status}", body["output"])
+            check(status)
         await stream_answer(cluster)
         for index in (0, 2):
             status, _, body = await cluster.call(
                 index, "ballot", {"input": "film 7"}, Idempotency_Key="k1"
             )
             print(f"ballot through {index + 1}: {status}", body["output"])
+            check(status)
         await show_decisions(cluster)
         codes = [await daemon.stop() for daemon in cluster.daemons]
     print("exit codes:", codes)
+    if any(codes):
+        raise SystemExit(1)
 
 
 if __name__ == "__main__":
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -14,8 +14,8 @@
     """What goes wrong; all keys are optional.
 
     ``delay_s``: added before each call.  ``jitter_s``: up to this much
-    more.  ``fail``: share of calls answered with status 500 and without
-    effect.  ``lose``: share of calls whose connection is closed after
+    more.  ``busy``: share of calls refused with status 429.  ``fail``:
+    share of calls answered with status 500 and without effect.  ``lose``: share of calls whose connection is closed after
     taking effect.  ``lose_next``: that many next calls lose their answer.
     ``late``: share of calls whose connection is closed at once, and that
     take effect ``late_s`` later.  ``swap``: share of answers that name
@@ -36,6 +36,7 @@
 
     delay_s: typing.NotRequired[float]
     jitter_s: typing.NotRequired[float]
+    busy: typing.NotRequired[float]
     fail: typing.NotRequired[float]
     lose: typing.NotRequired[float]
     lose_next: typing.NotRequired[int]
@@ -105,6 +106,8 @@
             seconds += spec.get("delay_from", {}).get(http.remote, 0.0)
             if seconds:
                 await asyncio.sleep(seconds)
+            if self.hits(spec.get("busy", 0.0)):
+                return web.json_response({"error": "busy"}, status=429)
             if self.hits(spec.get("fail", 0.0)):
                 return web.json_response({"error": "fault"}, status=500)
             if "late" in spec and self.hits(spec["late"]):
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -53,9 +53,9 @@
 
 # Each a share of calls; by stand-in.
 MIXED_UP = {
-    "encoder-1": {"swap": 0.3, "late": 0.1, "jitter_s": 0.02},
+    "encoder-1": {"swap": 0.3, "other_attempt": 0.1, "jitter_s": 0.02},
     "reranker-2": {"swap": 0.2, "lose": 0.1, "jitter_s": 0.02},
-    "catalogue-1": {"swap": 0.3, "late": 0.1, "jitter_s": 0.02},
+    "catalogue-1": {"swap": 0.3, "other_attempt": 0.1, "jitter_s": 0.02},
     "catalogue-2": {"fail": 0.1, "jitter_s": 0.05},
     "language-1": {"repeat": 0.3, "stray": 0.3, "skip": 0.1, "garble": 0.1},
     "language-2": {"break_": 0.1, "wrong_finish": 0.1, "jitter_s": 0.02},
