--- a/standins/faults.py
+++ b/standins/faults.py
@@ -15,8 +15,9 @@
 
     ``delay_s``: added before each call.  ``jitter_s``: up to this much
     more.  ``busy``: share of calls refused with status 429.  ``fail``:
-    share of calls answered with status 500 and without effect.  ``lose``: share of calls whose connection is closed after
-    taking effect.  ``lose_next``: that many next calls lose their answer.
+    share of calls answered with status 500 and without effect.
+    ``lose``: share of calls whose connection is closed after taking
+    effect.  ``lose_next``: that many next calls lose their answer.
     ``late``: share of calls whose connection is closed at once, and that
     take effect ``late_s`` later.  ``swap``: share of answers that name
     another call.  ``other_attempt``: share of answers that name another
