Take the daemon's addresses before its first connection

test_ballot_runs_once_and_repeats_its_answer failed once in a run of 405 tests: 'address already in use' for the public address at start. Connections to others leave from the instance's own address, from a port of the system's choice, and began before the listening sockets were bound, so a daemon could hold its own port itself. Now a part that everything with connections needs binds them first. The test kit asks for both ports of a daemon at once; asked for one after the other they could be the same.

--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -124,7 +124,7 @@
     return f"{type(error).__name__}: {error}"
 
 
-@kernel.plugin("web")
+@kernel.plugin("web", needs=("sockets",))
 async def web(core):
     """Provide the client session shared by all adapters.
 
--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -21,6 +21,7 @@
 from sycamoreshed.entry import noteroutes  # noqa: E402,F401
 from sycamoreshed.entry import operators  # noqa: E402,F401
 from sycamoreshed.entry import servers  # noqa: E402
+from sycamoreshed.entry import sockets  # noqa: E402,F401
 from sycamoreshed import exceptions  # noqa: E402
 from sycamoreshed.idempotency import once  # noqa: E402,F401
 from sycamoreshed.idempotency import records  # noqa: E402,F401
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -6,10 +6,9 @@
 from aiohttp import web
 from loguru import logger
 
-from sycamoreshed import exceptions
 from sycamoreshed.kernel import kernel
 
-__all__ = ["drain", "split_address"]
+__all__ = ["drain"]
 
 POLL_S = 0.05
 # For writing the answers of requests that end with their deadline.
@@ -17,33 +16,8 @@
 MAX_HEADER_BYTES = 16384
 
 
-def split_address(address):
-    """Return host and port of an ``IP:port`` address.
-
-    Examples
-    --------
-    >>> split_address("[::1]:80")
-    ('::1', 80)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-async def listen(app, address, *, path):
-    """Serve an application; return its runner.
-
-    Parameters
-    ----------
-    app : aiohttp.web.Application
-    address : str
-    path : str
-        Where the address stands in the settings.
-
-    Raises
-    ------
-    CheckError
-        If the address cannot be listened on.
-    """
+async def listen(app, bound):
+    """Serve an application on a bound socket; return its runner."""
     runner = web.AppRunner(
         app,
         access_log=None,
@@ -52,25 +26,20 @@
         max_field_size=MAX_HEADER_BYTES,
     )
     await runner.setup()
-    host, port = split_address(address)
-    try:
-        await web.TCPSite(runner, host, port, reuse_address=True).start()
-    except OSError as err:
-        raise exceptions.CheckError(
-            source="settings",
-            path=path,
-            expected=f"expected an address to listen on ({err.strerror})",
-        ) from None
+    await web.SockSite(runner, bound).start()
     return runner
 
 
-@kernel.plugin("servers", needs=("callers", "note_routes", "operators"))
+@kernel.plugin(
+    "servers", needs=("callers", "note_routes", "operators", "sockets")
+)
 async def servers(core):
     """Provide the listening sockets, after all routes are known."""
     settings = core.settings
     core.public.on_response_prepare.append(functools.partial(_part, core))
-    control = await listen(core.control, settings.control, path="$.control")
-    public = await listen(core.public, settings.public, path="$.public")
+    bound = core.part("sockets")
+    control = await listen(core.control, bound["control"])
+    public = await listen(core.public, bound["public"])
     logger.bind(public=settings.public, control=settings.control).info(
         "serving"
     )
--- a/sycamoreshed/entry/tests/test_servers.py
+++ b/sycamoreshed/entry/tests/test_servers.py
@@ -71,7 +71,3 @@
     assert refused[0] == (0.0, True)
     assert not callers.accepting
     assert not any(accepting for _, accepting in refused[1:])
-
-
-def test_addresses():
-    assert servers.split_address("10.0.0.1:80") == ("10.0.0.1", 80)
--- /dev/null
+++ b/sycamoreshed/entry/tests/test_sockets.py
@@ -0,0 +1,38 @@
+"""Addresses are taken first."""
+
+import socket
+
+import pytest
+
+from sycamoreshed.entry import daemon
+from sycamoreshed.entry import sockets
+from sycamoreshed import exceptions
+from sycamoreshed.kernel import kernel
+
+
+def test_addresses_are_taken_before_any_connection_can_leave():
+    """A daemon's own connection holds the port it is to listen on.
+
+    It would not start, now and then, for no cause an operator can see.
+    """
+    names = [entry.name for entry in kernel.start_order(kernel._plugins)]
+    assert names.index("sockets") < names.index("web")
+    assert daemon.sockets is sockets
+
+
+@pytest.mark.parametrize("host", ["127.0.0.1", "::1"])
+def test_taken_address_is_a_settings_error(host):
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    with socket.socket(family) as other:
+        other.bind((host, 0))
+        other.listen()
+        port = other.getsockname()[1]
+        with pytest.raises(exceptions.CheckError) as caught:
+            sockets.bind(f"[{host}]:{port}", path="$.public")
+    assert caught.value.path == "$.public"
+
+
+async def test_bound_port_is_not_given_to_connections():
+    with sockets.bind("127.0.0.1:0", path="$.public") as bound:
+        with socket.socket() as other, pytest.raises(OSError):
+            other.bind(bound.getsockname())
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -27,9 +27,16 @@
 
 def free_port(host=HOST):
     """Ask the system for a port nobody uses."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    return free_ports(1, host=host)[0]
+
+
+def free_ports(count, *, host=HOST):
+    """Ask the system for different ports nobody uses."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 class Daemon:
@@ -306,13 +313,14 @@
         # An address of its own, so that proxies can tell daemons apart.
         own = f"{network}.{index + 1}"
         name = f"entry-{index + 1}"
-        control = f"{own}:{free_port(own)}"
+        ports = free_ports(2, host=own)
+        control = f"{own}:{ports[0]}"
         advertise = control
         if "table" in running.proxies:
             advertise = await _put_proxy(running, name, control)
         document = builders.settings_document(
             reached,
-            public=f"{own}:{free_port(own)}",
+            public=f"{own}:{ports[1]}",
             control=control,
             advertise=advertise,
             instance=name,
