Measure what one more stage and one more open stream cost

Names in the settings that no part knows end in one line and exit code 2 wherever they are found out.

--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -3,7 +3,8 @@
 ``python -m bench.overhead`` starts a daemon and stand-ins, sends the same
 calls to a stand-in directly and through the daemon, in turns, and prints
 medians over the repetitions with their spread.  ``--idle`` measures what
-daemons use when nobody calls.
+daemons use when nobody calls, ``--slopes`` what one more stage and one more
+open stream cost.
 """
 
 import argparse
@@ -27,8 +28,10 @@
 TOKENS = 100
 TOKEN_S = 0.01
 RUN_S = 2.0
+STAGES = (1, 3, 6)
+OPEN = (0, 64, 256)
 IDLE_S = 20.0
-SLOTS = 256
+SLOTS = 512
 HEADERS = {"Team": "gaucho", "Deadline-Ms": "60000"}
 DOSSIER = "dossier " * 32
 
@@ -200,6 +203,64 @@
 }
 
 
+async def slopes(repetitions, program):
+    """Measure what one more stage and one more open stream cost."""
+    async with processes.cluster(
+        specs=specs(), program=program, slots=2 * OPEN[-1]
+    ) as cluster:
+        pipelines = {f"unary-{count}": chain(count) for count in STAGES}
+        note = {
+            "id": "bench",
+            "base": 1,
+            "author": "bench",
+            "added": {"pipelines": {"write": WRITE, **pipelines}},
+        }
+        await cluster.apply(0, note)
+        base = f"http://{cluster.daemons[0].public}/v1/pipelines"
+        for count in STAGES:
+            runs = [
+                await measure(
+                    cluster, f"{base}/unary-{count}", plain_input, 16, (0, 0)
+                )
+                for _ in range(repetitions)
+            ]
+            used = spread([run.processor * 1e3 for run in runs])
+            line = {"kind": "stages", "stages": count, "processor_ms": used}
+            print(json.dumps(line), flush=True)
+        for count in OPEN:
+            resident = await with_open(cluster, f"{base}/write", count)
+            line = {"kind": "open streams", "open": count}
+            print(json.dumps({**line, "resident_mb": resident}), flush=True)
+
+
+def chain(count):
+    """Return a pipeline of so many unary stages."""
+    return {
+        "stages": [
+            {"name": f"s{index}", "service": "catalogue"}
+            for index in range(count)
+        ],
+        "deadline_ms": 60000,
+    }
+
+
+def plain_input(_payload):
+    """Return a body whose stages take the stand-in's own time."""
+    return {"input": DOSSIER}
+
+
+async def with_open(cluster, url, count):
+    """Return the resident megabytes with so many streams open."""
+    body = {"input": DOSSIER, "stream": True}
+    calls = [
+        asyncio.create_task(post(cluster, url, body)) for _ in range(count)
+    ]
+    await asyncio.sleep(TOKENS * TOKEN_S / 2)
+    resident = proc.usage(cluster.daemons[0].process.pid).resident
+    await asyncio.gather(*calls)
+    return round(resident / 2**20, 1)
+
+
 async def idle(program):
     """Measure three daemons that nobody calls."""
     async with processes.cluster(
@@ -237,9 +298,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--repetitions", type=int, default=5)
     parser.add_argument("--idle", action="store_true")
+    parser.add_argument("--slopes", action="store_true")
     parser.add_argument("--program", nargs="+", default=processes.PROGRAM)
     args = parser.parse_args()
-    if args.idle:
+    if args.slopes:
+        asyncio.run(slopes(args.repetitions, args.program))
+    elif args.idle:
         asyncio.run(idle(args.program))
     else:
         asyncio.run(busy(args.repetitions, args.program))
--- a/sycamoreshed/adapters/endpoints.py
+++ b/sycamoreshed/adapters/endpoints.py
@@ -250,10 +250,8 @@
         return Chunk(line["offset"], token, finish)
 
     def _is_answer_to(self, body, call):
-        if body.get("attempt") == call.attempt and (
-            body.get("request"),
-            body.get("stage"),
-        ) == (call.request, call.stage):
+        named = (body.get("request"), body.get("stage"), body.get("attempt"))
+        if named == (call.request, call.stage, call.attempt):
             return True
         same = body.get("request") == call.request
         why = "other-attempt" if same else "other-request"
--- a/sycamoreshed/cli/main.py
+++ b/sycamoreshed/cli/main.py
@@ -66,7 +66,7 @@
     """Run the command line and exit."""
     try:
         code = app(result_action="return_value")
-    except exceptions.CheckError as err:
+    except exceptions.SycamoreshedError as err:
         print(err, file=sys.stderr)
         code = client.Exit.INVALID
     sys.exit(int(code or 0))
