Never reuse a connection on which an answer came while it was idle

An endpoint or a store that answers twice: the second copy, when it came after the connection was given back, was taken for the answer to the next request on it. Stage calls name what they answer, so they were dropped as stray, all of them on that connection from then on; the answer of the store to a write would have been believed.

Left: a second copy that comes after the next request was sent. HTTP has nothing to tell it by; of stage calls it is dropped as stray.

--- /dev/null
+++ b/sycamoreshed/adapters/tests/test_web.py
@@ -0,0 +1,75 @@
+"""The HTTP client of a daemon."""
+
+import asyncio
+import contextlib
+import re
+
+import aiohttp
+
+from sycamoreshed.adapters import web
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
+
+
+async def echo_twice(reader, writer):
+    """Answer each request with its body, two times."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            size = int(re.search(rb"Content-Length: (\d+)", head)[1])
+            body = await reader.readexactly(size)
+            writer.write(ANSWER % (size, body))
+            await writer.drain()
+            # Lets the first answer be taken and the connection given back.
+            await asyncio.sleep(0.01)
+            writer.write(ANSWER % (size, body))
+    writer.close()
+
+
+async def test_answer_that_comes_twice_is_not_the_next_ones():
+    """The second copy of an answer comes when nobody waits for it.
+
+    The next request on that connection would be told what the one before
+    was told, such as that its write took effect.
+    """
+    server = await asyncio.start_server(echo_twice, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connector = web.Connector()
+    async with aiohttp.ClientSession(connector=connector) as session:
+        for number in range(5):
+            reply = await web.fetch(
+                session, "POST", f"{host}:{port}", "/", timeout=20, body=number
+            )
+            assert reply.body == number
+            async with asyncio.timeout(20):
+                while not all(
+                    protocol.should_close
+                    for waiting in connector._conns.values()
+                    for protocol, _ in waiting
+                ):
+                    await asyncio.sleep(0.005)
+    server.close()
+
+
+async def test_connection_is_reused_when_nothing_came():
+    opened = []
+
+    async def echo(reader, writer):
+        opened.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(1)
+                writer.write(ANSWER % (1, body))
+        writer.close()
+
+    server = await asyncio.start_server(echo, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with aiohttp.ClientSession(connector=web.Connector()) as session:
+        for number in range(5):
+            reply = await web.fetch(
+                session, "POST", f"{host}:{port}", "/", timeout=20, body=number
+            )
+            assert reply.body == number
+    assert len(opened) == 1
+    server.close()
--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -13,6 +13,7 @@
 __all__ = [
     "ERRORS",
     "NOT_SENT",
+    "Connector",
     "Reply",
     "describe",
     "fetch",
@@ -37,6 +38,26 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 
 
+class Connector(aiohttp.TCPConnector):
+    """Connections, reused only if nothing came on them while idle.
+
+    Notes
+    -----
+    An answer that comes twice, the second time after its connection was
+    given back, would be taken for the answer to the next request on that
+    connection, and each answer after it for that of the next one.  Stage
+    calls name what they answer, so theirs would all be dropped as stray;
+    of other requests nobody would notice.
+    """
+
+    async def _get(self, key, traces):
+        connection = await super()._get(key, traces)
+        while connection is not None and connection.protocol.should_close:
+            connection.close()
+            connection = await super()._get(key, traces)
+        return connection
+
+
 class Reply(typing.NamedTuple):
     """An HTTP answer, whole.
 
@@ -134,7 +155,7 @@
     between instances can tell where they come from.
     """
     host, _, _ = core.settings.control.rpartition(":")
-    connector = aiohttp.TCPConnector(
+    connector = Connector(
         limit=0,
         keepalive_timeout=30,
         local_addr=(host.strip("[]"), 0),
