--- a/bench/results.py
+++ b/bench/results.py
@@ -6,7 +6,9 @@
 from hdrh.histogram import HdrHistogram
 import msgspec
 
-__all__ = ["gather", "summarise"]
+__all__ = ["gather", "recovered", "summarise"]
+
+BACK = 0.99
 
 HIGHEST_US = 60_000_000
 DIGITS = 3
@@ -80,6 +82,29 @@
     }
 
 
+def recovered(samples, since, seconds):
+    """Return how long after `since` attainment is back, or None.
+
+    Parameters
+    ----------
+    samples : list of Sample
+    since, seconds : float
+        When the disturbance ended, and the run; seconds.
+
+    Returns
+    -------
+    float or None
+        Seconds from `since` to the first second from which at least
+        `BACK` of all requests up to the end of the run are attained.
+    """
+    for second in range(int(since), int(seconds)):
+        rest = [sample for sample in samples if sample.at >= second]
+        now = [sample for sample in rest if sample.at < second + 1]
+        if now and min(_share(rest), _share(now)) >= BACK:
+            return second - since
+    return None
+
+
 async def gather(world):
     """Return what daemons and engines counted.
 
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -64,6 +64,10 @@
             if not isinstance(error, asyncio.CancelledError | None):
                 raise error
         counted = await results.gather(world)
+    figures = results.summarise(samples, seconds)
+    if plan.calm is not None:
+        back = results.recovered(samples, plan.calm, seconds)
+        figures["recovered_s"] = back
     return {
         "scenario": scenario,
         "deployment": deployment,
@@ -72,7 +76,7 @@
         "load": level,
         "instances": count,
         "settings": changes,
-        "figures": results.summarise(samples, seconds),
+        "figures": figures,
         "counted": counted,
         "generator_cpu_share": spent / seconds,
     }
@@ -121,7 +125,7 @@
         groups[key].append(result)
     head = "deployment scenario load settings runs attainment settled"
     head += " summaries/s least-team p95 first-p95 refused-p95 hits"
-    head += " crossing/1000 lag-p99"
+    head += " crossing/1000 recovered lag-p99"
     rows = [head.split()]
     for key, items in sorted(groups.items()):
         columns = zip(*(_figures(item) for item in items), strict=True)
@@ -148,6 +152,7 @@
         (summary["refused_s"] or {}).get("p95"),
         engines.get("prefix_hits", 0) / served,
         crossing / figures["requests"] * 1000,
+        figures.get("recovered_s"),
         figures["generator_lag_s"]["p99"],
     )
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -38,12 +38,15 @@
     prefixes : int
     hour : float or None
         Hour of the day the daemons are told, for the tariff.
+    calm : float or None
+        When a disturbance ends, for the time to recover.
     """
 
     phases: list
     events: list = []
     prefixes: int = 0
     hour: float | None = None
+    calm: float | None = None
 
 
 def _rates(deployment, load, **times):
@@ -106,6 +109,7 @@
             *(Event(third, "slow", (name, 30.0)) for name in names),
             *(Event(2 * third, "slow", (name, 1.0)) for name in names),
         ],
+        calm=2 * third,
     )
 
 
@@ -139,6 +143,7 @@
             Event(third, "store", (False,)),
             Event(2 * third, "store", (True,)),
         ],
+        calm=2 * third,
     )
 
 
@@ -178,5 +183,6 @@
         [
             arrivals.Phase(0.0, half, _rates(deployment, 3.0)),
             arrivals.Phase(half, seconds, _rates(deployment, load)),
-        ]
+        ],
+        calm=half,
     )
--- a/bench/tests/test_results.py
+++ b/bench/tests/test_results.py
@@ -64,3 +64,15 @@
     assert named["runs"] == "2"
     assert named["settings"] == "routing=random"
     assert named["attainment"] == "1 ±0"
+
+
+@pytest.mark.parametrize(
+    ("good_from", "back"), [(5, 0.0), (7, 2.0), (10, None), (0, 0.0)]
+)
+def test_time_to_recover(good_from, back):
+    samples = [
+        sample(second + part / 10, second >= good_from)
+        for second in range(10)
+        for part in range(10)
+    ]
+    assert results.recovered(samples, 5.0, 10.0) == back
