--- /dev/null
+++ b/sycamoreshed/pipeline/tests/test_deadlines.py
@@ -0,0 +1,63 @@
+"""What stages may take, by shares and by measured times."""
+
+import pytest
+
+from sycamoreshed.pipeline import deadlines
+
+STAGES = [
+    {"name": "encode", "share": 0.1},
+    {"name": "rerank", "share": 0.2},
+    {"name": "generate", "share": 0.7},
+]
+
+
+def measured(**seconds):
+    times = deadlines.StageTimes()
+    for name, value in seconds.items():
+        for now in range(200):
+            times.add("summary", name, value, now / 100)
+    return times
+
+
+@pytest.mark.parametrize(
+    ("seconds", "index", "budget"),
+    [
+        # Nothing measured: by shares of what is left.
+        ({}, 0, 1.0),
+        ({"rerank": 0.5}, 0, 1.0),
+        # What later stages need is kept for them, the rest may be used.
+        ({"rerank": 0.5, "generate": 1.5}, 0, 8.0),
+        ({"generate": 4.0}, 1, 6.0),
+        ({}, 2, 10.0),
+        # Slow later stages do not take all of it.
+        ({"rerank": 5.0, "generate": 20.0}, 0, 1.0),
+    ],
+)
+def test_budget(seconds, index, budget):
+    times = measured(**seconds)
+    got = times.budget("summary", STAGES, index, 12.0, 2.0)
+    assert got == pytest.approx(budget, abs=0.05)
+
+
+@pytest.mark.parametrize(
+    ("seconds", "deadline", "hopeless"),
+    [
+        ({}, 2.5, False),
+        ({}, 1.9, True),
+        ({"generate": 1.0}, 2.5, True),
+        ({"generate": 1.0}, 3.5, False),
+    ],
+)
+def test_hopeless(seconds, deadline, hopeless):
+    times = measured(**seconds)
+    assert times.hopeless("summary", STAGES, 2, deadline, 2.0) is hopeless
+
+
+def test_slow_times_are_forgotten():
+    """A stage was slow for a while; nothing runs it since.
+
+    Would it still count, every request would be ended before it.
+    """
+    times = measured(generate=3.0)
+    assert times.hopeless("summary", STAGES, 2, 4.0, 2.0)
+    assert not times.hopeless("summary", STAGES, 2, 32.0, 30.0)
--- /dev/null
+++ b/sycamoreshed/pipeline/tests/test_hedges.py
@@ -0,0 +1,116 @@
+"""Second attempts: only when slow, only once, only if repeatable."""
+
+import asyncio
+import time
+
+import pytest
+
+from sycamoreshed.adapters import endpoints as adapters
+from sycamoreshed.admission import budget as budgets
+from sycamoreshed.errors import kinds
+from sycamoreshed.pipeline import hedges
+from sycamoreshed.pipeline import unary
+from testkit import fakes
+
+FAILED = kinds.Failure(kinds.Kind.STAGE_FAILED, "x", sent=True)
+
+
+async def after(event, result):
+    await event.wait()
+    return result
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        ("a", None, "a"),
+        (None, "b", "b"),
+        (FAILED, "b", "b"),
+        (FAILED, FAILED, FAILED),
+    ],
+)
+async def test_first_whole_answer_counts(first, second, expected):
+    """A value of None stands for an attempt that never ends."""
+    never, slow = asyncio.Event(), asyncio.Event()
+
+    async def start():
+        return await after(never if first is None else slow, first)
+
+    def other():
+        slow.set()
+        return after(never if second is None else slow, second)
+
+    async with asyncio.timeout(5):
+        got = await hedges.first_answer(start, other, seconds=0.001)
+    assert got == expected
+    assert len(asyncio.all_tasks()) == 1
+
+
+@pytest.mark.parametrize("seconds", [None, 60.0])
+async def test_no_second_attempt_without_need(seconds):
+    async def start():
+        return "a"
+
+    got = await hedges.first_answer(start, pytest.fail, seconds=seconds)
+    assert got == "a"
+
+
+@pytest.mark.parametrize(("reserve", "moves"), [(1.0, True), (0.0, False)])
+async def test_stream_moves_only_within_the_budget(reserve, moves):
+    budget = budgets.RetryBudget(share=0.0, reserve=reserve)
+    try:
+        async with asyncio.timeout(0.2) as timer:
+            patience = hedges.Patience(timer=timer, seconds=0.0, budget=budget)
+            await asyncio.Event().wait()
+    except TimeoutError:
+        pass
+    assert patience.moved is moves
+    assert budget.tokens == 0
+
+
+class SlowFirst:
+    """A client whose first endpoint does not answer."""
+
+    def __init__(self):
+        self.called = []
+        self.cancelled = []
+
+    async def call(self, endpoint, call, *, timeout):
+        self.called.append(endpoint.name)
+        if endpoint.name == "encoder-1":
+            await asyncio.sleep(timeout)
+            return FAILED
+        return adapters.StageAnswer("out", 3)
+
+    async def cancel(self, endpoint, call):
+        self.cancelled.append(endpoint.name)
+
+
+@pytest.mark.parametrize(
+    ("repeatable", "reserve", "names"),
+    [
+        (True, 10.0, ["encoder-1", "encoder-2"]),
+        (True, 0.0, ["encoder-1"]),
+        (False, 10.0, ["encoder-1"]),
+    ],
+)
+async def test_slow_call_is_hedged_if_it_may_be(repeatable, reserve, names):
+    """One endpoint hangs; without a second call its caller is late."""
+    parts = fakes.stage_parts()
+    client = parts["client"] = SlowFirst()
+    parts["budget"] = budgets.RetryBudget(share=0.0, reserve=reserve)
+    loads = parts["router"].loads
+    request = fakes.request()
+    stage = request.spec["stages"][0]
+    endpoint = parts["router"].choose(request, stage, 0.0)
+    loads.observe_first(endpoint, 0.001, 0.0)
+    result = await unary.UnaryStage(**parts).run(
+        request,
+        stage,
+        "in",
+        time.monotonic() + 0.3,
+        repeatable=repeatable,
+    )
+    assert client.called == names
+    assert isinstance(result, adapters.StageAnswer) is (len(names) == 2)
+    assert not loads._in_flight
