--- a/sycamoreshed/admission/limiters.py
+++ b/sycamoreshed/admission/limiters.py
@@ -12,7 +12,7 @@
 
 LIMITERS = registry.Registry(kind="limiter")
 LEAST_OF_SHARE = 0.25
-HEADROOM = 1.25
+HEADROOM = 2.0
 CUT = 0.9
 # A request that runs longer than this part of its pipeline's deadline
 # has queued at the endpoints, where no order between teams holds.
--- a/sycamoreshed/routing/loads.py
+++ b/sycamoreshed/routing/loads.py
@@ -8,10 +8,10 @@
 
 __all__ = ["Loads", "NO_REPORTS"]
 
-# After this time half of what a report said of others' calls still holds.
-REPORT_HALF_LIFE_S = 2.0
 OLDEST_REPORT_S = 10.0
+LEVEL_WEIGHT = 0.1
 SIZE_WEIGHT = 0.1
+SLOW_FROM = 1.5
 # How much longer a call takes when all slots are taken; it also makes
 # the least loaded the choice among those that have a free slot.
 FULL_BATCH = 0.5
@@ -45,6 +45,7 @@
         self._known = {}
         self._times = {}
         self._services = {}
+        self._levels = {}
         self._firsts = {}
         self._sizes = {}
 
@@ -114,18 +115,21 @@
         Notes
         -----
         A report counts all callers and lags, so our own calls of its
-        time are taken off it, our present ones are added, and what is
-        left is discounted by its age.
+        time are taken off it and our present ones are added.  What it
+        said of others holds for about as long as a call takes; then it
+        is taken to be as with the service's other endpoints.  Were it
+        taken to fall to nothing, every instance would send to whichever
+        endpoint was heard of longest ago.
         """
-        own = self._in_flight.get(endpoint.name, 0)
+        own = self._in_flight.get(endpoint.name, 0) / endpoint.slots
         report = self._reports().get(endpoint.name)
-        if report is None:
-            return own / endpoint.slots
-        others = self._others(endpoint.name, report, own)
-        age = now - report[1]
-        if age < OLDEST_REPORT_S:
-            own += others * 0.5 ** (max(age, 0.0) / REPORT_HALF_LIFE_S)
-        return own / endpoint.slots
+        if report is None or now - report[1] > OLDEST_REPORT_S:
+            return own
+        others = self._others(endpoint, report, own)
+        level = self._levels[endpoint.service]
+        age = max(0.0, now - report[1])
+        weight = 0.5 ** (age / self._call_time(endpoint.service, now))
+        return own + level + (others - level) * weight
 
     def seconds(self, endpoint, now):
         """Return the time one more call is expected to take."""
@@ -146,15 +150,24 @@
             for name in set(held) - names:
                 del held[name]
 
-    def _others(self, name, report, own):
+    def _others(self, endpoint, report, own):
+        """Return others' share of the slots when it was reported."""
         body, measured = report
-        known = self._known.get(name)
+        known = self._known.get(endpoint.name)
         if known is None or known.measured != measured:
             total = body.get("running", 0) + body.get("waiting", 0)
-            known = _Known(measured, max(0.0, total - own))
-            self._known[name] = known
+            others = max(0.0, total / endpoint.slots - own)
+            known = _Known(measured, others)
+            self._known[endpoint.name] = known
+            level = self._levels.get(endpoint.service, others)
+            level += LEVEL_WEIGHT * (others - level)
+            self._levels[endpoint.service] = level
         return known.others
 
+    def _call_time(self, service, now):
+        times = self._services.get(service)
+        return times.mean(now, fading=False) if times else FIRST_SECONDS
+
     def _mean_of(self, endpoint, now):
         """Return the time of a call alone, or None if none is known.
 
@@ -170,7 +183,11 @@
         if times is None:
             return usual
         own = times.mean(now, fading=False)
-        if usual is None or own <= usual:
+        if usual is None:
             return own
+        if own <= usual * SLOW_FROM:
+            # Differences this small are noise, and following them sends
+            # all callers to whichever endpoint was lucky lately.
+            return usual
         faded = math.log(own / usual) * times.weight(now)
         return usual * math.exp(faded)
--- a/sycamoreshed/routing/policies.py
+++ b/sycamoreshed/routing/policies.py
@@ -40,6 +40,8 @@
     worth : Worth
         What attainment and crossing are worth now.
     adapter : str or None
+    cached : float
+        From 0 to 1, how likely the prefix is cached at its home.
     turn : int
         Counts decisions, for taking turns.
     """
@@ -52,6 +54,7 @@
     crossing_bytes: float = 0.0
     worth: tariffs.Worth = tariffs.Worth(10.0, 1.0)
     adapter: str | None = None
+    cached: float = 1.0
     turn: int = 0
 
 
@@ -137,7 +140,7 @@
     """
     seconds = situation.loads.seconds(endpoint, now)
     if is_home:
-        seconds *= 1.0 - CACHED_PART
+        seconds *= 1.0 - CACHED_PART * situation.cached
     if situation.adapter is not None:
         warm = situation.loads.adapters(endpoint)
         if warm is not None and situation.adapter not in warm:
--- a/sycamoreshed/routing/router.py
+++ b/sycamoreshed/routing/router.py
@@ -7,6 +7,7 @@
 from sycamoreshed.kernel import kernel
 from sycamoreshed.routing import loads
 from sycamoreshed.routing import policies
+from sycamoreshed.routing import prefixes
 from sycamoreshed.routing import tariffs
 
 __all__ = ["Router", "local_hour"]
@@ -38,6 +39,7 @@
         self._policy = policies.POLICIES.get(settings.routing)
         self._tariff = settings.tariff or tariffs.DEFAULT
         self._turn = 0
+        self._prefixes = prefixes.Prefixes()
         self.loads = loads.Loads(
             reports=lambda: membership.reports, hedging=settings.hedging
         )
@@ -107,6 +109,7 @@
             crossing_bytes=self.loads.size(stage["name"]),
             worth=tariffs.worth_at(self._tariff, hour),
             adapter=stage.get("adapter"),
+            cached=0.0 if prefix is None else self._prefixes.chance(prefix),
             turn=self._turn,
         )
 
@@ -123,11 +126,19 @@
         )
 
 
-@kernel.plugin("router", needs=("decisions", "membership"))
+@kernel.plugin("router", needs=("decisions", "membership", "notes"))
 async def router(core):
     """Provide the router."""
-    yield Router(
+    notes = core.part("notes")
+    part = Router(
         settings=core.settings,
         membership=core.part("membership"),
         log=core.part("decisions"),
     )
+
+    def forget():
+        groups = notes.config.endpoints.values()
+        part.loads.forget({item.name for group in groups for item in group})
+
+    notes.on_change(forget)
+    yield part
