Give a prefix two homes, and weigh a cached prefix less

Homes of each region held each prefix three times; where a crossing costs less than a cached prefix saves, homes are now among all endpoints, with a second one for when the first is full.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -110,7 +110,7 @@
     asked = [_request(config, number, teams) for number in range(ROUNDS)]
     begun = time.process_time()
     for number, request in enumerate(asked):
-        part.choose(request, stage, 0.2, prefix=str(number))
+        part.choose(request, stage, 0.2, prefix=str(number % 100))
     route = time.process_time() - begun
     admit = asyncio.run(_admit(settings, asked))
     return {
--- a/bench/world.py
+++ b/bench/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import tempfile
 
@@ -140,9 +141,12 @@
         zones = self.deployment.zones
         step = max(1, len(zones) // instances)
         documents = []
+        # A network of its own, so that two benches take no port from
+        # each other between asking for it and listening on it.
+        net = 2 + os.getpid() % 250
         for index in range(instances):
             zone = zones[index * step % len(zones)]
-            own = f"127.0.1.{index + 1}"
+            own = f"127.0.{net}.{index + 1}"
             documents.append(
                 builders.settings_document(
                     self.addresses,
--- a/sycamoreshed/routing/affinity.py
+++ b/sycamoreshed/routing/affinity.py
@@ -12,38 +12,37 @@
 _NAMES = 4096
 
 
-def homes(candidates, key, region):
-    """Return the endpoints a key belongs to.
+def homes(candidates, key):
+    """Return the two endpoints a key belongs to, the first one first.
 
     Parameters
     ----------
     candidates : list of Endpoint
     key : str
         Such as the hash of a prompt's prefix.
-    region : str
-        Of this instance.
 
     Returns
     -------
     list of Endpoint
-        The key's home among all, and its home within the region.
 
     Notes
     -----
     No message is needed, and when an endpoint goes only its own keys
-    move.
+    move.  The second is for when the first is full: were it any, the
+    key would end up in all caches.
     """
     own = _hash(key)
-    best = near = None
-    highest = nearest = -1
+    first = second = None
+    high = next_high = -1
     for item in candidates:
         weight = ((own ^ _name_hash(item.name)) * _ODD) & _MASK
         weight ^= weight >> 32
-        if weight > highest:
-            highest, best = weight, item
-        if weight > nearest and item.region == region:
-            nearest, near = weight, item
-    return [item for item in (best, near) if item is not None]
+        if weight > high:
+            second, next_high = first, high
+            first, high = item, weight
+        elif weight > next_high:
+            second, next_high = item, weight
+    return [item for item in (first, second) if item is not None]
 
 
 def _hash(text):
--- a/sycamoreshed/routing/policies.py
+++ b/sycamoreshed/routing/policies.py
@@ -16,7 +16,9 @@
 ZONE_S = 0.001
 REGION_S = 0.04
 # Part of a call's time that a cached prefix saves.
-CACHED_PART = 0.3
+CACHED_PART = 0.15
+# Of the first and the second home of a prefix.
+HOME_GAINS = (CACHED_PART, CACHED_PART / 2)
 # A cold adapter is loaded before the first token.
 COLD_FACTOR = 1.5
 LEAST_BUDGET_S = 0.001
@@ -94,14 +96,12 @@
     the same endpoint until the next report; each looks at a random few
     and at the prefix's homes.
     """
-    home, listed = _short_list(candidates, situation)
-    return min(
-        listed, key=lambda item: _cost(item, situation, item in home, now)
-    )
+    gains, listed = _short_list(candidates, situation, now)
+    return min(listed, key=lambda item: _cost(item, situation, gains, now))
 
 
-def _short_list(candidates, situation):
-    """Return the homes of the prefix, and all that are compared."""
+def _short_list(candidates, situation, now):
+    """Return what a cached prefix gains where, and all to compare."""
     same, near, far = [], [], []
     for item in candidates:
         if item.region != situation.region:
@@ -110,17 +110,40 @@
             near.append(item)
         else:
             same.append(item)
-    home = []
-    if situation.prefix is not None:
+    home, gains = [], {}
+    if situation.prefix is not None and situation.cached:
+        scope = candidates
+        if (same or near) and _crossing_dear(same or near, situation, now):
+            scope = same + near
         key = f"{situation.adapter or ''}/{situation.prefix}"
-        home = affinity.homes(candidates, key, situation.region)
+        home = affinity.homes(scope, key)
+        for item, part in zip(home, HOME_GAINS, strict=False):
+            gains[item.name] = part * situation.cached
     listed = [
         *home,
         *_sample(same, NEAR_SAMPLE),
         *_sample(near, NEAR_SAMPLE),
         *_sample(far, FAR_SAMPLE),
     ]
-    return home, listed
+    return gains, listed
+
+
+def _crossing_dear(near, situation, now):
+    """Return whether a crossing costs more than a cached prefix gains.
+
+    Notes
+    -----
+    Homes among all endpoints hold each prefix once, so that more of them
+    fit the caches; homes within the region spare the crossing.
+    """
+    seconds = situation.loads.seconds(near[0], now)
+    part = seconds / max(situation.budget_s, LEAST_BUDGET_S)
+    saved = part * part * (1.0 - (1.0 - CACHED_PART) ** 2)
+    return _crossing(situation) > situation.worth.attainment * saved
+
+
+def _crossing(situation):
+    return situation.worth.crossing_mb * situation.crossing_bytes / 1e6
 
 
 def _sample(items, count):
@@ -129,7 +152,7 @@
     return [random.choice(items) for _ in range(count)]
 
 
-def _cost(endpoint, situation, is_home, now):
+def _cost(endpoint, situation, gains, now):
     """Return the cost units of sending there.
 
     Notes
@@ -139,8 +162,7 @@
     not worth a crossing.
     """
     seconds = situation.loads.seconds(endpoint, now)
-    if is_home:
-        seconds *= 1.0 - CACHED_PART * situation.cached
+    seconds *= 1.0 - gains.get(endpoint.name, 0.0)
     if situation.adapter is not None:
         warm = situation.loads.adapters(endpoint)
         if warm is not None and situation.adapter not in warm:
@@ -148,7 +170,7 @@
     cost = 0.0
     if endpoint.region != situation.region:
         seconds += REGION_S
-        cost = situation.worth.crossing_mb * situation.crossing_bytes / 1e6
+        cost = _crossing(situation)
     elif endpoint.zone != situation.zone:
         seconds += ZONE_S
     part = seconds / max(situation.budget_s, LEAST_BUDGET_S)
--- a/sycamoreshed/routing/tests/test_policies.py
+++ b/sycamoreshed/routing/tests/test_policies.py
@@ -58,15 +58,15 @@
 @settings(derandomize=True, deadline=None)
 @given(key=strategies.text(), gone=strategies.integers(0, 8))
 def test_only_keys_of_the_one_that_left_move(key, gone):
-    before = affinity.homes(FLEET, key, "north")[0]
+    before = affinity.homes(FLEET, key)[0]
     rest = [item for item in FLEET if item is not FLEET[gone]]
-    after = affinity.homes(rest, key, "north")[0]
+    after = affinity.homes(rest, key)[0]
     assert after == before or before is FLEET[gone]
 
 
 def test_keys_spread_over_all_endpoints():
     counts = collections.Counter(
-        affinity.homes(FLEET, f"{number:016x}", "north")[0].name
+        affinity.homes(FLEET, f"{number:016x}")[0].name
         for number in range(9000)
     )
     assert len(counts) == len(FLEET)
