--- a/sycamoreshed/routing/tests/test_policies.py
+++ b/sycamoreshed/routing/tests/test_policies.py
@@ -161,6 +161,34 @@
         assert known.estimate(FLEET[index], 0.5) >= own / 4
 
 
+def test_home_only_as_far_as_prefixes_return():
+    """Prompts that share nothing must not be spread by their hash."""
+    known = loads.Loads()
+    equal = [endpoint(number) for number in range(3)]
+    here = situation(known, prefix="dossier", budget_s=3.0)
+    home, *_ = affinity.homes(equal, "/dossier")
+    assert set(chosen(here, equal)) == {home}
+    unknown = here._replace(cached=0.0)
+    known.begin(home)
+    assert chosen(unknown, equal)[home] == 0
+
+
+def test_homes_stay_in_the_region_when_crossing_is_dear():
+    known = loads.Loads()
+    for item in FLEET:
+        known.observe(item, 0.5, 0.0, whole=True)
+    key = next(
+        str(number)
+        for number in range(100)
+        if affinity.homes(FLEET, f"/{number}")[0].region == "south"
+    )
+    cheap = situation(known, prefix=key, budget_s=2.0, worth=FREE)
+    assert {item.region for item in chosen(cheap)} == {"south"}
+    dear = cheap._replace(worth=DEAR, crossing_bytes=2000.0)
+    near = [item for item in FLEET if item.region == "north"]
+    assert set(chosen(dear)) == {affinity.homes(near, f"/{key}")[0]}
+
+
 def test_replaced_endpoints_leave_nothing_behind():
     reports = {f"language-{number}": ({}, 0.0) for number in range(500)}
     known = loads.Loads(reports=lambda: reports)
