--- a/sycamoreshed/routing/tests/test_policies.py
+++ b/sycamoreshed/routing/tests/test_policies.py
@@ -164,7 +164,7 @@
 def test_home_only_as_far_as_prefixes_return():
     """Prompts that share nothing must not be spread by their hash."""
     known = loads.Loads()
-    equal = [endpoint(number) for number in range(3)]
+    equal = [endpoint(number) for number in range(2)]
     here = situation(known, prefix="dossier", budget_s=3.0)
     home, *_ = affinity.homes(equal, "/dossier")
     assert set(chosen(here, equal)) == {home}
