Report the time of unary calls, and remember who is alive for a moment

Slowness went unnoticed, since no caller of Membership.report gave the time; unary calls do now (a few lines in pipeline/unary.py, evidence.py and testkit/fakes.py). Streams do not: their time is also the caller's.

--- a/sycamoreshed/membership/view.py
+++ b/sycamoreshed/membership/view.py
@@ -15,6 +15,9 @@
 # Members long out of reach are forgotten, or replaced instances would
 # fill the memory; long, since regions lose each other for an hour.
 FORGET_S = 6 * 3600.0
+# Who is alive is asked many times a second; to go through 410 instances
+# takes most of a millisecond, and what it depends on moves by seconds.
+ALIVE_S = 0.25
 
 
 class View:
@@ -37,6 +40,9 @@
         self._heard = {}
         self._state = members.State.LIVE
         self._generation = generation
+        self._known = None
+        self._alive = None
+        self._alive_at = 0.0
         self._tell_self()
 
     @property
@@ -85,6 +91,8 @@
     def put(self, topic, key, value, now, *, via=None):
         """Merge a record; return whether it was new."""
         changed = self._records.merge(topic, key, value, via=via)
+        if changed and topic == members.TOPIC:
+            self._changed()
         if changed:
             for func, own in self._listeners.get(topic, ()):
                 if own or via is not None:
@@ -109,6 +117,7 @@
             return False
         if topic == members.TOPIC:
             self._note_suspicion(key, value, first, now)
+            self._changed()
         return topics.TOPICS.get(topic).urgent
 
     def leave(self):
@@ -144,6 +153,8 @@
         for zone, beat in beats.items():
             if beat > self._beats.get(zone, -1):
                 self._beats[zone] = beat
+                if zone not in self._heard:
+                    self._alive = None
                 self._heard[zone] = now
 
     def member(self, name):
@@ -153,21 +164,31 @@
 
     def known(self):
         """Return all members ever heard of and not forgotten."""
-        entries = self._records.entries(members.TOPIC)
-        return [
-            members.Member(*value, name=name)
-            for name, value in entries.items()
-        ]
+        if self._known is None:
+            entries = self._records.entries(members.TOPIC)
+            self._known = [
+                members.Member(*value, name=name)
+                for name, value in entries.items()
+            ]
+        return self._known
 
     def alive(self, now):
-        """Return the live members, the own one among them."""
-        return members.alive(
-            self.known(),
-            suspected=self._suspected,
-            beats=self._heard,
-            own_zone=self._settings.zone,
-            now=now,
-        )
+        """Return the live members, the own one among them.
+
+        Notes
+        -----
+        As of at most `ALIVE_S` ago, or of the last change.
+        """
+        if self._alive is None or now - self._alive_at > ALIVE_S:
+            self._alive_at = now
+            self._alive = members.alive(
+                self.known(),
+                suspected=self._suspected,
+                beats=self._heard,
+                own_zone=self._settings.zone,
+                now=now,
+            )
+        return self._alive
 
     def near(self, now):
         """Return the live members of the own zone."""
@@ -203,6 +224,7 @@
             since = self._gone.setdefault(name, now)
             if now - since > FORGET_S:
                 self._records.drop(members.TOPIC, name)
+                self._changed()
                 del self._gone[name]
                 forgotten.append(name)
         return forgotten
@@ -217,6 +239,11 @@
             settings.region,
         ]
         self._records.merge(members.TOPIC, settings.instance, value)
+        self._changed()
+
+    def _changed(self):
+        self._known = None
+        self._alive = None
 
     def _object(self, value):
         """Raise the own generation over what is wrongly said of us."""
--- a/sycamoreshed/pipeline/evidence.py
+++ b/sycamoreshed/pipeline/evidence.py
@@ -10,7 +10,7 @@
 LEAST_EVIDENCE_S = 0.5
 
 
-def report(membership, endpoint, result, *, given_s, now):
+def report(membership, endpoint, result, *, given_s, now, seconds=None):
     """Pass the outcome of a call on to the membership.
 
     Parameters
@@ -22,9 +22,11 @@
         Seconds the call might take.
     now : float
         Monotonic seconds.
+    seconds : float, optional
+        Time of the call, where callers have no part in it.
     """
     failed = isinstance(result, kinds.Failure)
     late = failed and result.kind == kinds.Kind.LATE
     if late and given_s < LEAST_EVIDENCE_S:
         return
-    membership.report(endpoint, ok=not failed, now=now)
+    membership.report(endpoint, ok=not failed, now=now, seconds=seconds)
--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -91,12 +91,14 @@
             raise
         finally:
             self._router.loads.end(endpoint)
+        ended = self._clock()
         evidence.report(
             self._membership,
             endpoint,
             result,
             given_s=until - now,
-            now=self._clock(),
+            now=ended,
+            seconds=ended - now,
         )
         if isinstance(result, kinds.Failure) and result.sent:
             await adapters.cancel_quietly(self._client, endpoint, call)
--- a/testkit/fakes.py
+++ b/testkit/fakes.py
@@ -75,7 +75,7 @@
     def __init__(self):
         self.reports = []
 
-    def report(self, endpoint, *, ok, now):
+    def report(self, endpoint, *, ok, now, seconds=None):
         """Take in the outcome of one call."""
         self.reports.append((endpoint.name, ok))
 
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -194,3 +194,24 @@
 
             await controls.until(is_back)
             assert len(statuses) > 100
+
+
+async def test_slow_endpoint_is_ejected_for_all_of_its_zone():
+    """An endpoint answers well but late; nothing ever fails."""
+    specs = [*SPECS, {"kind": "plain", "name": "catalogue-3"}]
+    async with processes.cluster(
+        daemons=2, zones=ZONES[:2], specs=specs
+    ) as cluster:
+        async with load(cluster, "catalogue"):
+            await controls.until(lambda: served(cluster, "catalogue-1"))
+            await cluster.faults("catalogue-1", delay_s=0.3, paths=["/call"])
+
+            async def ejected():
+                return {
+                    line["endpoint"]
+                    for daemon in cluster.daemons
+                    for line in daemon.lines
+                    if line.get("decision") == "eject"
+                }
+
+            assert await controls.until(ejected) == {"catalogue-1"}
