--- a/sycamoreshed/membership/gossip.py
+++ b/sycamoreshed/membership/gossip.py
@@ -26,6 +26,8 @@
 __all__ = ["Field", "Gossip"]
 
 PERIOD_S = 2.0
+# Between zones traffic is paid for; news goes at once all the same.
+FAR_PERIOD_S = 4.0
 # Changes within this time travel in one message.
 GATHER_S = 0.03
 TIMEOUT_S = 1.0
@@ -245,7 +247,9 @@
                 self._note_failure(name)
                 await asyncio.sleep(RETRY_S)
                 continue
-            period = PERIOD_S * random.uniform(0.9, 1.1)
+            is_near = member.zone == self._settings.zone
+            period = PERIOD_S if is_near else FAR_PERIOD_S
+            period *= random.uniform(0.9, 1.1)
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(wake.wait(), period)
                 await asyncio.sleep(GATHER_S)
