Measure how notes and leavers spread, and what control costs

A pull from a peer that hangs now ends after 2 s instead of 5, since it holds back pulls from others; not measured.

--- a/bench/spread.py
+++ b/bench/spread.py
@@ -249,6 +249,7 @@
     ]
     async with contextlib.AsyncExitStack() as stack:
         host, addresses = await processes.start_host(specs)
+        stack.push_async_callback(host.wait)
         stack.callback(host.terminate)
         cluster = await stack.enter_async_context(
             processes.cluster(daemons=size, specs=[], zones=placed)
--- a/sycamoreshed/notes/spreading.py
+++ b/sycamoreshed/notes/spreading.py
@@ -24,7 +24,7 @@
 POLLERS = 2
 OFTEN_S = 1.0
 SELDOM_S = 30.0
-PULL_S = 5.0
+PULL_S = 2.0
 # A starting instance waits this long for a peer's answer before it is
 # ready: the table may answer with what was, and a peer knows better.
 SETTLE_S = 2.0
