--- a/sycamoreshed/notes/snapshots.py
+++ b/sycamoreshed/notes/snapshots.py
@@ -64,6 +64,7 @@
         self._table = table
         self._objects = objects
         self._newest = 0
+        self._storing = False
 
     async def newest(self, *, at=None):
         """Load the newest snapshot, or the newest up to version `at`.
@@ -92,8 +93,16 @@
         bool
             Whether one was stored.
         """
-        if config.version - self._newest < EVERY:
+        if self._storing or config.version - self._newest < EVERY:
             return False
+        # Notes accepted while one is being stored would each store one.
+        self._storing = True
+        try:
+            return await self._store_if_due(config)
+        finally:
+            self._storing = False
+
+    async def _store_if_due(self, config):
         row = await self._table.read(rows.POINTER)
         if isinstance(row, kinds.Failure):
             return False
@@ -110,6 +119,12 @@
         result = await self._table.write(
             tables.Write(rows.POINTER, changed, row.version)
         )
+        if isinstance(result, tables.Conflict):
+            # Another instance was faster; nothing would name this one,
+            # and so nothing would ever delete it.
+            named = (result.rows[0].value or {}).get("versions", ())
+            if config.version not in named:
+                await self._delete(config.version)
         if not isinstance(result, tables.Written):
             return False
         self._newest = config.version
--- a/sycamoreshed/notes/tests/test_notes.py
+++ b/sycamoreshed/notes/tests/test_notes.py
@@ -157,3 +157,32 @@
     await acceptor.accept(builders.first_note({}))
     assert await store.maybe_store(held.config) is not objects_away
     assert (rows.POINTER in table.rows) == bool(pointer)
+
+
+@pytest.mark.parametrize("same", [False, True])
+async def test_two_instances_store_at_once_and_one_snapshot_is_left(
+    monkeypatch, same
+):
+    """Two instances accept notes at the same time and both store.
+
+    What no pointer names would stay in the object store for ever; what
+    it names must not be deleted by the one that came second.
+    """
+    monkeypatch.setattr(snapshots, "EVERY", 1)
+    table, objects = fakes.FakeTable(), fakes.FakeObjects()
+    acceptor, held, store = test_accepting.instance(table, objects)
+    _, _, other = test_accepting.instance(table, objects)
+    await acceptor.accept(test_accepting.team_note(0))
+    early = held.config
+    await acceptor.accept(test_accepting.team_note(1, "t2"))
+    put = objects.put
+
+    async def slow_put(name, value):
+        objects.put = put
+        assert await store.maybe_store(held.config)
+        return await put(name, value)
+
+    objects.put = slow_put
+    assert not await other.maybe_store(held.config if same else early)
+    assert list(objects.held) == [rows.object_name(2, 0)]
+    assert table.rows[rows.POINTER][0] == {"versions": [2]}
