--- a/sycamoreshed/entry/tests/test_callers.py
+++ b/sycamoreshed/entry/tests/test_callers.py
@@ -31,6 +31,10 @@
         self.gate = asyncio.Event()
         self.gate.set()
         self.finished = 0
+        self.refused = None
+
+    def refusal(self):
+        return self.refused
 
     async def run(self, _request, *, emit=None):
         if emit is not None:
@@ -65,7 +69,7 @@
         metrics=metrics.Metrics(),
     )
     core._parts["admission"] = admission.Admission(
-        slots=4, queue=4, clock=core.clock
+        settings=core.settings, instances=lambda now: 1, clock=core.clock
     )
     core.guard(guard.guarded)
     entry = callers.Callers(core=core)
@@ -112,6 +116,25 @@
     assert "urn:sycamoreshed:error:internal" in text
 
 
+async def test_caller_that_goes_away_is_counted():
+    """A caller gives up; its request has not attained its deadline."""
+    client, entry, part = await serve(COMPLETE)
+    part.gate.clear()
+    async with client:
+        call = asyncio.create_task(ask(client, "summary"))
+        await part.begun.wait()
+        call.cancel()
+        await asyncio.gather(call, return_exceptions=True)
+        while entry.in_flight:
+            await asyncio.sleep(0)
+        text = await (await client.get("/metrics")).text()
+    assert (
+        'sycamoreshed_requests_total{outcome="gone",pipeline="summary",'
+        'team="gaucho"} 1.0'
+    ) in text
+    assert part.finished == 0
+
+
 async def test_keyed_run_goes_on_and_holds_up_a_drain():
     """The caller of a ballot goes away while it is being cast.
 
@@ -187,3 +210,17 @@
         'sycamoreshed_request_seconds_count{pipeline="summary"} 2.0',
     ):
         assert line in text
+
+
+async def test_no_slot_is_waited_for_while_the_store_is_away():
+    """The store is away while requests with a key come in.
+
+    Each would wait for a slot first, only to hear that nothing can be
+    recorded, and reads would wait behind it.
+    """
+    client, entry, part = await serve(COMPLETE)
+    part.refused = kinds.Failure(kinds.Kind.STORE_AWAY, "away")
+    async with client:
+        status, headers, _ = await ask(client, "ballot")
+    assert (status, headers["Outcome"]) == (503, "not-run")
+    assert not part.begun.is_set()
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -1,9 +1,8 @@
 """Runs requests that may not be repeated, and tells what became of them."""
 
-import asyncio
+import time
 
 from aiohttp import web
-import msgspec
 
 from sycamoreshed.entry import answers
 from sycamoreshed.entry import problems
@@ -12,23 +11,15 @@
 from sycamoreshed.idempotency import decide
 from sycamoreshed.idempotency import keys
 from sycamoreshed.idempotency import records
+from sycamoreshed.idempotency import settling
+from sycamoreshed.idempotency import sweep  # noqa: F401
+from sycamoreshed.idempotency import telling
 from sycamoreshed.kernel import kernel
 from sycamoreshed.pipeline import runner as runners
 
 __all__ = ["Once"]
 
 TEAM = "Team"
-OK = 200
-FLUSH_S = 5.0
-# Kinds that would not be told as "not run", and what is told instead
-# when nothing was sent that may not be repeated.
-_UNSENT = {
-    kinds.Kind.LATE: kinds.Kind.HOPELESS,
-    kinds.Kind.STAGE_FAILED: kinds.Kind.REFUSED,
-    kinds.Kind.BROKEN_STREAM: kinds.Kind.REFUSED,
-    kinds.Kind.STRAY_ANSWER: kinds.Kind.REFUSED,
-    kinds.Kind.OUTCOME_UNKNOWN: kinds.Kind.REFUSED,
-}
 
 
 class _Gate:
@@ -51,7 +42,7 @@
     async def before(self):
         """Record the attempt; return None if the stage may be sent."""
         result = await self._claim()
-        if not isinstance(result, records.Claim):
+        if not isinstance(result, settling.Claim):
             return result
         self.claimed = result
         return None
@@ -75,18 +66,27 @@
     asker : Asker
     notes : Notes
     instance : str
-    spawn : callable
-        Runs a coroutine in the background.
+    ttl_s : float
+        How long records are kept.
     """
 
-    def __init__(self, *, records, runner, asker, notes, instance, spawn):
+    def __init__(self, *, records, runner, asker, notes, instance, ttl_s):
         self._records = records
         self._runner = runner
         self._asker = asker
         self._notes = notes
         self._instance = instance
-        self._spawn = spawn
-        self._running = set()
+        self._ttl_s = ttl_s
+
+    def refusal(self):
+        """Return a failure if requests with a key cannot run, or None.
+
+        Notes
+        -----
+        Asked before admission: a request that only waited for a slot to
+        hear that the store is away would keep it from those that can run.
+        """
+        return self._records.refusal()
 
     async def run(self, request):
         """Run a request, or return the first answer to its key.
@@ -94,18 +94,18 @@
         Returns
         -------
         Response or Failure
+
+        Notes
+        -----
+        Not to be cancelled when the caller goes away: a write or a call
+        would be left without anybody who settles its record.
         """
-        if not keys.is_valid(request.key):
-            return kinds.Failure(
-                kinds.Kind.BAD_REQUEST,
-                "Idempotency-Key must be 1 to 200 visible ASCII characters",
-            )
-        # A task of its own: a caller that goes away would else leave a
-        # write or a call without anybody who settles its record.
-        task = self._spawn(self._run(request), name="run once")
-        self._running.add(task)
-        task.add_done_callback(self._running.discard)
-        return await asyncio.shield(task)
+        refusal = keys.fault(request.key, time.time(), self._ttl_s)
+        if refusal is None:
+            refusal = _two_stages(request)
+        if refusal is not None:
+            return refusal
+        return await self._run(request)
 
     async def look_up(self, http):
         """Tell a caller what became of a request with a key."""
@@ -116,18 +116,16 @@
             return problems.response(service)
         row = await self._records.read(keys.record_key(team, service, key))
         if isinstance(row, kinds.Failure):
-            return problems.response(row._replace(sent=True))
+            # Not "not run", which is what a store that is away means to
+            # a request: this one was sent earlier and may have run.
+            unknown = row._replace(kind=kinds.Kind.OUTCOME_UNKNOWN, sent=True)
+            return problems.response(unknown)
         if row.value is None:
             return problems.response(
                 kinds.Failure(kinds.Kind.KEY_UNKNOWN, "nothing is recorded")
             )
         told = await self._learn(row, service, keys.endpoint_key(team, key))
-        return _tell((told or row).value)
-
-    async def flush(self):
-        """Wait a while for runs whose callers have gone away."""
-        if self._running:
-            await asyncio.wait(set(self._running), timeout=FLUSH_S)
+        return telling.tell((told or row).value)
 
     def _service_of(self, match):
         if "service" in match:
@@ -159,7 +157,7 @@
         if critical is not stages[0]:
             end = await self._records.peek(row_key, record)
             if end is not None:
-                return _respond(end)
+                return telling.respond(end)
 
         async def learn(row):
             return await self._learn(row, service, known_as)
@@ -176,15 +174,15 @@
         sent = request._replace(key=known_as)
         result = await self._runner.run(sent, gate=gate)
         if gate.claimed is None:
-            return _respond(_unsent(result))
+            return telling.respond(telling.unsent(result))
         return await self._end(request, critical, gate, result)
 
     async def _end(self, request, critical, gate, result):
         failure = result if isinstance(result, kinds.Failure) else None
         end = decide.after_run(failure, gate.answer is not None)
         if end is decide.End.RELEASE:
-            await self._records.release(gate.claimed)
-            return _unsent(failure)
+            await self._records.settler.release(gate.claimed)
+            return telling.unsent(failure)
         if end is decide.End.LEAVE:
             path = f"/v1/pipelines/{request.pipeline}/keys/{request.key}"
             return failure._replace(
@@ -192,13 +190,15 @@
                 reason=f"{failure.reason}; ask later: GET {path}",
             )
         if failure is None:
-            raw, status = answers.encode(request, result), OK
+            raw, status = answers.encode(request, result), telling.OK
         else:
-            raw, status = _ran_document(request, critical, gate, failure)
-        replay = await self._records.finish(
+            raw, status = telling.ran_document(
+                request, critical, gate.answer.output, failure
+            )
+        replay = await self._records.settler.finish(
             gate.claimed, raw.decode(), status, request.deadline
         )
-        return _respond(replay)
+        return telling.respond(replay)
 
     async def _learn(self, row, service, known_as):
         record = row.value
@@ -216,52 +216,26 @@
         return await self._records.complete(row, raw.decode())
 
 
-def _ran_document(request, critical, gate, failure):
-    """Return the body and status of a failure after the stage ran."""
-    failure = failure._replace(
-        reason=f"stage {critical['name']} ran; {failure.reason}", sent=True
-    )
-    details = problems.document(failure, request.id)
-    details["ran"] = {
-        "stage": critical["name"],
-        "output": gate.answer.output,
-    }
-    return msgspec.json.encode(details), details["status"]
-
+def _two_stages(request):
+    """Return a failure if two stages may not be repeated, or None.
 
-def _unsent(result):
-    """Return a failure so that it is told as "not run"."""
-    if not isinstance(result, kinds.Failure) or result.sent:
-        return result
-    return result._replace(kind=_UNSENT.get(result.kind, result.kind))
-
-
-def _respond(result):
-    if not isinstance(result, records.Replay):
-        return result
-    raw = result.answer.encode()
-    if result.status == OK:
-        return answers.response(raw)
-    outcome = msgspec.json.decode(raw)["outcome"]
-    return web.Response(
-        status=result.status,
-        body=raw,
-        content_type="application/problem+json",
-        headers={"Outcome": outcome},
-    )
-
-
-def _tell(record):
-    """Return the HTTP answer that tells of a record."""
-    if record["state"] == decide.State.DONE:
-        return _respond(records.Replay(record["answer"], record["status"]))
-    outcome = kinds.Outcome.OUTCOME_UNKNOWN
-    if record["state"] == decide.State.NOT_RUN:
-        outcome = kinds.Outcome.NOT_RUN
-    raw = msgspec.json.encode(
-        {"request": record["attempt"], "outcome": outcome}
+    Notes
+    -----
+    One record cannot tell of two calls: were the first done and the
+    answer of the second lost, no outcome would be true of both.
+    """
+    services = request.config.sections["services"]
+    names = [
+        stage["name"]
+        for stage in request.spec["stages"]
+        if not services[stage["service"]].get("repeatable", True)
+    ]
+    if len(names) < 2:
+        return None
+    return kinds.Failure(
+        kinds.Kind.BAD_REQUEST,
+        f"stages {names} may not be repeated; a pipeline may have one",
     )
-    return answers.response(raw, outcome)
 
 
 @kernel.plugin("once", needs=("asker", "notes", "records", "runner"))
@@ -273,7 +247,7 @@
         asker=core.part("asker"),
         notes=core.part("notes"),
         instance=core.settings.instance,
-        spawn=core.spawn,
+        ttl_s=core.settings.record_ttl_s,
     )
     core.public.add_routes(
         [
@@ -282,4 +256,3 @@
         ]
     )
     yield part
-    await part.flush()
--- a/sycamoreshed/idempotency/tests/test_decide.py
+++ b/sycamoreshed/idempotency/tests/test_decide.py
@@ -120,6 +120,7 @@
         ([{"state": "never"}], None),
         ([failure(True), {"state": "never"}], None),
         ([{"state": "ran"}], None),
+        ([None, [], "ran"], None),
         ([{"state": "never"}, failure(False), RAN], RAN),
     ],
 )
--- a/sycamoreshed/orders/orders.py
+++ b/sycamoreshed/orders/orders.py
@@ -1,117 +1,100 @@
-"""Reconciles what engines have loaded with the configuration."""
+"""The plug-in of orders to engines."""
 
-import asyncio
-
-from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
-from sycamoreshed.orders import leases
-
-__all__ = ["Reconciler", "wanted"]
-
-ROUND_S = 1.0
-ORDER_S = 2.0
-
-
-def wanted(config, zone):
-    """Return what each engine of a zone should have loaded.
-
-    Parameters
-    ----------
-    config : Config
-    zone : str
-
-    Returns
-    -------
-    dict of str to dict
-        Model, version and adapters, by endpoint name.
-    """
-    result = {}
-    engines = [
-        item
-        for service, items in sorted(config.endpoints.items())
-        if config.sections["services"][service]["kind"] == "engine"
-        for item in items
-        if item.zone == zone
-    ]
-    engines.sort()
-    for name in sorted(config.sections["placements"]):
-        spec = config.sections["placements"][name]
-        for _ in range(spec["replicas"].get(zone, 0)):
-            if not engines:
-                break
-            engine = engines.pop(0)
-            result[engine.name] = {
-                "model": spec["model"],
-                "version": spec["version"],
-                "adapters": spec.get("adapters", []),
-            }
-    return result
+from sycamoreshed.orders import away
+from sycamoreshed.orders import duty
+from sycamoreshed.orders import giving
+from sycamoreshed.orders import keeper
+from sycamoreshed.orders import pacing
+from sycamoreshed.orders import reconciler
+from sycamoreshed.orders import records
+
+__all__ = ["orders"]
+
+NEEDS = (
+    "decisions",
+    "engines",
+    "gossip",
+    "membership",
+    "metrics",
+    "notes",
+    "table",
+)
+
+
+@kernel.plugin("orders", needs=NEEDS)
+async def orders(core):
+    """Provide the zone's reconciler, and hand its duty over on a stop."""
+    loading = away.Away(
+        gossip=core.part("gossip"), instance=core.settings.instance
+    )
+    core.part("membership").withhold(loading.names)
+    lease = _lease(core)
+    held = _duty(core, lease)
+    part = _reconciler(core, lease, held, loading)
+    core.control.router.add_get("/control/orders", part.status)
+    core.spawn(held.run(), name="lease on orders")
+    core.spawn(part.run(), name="orders")
+    core.spawn(_stop_with(core, part), name="end of orders")
+    yield part
+    await part.stop()
 
 
-class Reconciler:
-    """Gives orders for one zone while it holds the zone's lease."""
+def _lease(core):
+    settings = core.settings
+    return keeper.Lease(
+        table=core.part("table"),
+        name=f"orders/{settings.zone}",
+        holder=settings.instance,
+        terms=records.Terms(
+            settings.lease_s, settings.lease_margin_s, settings.order_longest_s
+        ),
+        clock=core.clock,
+    )
 
-    def __init__(self, *, lease, zone, notes, client, clock, log):
-        self._lease = lease
-        self._zone = zone
-        self._notes = notes
-        self._client = client
-        self._clock = clock
-        self._log = log
 
-    async def run(self):
-        """Reconcile again and again."""
-        while True:
-            if await self._lease.renew(self._clock):
-                await self._round()
-            await asyncio.sleep(ROUND_S)
+def _duty(core, lease):
+    settings = core.settings
+    gossip = core.part("gossip")
 
-    async def _round(self):
-        config = self._notes.config
-        targets = wanted(config, self._zone)
-        for items in config.endpoints.values():
-            for endpoint in items:
-                if endpoint.name in targets:
-                    await self._bring(endpoint, targets[endpoint.name])
+    def peers(now):
+        alive = gossip.view.alive(now)
+        return [item.name for item in alive if item.zone == settings.zone]
 
-    async def _bring(self, endpoint, target):
-        state = await self._client.ask(
-            endpoint, "GET", "/state", timeout=ORDER_S
-        )
-        if isinstance(state, kinds.Failure):
-            return
-        if state.body["loaded"] == target:
-            return
-        now = self._clock()
-        # Right before sending: a holder that was paused since the renewal
-        # would otherwise overwrite the orders of the next one.
-        if not self._lease.valid(now):
-            return
-        order = {"fence": self._lease.fence, "target": target}
-        self._log.write(
-            now, "place", endpoint=endpoint.name, choice=target, why="note"
-        )
-        await self._client.ask(
-            endpoint, "POST", "/orders", timeout=ORDER_S, body=order
-        )
+    return duty.Duty(
+        lease=lease,
+        zone=settings.zone,
+        instance=settings.instance,
+        notes=core.part("notes"),
+        peers=peers,
+        clock=core.clock,
+        registry=core.part("metrics").registry,
+    )
 
 
-@kernel.plugin("orders", needs=("decisions", "endpoints", "notes", "table"))
-async def orders(core):
-    """Provide the zone's reconciler."""
-    zone = core.settings.zone
-    lease = leases.Lease(
-        table=core.part("table"),
-        name=f"orders/{zone}",
-        holder=core.settings.instance,
+def _reconciler(core, lease, held, loading):
+    giver = giving.Giver(
+        lease=lease,
+        client=core.part("engines"),
+        away=loading,
+        clock=core.clock,
+        log=core.part("decisions"),
+        registry=core.part("metrics").registry,
     )
-    part = Reconciler(
+    return reconciler.Reconciler(
+        duty=held,
         lease=lease,
-        zone=zone,
+        giver=giver,
+        zone=core.settings.zone,
         notes=core.part("notes"),
-        client=core.part("endpoints"),
+        client=core.part("engines"),
+        pace=pacing.Pace(rate=core.settings.weight_rate),
+        away=loading,
+        settings=core.settings,
         clock=core.clock,
-        log=core.part("decisions"),
     )
-    core.spawn(part.run(), name="orders")
-    yield part
+
+
+async def _stop_with(core, part):
+    await core.stopping.wait()
+    await part.stop()
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -24,6 +24,28 @@
 LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 
 
+class TariffHours(typing.TypedDict):
+    """Hours of the day in which attainment has another worth."""
+
+    begin: float
+    end: float
+    attainment: Seconds
+
+
+class Tariff(typing.TypedDict):
+    """What attainment is worth against crossing regions.
+
+    ``attainment``: cost units of one request answered in time.
+    ``crossing_mb``: cost units of a megabyte between regions.  ``hour``:
+    taken for the hour of the day, for trials.
+    """
+
+    attainment: Seconds
+    crossing_mb: Seconds
+    hours: typing.NotRequired[list[TariffHours]]
+    hour: typing.NotRequired[float]
+
+
 class Document(typing.TypedDict):
     """The settings file as it is written; see `Settings`."""
 
@@ -39,6 +61,10 @@
     advertise: typing.NotRequired[str]
     routing: typing.NotRequired[str]
     fairness: typing.NotRequired[str]
+    limiter: typing.NotRequired[str]
+    tariff: typing.NotRequired[Tariff]
+    hedging: typing.NotRequired[bool]
+    retry_share: typing.NotRequired[Seconds]
     slots: typing.NotRequired[Positive]
     queue: typing.NotRequired[Positive]
     grace_s: typing.NotRequired[Seconds]
@@ -46,7 +72,14 @@
     max_body_bytes: typing.NotRequired[Positive]
     max_control_bytes: typing.NotRequired[Positive]
     record_ttl_s: typing.NotRequired[Seconds]
+    record_group: typing.NotRequired[Positive]
     store_timeout_s: typing.NotRequired[Seconds]
+    lease_s: typing.NotRequired[Seconds]
+    lease_margin_s: typing.NotRequired[Seconds]
+    order_longest_s: typing.NotRequired[Seconds]
+    order_look_s: typing.NotRequired[Seconds]
+    loads_at_once: typing.NotRequired[Positive]
+    weight_rate: typing.NotRequired[Seconds]
     log_level: typing.NotRequired[LogLevel]
 
 
@@ -73,8 +106,16 @@
         Name of the routing policy.
     fairness : str
         Name of the admission order.
+    limiter : str
+        Name of the rule for how many requests run at a time.
+    tariff : Tariff or None
+        What attainment is worth against cost; None for the default.
+    hedging : bool
+        Whether a second attempt may begin while a slow one runs.
+    retry_share : float
+        Retries and hedges for each first attempt.
     slots : int
-        Requests this instance runs at a time.
+        Most requests this instance runs at a time.
     queue : int
         Requests that may wait here.
     grace_s : float
@@ -85,8 +126,22 @@
         Largest body of a caller's, of a peer's or operator's request.
     record_ttl_s : float
         How long a record of a non-repeatable request is kept.
+    record_group : int
+        Most writes of records in one transaction.
     store_timeout_s : float
         Time for one call of the table service.
+    lease_s, lease_margin_s : float
+        Length of a zone's lease on orders to engines, and the time
+        before its end from which no order leaves.
+    order_longest_s : float
+        Longest time between an order's leaving and its effect.
+    order_look_s : float
+        Longest time after which a settled engine is read back.
+    loads_at_once : int
+        Engines of a zone that load at a time.
+    weight_rate : float
+        Bytes a second that a zone may take from the weight store; zero
+        for no limit.
     log_level : str
         Least level that is logged.
     """
@@ -101,8 +156,12 @@
     instance_list: str
     peers: tuple = ()
     advertise: str = ""
-    routing: str = "least_loaded"
+    routing: str = "balanced"
     fairness: str = "weighted_fair"
+    limiter: str = "adaptive"
+    tariff: dict | None = None
+    hedging: bool = True
+    retry_share: float = 0.1
     slots: int = 256
     queue: int = 1024
     grace_s: float = 1.0
@@ -110,7 +169,14 @@
     max_body_bytes: int = 1 << 20
     max_control_bytes: int = 1 << 26
     record_ttl_s: float = 86400.0
+    record_group: int = 64
     store_timeout_s: float = 0.5
+    lease_s: float = 6.0
+    lease_margin_s: float = 1.0
+    order_longest_s: float = 2.0
+    order_look_s: float = 15.0
+    loads_at_once: int = 4
+    weight_rate: float = 0.0
     log_level: str = "INFO"
 
 
