--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -125,13 +125,15 @@
             await adapters.cancel_quietly(self._client, endpoint, call)
             raise
         finally:
-            self._router.finished(endpoint, call, result, now, self._clock())
+            ended = self._clock()
+            self._router.finished(endpoint, call, result, now, ended)
         evidence.report(
             self._membership,
             endpoint,
             result,
             given_s=until - now,
-            now=self._clock(),
+            now=ended,
+            seconds=ended - now,
         )
         if isinstance(result, kinds.Failure) and result.sent:
             await adapters.cancel_quietly(self._client, endpoint, call)
