Try an absent store by a task of its own, not by a request

With the store frozen for 60 s and 10 ballots a second at each of three instances, p99 of "not run" was 804 ms: one request a second and instance was let through to try and waited for its timeout, as did each background write. A probe now writes with a version no row has, which changes nothing.

--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -220,7 +220,6 @@
     store = stores.Store(
         table=core.part("table"),
         breaker=breaker.Breaker(),
-        clock=core.clock,
         calls=calls,
         spawn=core.spawn,
         group=core.settings.record_group,
--- a/sycamoreshed/idempotency/store.py
+++ b/sycamoreshed/idempotency/store.py
@@ -1,12 +1,22 @@
 """The table service as records use it: behind a breaker."""
 
+import asyncio
+import random
+
 from loguru import logger
 
+from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 from sycamoreshed.idempotency import groups
 
 __all__ = ["Store"]
 
+PROBE_KEY = "once-probe"
+PROBE_S = 1.0
+# No row has this version under that key, so the write has no effect;
+# the store that refuses it is there and takes writes.
+NO_VERSION = 1
+
 
 class Store:
     """Reads and writes single rows, or refuses at once.
@@ -15,8 +25,6 @@
     ----------
     table : Table
     breaker : Breaker
-    clock : callable
-        Returns monotonic seconds.
     calls : prometheus_client.Counter
         With the label ``result``: ``ok``, ``failed`` or ``refused``.
     spawn : callable
@@ -25,11 +33,12 @@
         Most writes in one transaction.
     """
 
-    def __init__(self, *, table, breaker, clock, calls, spawn, group):
+    def __init__(self, *, table, breaker, calls, spawn, group):
         self._table = table
         self._breaker = breaker
-        self._clock = clock
         self._calls = calls
+        self._spawn = spawn
+        self._probing = False
         self._groups = groups.Groups(
             write=self._write, spawn=spawn, most=group
         )
@@ -42,7 +51,7 @@
     @property
     def retry_after(self):
         """Seconds after which a refused caller may come again."""
-        return self._breaker.retry_after(self._clock())
+        return 2 * PROBE_S
 
     async def read(self, key):
         """Read one row; see `Table.read`."""
@@ -71,7 +80,7 @@
         return await self._count(self._table.write(*writes))
 
     def _refusal(self):
-        if self._breaker.allows(self._clock()):
+        if not self.away:
             return None
         self._calls.labels("refused").inc()
         return kinds.Failure(
@@ -84,8 +93,33 @@
         result = await call
         ok = not isinstance(result, kinds.Failure)
         self._calls.labels("ok" if ok else "failed").inc()
+        self._report(ok)
+        return result
+
+    def _report(self, ok):
         was_away = self.away
-        self._breaker.report(ok=ok, now=self._clock())
+        self._breaker.report(ok=ok)
         if self.away != was_away:
             logger.bind(away=self.away).warning("store breaker")
-        return result
+        if self.away and not self._probing:
+            self._probing = True
+            self._spawn(self._probe(), name="probe store")
+
+    async def _probe(self):
+        # A request that tried for the others would wait for a timeout;
+        # this way none does while the store is away.
+        while self.away:
+            await asyncio.sleep(random.uniform(PROBE_S / 2, PROBE_S * 1.5))
+            if await self._answers():
+                self._report(True)
+        self._probing = False
+
+    async def _answers(self):
+        write = tables.Write(PROBE_KEY, {}, NO_VERSION)
+        try:
+            result = await self._table.write(write)
+        except Exception as err:
+            # Were the probe to end here, the breaker would stay open.
+            logger.opt(exception=err).error("probe of the store failed")
+            return False
+        return not isinstance(result, kinds.Failure)
