--- a/bench/ballots.py
+++ b/bench/ballots.py
@@ -22,6 +22,8 @@
 
 WARM_UP = 20
 WRITE_S = 1 / 300
+# Half the timeout of the store: who took longer waited for it.
+SLOW_S = 0.25
 
 
 def _ms(seconds, share):
@@ -142,9 +144,11 @@
             for outcome, number in told.most_common()
         )
         times = [taken for _, taken in results]
+        slow = sum(taken > SLOW_S for taken in times)
         print(
             f"{phase}: {len(results)} {name}: {shares};"
-            f" p50 {_ms(times, 0.5)} ms, p99 {_ms(times, 0.99)} ms"
+            f" p50 {_ms(times, 0.5)} ms, p99 {_ms(times, 0.99)} ms,"
+            f" {slow} over {SLOW_S} s"
         )
 
 
