--- a/standins/engine.py
+++ b/standins/engine.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 import msgspec
 
+from standins import orders
 from standins import registry
 from standins import services
 
@@ -33,12 +34,12 @@
         Length of an answer.
     cache : int
         Prefixes held.
-    checks : bool
-        Whether orders with an old fencing number are refused.
+    book : OrderBook
+        What is loaded.
     """
 
     def __init__(
-        self, *, faults, slots, token_s, prefill_s, tokens, cache, checks
+        self, *, faults, slots, token_s, prefill_s, tokens, cache, book
     ):
         self._faults = faults
         self._slots = slots
@@ -47,27 +48,23 @@
         self._tokens = tokens
         self._cache = collections.OrderedDict()
         self._cache_size = cache
-        self._checks = checks
         self._waiting = asyncio.PriorityQueue()
         self._running = 0
         self._sequence = 0
         self._cancelled = set()
         self._events = []
-        self._loaded = None
-        self._fence = 0
         self._report = {"running": 0, "waiting": 0, "at": 0.0}
+        self._book = book
         self.counters = collections.Counter()
-        self.orders = []
 
     def routes(self):
         """Return the routes of the engine."""
         return [
+            *self._book.routes(),
             web.post("/generate", self.generate),
             web.post("/cancel", self.cancel),
             web.get("/load", self.load),
             web.get("/cache-events", self.cache_events),
-            web.get("/state", self.state),
-            web.post("/orders", self.order),
             web.post("/kv/export", self.kv_export),
             web.post("/kv/import", self.kv_import),
             web.get("/counts", self.counts),
@@ -76,6 +73,9 @@
     async def generate(self, http):
         """Stream an answer as JSON lines."""
         body = await http.json()
+        if not self._book.serving:
+            self.counters["refused_calls"] += 1
+            return web.json_response({"error": "loading"}, status=429)
         await self._enter(body["priority"])
         try:
             await self._prefill(body)
@@ -100,7 +100,11 @@
                 "slots": self._slots,
                 "at": now,
             }
-        report = {**self._report, "age_s": now - self._report["at"]}
+        report = {
+            **self._report,
+            "age_s": now - self._report["at"],
+            "loaded": self._book.loaded,
+        }
         return web.json_response(report)
 
     async def cache_events(self, http):
@@ -116,23 +120,6 @@
         ]
         return web.json_response({"events": events[:1000]})
 
-    async def state(self, _http):
-        """Report what is loaded."""
-        return web.json_response(
-            {"loaded": self._loaded, "fence": self._fence}
-        )
-
-    async def order(self, http):
-        """Take an order to load something."""
-        body = await http.json()
-        if self._checks and body["fence"] < self._fence:
-            self.counters["refused_orders"] += 1
-            return web.json_response({"fence": self._fence}, status=409)
-        self._fence = max(self._fence, body["fence"])
-        self._loaded = body["target"]
-        self.orders.append(body)
-        return web.json_response({"loaded": self._loaded})
-
     async def kv_export(self, http):
         """Hand out a cached prefix."""
         body = await http.json()
@@ -150,7 +137,8 @@
         return web.json_response(
             {
                 **self.counters,
-                "orders": len(self.orders),
+                "orders": 0,
+                **self._book.counters,
                 "running": self._running,
             }
         )
@@ -269,5 +257,12 @@
         prefill_s=spec.get("prefill_s", 0.01),
         tokens=spec.get("tokens", 16),
         cache=spec.get("cache", 64),
-        checks=spec.get("checks_orders", True),
+        book=orders.OrderBook(
+            checks=spec.get("checks_orders", True),
+            load_s=spec.get("load_s", 0.02),
+            size=spec.get("weight_bytes", 1000),
+            weights=spec.get("weights_address"),
+            serves_loading=spec.get("serves_loading", False),
+            broken=spec.get("broken", []),
+        ),
     )
--- a/standins/host.py
+++ b/standins/host.py
@@ -62,7 +62,12 @@
 
 async def _main():
     specs = json.loads(sys.stdin.readline())
-    addresses = {spec["name"]: await start(spec) for spec in specs}
+    addresses = {}
+    for spec in specs:
+        # Engines that are told so load through a weight store before them.
+        if "weights" in spec:
+            spec["weights_address"] = addresses[spec["weights"]]
+        addresses[spec["name"]] = await start(spec)
     print(json.dumps(addresses), flush=True)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -61,6 +61,10 @@
         self._clock = clock
         self.settler = settler
 
+    def refusal(self):
+        """Return a failure if nothing can be recorded just now, or None."""
+        return self.store.refusal()
+
     async def read(self, key):
         """Return the row of a record, or a failure."""
         return await self.store.read(key)
--- a/sycamoreshed/idempotency/store.py
+++ b/sycamoreshed/idempotency/store.py
@@ -53,13 +53,24 @@
         """Seconds after which a refused caller may come again."""
         return 2 * PROBE_S
 
+    def refusal(self):
+        """Return a failure if calls are refused just now, or None."""
+        if not self.away:
+            return None
+        self._calls.labels("refused").inc()
+        return kinds.Failure(
+            kinds.Kind.STORE_AWAY,
+            "the store is away",
+            retry_after=self.retry_after,
+        )
+
     async def read(self, key):
         """Read one row; see `Table.read`."""
-        return self._refusal() or await self._count(self._table.read(key))
+        return self.refusal() or await self._count(self._table.read(key))
 
     async def scan(self, prefix, *, after, limit):
         """Read rows in order of key; see `Table.scan`."""
-        return self._refusal() or await self._count(
+        return self.refusal() or await self._count(
             self._table.scan(prefix, after=after, limit=limit)
         )
 
@@ -70,25 +81,15 @@
         -----
         A failure of the breaker itself has ``sent`` false.
         """
-        return self._refusal() or await self._groups.write(write)
+        return self.refusal() or await self._groups.write(write)
 
     async def write_all(self, *writes):
         """Write rows, all or none; see `Table.write`."""
-        return self._refusal() or await self._write(*writes)
+        return self.refusal() or await self._write(*writes)
 
     async def _write(self, *writes):
         return await self._count(self._table.write(*writes))
 
-    def _refusal(self):
-        if not self.away:
-            return None
-        self._calls.labels("refused").inc()
-        return kinds.Failure(
-            kinds.Kind.STORE_AWAY,
-            "the store is away",
-            retry_after=self.retry_after,
-        )
-
     async def _count(self, call):
         result = await call
         ok = not isinstance(result, kinds.Failure)
