Let only the first three read at the end of their wait

With 9 instances the others read the lease's row 0.25 times a second each instead of 0.14: the row changes with each renewal, so there is always a wait whose end was read, and the slow interval never came about.

--- a/sycamoreshed/orders/duty.py
+++ b/sycamoreshed/orders/duty.py
@@ -90,11 +90,9 @@
         seconds = self._lease.terms.seconds
         if held:
             return seconds / RENEWALS
-        wait = pacing.standby_s(
-            self._zone,
-            self._instance,
-            self._peers(self._clock()),
-            seconds / (RENEWALS - 1),
+        names = self._peers(self._clock())
+        return pacing.standby_s(
+            first=pacing.stands_by(self._zone, self._instance, names),
+            quick=seconds / (RENEWALS - 1),
+            left=self._lease.wait_left(),
         )
-        left = self._lease.wait_left()
-        return wait if left is None else min(wait, left)
--- a/sycamoreshed/orders/pacing.py
+++ b/sycamoreshed/orders/pacing.py
@@ -4,7 +4,7 @@
 
 from sycamoreshed.membership import rendezvous
 
-__all__ = ["Pace", "backoff", "standby_s"]
+__all__ = ["Pace", "backoff", "standby_s", "stands_by"]
 
 FIRST_S = 0.5
 LONGEST_S = 10.0
@@ -58,8 +58,8 @@
     return random.uniform(longest / 2, longest)
 
 
-def standby_s(zone, own, names, quick):
-    """Return seconds until an instance without the lease reads its row.
+def stands_by(zone, own, names):
+    """Return whether an instance is one of the first to take over.
 
     Parameters
     ----------
@@ -68,13 +68,36 @@
         Name of this instance.
     names : list of str
         Live instances of the zone, as far as they are known.
+
+    Returns
+    -------
+    bool
+    """
+    return own in rendezvous.top(f"orders/{zone}", {*names, own}, STANDBYS)
+
+
+def standby_s(*, first, quick, left):
+    """Return seconds until an instance without the lease reads its row.
+
+    Parameters
+    ----------
+    first : bool
+        Whether it is one of the first to take over.
     quick : float
-        Seconds between the reads of the first ones.
+        Seconds between the reads of those.
+    left : float or None
+        Seconds until the row may be taken if it does not change.
 
     Returns
     -------
     float
+
+    Notes
+    -----
+    Only the first ones read at the very end of their wait.  The row
+    changes with every renewal, so there is always a wait, and all
+    instances would read once a wait and not once in a long while.
     """
-    first = rendezvous.top(f"orders/{zone}", {*names, own}, STANDBYS)
-    seconds = quick if own in first else SLOWER * quick
-    return seconds * random.uniform(1 - JITTER, 1 + JITTER)
+    seconds = quick if first else SLOWER * quick
+    seconds *= random.uniform(1 - JITTER, 1 + JITTER)
+    return min(seconds, left) if first and left is not None else seconds
