--- a/standins/faults.py
+++ b/standins/faults.py
@@ -18,7 +18,8 @@
     effect.  ``lose``: share of calls whose connection is closed after
     taking effect.  ``lose_next``: that many next calls lose their answer.
     ``late``: share of calls whose connection is closed at once, and that
-    take effect ``late_s`` later.  ``swap``: share of answers that name
+    take effect ``late_s`` later.  ``serial_s``: calls are served one
+    after another, each for so long.  ``swap``: share of answers that name
     another call.  ``other_attempt``: share of answers that name another
     attempt of the same call.  ``down``: close every connection at once.
     ``paths``: only paths with one of these beginnings.  ``delay_from``:
@@ -42,6 +43,7 @@
     lose_next: typing.NotRequired[int]
     late: typing.NotRequired[float]
     late_s: typing.NotRequired[float]
+    serial_s: typing.NotRequired[float]
     swap: typing.NotRequired[float]
     other_attempt: typing.NotRequired[float]
     break_: typing.NotRequired[float]
@@ -64,6 +66,7 @@
     def __init__(self, *, seed=0):
         self._random = random.Random(seed)
         self._late = set()
+        self._serial = asyncio.Lock()
         self.spec = {}
 
     @property
@@ -107,6 +110,9 @@
             seconds += spec.get("delay_from", {}).get(http.remote, 0.0)
             if seconds:
                 await asyncio.sleep(seconds)
+            if "serial_s" in spec:
+                async with self._serial:
+                    await asyncio.sleep(spec["serial_s"])
             if self.hits(spec.get("fail", 0.0)):
                 return web.json_response({"error": "fault"}, status=500)
             if "late" in spec and self.hits(spec["late"]):
--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -96,7 +96,7 @@
         return members.count(
             [
                 item
-                for item in self._gossip.alive(now)
+                for item in self._gossip.view.alive(now)
                 if item.name not in leaving
             ]
         )
@@ -131,7 +131,7 @@
 
     def _in_reach(self, present, now):
         """Leave out zones out of reach, unless none else is left."""
-        lost = self._gossip.lost_zones(now)
+        lost = self._gossip.view.lost_zones(now)
         if not lost:
             return present
         near = [item for item in present if item.zone not in lost]
@@ -165,13 +165,24 @@
 
 @kernel.plugin(
     "membership",
-    needs=("endpoints", "gossip", "instance_list", "metrics", "notes"),
+    needs=(
+        "decisions",
+        "endpoints",
+        "gossip",
+        "instance_list",
+        "metrics",
+        "notes",
+    ),
 )
 async def membership(core):
     """Provide evidence about endpoints and live instances."""
     gossip = core.part("gossip")
     notes = core.part("notes")
-    seen = evidence.Evidence(gossip=gossip, instance=core.settings.instance)
+    seen = evidence.Evidence(
+        gossip=gossip,
+        instance=core.settings.instance,
+        log=core.part("decisions"),
+    )
     reader = listing.Listing(
         settings=core.settings,
         source=core.part("instance_list"),
--- a/sycamoreshed/membership/watching.py
+++ b/sycamoreshed/membership/watching.py
@@ -107,9 +107,7 @@
         """Return endpoints to watch, and whether as the first watcher."""
         zone = self._settings.zone
         own = self._settings.instance
-        names = [
-            item.name for item in self._gossip.alive(now) if item.zone == zone
-        ]
+        names = [item.name for item in self._gossip.view.near(now)]
         basis = (self._notes.config.version, names)
         if self._basis == basis:
             return self._duties
@@ -143,7 +141,8 @@
         count = self._failed.get(endpoint.name, 0) + 1
         self._failed[endpoint.name] = count
         if count >= FAILURES:
-            self._evidence.eject(endpoint.name, self._clock())
+            now = self._clock()
+            self._evidence.eject(endpoint.name, "no answer to probes", now)
             self._evidence.tell_down(endpoint.name, True)
 
     def _note_answer(self, endpoint, reply, first):
