Count takeovers and not steps in the keeper's fault test

How many takeovers 400 steps give depends on when late writes land: 3 where more than 3 were asked for, in one run of the whole suite.

--- a/sycamoreshed/orders/tests/test_keeper.py
+++ b/sycamoreshed/orders/tests/test_keeper.py
@@ -9,6 +9,8 @@
 
 TERMS = records.Terms(seconds=6.0, margin=1.0, longest=2.0)
 TIMEOUT_S = 5.0
+TAKEOVERS = 20
+MOST_STEPS = 20_000
 
 
 class Clock:
@@ -48,8 +50,11 @@
             "paths": ["/rows", "/transact"],
         }
         sides = [_lease(session, proxy.address, clock, name) for name in "abc"]
-        for _ in range(400):
-            clock.now += chance.choice((0.0, 0.3, 1.0, 1.0, 4.0))
+        # How many steps that takes depends on when late writes land.
+        for _ in range(MOST_STEPS):
+            if len(fences) > TAKEOVERS:
+                break
+            clock.now += chance.choice((0.0, 0.3, 1.0, 1.0, 4.0, 9.0))
             side = chance.choice(sides)
             await side.renew()
             for item in sides:
@@ -61,7 +66,7 @@
                 ends[item] = clock.now + TERMS.longest
                 if not fences or fences[-1] != item.fence:
                     fences.append(item.fence)
-    assert len(fences) > 3
+    assert len(fences) > TAKEOVERS
     assert fences == sorted(set(fences))
 
 
