--- a/sycamoreshed/entry/problems.py
+++ b/sycamoreshed/entry/problems.py
@@ -22,6 +22,9 @@
         "detail": failure.reason,
         "outcome": answer.outcome,
     }
+    if answer.retry_after is not None:
+        # In a stream there is no head left to carry it.
+        details["retry_after"] = answer.retry_after
     if request_id is not None:
         details["request"] = request_id
     return details
--- a/sycamoreshed/observe/logs.py
+++ b/sycamoreshed/observe/logs.py
@@ -1,5 +1,6 @@
 """Logging: JSON lines, and one line for each decision."""
 
+import logging
 import sys
 
 from loguru import logger
@@ -13,6 +14,8 @@
 # on; beyond this rate lines are counted and the count is logged instead.
 LINES_PER_SECOND = 2000
 
+_KNOWN = {logging.WARNING, logging.ERROR, logging.CRITICAL}
+
 
 def _serialise(record):
     line = {
@@ -30,10 +33,35 @@
     sys.stderr.write(_serialise(message.record) + "\n")
 
 
+class Forwarder(logging.Handler):
+    """Takes in what libraries log in the standard library's way.
+
+    Without it their lines, tracebacks of many lines among them, would
+    stand in plain text between JSON lines and break what reads those.
+    """
+
+    def emit(self, record):
+        """Log a record as one of our own."""
+        error = record.exc_info[1] if record.exc_info else None
+        known = logging.getLevelName(record.levelname) in _KNOWN
+        level = record.levelname if known else record.levelno
+        bound = logger.bind(library=record.name)
+        bound.opt(exception=error).log(level, record.getMessage())
+
+
 def set_up(level):
-    """Send logs to standard error as one JSON object a line."""
+    """Send logs to standard error as one JSON object a line.
+
+    Parameters
+    ----------
+    level : str
+        Least level that is logged; of libraries at least warnings.
+    """
     logger.remove()
     logger.add(_sink, level=level, format="{message}")
+    logging.basicConfig(
+        handlers=[Forwarder()], level=logging.WARNING, force=True
+    )
 
 
 class DecisionLog:
--- a/sycamoreshed/observe/tests/test_logs.py
+++ b/sycamoreshed/observe/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import logging
 
 import pytest
 
@@ -18,6 +19,7 @@
         return [json.loads(line) for line in text.splitlines()]
 
     yield taken
+    logging.getLogger().handlers.clear()
     with contextlib.suppress(ValueError):
         logs.logger.remove()
 
@@ -59,3 +61,17 @@
     logs.set_up("WARNING")
     logs.DecisionLog().write(1.0, "route")
     assert lines() == []
+
+
+def test_lines_of_libraries_are_json_too(lines):
+    """A library logs a traceback of many lines, with braces in it."""
+    log = logging.getLogger("aiohttp.server")
+    log.info("left out")
+    try:
+        raise ValueError("{broken}")
+    except ValueError:
+        log.exception("Error handling %s", "{request}")
+    (line,) = lines()
+    assert (line["level"], line["library"]) == ("ERROR", "aiohttp.server")
+    assert line["message"] == "Error handling {request}"
+    assert "{broken}" in line["exception"]
