--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -167,8 +167,10 @@
             if ask.stream:
                 return await self._stream(http, request, start)
             return await self._whole(request, start)
-        except (asyncio.CancelledError, ConnectionError):
-            self._count(request, GONE, start)
+        except BaseException as err:
+            cancelled = isinstance(err, asyncio.CancelledError)
+            if cancelled or guard.is_gone(http):
+                self._count(request, GONE, start)
             raise
         finally:
             self._admission.leave(ticket, self._core.clock())
@@ -205,9 +207,9 @@
         await stream.prepare(http)
         try:
             result = await self._runner.run(request, emit=stream.token)
-        except ConnectionError:
-            raise
         except Exception as err:
+            if guard.is_gone(http):
+                raise
             logger.opt(exception=err).error("streamed run failed")
             result = guard.internal(err)
         if isinstance(result, kinds.Failure):
--- a/sycamoreshed/entry/guard.py
+++ b/sycamoreshed/entry/guard.py
@@ -7,8 +7,10 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["guarded"]
+__all__ = ["guarded", "internal", "is_gone"]
 
+# Seen by nobody: customary in logs for a caller that hung up.
+CLOSED = 499
 _KINDS = {
     404: kinds.Kind.UNKNOWN_PATH,
     405: kinds.Kind.WRONG_METHOD,
@@ -33,14 +35,20 @@
         if "Allow" in err.headers:
             answer.headers["Allow"] = err.headers["Allow"]
         return answer
-    except ConnectionError:
-        # The caller went away while its answer was written.
-        raise
     except Exception as err:
+        if is_gone(http):
+            # Nobody is left to be answered. Raised further, it would be
+            # logged as a fault of ours each time a caller hangs up.
+            return web.Response(status=CLOSED)
         logger.opt(exception=err).bind(path=http.path).error("handler failed")
         return problems.response(internal(err))
 
 
+def is_gone(http):
+    """Return whether the caller's connection is closed."""
+    return http.transport is None or http.transport.is_closing()
+
+
 def internal(err):
     """Return the failure for an unexpected exception."""
     reason = f"unexpected {type(err).__name__}"
--- a/tests/integration/test_streams.py
+++ b/tests/integration/test_streams.py
@@ -12,6 +12,7 @@
 from testkit import processes
 
 TOKENS = 16
+CALLERS = 30
 LONG = {"kind": "engine", "tokens": 100000, "token_s": 0.005}
 
 
@@ -235,7 +236,7 @@
 async def test_connection_lost_by_the_caller_is_not_a_fault_of_ours():
     """Callers vanish without closing in order, at any moment."""
     async with processes.cluster(specs=specs(LONG)) as cluster:
-        for _ in range(5):
+        for _ in range(CALLERS):
             session = aiohttp.ClientSession()
             url = f"http://{cluster.daemons[0].public}/v1/pipelines/summary"
             answer = await session.post(
@@ -245,6 +246,7 @@
             )
             await answer.content.readuntil(b"\n\n")
             answer.connection.transport.abort()
+            answer.close()
             await session.close()
 
         async def idle():
@@ -253,4 +255,8 @@
 
         await until(idle)
         lines = cluster.daemons[0].lines
+        gone = await metric(
+            cluster, 'sycamoreshed_requests_total{outcome="gone"'
+        )
     assert not [line for line in lines if line["level"] == "ERROR"]
+    assert gone == CALLERS
