--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -28,6 +28,7 @@
         self._evidence = evidence
         self._listing = listing
         self._watching = watching
+        self._withheld = None
         notes.on_change(self._forget)
 
     @property
@@ -57,6 +58,7 @@
         """
         present = self._present(config, service)
         present = self._in_reach(present, now)
+        present = self._without_withheld(present, now)
         out = self._evidence.out
         if out.isdisjoint(item.name for item in present):
             return present
@@ -71,6 +73,16 @@
             or self._is_due(item.name, now)
         ]
 
+    def withhold(self, func):
+        """Give nothing new to endpoints that a function names.
+
+        Parameters
+        ----------
+        func : callable
+            Takes the present time, returns names of engines that load.
+        """
+        self._withheld = func
+
     def live_instances(self, now):
         """Return how many entry instances are alive, and by zone.
 
@@ -84,7 +96,7 @@
         return members.count(
             [
                 item
-                for item in self._gossip.alive(now)
+                for item in self._gossip.view.alive(now)
                 if item.name not in leaving
             ]
         )
@@ -119,12 +131,20 @@
 
     def _in_reach(self, present, now):
         """Leave out zones out of reach, unless none else is left."""
-        lost = self._gossip.lost_zones(now)
+        lost = self._gossip.view.lost_zones(now)
         if not lost:
             return present
         near = [item for item in present if item.zone not in lost]
         return near or present
 
+    def _without_withheld(self, present, now):
+        """Leave out engines that load, unless none else is left."""
+        names = self._withheld(now) if self._withheld else None
+        if not names:
+            return present
+        kept = [item for item in present if item.name not in names]
+        return kept or present
+
     def _is_due(self, name, now):
         if not self._evidence.may_use(name, now):
             return False
@@ -145,13 +165,24 @@
 
 @kernel.plugin(
     "membership",
-    needs=("endpoints", "gossip", "instance_list", "metrics", "notes"),
+    needs=(
+        "decisions",
+        "endpoints",
+        "gossip",
+        "instance_list",
+        "metrics",
+        "notes",
+    ),
 )
 async def membership(core):
     """Provide evidence about endpoints and live instances."""
     gossip = core.part("gossip")
     notes = core.part("notes")
-    seen = evidence.Evidence(gossip=gossip, instance=core.settings.instance)
+    seen = evidence.Evidence(
+        gossip=gossip,
+        instance=core.settings.instance,
+        log=core.part("decisions"),
+    )
     reader = listing.Listing(
         settings=core.settings,
         source=core.part("instance_list"),
--- a/testkit/fakes.py
+++ b/testkit/fakes.py
@@ -8,7 +8,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.observe import metrics
 from sycamoreshed.pipeline import requests
-from sycamoreshed.routing import router
+from sycamoreshed.routing import loads
 from testkit import builders
 
 __all__ = [
@@ -87,7 +87,11 @@
         self._config = builders.config(
             {name: builders.endpoint_spec() for name in names}
         )
-        self.loads = router.Loads()
+        self.loads = loads.Loads()
+
+    def finished(self, endpoint, call, result, began, now):
+        """Take in how a call ended."""
+        self.loads.end(endpoint)
 
     def choose(self, _request, _stage, _now, *, avoid=(), prefix=None):
         """Choose an endpoint for a stage."""
