--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -28,16 +28,9 @@
 
 def free_port(host=HOST):
     """Ask the system for a port nobody uses."""
-    return free_ports(1, host=host)[0]
-
-
-def free_ports(count, *, host=HOST):
-    """Ask the system for different ports nobody uses."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind((host, 0))
-        return [probe.getsockname()[1] for probe in probes]
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
 
 
 class Ports:
