--- a/standins/weights.py
+++ b/standins/weights.py
@@ -22,7 +22,11 @@
     def __init__(self, *, rate):
         self._rate = rate
         self._free_at = 0.0
+        self._running = 0
         self.loads = 0
+        self.bytes = 0.0
+        self.most = 0
+        self.worst_s = 0.0
 
     def routes(self):
         """Return the routes of the service."""
@@ -38,12 +42,26 @@
         start = max(now, self._free_at)
         self._free_at = start + size / self._rate
         self.loads += 1
-        await asyncio.sleep(self._free_at - now)
+        self.bytes += size
+        self._running += 1
+        self.most = max(self.most, self._running)
+        self.worst_s = max(self.worst_s, self._free_at - now)
+        try:
+            await asyncio.sleep(self._free_at - now)
+        finally:
+            self._running -= 1
         return web.json_response({"size": size})
 
     async def counts(self, _http):
-        """Answer with how many loads there were."""
-        return web.json_response({"loads": self.loads})
+        """Answer with loads and bytes, most at a time, longest wait."""
+        return web.json_response(
+            {
+                "loads": self.loads,
+                "bytes": self.bytes,
+                "most": self.most,
+                "worst_s": self.worst_s,
+            }
+        )
 
 
 @registry.KINDS.register("weights")
--- a/sycamoreshed/membership/tests/test_membership.py
+++ b/sycamoreshed/membership/tests/test_membership.py
@@ -9,6 +9,7 @@
 from sycamoreshed.membership import listing
 from sycamoreshed.membership import membership
 from sycamoreshed.membership import records
+from sycamoreshed.observe import logs
 from testkit import builders
 
 NAMES = [f"encoder-{n}" for n in range(1, 5)]
@@ -22,6 +23,10 @@
         self.heard = {}
         self.lost = set()
 
+    @property
+    def view(self):
+        return self
+
     def on_record(self, topic, func, *, own=False):
         self.heard[topic] = (func, own)
 
@@ -43,8 +48,8 @@
     def set_listed(self, addresses):
         self.addresses = set(addresses)
 
-    def near_count(self, now):
-        return 2
+    def near(self, now):
+        return [None, None]
 
     def lost_zones(self, now):
         return self.lost
@@ -61,7 +66,10 @@
     )
     spread = Spread()
     seen = evidence.Evidence(
-        gossip=spread, instance="entry-1", wall=lambda: 1.0
+        gossip=spread,
+        instance="entry-1",
+        log=logs.DecisionLog(),
+        wall=lambda: 1.0,
     )
     reader = listing.Listing(
         settings=None, source=None, notes=notes, gossip=spread, clock=None
--- /dev/null
+++ b/tests/integration/test_orders.py
@@ -0,0 +1,304 @@
+"""Orders to engines, through real processes."""
+
+import asyncio
+import signal
+
+import pytest
+
+from testkit import builders
+from testkit import processes
+
+ZONE = "north-a"
+FAST = {
+    "lease_s": 1.6,
+    "lease_margin_s": 0.3,
+    "order_longest_s": 1.0,
+    "order_look_s": 1.0,
+}
+LIMIT_S = 60.0
+
+
+def engines(count, **changes):
+    return [
+        {"kind": "engine", "name": f"language-{number}", **changes}
+        for number in range(1, count + 1)
+    ]
+
+
+def names(specs):
+    return [spec["name"] for spec in specs]
+
+
+def placement(version, replicas, **changes):
+    spec = {"model": "m", "version": version, "replicas": {ZONE: replicas}}
+    return {"placements": {"main": {**spec, **changes}}}
+
+
+async def place(cluster, base, part, entries, *, index=0):
+    note = builders.note(base, **{part: entries})
+    status, body = await cluster.apply(index, note)
+    assert status == 200, body
+    return body["version"]
+
+
+async def until(check, *, what):
+    """Poll until the check holds; the limit is generous."""
+    try:
+        async with asyncio.timeout(LIMIT_S):
+            while not await check():
+                await asyncio.sleep(0.05)
+    except TimeoutError:
+        pytest.fail(f"never came about: {what}")
+
+
+async def versions(cluster, engine_names):
+    result = []
+    for name in engine_names:
+        state = await cluster.get(name, "/state")
+        result.append(state["loaded"] and state["loaded"]["version"])
+    return result
+
+
+async def until_loaded(cluster, engine_names, version, replicas=None):
+    async def check():
+        found = await versions(cluster, engine_names)
+        return found.count(version) == (replicas or len(engine_names))
+
+    await until(check, what=f"{version} on {engine_names}")
+
+
+async def status(cluster, index):
+    address = cluster.daemons[index].control
+    url = f"http://{address}/control/orders"
+    async with cluster.session.get(url) as answer:
+        return await answer.json()
+
+
+async def holder(cluster, among=None):
+    """Wait until one daemon holds the lease; return which."""
+    found = []
+
+    async def check():
+        for index in among or range(len(cluster.daemons)):
+            if (await status(cluster, index))["holds"]:
+                found.append(index)
+                return True
+        return False
+
+    await until(check, what="a holder")
+    return found[0]
+
+
+async def counts(cluster, engine_names, what):
+    return [
+        (await cluster.get(name, "/counts")).get(what, 0)
+        for name in engine_names
+    ]
+
+
+async def test_engines_get_what_a_note_says_and_lose_what_it_withdraws():
+    specs = engines(3)
+    async with processes.cluster(specs=specs, **FAST) as cluster:
+        await place(cluster, 1, "added", placement("1", 2))
+        await until_loaded(cluster, names(specs), "1", 2)
+        await place(cluster, 2, "changed", placement("2", 3))
+        await until_loaded(cluster, names(specs), "2")
+        await place(cluster, 3, "withdrawn", {"placements": ["main"]})
+        await until_loaded(cluster, names(specs), None)
+
+
+@pytest.mark.parametrize("checks", [True, False])
+async def test_paused_holder_does_not_undo_what_operators_decided(checks):
+    """The holder is paused with an order under way, and woken later.
+
+    Its order reaches the engine after its successor's.  An engine that
+    ignores fencing numbers goes back to the old version, and members
+    would be answered by a model that operators had replaced.
+    """
+    specs = engines(2, checks_orders=checks)
+    late = {"late": 1.0, "late_s": 8.0, "paths": ["/orders"]}
+    rounds = 2
+    async with processes.cluster(daemons=3, specs=specs, **FAST) as cluster:
+        await place(cluster, 1, "added", placement("v1", 2))
+        await until_loaded(cluster, names(specs), "v1")
+        version = 2
+        for _ in range(rounds):
+            first = await holder(cluster)
+            other = (first + 1) % 3
+            for name in names(specs):
+                await cluster.faults(name, **late)
+            stale, new = f"v{version}", f"v{version + 1}"
+            await place(cluster, version, "changed", placement(stale, 2))
+            # The order of the version that nobody wants any more leaves.
+            await until(
+                lambda index=first: _gave(cluster, index, "refused"),
+                what="an order whose answer was lost",
+            )
+            cluster.daemons[first].send_signal(signal.SIGSTOP)
+            for name in names(specs):
+                await cluster.faults(name)
+            await place(
+                cluster,
+                version + 1,
+                "changed",
+                placement(new, 2),
+                index=other,
+            )
+            version += 2
+            await holder(cluster, [other, (first + 2) % 3])
+            await until_loaded(cluster, names(specs), new)
+            cluster.daemons[first].send_signal(signal.SIGCONT)
+            await until(
+                lambda least=version // 2 - 1: _stale(cluster, specs, least),
+                what="the late order at an engine",
+            )
+            await until_loaded(cluster, names(specs), new)
+        stale = await counts(cluster, names(specs), "stale_orders")
+        refused = await counts(cluster, names(specs), "refused_orders")
+        await _stays(cluster, names(specs), new)
+    print(f"checks={checks}: stale {stale}, refused {refused}")
+    assert sum(stale) >= rounds
+    assert refused == (stale if checks else [0, 0])
+
+
+async def _gave(cluster, index, outcome):
+    address = cluster.daemons[index].public
+    name = f'sycamoreshed_engine_orders_total{{outcome="{outcome}"}}'
+    url = f"http://{address}/metrics"
+    async with cluster.session.get(url) as answer:
+        return name in await answer.text()
+
+
+async def _stale(cluster, specs, least):
+    found = await counts(cluster, names(specs), "stale_orders")
+    return sum(found) >= least
+
+
+async def _stays(cluster, engine_names, version):
+    """Look again after more than the longest time between read-backs."""
+    await asyncio.sleep(2 * FAST["order_look_s"])
+    await until_loaded(cluster, engine_names, version)
+
+
+async def test_version_changes_under_load_with_the_floor_serving():
+    """Operators change a model's version while callers use it.
+
+    Were all engines to load at once, every answer would be late.
+    """
+    specs = engines(4, load_s=0.3, weights="weights", weight_bytes=1e5)
+    others = [
+        {"kind": "pool", "name": f"{service}-1"}
+        for service in ("encoder", "retriever", "reranker")
+    ]
+    async with processes.cluster(specs=[*specs, *others], **FAST) as cluster:
+        await place(cluster, 1, "added", placement("v1", 4))
+        await until_loaded(cluster, names(specs), "v1")
+        stop = asyncio.Event()
+        callers = [asyncio.create_task(_call(cluster, stop)) for _ in range(4)]
+        begin = await _last_change(cluster, specs)
+        await place(cluster, 2, "changed", placement("v2", 4, floor=3))
+        await until_loaded(cluster, names(specs), "v2")
+        stop.set()
+        answers = sum(await asyncio.gather(*callers), [])
+        least = await _least_serving(cluster, specs, begin)
+        weights = await cluster.get("weights", "/counts")
+    print(f"answers {len(answers)}, least serving {least}, {weights}")
+    assert set(answers) == {200}
+    assert least == 3
+    assert weights["loads"] == 8
+
+
+async def _call(cluster, stop):
+    answers = []
+    while not stop.is_set():
+        answer = await cluster.call(0, "summary", {"input": "x"})
+        answers.append(answer[0])
+    return answers
+
+
+async def _changes(cluster, specs):
+    result = []
+    for name in names(specs):
+        body = await cluster.get(name, "/history")
+        result += [(at, name, serving) for at, serving, _ in body["history"]]
+    return sorted(result)
+
+
+async def _last_change(cluster, specs):
+    return (await _changes(cluster, specs))[-1][0]
+
+
+async def _least_serving(cluster, specs, begin):
+    """Return the fewest engines that served at any time after `begin`."""
+    serving = {}
+    least = len(specs)
+    for at, name, is_serving in await _changes(cluster, specs):
+        serving[name] = is_serving
+        if at > begin:
+            least = min(least, sum(serving.values()))
+    return least
+
+
+async def test_loads_keep_to_the_weight_stores_rate():
+    """Twenty engines need a model from a store with a rate.
+
+    All at once would leave each load waiting for all the others, past
+    what engines put up with.
+    """
+    size = 1e5
+    specs = engines(8, weights="weights", weight_bytes=size)
+    changes = {**FAST, "loads_at_once": 2, "weight_rate": 8e5}
+    async with processes.cluster(specs=specs, **changes) as cluster:
+        await place(cluster, 1, "added", placement("v1", 8, weight_bytes=size))
+        await until_loaded(cluster, names(specs), "v1")
+        weights = await cluster.get("weights", "/counts")
+    print(weights)
+    assert weights["loads"] == 8
+    assert weights["most"] <= 2
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [{"lose": 0.5}, {"fail": 0.5}, {"late": 0.5, "late_s": 0.3}],
+    ids=["answers lost", "errors", "late effect"],
+)
+async def test_orders_are_repeated_until_they_hold(fault):
+    """An engine loses every second answer, or fails, or is late.
+
+    An order given once and taken for granted would leave the old version
+    on some engine for ever.
+    """
+    specs = engines(3)
+    async with processes.cluster(specs=specs, **FAST) as cluster:
+        for name in names(specs):
+            await cluster.faults(name, **fault, paths=["/orders", "/state"])
+        await place(cluster, 1, "added", placement("v1", 3))
+        await until(
+            lambda: _all_have(cluster, specs, "v1"), what="v1 everywhere"
+        )
+        await place(cluster, 2, "changed", placement("v2", 3))
+        await until(
+            lambda: _all_have(cluster, specs, "v2"), what="v2 everywhere"
+        )
+
+
+async def _all_have(cluster, specs, version):
+    found = []
+    for name in names(specs):
+        body = await cluster.get(name, "/history")
+        found.append(body["history"][-1][1:])
+    return found == [[True, version]] * len(specs)
+
+
+async def test_silent_engine_holds_up_nobody_else():
+    """One engine's machine is frozen when operators place a model.
+
+    A reconciler that takes engines in turn would wait for it each time.
+    """
+    specs = engines(4)
+    async with processes.cluster(specs=specs, proxied=True, **FAST) as cluster:
+        cluster.proxies["language-1"].freeze = True
+        await place(cluster, 1, "added", placement("v1", 4))
+        await until_loaded(cluster, names(specs), "v1", 3)
+        cluster.proxies["language-1"].freeze = False
+        await until_loaded(cluster, names(specs), "v1", 4)
