Record what the policy does under load, and hedge less eagerly

After one measured call of 5 ms a second one was sent at 10 ms, so a pause of the busy machine doubled traffic; a test of streams that counts retries showed it. A hedge now waits for 0.1 s at least and ten measured calls.

The bench could hang at its end when the cancel of its health checks met a timeout; it now cancels until they end.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
 
 import cyclopts  # noqa: E402
 import uvloop  # noqa: E402
+import xxhash  # noqa: E402
 
 from bench import decisions  # noqa: E402
 from bench import plots  # noqa: E402
@@ -64,6 +65,9 @@
             )
         )
         label = f"{deployment}-{scenario}-{level}-{name}-{order}-{number}"
+        if more:
+            # Without it, runs with other settings would be overwritten.
+            label += f"-{xxhash.xxh32_hexdigest(settings.encode())}"
         _write(result, out / label)
 
 
--- a/bench/runs.py
+++ b/bench/runs.py
@@ -18,6 +18,7 @@
 
 RESULT = "result.json"
 NOON = 12.0
+CANCEL_AGAIN_S = 1.0
 
 
 async def run(scenario, *, deployment, seed, seconds, level, changes, count):
@@ -57,12 +58,7 @@
         spent = time.process_time()
         samples = await load.send_all(world, drawn, seed=seed)
         spent = time.process_time() - spent
-        for task in background:
-            task.cancel()
-        ended = await asyncio.gather(*background, return_exceptions=True)
-        for error in ended:
-            if not isinstance(error, asyncio.CancelledError | None):
-                raise error
+        await _end(background)
         counted = await results.gather(world)
     figures = results.summarise(samples, seconds)
     if plan.calm is not None:
@@ -82,6 +78,24 @@
     }
 
 
+async def _end(tasks):
+    """Cancel tasks until they end; raise what one of them died of.
+
+    Notes
+    -----
+    A cancel that meets the timeout of an HTTP call can be taken for it
+    and be lost; the run would then never end.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_AGAIN_S)
+    for task in tasks:
+        if not task.cancelled() and task.exception() is not None:
+            raise task.exception()
+
+
 async def _events(world, events):
     start = time.monotonic()
     for event in sorted(events):
--- a/sycamoreshed/routing/estimates.py
+++ b/sycamoreshed/routing/estimates.py
@@ -29,16 +29,18 @@
     (1.0, 0.5)
     """
 
-    __slots__ = ("_at", "_deviation", "_mean")
+    __slots__ = ("_at", "_deviation", "_mean", "count")
 
     def __init__(self):
         self._mean = None
         self._deviation = 0.0
         self._at = 0.0
+        self.count = 0
 
     def add(self, seconds, now):
         """Take in one measured duration."""
         self._at = now
+        self.count += 1
         if self._mean is None:
             self._mean = seconds
             self._deviation = seconds / 4
--- a/sycamoreshed/routing/loads.py
+++ b/sycamoreshed/routing/loads.py
@@ -12,6 +12,10 @@
 LEVEL_WEIGHT = 0.1
 SIZE_WEIGHT = 0.1
 SLOW_FROM = 1.5
+# A second call saves nothing below this, and after a few calls nobody
+# can tell what is unusual: a pause of the machine would double traffic.
+LEAST_PATIENCE_S = 0.1
+LEAST_KNOWN = 10
 # How much longer a call takes when all slots are taken; it also makes
 # the least loaded the choice among those that have a free slot.
 FULL_BATCH = 0.5
@@ -98,7 +102,9 @@
         firsts = self._firsts.get(endpoint.service)
         if firsts is None or not self._hedging:
             return None
-        return firsts.unusual()
+        if firsts.count < LEAST_KNOWN:
+            return None
+        return max(LEAST_PATIENCE_S, firsts.unusual())
 
     def observe_size(self, stage, size):
         """Take in the bytes a stage's call sent and received."""
