Split evenly what of a limit nobody asks for

Three instances restarted in turn under load: a restarted one had told no demand yet, so its part was a fifteenth of the limit, and it refused a team that sent less than its limit in all (429 in test_versions_never_go_down_while_all_restart_under_load). Parts now follow demand only as far as demand fills the limit; they still sum to one.

--- a/sycamoreshed/admission/limits.py
+++ b/sycamoreshed/admission/limits.py
@@ -108,7 +108,7 @@
         """
         bucket = self._buckets.get(team)
         if bucket is None:
-            part = shares.part(self._view(team, now))
+            part = shares.part(self._view(team, now, spec["rate"]))
             bucket = self._buckets[team] = _Bucket(part, now)
         bucket.rate = spec["rate"]
         bucket.burst = spec.get("burst", spec["rate"] * DEFAULT_BURST_S)
@@ -142,7 +142,7 @@
         for team, bucket in self._buckets.items():
             # Up to now the old part was in force.
             bucket.refill(now)
-            bucket.part = shares.part(self._view(team, now))
+            bucket.part = shares.part(self._view(team, now, bucket.rate))
 
     def _drop_old(self, now):
         for instance, (at, _) in list(self._heard.items()):
@@ -153,7 +153,7 @@
             if idle and bucket.refill(now) >= bucket.size:
                 del self._buckets[team]
 
-    def _view(self, team, now):
+    def _view(self, team, now, rate):
         others = [
             told[team] for _, told in self._heard.values() if team in told
         ]
@@ -162,6 +162,7 @@
             most=max(self._most, self._live(now)),
             own=self._told.get(team, 0.0),
             others=tuple(others),
+            rate=rate,
         )
 
     def _tell_demand(self, now):
--- a/sycamoreshed/admission/shares.py
+++ b/sycamoreshed/admission/shares.py
@@ -34,12 +34,16 @@
         Demand it told last, requests a second; zero for none.
     others : tuple of float
         Demand that live peers told last.
+    rate : float
+        The limit.  What of it nobody asks for is split evenly, or an
+        instance new to a team would refuse it below its limit.
     """
 
     live: int
     most: float
     own: float
     others: tuple = ()
+    rate: float = 0.0
 
 
 def reach(live, most):
@@ -82,5 +86,8 @@
     total = view.own + sum(view.others)
     if not total:
         return reach(view.live, view.most) * even
-    following = (1.0 - FLOOR) * view.own / total + FLOOR * even
+    follow = 1.0 - FLOOR
+    if view.rate:
+        follow = min(follow, total / view.rate)
+    following = follow * view.own / total + (1.0 - follow) * even
     return reach(view.live, view.most) * following
