Bound what the demand of teams costs in control traffic

Worked through with the deciding code (40 teams whose demand goes up and down every 7 s): heard by each instance 1,287 B/s at 9 instances, 8,581 at 60 and 58,637 at 410, of 6,000 allowed for all control.

Change: the least time between two tellings grows with instances and teams told, so that all that is heard stays under 2,000 B/s; what was told is held valid for three such times.

A test bounds it at 9, 60 and 410 instances.

Conclusion: at 410 instances parts follow demand within about a minute and a half at the worst; until then a team has its even part.

--- a/sycamoreshed/admission/limits.py
+++ b/sycamoreshed/admission/limits.py
@@ -21,6 +21,11 @@
 CHANGE = 0.2
 TELL_AGAIN_S = 5.0
 TOLD_VALID_S = 15.0
+# Everybody hears what everybody tells; bytes a second that this may cost
+# an instance, and about how many a record and a team in it take.
+HEARD_BYTES = 2000.0
+RECORD_BYTES = 60
+TEAM_BYTES = 24
 MOST_HALF_LIFE_S = 86400.0
 
 
@@ -145,8 +150,9 @@
             bucket.part = shares.part(self._view(team, now, bucket.rate))
 
     def _drop_old(self, now):
+        valid = max(TOLD_VALID_S, 3 * _interval(self._live(now), MOST_TOLD))
         for instance, (at, _) in list(self._heard.items()):
-            if now - at > TOLD_VALID_S:
+            if now - at > valid:
                 del self._heard[instance]
         for team, bucket in list(self._buckets.items()):
             idle = not bucket.count and bucket.demand < bucket.rate / 1000
@@ -175,7 +181,10 @@
         if len(hot) > MOST_TOLD:
             top = sorted(hot, key=self._pressure, reverse=True)[:MOST_TOLD]
             hot = {team: hot[team] for team in top}
-        old = now - self._told_at >= TELL_AGAIN_S
+        since = now - self._told_at
+        if since < _interval(live, len(hot)):
+            return
+        old = since >= TELL_AGAIN_S
         if (hot and old) or _differs(hot, self._told):
             self._told = hot
             self._told_at = now
@@ -186,6 +195,18 @@
         return bucket.demand / bucket.rate
 
 
+def _interval(live, teams):
+    """Return the least seconds between two tellings of one instance.
+
+    Notes
+    -----
+    Without it 410 instances that tell 16 teams each at every change would
+    have each instance hear some 180 KB/s, thirty times what control may
+    cost; the links would be seen full of gossip.
+    """
+    return live * (RECORD_BYTES + TEAM_BYTES * teams) / HEARD_BYTES
+
+
 def _differs(new, old):
     if new.keys() != old.keys():
         return True
--- a/sycamoreshed/admission/tests/test_limits.py
+++ b/sycamoreshed/admission/tests/test_limits.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from sycamoreshed.admission import limits
@@ -145,3 +146,23 @@
     part.step(1.0)
     assert len(told[-1]) == limits.MOST_TOLD
     assert all(demand >= 20 for demand in told[-1].values())
+
+
+@pytest.mark.parametrize("live", [9, 60, 410])
+def test_bytes_told_stay_within_their_part(live):
+    """The demand of many teams goes up and down at all instances.
+
+    Each tells all others; told at every change, control traffic would
+    grow with the number of instances until it takes the links.
+    """
+    told = []
+    part = limits.Limits(instance="a", live=lambda _: live, tell=told.append)
+    seconds = 600
+    for now in range(1, seconds + 1):
+        for number in range(40):
+            for _ in range(2 + 18 * (now // 7 % 2)):
+                part.check(f"team-{number}", {"rate": 10.0}, float(now))
+        part.step(float(now))
+    size = sum(len(msgspec.json.encode(["a", 10**12, item])) for item in told)
+    assert len(told) > 2
+    assert live * size / seconds <= limits.HEARD_BYTES
