Rank endpoints for a prefix with 32-bit hashes

Cause: a decision with 90 candidates took 155.5 us of processor time, goal 150; 61 us of it was the ranking of all candidates by hash of 64 bits, whose product needs large integers, with a cache looked up by a call.

Ruled out, by trial: 64 bits with a dictionary in place of the cache (53 us); 32 bits in the same loop (46 us). Taken: 32 bits, one list and its greatest two (40 to 41 us).

--- a/sycamoreshed/routing/affinity.py
+++ b/sycamoreshed/routing/affinity.py
@@ -1,17 +1,28 @@
 """Rendezvous hashing: every instance ranks endpoints the same way."""
 
-import functools
-
 import xxhash
 
 __all__ = ["homes"]
 
-_MASK = (1 << 64) - 1
-_ODD = 0x9E3779B97F4A7C15
+_MASK = (1 << 32) - 1
+_ODD = 0x9E3779B1
 # More names than endpoints at the size to design for, with replacements.
 _NAMES = 4096
 
 
+class _Hashes(dict):
+    """Hashes of endpoints' names, kept since each choice needs them all."""
+
+    def __missing__(self, name):
+        if len(self) >= _NAMES:
+            self.clear()
+        self[name] = _hash(name)
+        return self[name]
+
+
+_name_hashes = _Hashes()
+
+
 def homes(candidates, key):
     """Return the two endpoints a key belongs to, the first one first.
 
@@ -32,21 +43,19 @@
     key would end up in all caches.
     """
     own = _hash(key)
-    first = second = None
-    high = next_high = -1
-    for item in candidates:
-        weight = ((own ^ _name_hash(item.name)) * _ODD) & _MASK
-        weight ^= weight >> 32
-        if weight > high:
-            second, next_high = first, high
-            first, high = item, weight
-        elif weight > next_high:
-            second, next_high = item, weight
-    return [item for item in (first, second) if item is not None]
+    hashes = _name_hashes
+    # Of 32 bits each, so that the product stays small; with 64 this took
+    # half as long again for 90 candidates.
+    weights = [
+        ((own ^ hashes[item.name]) * _ODD) & _MASK for item in candidates
+    ]
+    first = weights.index(max(weights))
+    if len(weights) == 1:
+        return [candidates[first]]
+    weights[first] = -1
+    second = weights.index(max(weights))
+    return [candidates[first], candidates[second]]
 
 
 def _hash(text):
-    return xxhash.xxh3_64_intdigest(text.encode())
-
-
-_name_hash = functools.lru_cache(maxsize=_NAMES)(_hash)
+    return xxhash.xxh32_intdigest(text.encode())
