Test that a stop waits for answers not recorded yet

Cause: nothing showed that a graceful stop waits for records that are written in the background.

Change: a test that stops an instance whose answer went out while the store refused its record.

--- a/tests/integration/test_once.py
+++ b/tests/integration/test_once.py
@@ -319,3 +319,26 @@
     assert (unknown.status, unknown.outcome) == (404, "outcome-unknown")
     assert longest.outcome == "complete"
     assert asked == longest
+
+
+async def test_stop_waits_for_an_answer_that_is_not_recorded_yet():
+    """An operator stops an instance while the store is away for a moment.
+
+    The member has the answer already; were its record left open, a repeat
+    through another instance would hear "outcome unknown" for ever.
+    """
+    async with ballots.cluster(lookup=False) as cluster:
+        ballots.hold(cluster, ballots.BALLOTS, True)
+        call = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        await ballots.until(ballots.log, cluster, "k")
+        cluster.proxies["table"].refuse = True
+        ballots.hold(cluster, ballots.BALLOTS, False)
+        first = await call
+        before = await ballots.state_of(cluster, "k")
+        cluster.proxies["table"].refuse = False
+        code = await cluster.daemons[0].stop()
+        after = await ballots.state_of(cluster, "k")
+        again = await ballots.until_complete(cluster, 1, "k")
+    assert (first.outcome, before) == ("complete", "begun")
+    assert (code, after) == (0, "done")
+    assert again.raw == first.raw
