Test that a free slot is not refused for an estimate

Cause: the mend of refusals with a queue of 0.00 s was shown only by the random run of ballots.

Change: a table of a gate with and without a free slot, for a request with less left than the longest take.

Seen: 37 tests of admission pass; with the mend taken out, the row with a free slot fails.

--- a/sycamoreshed/admission/tests/test_gate.py
+++ b/sycamoreshed/admission/tests/test_gate.py
@@ -112,3 +112,19 @@
     for now in range(1000, 3000):
         limiter.finished(0.5, 3.0, running=256, now=float(now))
     assert start < limiter.limit <= 36 * limiters.HEADROOM
+
+
+@pytest.mark.parametrize("slots, refused", [(1, True), (2, False)])
+async def test_one_that_may_be_late_gets_a_free_slot(slots, refused):
+    """Times vary, and a request has less left than the longest take.
+
+    Refused although a slot is free it would be lost for sure, and nobody
+    would gain.
+    """
+    gate = make(slots=slots)
+    for seconds in (0.2, 1.5, 0.2, 1.5):
+        await measure(gate, seconds)
+    await waiting(gate, entry(1))
+    assert gate.run_time("p").low(0.0) < 0.7 < gate.run_time("p").high(0.0)
+    failure = gate.refusal(entry(2), 0.7, 0.0)
+    assert (failure is not None) == refused
