Refuse before and at admission by the same steps

Cause: a request turned away while the store is away and one turned away by admission were counted and refused by two copies of the same lines.

Change: one method does both. Behaviour is the same; the tests of the entry, the path and of ballots with real processes pass.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -151,9 +151,7 @@
         if request.key is not None:
             refusal = self._once.refusal()
             if refusal is not None:
-                outcome = kinds.answer_for(refusal).outcome
-                self._count(request, outcome, start)
-                return self._refuse(refusal, request)
+                return self._turn_away(refusal, request, start)
             # Goes on when its caller goes away, so that its outcome gets
             # recorded; until then it holds its slot and holds up a drain.
             run = asyncio.create_task(self._admitted(http, ask, start))
@@ -162,12 +160,15 @@
             return await asyncio.shield(run)
         return await self._admitted(http, ask, start)
 
+    def _turn_away(self, failure, request, start):
+        self._count(request, kinds.answer_for(failure).outcome, start)
+        return self._refuse(failure, request)
+
     async def _admitted(self, http, ask, start):
         request = ask.request
         ticket = await self._admission.enter(request, self._core.clock())
         if isinstance(ticket, kinds.Failure):
-            self._count(request, kinds.answer_for(ticket).outcome, start)
-            return self._refuse(ticket, request)
+            return self._turn_away(ticket, request, start)
         try:
             if ask.stream:
                 return await self._stream(http, request, start)
