Place pieces by the bytes that cross zones, and give up stages that are late

Causes: all pieces of a stage were asked for again when one had no room; a queue of another zone was chosen by its wait alone; requests waited for stages until their deadline, though callers of streams hang up earlier and late answers are worth little.

Now only missing pieces are asked for again, 'no room' is waited out by who batches, zones are chosen by wait and bytes that cross, engines where large results lie, stages are given up at twice the target and refused at once if their turn comes later than that.

Ruled out: results that are not freed (all such calls are answered 200).

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -61,12 +61,15 @@
         What all requests share.
     inputs : list of str
         Handles of results of stages.
+    held : dict of str to int
+        Bytes of those results in each zone.
     """
 
-    def __init__(self, *, request, parts, inputs=()):
+    def __init__(self, *, request, parts, inputs=(), held=None):
         self._request = request
         self._parts = parts
         self._inputs = inputs
+        self._held = held or {}
         self._tried = set()
         self._sent = 0
         self._may_have_run = False
@@ -96,6 +99,8 @@
         while True:
             now = parts.clock()
             left = request.until - now
+            if last_event_id is None:
+                left = request.first_until - now
             if left <= 0:
                 return self._fail(kinds.Kind.LATE, "no time left")
             choice = self._choose(now)
@@ -104,7 +109,10 @@
                     kinds.Kind.NO_ENDPOINT, f"no endpoint of {request.service}"
                 )
             result = await self._send(
-                choice, left, last_event_id, self._within(left, patience)
+                choice,
+                request.until - now,
+                last_event_id,
+                self._within(left, patience),
             )
             if isinstance(result, Opened):
                 return result
@@ -182,6 +190,8 @@
             now,
             tried=self._tried,
             affinity=request.affinity,
+            body_bytes=len(request.body),
+            held=self._held,
         )
         if choice is not None:
             parts.journal.write(
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -103,7 +103,10 @@
                 # be done again, and leaves no effect.
                 return Outcome(failure=inputs._replace(sent=False))
             tries = attempts.Attempts(
-                request=request, parts=self._parts, inputs=inputs
+                request=request,
+                parts=self._parts,
+                inputs=inputs,
+                held=self._chain.zone_bytes(inputs, request.route.stages),
             )
             outcome = await self._attempt(request, tries, sink, kept)
             if not tries.inputs_gone or tries.may_have_run:
@@ -126,7 +129,8 @@
             counts=counts,
             key=request.head.piece_key,
             aim=request.began + target,
-            until=request.until - ENGINE_LEAST_S,
+            until=request.stages_until - ENGINE_LEAST_S,
+            priority=request.priority,
         )
         return await self._chain.run(job, kept)
 
--- a/sycamoreshed/forwarding/placing.py
+++ b/sycamoreshed/forwarding/placing.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint of a request."""
 
+import types
 import typing
 
 from sycamoreshed.kernel import kernel
@@ -12,6 +13,13 @@
 # again takes an engine 0.2 s; four more running requests cost each token
 # about 3% and a queued prompt ahead as much as the prompt itself.
 AFFINITY_SLACK = 4
+# What a byte costs that crosses on the way of a request, against a byte of
+# results that an engine fetches from another zone: bodies and answers
+# between regions are priced some hundred times higher.
+REGION_WEIGHT = 120.0
+ZONE_WEIGHT = 4.0
+# Head and answer, which cross besides the body.
+OVERHEAD_BYTES = 4000
 
 
 class Choice(typing.NamedTuple):
@@ -71,7 +79,23 @@
         same = self._regions.get(zone) == self._regions.get(self._zone)
         return 1 if same else 2
 
-    def choose(self, endpoints, now, *, tried=(), affinity=None):
+    def crossing(self, zone, body_bytes, held):
+        """Return the weighted bytes that cross if a zone is chosen."""
+        distance = self.distance(zone)
+        weight = (0.0, ZONE_WEIGHT, REGION_WEIGHT)[distance]
+        fetched = sum(size for each, size in held.items() if each != zone)
+        return weight * (body_bytes + OVERHEAD_BYTES) + fetched
+
+    def choose(
+        self,
+        endpoints,
+        now,
+        *,
+        tried=(),
+        affinity=None,
+        body_bytes=0,
+        held=types.MappingProxyType({}),
+    ):
         """Choose an endpoint, or return None if there is none.
 
         Parameters
@@ -84,6 +108,10 @@
             Ids of endpoints that had the request already.
         affinity : str, optional
             Equal for requests that gain from the same endpoint.
+        body_bytes : int
+            Of the request.
+        held : dict of str to int
+            Bytes that the endpoint fetches, by the zone they lie in.
 
         Returns
         -------
@@ -100,8 +128,12 @@
         pool = good or left
         if not pool:
             return None
-        nearest = min(self.distance(each.zone) for each in pool)
-        near = [e for e in pool if self.distance(e.zone) == nearest]
+        costs = {
+            zone: self.crossing(zone, body_bytes, held)
+            for zone in {each.zone for each in pool}
+        }
+        cheapest = min(costs.values())
+        near = [e for e in pool if costs[e.zone] == cheapest]
         least = min(self.in_flight(each) for each in near)
         if affinity is not None:
             near.sort(
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -4,6 +4,17 @@
 
 __all__ = ["Request"]
 
+# Callers of a stream hang up when nothing comes for the longest of two
+# seconds, four times the target and eight times the pause their route
+# allows; what is not there by then is work for nobody.
+LEAST_WAIT_S = 2.0
+TARGETS_WAITED = 4.0
+PAUSES_WAITED = 8.0
+# Stages of a request that is late are given up on after this many times its
+# target: a late answer is worth some 15% of one in time, and while requests
+# are late others wait for the same endpoints.
+STAGE_TARGETS = 2.0
+
 
 class Request(typing.NamedTuple):
     """A request whose route and team are known.
@@ -58,6 +69,24 @@
         """Monotonic time until which an answer is in time."""
         return self.began + self.route.target_s
 
+    @property
+    def first_until(self):
+        """Monotonic time until which an answer has to begin."""
+        if not self.route.streaming:
+            return self.until
+        waited = max(
+            LEAST_WAIT_S,
+            TARGETS_WAITED * self.route.target_s,
+            PAUSES_WAITED * self.route.pause_s,
+        )
+        return min(self.until, self.began + waited)
+
+    @property
+    def stages_until(self):
+        """Monotonic time until which stages are worked on."""
+        patience = STAGE_TARGETS * self.route.target_s
+        return min(self.first_until, self.began + patience)
+
     @property
     def affinity(self):
         """What requests share that gain from the same engine, or None.
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -118,6 +118,9 @@
     "batch_ended": Event(
         Class.DETAIL, "endpoint, pieces, took_s, why", "such a call ended"
     ),
+    "freed": Event(
+        Class.DETAIL, "endpoint, results, why", "results were given up"
+    ),
     "attempt_failed": Event(
         Class.DECISION,
         "request, endpoint, attempt, why, sent, took_s",
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -18,7 +18,7 @@
 FREE_TIMEOUT_S = 1.0
 # Results to be freed are gathered that long: a call each would cost more
 # than the room is worth.
-FREE_DELAY_S = 0.05
+FREE_DELAY_S = 0.02
 # Between looks for endpoints when there are none, or none with room.
 IDLE_S = 0.05
 
@@ -74,17 +74,15 @@
         """
         now = self._clock()
         loop = asyncio.get_running_loop()
+        wanted = [_piece(ask, index, now) for index in ask.indices]
+        start = self._pool.expected_start(self._endpoints(now), wanted[0], now)
+        if start > wanted[0].until:
+            # Known now, so told now: the caller can come back or do
+            # without, instead of waiting for its deadline.
+            late = [pieces.Result(None, "late")] * len(wanted)
+            return pieces.Made(late, self.expected_wait())
         futures = []
-        for index in range(ask.count):
-            piece = pieces.Piece(
-                request=ask.request,
-                stage=ask.stage,
-                index=index,
-                aim=now + ask.aim_s,
-                until=now + ask.until_s,
-                key=ask.key,
-                inputs=tuple(ask.inputs),
-            )
+        for piece in wanted:
             future = loop.create_future()
             futures.append(future)
             self._pool.add(pool.Waiting(piece, ask.size, now, future))
@@ -98,12 +96,13 @@
 
     def expected_wait(self):
         """Return the seconds until a piece that came now had its turn."""
-        return self._pool.expected_wait(self._endpoints(self._clock()))
+        now = self._clock()
+        return self._pool.expected_wait(self._endpoints(now), now)
 
     def free(self, handles):
         """Give up results; their endpoints are told a moment later."""
         for handle in handles:
-            endpoint = self._pool.free(handle)
+            endpoint = self._pool.maker(handle)
             if endpoint is None:
                 continue
             if endpoint not in self._freed:
@@ -112,7 +111,6 @@
                     self._tell_freed(endpoint), name="free stage results"
                 )
             self._freed[endpoint].append(handle)
-        self._wake.set()
 
     def _start(self):
         self._wake.set()
@@ -145,11 +143,11 @@
         batch = self._pool.next_batch(self._endpoints(now), now)
         if batch is None:
             return False
-        self._pool.begin(batch)
-        self._spawn(self._call(batch), name="call with pieces")
+        ready = self._pool.begin(batch, now)
+        self._spawn(self._call(batch, ready), name="call with pieces")
         return True
 
-    async def _call(self, batch):
+    async def _call(self, batch, ready):
         began = self._clock()
         self._journal.write(
             "batch",
@@ -168,13 +166,8 @@
             results, why = await self._attempt(batch, began)
         finally:
             now = self._clock()
-            handles = [each.handle for each in results]
-            self._pool.end(batch, handles, now)
-            unwanted = []
-            for waiting, result in zip(batch.waiting, results, strict=True):
-                if not _settle(waiting, result) and result.handle:
-                    unwanted.append(result.handle)
-            self.free(unwanted)
+            self._pool.end(batch, ready, results, now)
+            self._hand_out(batch, results)
             self._journal.write(
                 "batch_ended",
                 endpoint=batch.endpoint.id,
@@ -183,6 +176,17 @@
                 why=why,
             )
 
+    def _hand_out(self, batch, results):
+        unwanted = []
+        for waiting, result in zip(batch.waiting, results, strict=True):
+            if result.why == "room" and not waiting.done.done():
+                # It was not worked on, and there will be room again.
+                self._pool.add(waiting)
+            elif not _settle(waiting, result) and result.handle:
+                unwanted.append(result.handle)
+        self.free(unwanted)
+        self._wake.set()
+
     async def _attempt(self, batch, began):
         """Return the results of a call, and a word on how it went."""
         spec = self._service.pieces
@@ -246,6 +250,7 @@
         now = self._clock()
         found = [e for e in self._endpoints(now) if e.id == name]
         if not found:
+            # Leaving or avoided; its results expire by themselves.
             return
         path, headers, body = self._codec.free_call(handles, endpoint=name)
         response = await self._client.send(
@@ -256,8 +261,33 @@
             body,
             within=FREE_TIMEOUT_S,
         )
-        if not isinstance(response, kinds.Failure):
+        why = "done"
+        if isinstance(response, kinds.Failure):
+            why = response.reason
+        else:
+            why = f"status {response.status}"
             response.close()
+        self._journal.write(
+            "freed", endpoint=name, results=len(handles), why=why
+        )
+        # Only now is there room again; counted earlier, pieces would be
+        # sent in vain.
+        for handle in handles:
+            self._pool.free(handle)
+        self._wake.set()
+
+
+def _piece(ask, index, now):
+    return pieces.Piece(
+        request=ask.request,
+        stage=ask.stage,
+        index=index,
+        aim=now + ask.aim_s,
+        until=now + ask.until_s,
+        key=ask.key,
+        inputs=tuple(ask.inputs),
+        priority=ask.priority,
+    )
 
 
 def _settle(waiting, result):
--- a/sycamoreshed/staging/chain.py
+++ b/sycamoreshed/staging/chain.py
@@ -31,6 +31,8 @@
     aim, until : float
         Monotonic times by which all results should be there for the
         answer to be in time, and must be for there to be one.
+    priority : int
+        0 is the most urgent.
     """
 
     request: str
@@ -39,6 +41,7 @@
     key: str | None
     aim: float
     until: float
+    priority: int
 
 
 def final_stages(stages):
@@ -143,6 +146,15 @@
             for task in tasks:
                 task.cancel()
 
+    def zone_bytes(self, handles, stages):
+        """Return the bytes of final results that lie in each zone."""
+        if not handles:
+            return {}
+        # All final stages' results are of about the same size, or only
+        # the largest matters.
+        size = max(stages[i].result_bytes for i in final_stages(stages))
+        return self._owners.zone_bytes(handles, [size] * len(handles))
+
     def free(self, handles):
         """Give up results."""
         for call in self._owners.free(handles):
@@ -189,69 +201,89 @@
                         kept.remove(handle)
 
     async def _make(self, job, index, inputs, specs):
+        """Have the pieces of a stage made; return handles or a failure."""
         stage = job.stages[index]
-        after = time_after(job, index, specs) + FETCH_S
-        least = _least(job, index, specs)
+        handles = [None] * job.counts[index]
         avoid = set()
         self._budget.earn(stage.service, self._clock())
         for attempt in range(1, MOST_ATTEMPTS + 1):
-            now = self._clock()
-            ask = pieces.Ask(
-                service=stage.service,
-                request=job.request,
-                stage=index,
-                count=job.counts[index],
-                size=stage.result_bytes,
-                aim_s=job.aim - after - least - now,
-                until_s=job.until - after - now,
-                key=None if inputs else job.key,
-                inputs=inputs,
-            )
-            if ask.until_s < least:
+            ask = self._ask(job, index, inputs, specs, handles)
+            if ask.until_s < _least(job, index, specs):
                 return kinds.Failure(
                     kinds.Kind.HOPELESS, f"no time for {stage.service}"
                 )
-            zone = self._owners.choose_zone(stage.service, now, avoid)
-            self._journal.write(
-                "pieces",
-                request=job.request,
-                stage=index,
-                pieces=ask.count,
-                zone=zone,
-                aim_s=round(ask.aim_s, 3),
-                until_s=round(ask.until_s, 3),
-            )
+            zone = self._owners.choose_zone(ask, self._clock(), avoid)
+            self._tell(ask, zone)
             made = await self._owners.make(ask, avoid=avoid)
+            self._take(made, ask, handles)
             failure = _failure(made)
             if failure is None:
-                return [each.handle for each in made.results]
-            self._drop_partial(made)
-            if failure.kind is kinds.Kind.HOPELESS:
-                return failure
-            if failure.reason == "gone" and inputs:
-                return failure._replace(
-                    reason=f"inputs of {stage.service} are gone"
-                )
+                return handles
             avoid.add(zone)
-            if not self._may_repeat(stage.service, failure):
+            if attempt == MOST_ATTEMPTS or not self._may_repeat(
+                job, stage, failure, attempt
+            ):
+                self.free([each for each in handles if each])
                 return failure
-            self._journal.write(
-                "retry",
-                request=job.request,
-                attempt=attempt + 1,
-                why=f"stage {index}: {failure.reason}",
-                budget=None,
-            )
-        return failure
-
-    def _may_repeat(self, service, failure):
-        if not failure.sent:
-            return True
-        return self._budget.spend(service, self._clock(), self._peers.count())
 
-    def _drop_partial(self, made):
+    def _ask(self, job, index, inputs, specs, handles):
+        """Return the `Ask` for the pieces that are not there yet."""
+        now = self._clock()
+        stage = job.stages[index]
+        after = time_after(job, index, specs) + FETCH_S
+        least = _least(job, index, specs)
+        return pieces.Ask(
+            service=stage.service,
+            request=job.request,
+            stage=index,
+            indices=[i for i, handle in enumerate(handles) if not handle],
+            size=stage.result_bytes,
+            input_size=max(
+                (job.stages[before].result_bytes for before in stage.after),
+                default=0,
+            ),
+            is_final=index in final_stages(job.stages),
+            aim_s=job.aim - after - least - now,
+            until_s=job.until - after - now,
+            key=None if inputs else job.key,
+            inputs=inputs,
+            priority=job.priority,
+        )
+
+    def _tell(self, ask, zone):
+        self._journal.write(
+            "pieces",
+            request=ask.request,
+            stage=ask.stage,
+            pieces=len(ask.indices),
+            zone=zone,
+            aim_s=round(ask.aim_s, 3),
+            until_s=round(ask.until_s, 3),
+        )
+
+    def _take(self, made, ask, handles):
         if isinstance(made, pieces.Made):
-            self.free([e.handle for e in made.results if e.handle])
+            for index, result in zip(ask.indices, made.results, strict=True):
+                handles[index] = result.handle
+
+    def _may_repeat(self, job, stage, failure, attempt):
+        if failure.kind is kinds.Kind.HOPELESS:
+            return False
+        # Asked for again with the same inputs, it would be gone again.
+        why = failure.reason
+        allowed = why != "gone"
+        if allowed and failure.sent:
+            allowed = self._budget.spend(
+                stage.service, self._clock(), self._peers.count()
+            )
+        self._journal.write(
+            "retry" if allowed else "no_retry",
+            request=job.request,
+            attempt=attempt + 1,
+            why=f"{stage.service}: {why}",
+            budget=None,
+        )
+        return allowed
 
 
 def _failure(made):
--- a/sycamoreshed/staging/owners.py
+++ b/sycamoreshed/staging/owners.py
@@ -26,9 +26,15 @@
 FREE_TIMEOUT_S = 0.5
 # How long what another zone's queue said of itself is gone by.
 WAIT_VALID_S = 0.5
-# What another zone must be shorter by: both ways between regions, and a
-# little for what its answer leaves out by being old.
-CROSSING_S = 0.1
+# What another zone's queue must be shorter by for each step of distance:
+# both ways between regions take 40 ms, twice for what its answer leaves out
+# by being old.
+CROSSING_S = 0.04
+# And for each megabyte that would cross zones, which is paid: 7.5 MB cost
+# about a tenth of what a request is worth, for which its answer may as well
+# come 0.3 s later.
+CROSSING_S_MB = 0.04
+MB = 1e6
 
 
 class _Told(typing.NamedTuple):
@@ -90,7 +96,7 @@
             Zones that were tried already.
         """
         now = self._clock()
-        zone = self.choose_zone(ask.service, now, avoid)
+        zone = self.choose_zone(ask, now, avoid)
         if zone is None:
             return kinds.Failure(
                 kinds.Kind.NO_ENDPOINT, f"no endpoint of {ask.service}"
@@ -140,8 +146,9 @@
         if batcher is not None:
             batcher.free(handles)
 
-    def choose_zone(self, service, now, avoid=()):
+    def choose_zone(self, ask, now, avoid=()):
         """Return the zone whose queue should take pieces, or None."""
+        service = ask.service
         zones = {}
         for each in self._catalog.endpoints(service, now):
             good = not self._health.is_out(each, now)
@@ -149,15 +156,46 @@
         left = [zone for zone in zones if zone not in avoid] or list(zones)
         if not left:
             return None
-        return min(
-            left,
-            key=lambda zone: (
-                not any(zones[zone]),
-                self._expected(service, zone, now)
-                + CROSSING_S * self._placer.distance(zone),
-                zone,
-            ),
-        )
+
+        def cost(zone):
+            wait = self._expected(service, zone, now)
+            wait += CROSSING_S * self._placer.distance(zone)
+            wait += CROSSING_S_MB * self._crossing(ask, zone) / MB
+            return not any(zones[zone]), wait, zone
+
+        return min(left, key=cost)
+
+    def zone_bytes(self, handles, sizes):
+        """Return the bytes of results that lie in each zone.
+
+        Parameters
+        ----------
+        handles : list of str
+        sizes : list of int
+            Approximate bytes of each.
+        """
+        found = {}
+        for handle, size in zip(handles, sizes, strict=True):
+            _, zone = self._makers.get(handle, (None, None))
+            if zone is not None:
+                found[zone] = found.get(zone, 0) + size
+        return found
+
+    def _crossing(self, ask, zone):
+        """Return the bytes that cross zones if pieces are made in one.
+
+        Each piece fetches all inputs; what it makes is fetched by an
+        engine, most likely of this instance's zone, or by pieces of the
+        next stage, which can follow it.
+        """
+        count = len(ask.indices)
+        sizes = [ask.input_size] * len(ask.inputs)
+        held = self.zone_bytes(ask.inputs, sizes)
+        away = sum(size for each, size in held.items() if each != zone)
+        crossing = count * away
+        if ask.is_final and zone != self._zone:
+            crossing += count * ask.size
+        return crossing
 
     def _expected(self, service, zone, now):
         told = self._told.get((service, zone))
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -26,6 +26,8 @@
         What a piece of a first stage is made from.
     inputs : tuple of str
         Handles of the results that a later stage takes.
+    priority : int
+        Of the request; 0 is the most urgent.
     """
 
     request: str
@@ -35,6 +37,7 @@
     until: float
     key: str | None = None
     inputs: tuple = ()
+    priority: int = 0
 
 
 class Ask(typing.NamedTuple):
@@ -44,25 +47,33 @@
     ----------
     service, request : str
     stage : int
-    count : int
-        Pieces 0 to `count` - 1 are wanted.
+    indices : list of int
+        Which pieces are wanted.
     size : int
         Approximate bytes of a result.
+    input_size : int
+        Approximate bytes of each input.
+    is_final : bool
+        Whether the engine takes the results, and no other stage.
     aim_s, until_s : float
         As in `Piece`, from now on; clocks of instances differ.
     key : str or None
     inputs : list of str
+    priority : int
     """
 
     service: str
     request: str
     stage: int
-    count: int
+    indices: list[int]
     size: int
+    input_size: int
+    is_final: bool
     aim_s: float
     until_s: float
     key: str | None
     inputs: list[str]
+    priority: int
 
 
 class Result(typing.NamedTuple):
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -11,8 +11,15 @@
 
 __all__ = ["Batch", "Pool", "Waiting"]
 
-# Pieces told late or dropped are not begun if less than this is left.
-MARGIN_S = 0.02
+# A request of the next lower priority yields as if its answer were due that
+# much later.  Less, and the most urgent requests, which often have the most
+# stages, are late more often than others; the whole aim of a request is 1
+# to 2 s.
+PRIORITY_STEP_S = 0.25
+# An endpoint that said it has no room gets no pieces for that long, or
+# until some of its results are freed: a call takes about as long, and some
+# of the results it holds are fetched and freed by then.
+FULL_S = 0.15
 
 
 class Waiting(typing.NamedTuple):
@@ -41,6 +48,14 @@
     waiting: list
 
 
+def _by_request(entries):
+    """Return lists of the entries of each request, in order."""
+    groups = {}
+    for entry in entries:
+        groups.setdefault(entry[2].piece.request, []).append(entry)
+    return groups.values()
+
+
 class Pool:
     """The queue of a service, and the endpoints that work on it.
 
@@ -56,6 +71,7 @@
         self._calls = {}
         self._held = {}
         self._expiry = {}
+        self._full = {}
 
     @property
     def queued(self):
@@ -64,13 +80,20 @@
 
     def calls(self, endpoint):
         """Return the calls in progress at an endpoint."""
-        return self._calls.get(endpoint.id, 0)
+        return len(self._calls.get(endpoint.id, ()))
 
     def add(self, waiting):
         """Put a piece into the queue, the most urgent first."""
         self._order += 1
-        entry = (waiting.piece.aim, self._order, waiting)
-        bisect.insort(self._queue, entry)
+        piece = waiting.piece
+        urgency = piece.aim + PRIORITY_STEP_S * piece.priority
+        bisect.insort(self._queue, (urgency, self._order, waiting))
+
+    def expected_start(self, endpoints, piece, now):
+        """Return when pieces as urgent as this would have their turn."""
+        urgency = piece.aim + PRIORITY_STEP_S * piece.priority
+        ahead = bisect.bisect_right(self._queue, (urgency, self._order + 1))
+        return now + self._wait(endpoints, ahead, now)
 
     def discard(self, request):
         """Drop what waits for a request that nobody wants any more."""
@@ -106,12 +129,15 @@
         """
         if not self._queue:
             return None
+        self._expire(now)
         free = [
-            each for each in endpoints if self.calls(each) < self.spec.slots
+            each
+            for each in endpoints
+            if self.calls(each) < self.spec.slots
+            and now >= self._full.get(each.id, 0.0)
         ]
         if not free:
             return None
-        self._expire(now)
         endpoint = max(free, key=self.room)
         chosen = self._fill(self.room(endpoint), now)
         if not chosen:
@@ -124,71 +150,96 @@
         # Who can still be in time goes first; behind them those that are
         # late already, whose answers are worth a little yet.
         work = self.spec.call_s
-        hopeful = [e for e in self._queue if e[0] >= now + work]
-        others = [e for e in self._queue if e[0] < now + work]
+        hopeful = [e for e in self._queue if e[2].piece.aim >= now + work]
+        others = [e for e in self._queue if e[2].piece.aim < now + work]
         chosen = []
-        for entry in hopeful + others:
-            if len(chosen) >= self.spec.batch:
-                break
-            if entry[2].size > room:
+        for group in _by_request(hopeful + others):
+            left = self.spec.batch - len(chosen)
+            size = sum(entry[2].size for entry in group)
+            if chosen and (len(group) > left or size > room):
+                # Torn apart, the first part's results would take room
+                # until the rest is done, a whole call later.
                 continue
-            room -= entry[2].size
-            chosen.append(entry)
+            for entry in group[:left]:
+                if entry[2].size <= room:
+                    room -= entry[2].size
+                    chosen.append(entry)
+            if len(chosen) == self.spec.batch:
+                break
         return chosen
 
     def room(self, endpoint):
         """Return the bytes left for results at an endpoint."""
         return self.spec.room_bytes - self._held.get(endpoint.id, 0)
 
-    def begin(self, batch):
+    def begin(self, batch, now):
         """Count a call that is sent, and the room of its results."""
         key = batch.endpoint.id
-        self._calls[key] = self.calls(batch.endpoint) + 1
+        ready = now + self.work(len(batch.waiting))
+        self._calls.setdefault(key, []).append(ready)
         size = sum(each.size for each in batch.waiting)
         self._held[key] = self._held.get(key, 0) + size
+        return ready
 
-    def end(self, batch, handles, now):
+    def end(self, batch, ready, results, now):
         """Count the end of a call.
 
         Parameters
         ----------
         batch : Batch
-        handles : list of str or None
-            Of the results, None where there is none.
+        ready : float
+            As `begin` returned it.
+        results : list of Result
         now : float
         """
         key = batch.endpoint.id
-        self._calls[key] = self.calls(batch.endpoint) - 1
+        self._calls[key].remove(ready)
         until = now + self.spec.result_ttl_s
-        for waiting, handle in zip(batch.waiting, handles, strict=True):
-            if handle is None:
+        for waiting, result in zip(batch.waiting, results, strict=True):
+            if result.handle is None:
                 self._release(key, waiting.size)
             else:
-                self._expiry[handle] = (until, key, waiting.size)
+                self._expiry[result.handle] = (until, key, waiting.size)
+            if result.why == "room":
+                self._full[key] = now + FULL_S
+
+    def maker(self, handle):
+        """Return the id of the endpoint that holds a result, or None."""
+        held = self._expiry.get(handle)
+        return None if held is None else held[1]
 
     def free(self, handle):
-        """Release a result's room; return its endpoint's id or None."""
+        """Release the room of a result that is freed or has expired."""
         held = self._expiry.pop(handle, None)
-        if held is None:
-            return None
-        _, key, size = held
-        self._release(key, size)
-        return key
+        if held is not None:
+            _, key, size = held
+            self._release(key, size)
+            self._full.pop(key, None)
 
-    def expected_wait(self, endpoints):
+    def work(self, count):
+        """Return the seconds that a call with so many pieces takes."""
+        return self.spec.call_s + count * self.spec.piece_s
+
+    def expected_wait(self, endpoints, now):
         """Return the seconds until a piece that came now had its turn."""
-        count = len(endpoints)
-        if not count:
+        return self._wait(endpoints, self.queued, now)
+
+    def _wait(self, endpoints, ahead, now):
+        places = len(endpoints) * self.spec.slots
+        if not places:
             return float("inf")
-        spec = self.spec
-        whole = spec.call_s + spec.batch * spec.piece_s
-        ahead, rest = divmod(self.queued, spec.batch)
-        queued = ahead * whole
+        calls = [
+            max(0.0, ready - now)
+            for each in endpoints
+            for ready in self._calls.get(each.id, ())
+        ]
+        if len(calls) < places and not ahead:
+            return 0.0
+        whole, rest = divmod(ahead, self.spec.batch)
+        queued = whole * self.work(self.spec.batch)
         if rest:
-            queued += spec.call_s + rest * spec.piece_s
-        busy = sum(min(self.calls(each), spec.slots) for each in endpoints)
-        # A call in progress is half done on the average.
-        return (queued + busy * whole / 4) / (count * spec.slots)
+            queued += self.work(rest)
+        return (queued + sum(calls)) / places
 
     def _expire(self, now):
         late = [
