Free results when an engine begins to answer, and tell late requests apart

Results were kept until the end of streams that may be resumed, were lost track of when another instance took over the batching, and requests that could no longer be in time went on in turn with the others.

An answer without length that is reset at once was passed on as whole: the HTTP library lets go of the connection before its end can be seen. The response class keeps it.

--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -16,10 +16,11 @@
 MAX_HEADER_BYTES = 16384
 
 
-async def listen(app, bound):
+async def listen(app, bound, **more):
     """Serve an application on a bound socket; return its runner."""
     runner = web.AppRunner(
         app,
+        **more,
         access_log=None,
         handler_cancellation=True,
         max_line_size=MAX_HEADER_BYTES,
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -68,7 +68,7 @@
     def __init__(self, *, request, parts, inputs=(), held=None):
         self._request = request
         self._parts = parts
-        self._inputs = inputs
+        self.inputs = inputs
         self._held = held or {}
         self._tried = set()
         self._sent = 0
@@ -216,7 +216,7 @@
             endpoint=endpoint.id,
             left_s=left,
             priority=request.priority,
-            inputs=self._inputs,
+            inputs=self.inputs,
             last_event_id=last_event_id,
         )
         began = parts.clock()
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -27,6 +27,24 @@
 USER_TIMEOUT_MS = 3000
 
 
+class Response(aiohttp.ClientResponse):
+    """A response that still knows its connection when it is whole.
+
+    Notes
+    -----
+    The HTTP library lets go of a connection as soon as the body has
+    ended, which it may have when the head is handed out.  How the
+    connection ended is then needed still; see `was_reset`.
+    """
+
+    protocol = None
+
+    async def start(self, connection):
+        """Read the head of the answer."""
+        self.protocol = connection.protocol
+        return await super().start(connection)
+
+
 class WholeAnswer(typing.NamedTuple):
     """An answer with its whole body."""
 
@@ -97,7 +115,6 @@
 
 async def read_whole(response, *, within):
     """Return the `WholeAnswer` of a response, or a `Failure`."""
-    protocol = protocol_of(response)
     try:
         async with asyncio.timeout(max(within, 0.001)):
             body = await response.read()
@@ -107,7 +124,7 @@
         return _failure(kinds.Kind.REFUSED, err, sent=True)
     finally:
         response.close()
-    if was_reset(response, protocol):
+    if was_reset(response):
         return kinds.Failure(
             kinds.Kind.REFUSED, "answer without length was reset", sent=True
         )
@@ -116,13 +133,7 @@
     )
 
 
-def protocol_of(response):
-    """Return the protocol of a response, while it is still read."""
-    connection = response.connection
-    return None if connection is None else connection.protocol
-
-
-def was_reset(response, protocol):
+def was_reset(response):
     """Return whether an answer that ends with its connection was cut.
 
     Notes
@@ -135,9 +146,9 @@
         "Content-Length" in response.headers
         or "Transfer-Encoding" in response.headers
     )
-    if framed or protocol is None:
+    if framed:
         return False
-    return isinstance(protocol.exception(), aiohttp.ClientOSError)
+    return isinstance(response.protocol.exception(), aiohttp.ClientOSError)
 
 
 def _failure(kind, error, *, sent):
@@ -167,6 +178,7 @@
     )
     async with aiohttp.ClientSession(
         connector=connector,
+        response_class=Response,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         max_line_size=MAX_HEADER_BYTES,
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -137,9 +137,14 @@
     async def _attempt(self, request, tries, sink, kept):
         result = await tries.open()
         if isinstance(result, attempts.Opened):
-            sink.on_begin = lambda: self._begun(request, kept)
+            sink.on_begin = lambda: self._begun(kept)
             result = await streams.pass_on(
-                result, tries, request, sink, self._parts
+                result,
+                tries,
+                request,
+                sink,
+                self._parts,
+                renew=lambda: self._inputs(request, kept),
             )
         if isinstance(result, streams.StreamEnd):
             return Outcome(
@@ -159,13 +164,13 @@
             return Outcome(answer=ended.answer, endpoint=ended.endpoint)
         return Outcome(failure=ended.failure, endpoint=ended.endpoint)
 
-    def _begun(self, request, kept):
-        """Free the inputs once the engine has them.
+    def _begun(self, kept):
+        """Free the inputs once the engine has begun to answer.
 
-        A stream that may go on at another engine needs them there again.
+        Endpoints have room for the results of a few requests only.  A
+        stream that goes on at another engine, which is rare, has its
+        inputs made again.
         """
-        if request.route.resumable:
-            return
         self._chain.free(kept)
         kept.clear()
 
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -52,7 +52,7 @@
         self.last = None
 
 
-async def pass_on(opened, tries, request, sink, parts):
+async def pass_on(opened, tries, request, sink, parts, *, renew):
     """Pass a stream on to a caller until it is whole or broken.
 
     Parameters
@@ -64,6 +64,9 @@
     sink : Sink
         ``begin(response)`` before the first event, then ``send(bytes)``.
     parts : Parts
+    renew : coroutine function
+        Returns the inputs for another engine, or a `Failure`; those of
+        the first are freed once a stream has begun.
 
     Returns
     -------
@@ -84,6 +87,11 @@
         tries.failed(opened.endpoint, failure, began)
         if not request.route.resumable or not tries.may_retry(failure):
             return _end(failure, progress, opened)
+        if progress.begun:
+            inputs = await renew()
+            if isinstance(inputs, kinds.Failure):
+                return _end(failure, progress, opened)
+            tries.inputs = inputs
         again = await tries.open(last_event_id=progress.last)
         if not isinstance(again, attempts.Opened):
             if isinstance(again, attempts.Ended) and not progress.begun:
@@ -107,7 +115,6 @@
 async def _pump(opened, request, sink, parts, progress):
     """Pass on one engine's part of a stream; return a failure or None."""
     response = opened.response
-    protocol = client.protocol_of(response)
     buffer = events.EventBuffer()
     while True:
         try:
@@ -127,7 +134,7 @@
                 return fault
     if buffer.rest:
         return _broken("ended within an event")
-    if client.was_reset(response, protocol):
+    if client.was_reset(response):
         return _broken("reset")
     if not progress.begun:
         await sink.begin(response)
--- a/sycamoreshed/gateway/inner.py
+++ b/sycamoreshed/gateway/inner.py
@@ -49,9 +49,11 @@
 
     async def free(self, http):
         """Give up results."""
-        handles = msgspec.json.decode(await http.read(), type=list[str])
+        results = msgspec.json.decode(
+            await http.read(), type=list[pieces.Held]
+        )
         self._owners.free_here(
-            http.query["service"], http.query["zone"], handles
+            http.query["service"], http.query["zone"], results
         )
         return web.Response(status=204)
 
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -17,7 +17,7 @@
 # new connections still come for up to three seconds.
 ACCEPT_S = 3.2
 # What is left of the grace for writing the last answers.
-MARGIN_S = 0.25
+MARGIN_S = 0.6
 POLL_S = 0.02
 
 
@@ -26,7 +26,9 @@
     """Provide the listening sockets."""
     bound = core.part("sockets")
     runners = [
-        await servers.listen(core.control, bound["control"]),
+        await servers.listen(
+            core.control, bound["control"], shutdown_timeout=0
+        ),
         await _serve(core.part("handler"), bound["public"]),
         await _serve(_readiness(core), bound["ready"]),
     ]
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -112,11 +112,13 @@
     ),
     "batch": Event(
         Class.DETAIL,
-        "endpoint, service, requests, pieces, waited_s, queued",
+        "endpoint, service, requests, pieces, waited_s, queued, room_mb",
         "a call with pieces was sent",
     ),
     "batch_ended": Event(
-        Class.DETAIL, "endpoint, pieces, took_s, why", "such a call ended"
+        Class.DETAIL,
+        "endpoint, pieces, no_room, took_s, why",
+        "such a call ended",
     ),
     "freed": Event(
         Class.DETAIL, "endpoint, results, why", "results were given up"
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -80,7 +80,7 @@
             # Known now, so told now: the caller can come back or do
             # without, instead of waiting for its deadline.
             late = [pieces.Result(None, "late")] * len(wanted)
-            return pieces.Made(late, self.expected_wait())
+            return pieces.Made(late, self.waits())
         futures = []
         for piece in wanted:
             future = loop.create_future()
@@ -92,25 +92,29 @@
         except asyncio.CancelledError:
             self._pool.discard(ask.request)
             raise
-        return pieces.Made(list(results), self.expected_wait())
+        return pieces.Made(list(results), self.waits())
 
-    def expected_wait(self):
-        """Return the seconds until a piece that came now had its turn."""
+    def waits(self):
+        """Return the `Waits` of pieces that came now."""
         now = self._clock()
-        return self._pool.expected_wait(self._endpoints(now), now)
+        return self._pool.waits(self._endpoints(now), now)
 
-    def free(self, handles):
-        """Give up results; their endpoints are told a moment later."""
-        for handle in handles:
-            endpoint = self._pool.maker(handle)
-            if endpoint is None:
-                continue
-            if endpoint not in self._freed:
-                self._freed[endpoint] = []
+    def free(self, results):
+        """Give up results; their endpoints are told a moment later.
+
+        Parameters
+        ----------
+        results : list of Held
+            Also those that another instance had made, which may have
+            been the one to batch before.
+        """
+        for held in results:
+            if held.maker not in self._freed:
+                self._freed[held.maker] = []
                 self._spawn(
-                    self._tell_freed(endpoint), name="free stage results"
+                    self._tell_freed(held.maker), name="free stage results"
                 )
-            self._freed[endpoint].append(handle)
+            self._freed[held.maker].append(held.handle)
 
     def _start(self):
         self._wake.set()
@@ -157,6 +161,7 @@
             pieces=len(batch.waiting),
             waited_s=round(began - min(w.since for w in batch.waiting), 4),
             queued=self._pool.queued,
+            room_mb=round(self._pool.room(batch.endpoint) / 1e6, 2),
         )
         results = [pieces.Result(None, "error", sent=True)] * len(
             batch.waiting
@@ -172,6 +177,7 @@
                 "batch_ended",
                 endpoint=batch.endpoint.id,
                 pieces=len(results),
+                no_room=sum(each.why == "room" for each in results),
                 took_s=round(now - began, 4),
                 why=why,
             )
@@ -183,7 +189,7 @@
                 # It was not worked on, and there will be room again.
                 self._pool.add(waiting)
             elif not _settle(waiting, result) and result.handle:
-                unwanted.append(result.handle)
+                unwanted.append(pieces.Held(result.handle, result.maker))
         self.free(unwanted)
         self._wake.set()
 
@@ -235,8 +241,9 @@
             self._health.bad(batch.endpoint, now, "other number of results")
             return self._none(batch, "error", sent=True), "results missing"
         self._health.good(batch.endpoint, now)
+        maker = batch.endpoint.id
         results = [
-            pieces.Result(each.handle, each.why, True) for each in found
+            pieces.Result(each.handle, each.why, True, maker) for each in found
         ]
         bad = [each.why for each in found if each.handle is None]
         return results, ",".join(sorted(set(filter(None, bad)))) or "done"
--- a/sycamoreshed/staging/chain.py
+++ b/sycamoreshed/staging/chain.py
@@ -15,6 +15,8 @@
 MOST_ATTEMPTS = 3
 # Results take a moment to be fetched by whoever takes them as inputs.
 FETCH_S = 0.02
+# The aim of a request that cannot be in time.
+NEVER = float("-inf")
 
 
 class Job(typing.NamedTuple):
@@ -129,6 +131,16 @@
         loop = asyncio.get_running_loop()
         done = [loop.create_future() for _ in job.stages]
         specs = self._specs(job)
+        if self._ends(job, specs, "late") > job.until:
+            # Known now, so told now, before any work is done in vain.
+            return kinds.Failure(
+                kinds.Kind.HOPELESS, "stages are busy for too long"
+            )
+        if self._ends(job, specs, "timely") > job.aim:
+            # It goes behind those that can be in time, in all stages: with
+            # the first ones done and the last ones late, it would have
+            # made others late for nothing.
+            job = job._replace(aim=NEVER)
         tasks = [
             asyncio.create_task(self._stage(job, index, specs, done, kept))
             for index in range(len(job.stages))
@@ -160,6 +172,35 @@
         for call in self._owners.free(handles):
             self._spawn(call, name="free results")
 
+    def _ends(self, job, specs, which):
+        """Return when all results can be there, by what queues tell.
+
+        Parameters
+        ----------
+        which : str
+            Field of `Waits`.
+        """
+        now = self._clock()
+        ends = []
+        for index, stage in enumerate(job.stages):
+            begin = max((ends[before] for before in stage.after), default=now)
+            if job.counts[index]:
+                waits = self._owners.expected_waits(stage.service, now)
+                begin += getattr(waits, which) + _least(job, index, specs)
+            ends.append(begin)
+        return max(ends, default=now)
+
+    def _waits_after(self, job, index):
+        """Return the expected waits of stages that follow a stage."""
+        now = self._clock()
+        longest = 0.0
+        for later, stage in enumerate(job.stages):
+            if index in stage.after and job.counts[later]:
+                waits = self._owners.expected_waits(stage.service, now)
+                after = waits.timely + self._waits_after(job, later)
+                longest = max(longest, after)
+        return longest
+
     def _specs(self, job):
         services = self._catalog.configuration.services
         found = {}
@@ -243,7 +284,10 @@
                 default=0,
             ),
             is_final=index in final_stages(job.stages),
-            aim_s=job.aim - after - least - now,
+            aim_s=max(
+                -1.0,
+                job.aim - after - self._waits_after(job, index) - least - now,
+            ),
             until_s=job.until - after - now,
             key=None if inputs else job.key,
             inputs=inputs,
--- a/sycamoreshed/staging/owners.py
+++ b/sycamoreshed/staging/owners.py
@@ -25,7 +25,7 @@
 EXTRA_S = 0.3
 FREE_TIMEOUT_S = 0.5
 # How long what another zone's queue said of itself is gone by.
-WAIT_VALID_S = 0.5
+WAIT_VALID_S = 1.0
 # What another zone's queue must be shorter by for each step of distance:
 # both ways between regions take 40 ms, twice for what its answer leaves out
 # by being old.
@@ -38,10 +38,19 @@
 
 
 class _Told(typing.NamedTuple):
-    wait_s: float
+    waits: pieces.Waits
     at: float
 
 
+NO_WAIT = pieces.Waits(0.0, 0.0)
+
+
+class _Maker(typing.NamedTuple):
+    service: str
+    zone: str
+    endpoint: str
+
+
 class Owners:
     """Has pieces made by the instance that batches them.
 
@@ -107,10 +116,12 @@
         else:
             made = await self._make_there(control, ask, zone)
         if isinstance(made, pieces.Made):
-            self._told[ask.service, zone] = _Told(made.wait_s, self._clock())
+            self._told[ask.service, zone] = _Told(made.waits, self._clock())
             for result in made.results:
                 if result.handle is not None:
-                    self._makers[result.handle] = (ask.service, zone)
+                    self._makers[result.handle] = _Maker(
+                        ask.service, zone, result.maker
+                    )
         return made
 
     async def make_here(self, ask, zone):
@@ -132,19 +143,21 @@
         """
         by_queue = {}
         for handle in handles:
-            key = self._makers.pop(handle, None)
-            if key is not None:
-                by_queue.setdefault(key, []).append(handle)
+            maker = self._makers.pop(handle, None)
+            if maker is not None:
+                key = (maker.service, maker.zone)
+                held = pieces.Held(handle, maker.endpoint)
+                by_queue.setdefault(key, []).append(held)
         return [
             self._free(service, zone, each)
             for (service, zone), each in by_queue.items()
         ]
 
-    def free_here(self, service, zone, handles):
-        """Give up results that this instance had made."""
-        batcher = self._batchers.get((service, zone))
-        if batcher is not None:
-            batcher.free(handles)
+    def free_here(self, name, zone, results):
+        """Give up results in a zone whose pieces this instance batches."""
+        service = self._service(name)
+        if service is not None:
+            self._batcher(service, zone).free(results)
 
     def choose_zone(self, ask, now, avoid=()):
         """Return the zone whose queue should take pieces, or None."""
@@ -158,7 +171,8 @@
             return None
 
         def cost(zone):
-            wait = self._expected(service, zone, now)
+            waits = self._expected(service, zone, now)
+            wait = waits.timely if ask.aim_s >= 0 else waits.late
             wait += CROSSING_S * self._placer.distance(zone)
             wait += CROSSING_S_MB * self._crossing(ask, zone) / MB
             return not any(zones[zone]), wait, zone
@@ -176,9 +190,9 @@
         """
         found = {}
         for handle, size in zip(handles, sizes, strict=True):
-            _, zone = self._makers.get(handle, (None, None))
-            if zone is not None:
-                found[zone] = found.get(zone, 0) + size
+            maker = self._makers.get(handle)
+            if maker is not None:
+                found[maker.zone] = found.get(maker.zone, 0) + size
         return found
 
     def _crossing(self, ask, zone):
@@ -197,12 +211,28 @@
             crossing += count * ask.size
         return crossing
 
+    def expected_waits(self, service, now):
+        """Return the least `Waits` for pieces in any zone, as told."""
+        zones = {e.zone for e in self._catalog.endpoints(service, now)}
+        found = [NO_WAIT] if not zones else []
+        for zone in zones:
+            waits = self._expected(service, zone, now)
+            crossing = CROSSING_S * self._placer.distance(zone)
+            found.append(
+                pieces.Waits(waits.timely + crossing, waits.late + crossing)
+            )
+        return min(found)
+
     def _expected(self, service, zone, now):
         told = self._told.get((service, zone))
         if told is None or now - told.at > WAIT_VALID_S:
-            return 0.0
+            return NO_WAIT
         # What was told grows stale: pieces are worked off meanwhile.
-        return max(0.0, told.wait_s - (now - told.at))
+        age = now - told.at
+        return pieces.Waits(
+            max(0.0, told.waits.timely - age),
+            max(0.0, told.waits.late - age),
+        )
 
     def _owner(self, service, zone, now):
         candidates = self._peers.of_zone(zone, now)
@@ -232,11 +262,11 @@
         self._peers.answered(control)
         return msgspec.convert(reply.body, pieces.Made)
 
-    async def _free(self, service, zone, handles):
+    async def _free(self, service, zone, results):
         now = self._clock()
         name, control = self._owner(service, zone, now)
         if name == self._own:
-            self.free_here(service, zone, handles)
+            self.free_here(service, zone, results)
             return
         await web.fetch(
             self._session,
@@ -244,7 +274,7 @@
             control,
             f"{FREE_PATH}?service={service}&zone={zone}",
             timeout=FREE_TIMEOUT_S,
-            body=handles,
+            body=results,
         )
 
     def _service(self, name):
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -4,9 +4,11 @@
 
 __all__ = [
     "Ask",
+    "Held",
     "Made",
     "Piece",
     "Result",
+    "Waits",
 ]
 
 
@@ -79,12 +81,42 @@
 class Result(typing.NamedTuple):
     """Where the result of a piece lies, or why there is none.
 
-    ``sent`` is true if a call with the piece reached an endpoint.
+    Parameters
+    ----------
+    handle : str or None
+    why : str or None
+    sent : bool
+        Whether a call with the piece reached an endpoint.
+    maker : str or None
+        Id of the endpoint that holds the result.
     """
 
     handle: str | None
     why: str | None = None
     sent: bool = False
+    maker: str | None = None
+
+
+class Held(typing.NamedTuple):
+    """A result, and the id of the endpoint that holds it."""
+
+    handle: str
+    maker: str
+
+
+class Waits(typing.NamedTuple):
+    """What pieces that came now would wait for their turn, in seconds.
+
+    Parameters
+    ----------
+    timely : float
+        If they can still be in time; these go first.
+    late : float
+        If they are late already and go last.
+    """
+
+    timely: float
+    late: float
 
 
 class Made(typing.NamedTuple):
@@ -94,9 +126,9 @@
     ----------
     results : list of Result
         In the order of the pieces.
-    wait_s : float
-        What a piece that came now would wait for its turn.
+    waits : Waits
+        At the queue that made them.
     """
 
     results: list[Result]
-    wait_s: float
+    waits: Waits
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -7,8 +7,11 @@
 """
 
 import bisect
+import collections
 import typing
 
+from sycamoreshed.staging import pieces
+
 __all__ = ["Batch", "Pool", "Waiting"]
 
 # A request of the next lower priority yields as if its answer were due that
@@ -20,6 +23,11 @@
 # until some of its results are freed: a call takes about as long, and some
 # of the results it holds are fetched and freed by then.
 FULL_S = 0.15
+# Room that results of late requests leave free: they would keep out those
+# that come a moment later and can be in time.
+LATE_ROOM_SHARE = 0.0
+# Time over which the rate of pieces is measured that goes into estimates.
+RATE_S = 1.5
 
 
 class Waiting(typing.NamedTuple):
@@ -72,6 +80,7 @@
         self._held = {}
         self._expiry = {}
         self._full = {}
+        self._taken = collections.deque()
 
     @property
     def queued(self):
@@ -91,10 +100,15 @@
 
     def expected_start(self, endpoints, piece, now):
         """Return when pieces as urgent as this would have their turn."""
+        if self._is_late(piece, now):
+            return now + self._wait(endpoints, self.queued, now)
         urgency = piece.aim + PRIORITY_STEP_S * piece.priority
         ahead = bisect.bisect_right(self._queue, (urgency, self._order + 1))
         return now + self._wait(endpoints, ahead, now)
 
+    def _is_late(self, piece, now):
+        return piece.aim < now
+
     def discard(self, request):
         """Drop what waits for a request that nobody wants any more."""
         self._queue = [
@@ -142,6 +156,7 @@
         chosen = self._fill(self.room(endpoint), now)
         if not chosen:
             return None
+        self._taken.append((now, len(chosen)))
         taken = {id(entry) for entry in chosen}
         self._queue = [e for e in self._queue if id(e) not in taken]
         return Batch(endpoint, [entry[2] for entry in chosen])
@@ -149,25 +164,31 @@
     def _fill(self, room, now):
         # Who can still be in time goes first; behind them those that are
         # late already, whose answers are worth a little yet.
-        work = self.spec.call_s
-        hopeful = [e for e in self._queue if e[2].piece.aim >= now + work]
-        others = [e for e in self._queue if e[2].piece.aim < now + work]
+        timely = [e for e in self._queue if not self._is_late(e[2].piece, now)]
+        late = [e for e in self._queue if self._is_late(e[2].piece, now)]
         chosen = []
-        for group in _by_request(hopeful + others):
+        passed = []
+        for group in _by_request(timely + late):
             left = self.spec.batch - len(chosen)
             size = sum(entry[2].size for entry in group)
             if chosen and (len(group) > left or size > room):
-                # Torn apart, the first part's results would take room
-                # until the rest is done, a whole call later.
+                passed.append(group)
                 continue
-            for entry in group[:left]:
-                if entry[2].size <= room:
-                    room -= entry[2].size
-                    chosen.append(entry)
-            if len(chosen) == self.spec.batch:
-                break
+            room = self._take(group[:left], room, chosen)
+        # Torn apart, a request waits for the second part a call longer; a
+        # call that goes out half full costs all others as much.
+        for group in passed:
+            left = self.spec.batch - len(chosen)
+            room = self._take(group[:left], room, chosen)
         return chosen
 
+    def _take(self, entries, room, chosen):
+        for entry in entries:
+            if entry[2].size <= room:
+                room -= entry[2].size
+                chosen.append(entry)
+        return room
+
     def room(self, endpoint):
         """Return the bytes left for results at an endpoint."""
         return self.spec.room_bytes - self._held.get(endpoint.id, 0)
@@ -203,11 +224,6 @@
             if result.why == "room":
                 self._full[key] = now + FULL_S
 
-    def maker(self, handle):
-        """Return the id of the endpoint that holds a result, or None."""
-        held = self._expiry.get(handle)
-        return None if held is None else held[1]
-
     def free(self, handle):
         """Release the room of a result that is freed or has expired."""
         held = self._expiry.pop(handle, None)
@@ -220,9 +236,15 @@
         """Return the seconds that a call with so many pieces takes."""
         return self.spec.call_s + count * self.spec.piece_s
 
-    def expected_wait(self, endpoints, now):
-        """Return the seconds until a piece that came now had its turn."""
-        return self._wait(endpoints, self.queued, now)
+    def waits(self, endpoints, now):
+        """Return the `Waits` of pieces that came now."""
+        timely = sum(
+            not self._is_late(entry[2].piece, now) for entry in self._queue
+        )
+        return pieces.Waits(
+            self._wait(endpoints, timely, now),
+            self._wait(endpoints, self.queued, now),
+        )
 
     def _wait(self, endpoints, ahead, now):
         places = len(endpoints) * self.spec.slots
@@ -239,7 +261,21 @@
         queued = whole * self.work(self.spec.batch)
         if rest:
             queued += self.work(rest)
-        return (queued + sum(calls)) / places
+        by_work = (queued + sum(calls)) / places
+        return max(by_work, ahead / self._rate(now, by_work))
+
+    def _rate(self, now, by_work):
+        """Return the pieces a second that lately had their turn.
+
+        Where results fill the room of endpoints, calls go out with fewer
+        pieces than they may have, or not at all, and the queue takes
+        longer than the work in it.
+        """
+        while self._taken and self._taken[0][0] < now - RATE_S:
+            self._taken.popleft()
+        if len(self._taken) < 2 or by_work <= 0:
+            return float("inf")
+        return sum(count for _, count in self._taken) / RATE_S
 
     def _expire(self, now):
         late = [
