Take all stages of a zone through one queue, and refuse what cannot be in time

Each service of a zone had a queue of its own, at instances that did not know of each other's. Requests were late in their last stage after the first had been done: 35% of those taken on failed, 12% of results were never used, and their results filled the room of stages before.

One instance of a zone now knows all its jobs: it tells when a new one would be done by the busiest service ahead of it, refuses it at once if that is too late, and holds work back where nothing takes room yet. Jobs flagged as late but taken on all the same succeeded in 15% of cases, timely ones in 92%, so the late ones are refused.

Ruled out: calls filled with whole requests only (fewer pieces a call), and waiting endpoints after 'no room' (small results go on beside large ones).

--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -7,7 +7,7 @@
 from sycamoreshed.forwarding import attempts
 from sycamoreshed.forwarding import streams
 from sycamoreshed.kernel import kernel
-from sycamoreshed.staging import chain
+from sycamoreshed.staging import pieces
 
 __all__ = ["Forwarder", "Outcome", "pick_service"]
 
@@ -71,12 +71,12 @@
     Parameters
     ----------
     parts : Parts
-    chain : Chain
+    stages : Stages
     """
 
-    def __init__(self, *, parts, chain):
+    def __init__(self, *, parts, stages):
         self._parts = parts
-        self._chain = chain
+        self._stages = stages
 
     async def forward(self, request, sink):
         """Serve a request; return its `Outcome`.
@@ -93,7 +93,7 @@
         try:
             return await self._with_stages(request, sink, kept)
         finally:
-            self._chain.free(kept)
+            self._stages.free(kept)
 
     async def _with_stages(self, request, sink, kept):
         for _ in range(MOST_CHAINS):
@@ -106,7 +106,7 @@
                 request=request,
                 parts=self._parts,
                 inputs=inputs,
-                held=self._chain.zone_bytes(inputs, request.route.stages),
+                held=self._stages.zone_bytes(inputs, request.route.stages),
             )
             outcome = await self._attempt(request, tries, sink, kept)
             if not tries.inputs_gone or tries.may_have_run:
@@ -122,17 +122,22 @@
             return kinds.Failure(
                 kinds.Kind.BAD_REQUEST, "pieces do not match the stages"
             )
+        now = self._parts.clock()
         target = request.route.target_s * STAGES_AIM_SHARE
-        job = chain.Job(
+        job = pieces.Job(
             request=request.id,
-            stages=stages,
-            counts=counts,
+            stages=[
+                pieces.StageWork(
+                    stage.service, stage.after, count, stage.result_bytes
+                )
+                for stage, count in zip(stages, counts, strict=True)
+            ],
             key=request.head.piece_key,
-            aim=request.began + target,
-            until=request.stages_until - ENGINE_LEAST_S,
+            aim_s=request.began + target - now,
+            until_s=request.stages_until - ENGINE_LEAST_S - now,
             priority=request.priority,
         )
-        return await self._chain.run(job, kept)
+        return await self._stages.run(job, kept)
 
     async def _attempt(self, request, tries, sink, kept):
         result = await tries.open()
@@ -171,11 +176,11 @@
         stream that goes on at another engine, which is rare, has its
         inputs made again.
         """
-        self._chain.free(kept)
+        self._stages.free(kept)
         kept.clear()
 
 
-@kernel.plugin("forwarder", needs=("attempts", "chain"))
+@kernel.plugin("forwarder", needs=("attempts", "stages"))
 async def forwarder(core):
     """Provide the way of a request."""
-    yield Forwarder(parts=core.part("attempts"), chain=core.part("chain"))
+    yield Forwarder(parts=core.part("attempts"), stages=core.part("stages"))
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -13,7 +13,7 @@
 # Stages of a request that is late are given up on after this many times its
 # target: a late answer is worth some 15% of one in time, and while requests
 # are late others wait for the same endpoints.
-STAGE_TARGETS = 1.0
+STAGE_TARGETS = 1.25
 
 
 class Request(typing.NamedTuple):
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -264,7 +264,7 @@
 
     def _refused(self, failure, head, route, began):
         now = self._clock()
-        retry_after = RETRY_SOON_S
+        retry_after = max(RETRY_SOON_S, failure.retry_after or 0.0)
         if failure.kind is kinds.Kind.DRAINING:
             retry_after = RETRY_NOW_S
         response = answers.told(failure, head.request_id, retry_after)
--- a/sycamoreshed/gateway/inner.py
+++ b/sycamoreshed/gateway/inner.py
@@ -4,9 +4,8 @@
 
 from aiohttp import web
 from sycamoreshed.catalog import following
-from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
-from sycamoreshed.staging import owners
+from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
 
 __all__ = ["Inner"]
@@ -18,16 +17,16 @@
     Parameters
     ----------
     catalog : Catalog
-    owners : Owners
+    stages : Stages
     metrics : GatewayMetrics
     clock : callable
     status : callable
         Returns what `sycamoreshed status` shows.
     """
 
-    def __init__(self, *, catalog, owners, metrics, clock, status):
+    def __init__(self, *, catalog, stages, metrics, clock, status):
         self._catalog = catalog
-        self._owners = owners
+        self._stages = stages
         self._metrics = metrics
         self._clock = clock
         self._status = status
@@ -39,22 +38,17 @@
         news = following.tell(self._catalog, table, after, self._clock())
         return _json(news)
 
-    async def make(self, http):
-        """Have pieces made with the endpoints of a zone."""
-        ask = msgspec.json.decode(await http.read(), type=pieces.Ask)
-        made = await self._owners.make_here(ask, http.query["zone"])
-        if isinstance(made, kinds.Failure):
-            return web.Response(status=503)
-        return _json(made)
+    async def run(self, http):
+        """Run the stages of a job with the endpoints of a zone."""
+        job = msgspec.json.decode(await http.read(), type=pieces.Job)
+        return _json(await self._stages.run_here(job, http.query["zone"]))
 
     async def free(self, http):
         """Give up results."""
-        results = msgspec.json.decode(
-            await http.read(), type=list[pieces.Held]
-        )
-        self._owners.free_here(
-            http.query["service"], http.query["zone"], results
+        freed = msgspec.json.decode(
+            await http.read(), type=list[delegation.Freed]
         )
+        self._stages.free_here(http.query["zone"], freed)
         return web.Response(status=204)
 
     async def metrics(self, _http):
@@ -78,7 +72,7 @@
     "inner",
     needs=(
         "catalog",
-        "owners",
+        "stages",
         "gateway_metrics",
         "following",
         "handler",
@@ -106,14 +100,14 @@
 
     handlers = Inner(
         catalog=core.part("catalog"),
-        owners=core.part("owners"),
+        stages=core.part("stages"),
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
         status=status,
     )
     core.control.router.add_get(following.PATH, handlers.tell)
-    core.control.router.add_post(owners.MAKE_PATH, handlers.make)
-    core.control.router.add_post(owners.FREE_PATH, handlers.free)
+    core.control.router.add_post(delegation.RUN_PATH, handlers.run)
+    core.control.router.add_post(delegation.FREE_PATH, handlers.free)
     core.control.router.add_get("/metrics", handlers.metrics)
     core.control.router.add_get("/control/status", handlers.status)
     yield handlers
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -105,10 +105,10 @@
         "request, endpoint, attempt, of, in_flight, age_s, why",
         "an endpoint was chosen; age_s of the endpoint list",
     ),
-    "pieces": Event(
+    "staged": Event(
         Class.DETAIL,
-        "request, stage, pieces, zone, aim_s, until_s",
-        "pieces of a stage were handed to the instance that batches them",
+        "request, zone, pieces, aim_s, until_s, is_late, backlog_s",
+        "the stages of a request were taken on, or refused as too late",
     ),
     "batch": Event(
         Class.DETAIL,
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -19,8 +19,9 @@
 # Results to be freed are gathered that long: a call each would cost more
 # than the room is worth.
 FREE_DELAY_S = 0.02
-# Between looks for endpoints when there are none, or none with room.
-IDLE_S = 0.05
+# Between looks while pieces wait: an endpoint may come back or results may
+# expire without anybody saying so here.
+LOOK_S = 0.05
 
 
 class Batcher:
@@ -31,6 +32,7 @@
     service : Service
     endpoints : callable
         Takes the time, returns the endpoints that may get calls.
+    plans : Plans
     client : EndpointClient
     codec : Platform
     health : Health
@@ -44,6 +46,7 @@
         *,
         service,
         endpoints,
+        plans,
         client,
         codec,
         health,
@@ -51,8 +54,9 @@
         clock,
         spawn,
     ):
-        self._service = service
+        self.service = service
         self._endpoints = endpoints
+        self._plans = plans
         self._client = client
         self._codec = codec
         self._health = health
@@ -60,44 +64,46 @@
         self._clock = clock
         self._spawn = spawn
         self._pool = pool.Pool(spec=service.pieces)
+        self._by_request = {}
         self._wake = asyncio.Event()
         self._freed = {}
         self._task = None
 
-    async def make(self, ask):
-        """Have the pieces of an `Ask` made; return a `Made`.
+    async def make(self, plan, wanted, size):
+        """Have pieces of one stage of a job made.
+
+        Parameters
+        ----------
+        plan : Plan
+        wanted : list of Piece
+        size : int
+            Approximate bytes of a result.
+
+        Returns
+        -------
+        list of Result
+            In the order of the pieces.
 
         Raises
         ------
         asyncio.CancelledError
             If nobody wants them any more; what waits is dropped.
         """
-        now = self._clock()
         loop = asyncio.get_running_loop()
-        wanted = [_piece(ask, index, now) for index in ask.indices]
-        start = self._pool.expected_start(self._endpoints(now), wanted[0], now)
-        if start > wanted[0].until:
-            # Known now, so told now: the caller can come back or do
-            # without, instead of waiting for its deadline.
-            late = [pieces.Result(None, "late")] * len(wanted)
-            return pieces.Made(late, self.waits())
+        now = self._clock()
         futures = []
+        self._by_request[plan.job.request] = plan
         for piece in wanted:
             future = loop.create_future()
             futures.append(future)
-            self._pool.add(pool.Waiting(piece, ask.size, now, future))
+            waiting = pool.Waiting(piece, plan.rank, size, now, future)
+            self._pool.add(waiting)
         self._start()
         try:
-            results = await asyncio.gather(*futures)
-        except asyncio.CancelledError:
-            self._pool.discard(ask.request)
-            raise
-        return pieces.Made(list(results), self.waits())
-
-    def waits(self):
-        """Return the `Waits` of pieces that came now."""
-        now = self._clock()
-        return self._pool.waits(self._endpoints(now), now)
+            return list(await asyncio.gather(*futures))
+        finally:
+            self._pool.discard(plan.job.request)
+            self._by_request.pop(plan.job.request, None)
 
     def free(self, results):
         """Give up results; their endpoints are told a moment later.
@@ -116,6 +122,10 @@
                 )
             self._freed[held.maker].append(held.handle)
 
+    def wake(self):
+        """Look again for pieces that may start."""
+        self._wake.set()
+
     def _start(self):
         self._wake.set()
         if self._task is None or self._task.done():
@@ -124,48 +134,40 @@
     async def _work(self):
         while True:
             self._wake.clear()
-            self._drop_late()
+            for waiting in self._pool.take_late(self._clock()):
+                _settle(waiting, pieces.Result(None, "late"))
             while self._send_next():
                 pass
-            if self._pool.queued:
-                # Also looks again by itself: an endpoint may come back or
-                # results may expire without anybody saying so here.
-                try:
-                    async with asyncio.timeout(IDLE_S):
-                        await self._wake.wait()
-                except TimeoutError:
-                    pass
-            else:
-                await self._wake.wait()
-
-    def _drop_late(self):
-        for waiting in self._pool.take_late(self._clock()):
-            _settle(waiting, pieces.Result(None, "late"))
+            timeout = LOOK_S if self._pool.queued else None
+            try:
+                async with asyncio.timeout(timeout):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    def _may_start(self, piece):
+        plan = self._by_request.get(piece.request)
+        return plan is None or self._plans.may_start(plan, piece.stage)
 
     def _send_next(self):
         now = self._clock()
-        batch = self._pool.next_batch(self._endpoints(now), now)
+        batch = self._pool.next_batch(
+            self._endpoints(now), now, may_start=self._may_start
+        )
         if batch is None:
             return False
+        for waiting in batch.waiting:
+            plan = self._by_request.get(waiting.piece.request)
+            if plan is not None:
+                self._plans.started(plan, waiting.piece.stage, 1)
         ready = self._pool.begin(batch, now)
         self._spawn(self._call(batch, ready), name="call with pieces")
         return True
 
     async def _call(self, batch, ready):
         began = self._clock()
-        self._journal.write(
-            "batch",
-            endpoint=batch.endpoint.id,
-            service=self._service.name,
-            requests=sorted({w.piece.request for w in batch.waiting}),
-            pieces=len(batch.waiting),
-            waited_s=round(began - min(w.since for w in batch.waiting), 4),
-            queued=self._pool.queued,
-            room_mb=round(self._pool.room(batch.endpoint) / 1e6, 2),
-        )
-        results = [pieces.Result(None, "error", sent=True)] * len(
-            batch.waiting
-        )
+        self._tell(batch, began)
+        results = _none(batch, "error", sent=True)
         why = "cancelled"
         try:
             results, why = await self._attempt(batch, began)
@@ -182,27 +184,38 @@
                 why=why,
             )
 
+    def _tell(self, batch, now):
+        self._journal.write(
+            "batch",
+            endpoint=batch.endpoint.id,
+            service=self.service.name,
+            requests=sorted({w.piece.request for w in batch.waiting}),
+            pieces=len(batch.waiting),
+            waited_s=round(now - min(w.since for w in batch.waiting), 4),
+            queued=self._pool.queued,
+            room_mb=round(self._pool.room(batch.endpoint) / 1e6, 2),
+        )
+
     def _hand_out(self, batch, results):
         unwanted = []
         for waiting, result in zip(batch.waiting, results, strict=True):
             if result.why == "room" and not waiting.done.done():
                 # It was not worked on, and there will be room again.
                 self._pool.add(waiting)
-            elif not _settle(waiting, result) and result.handle:
-                unwanted.append(pieces.Held(result.handle, result.maker))
+            elif not _settle(waiting, result) and result.held:
+                unwanted.append(result.held)
         self.free(unwanted)
         self._wake.set()
 
     async def _attempt(self, batch, began):
         """Return the results of a call, and a word on how it went."""
-        spec = self._service.pieces
-        work = spec.call_s + len(batch.waiting) * spec.piece_s
         endpoint = batch.endpoint
         path, headers, body = self._codec.piece_call(
             [each.piece for each in batch.waiting],
             endpoint=endpoint.id,
             now=began,
         )
+        work = self._pool.work(len(batch.waiting))
         response = await self._client.send(
             "POST",
             endpoint.address,
@@ -218,38 +231,31 @@
             self._health.bad(
                 endpoint, self._clock(), answer.reason, reached=False
             )
-            return self._none(batch, "error", answer.sent), answer.reason
+            return _none(batch, "error", answer.sent), answer.reason
         return self._read(batch, answer)
 
     def _read(self, batch, answer):
         now = self._clock()
-        verdict = self._codec.judge(answer.status, answer.headers)
         if answer.status != 200:
-            not_run = verdict.value in ("not-run", "elsewhere")
-            self._health.bad(batch.endpoint, now, f"status {answer.status}")
-            why = "full" if not_run else "error"
-            return (
-                self._none(batch, why, sent=not not_run),
-                f"status {answer.status}",
+            verdict = self._codec.judge(answer.status, answer.headers).value
+            not_run = verdict in ("not-run", "elsewhere")
+            why = f"status {answer.status}"
+            self._health.bad(batch.endpoint, now, why)
+            return _none(batch, "full" if not_run else "error", not not_run), (
+                why
             )
         try:
             found = self._codec.read_pieces(answer.body)
         except msgspec.MsgspecError as err:
             self._health.bad(batch.endpoint, now, str(err))
-            return self._none(batch, "error", sent=True), str(err)
+            return _none(batch, "error", sent=True), str(err)
         if len(found) != len(batch.waiting):
             self._health.bad(batch.endpoint, now, "other number of results")
-            return self._none(batch, "error", sent=True), "results missing"
+            return _none(batch, "error", sent=True), "results missing"
         self._health.good(batch.endpoint, now)
-        maker = batch.endpoint.id
-        results = [
-            pieces.Result(each.handle, each.why, True, maker) for each in found
-        ]
-        bad = [each.why for each in found if each.handle is None]
-        return results, ",".join(sorted(set(filter(None, bad)))) or "done"
-
-    def _none(self, batch, why, sent):
-        return [pieces.Result(None, why, sent)] * len(batch.waiting)
+        results = [_result(each, batch.endpoint) for each in found]
+        bad = {each.why for each in results if each.held is None}
+        return results, ",".join(sorted(map(str, bad))) or "done"
 
     async def _tell_freed(self, name):
         await asyncio.sleep(FREE_DELAY_S)
@@ -268,7 +274,6 @@
             body,
             within=FREE_TIMEOUT_S,
         )
-        why = "done"
         if isinstance(response, kinds.Failure):
             why = response.reason
         else:
@@ -284,17 +289,15 @@
         self._wake.set()
 
 
-def _piece(ask, index, now):
-    return pieces.Piece(
-        request=ask.request,
-        stage=ask.stage,
-        index=index,
-        aim=now + ask.aim_s,
-        until=now + ask.until_s,
-        key=ask.key,
-        inputs=tuple(ask.inputs),
-        priority=ask.priority,
-    )
+def _result(found, endpoint):
+    held = None
+    if found.handle is not None:
+        held = pieces.Held(found.handle, endpoint.id)
+    return pieces.Result(held, found.why, sent=True)
+
+
+def _none(batch, why, sent):
+    return [pieces.Result(None, why, sent)] * len(batch.waiting)
 
 
 def _settle(waiting, result):
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -1,81 +1,118 @@
-"""Pieces of stages, and what instances tell each other about them."""
+"""Stages of a request, their pieces, and what instances tell of them."""
 
+import itertools
 import typing
 
 __all__ = [
-    "Ask",
+    "Done",
     "Held",
-    "Made",
+    "Job",
     "Piece",
     "Result",
-    "Waits",
+    "StageWork",
+    "final_stages",
+    "time_after",
 ]
 
 
+class StageWork(typing.NamedTuple):
+    """The pieces of one stage of a request.
+
+    Parameters
+    ----------
+    service : str
+    after : tuple of int
+        Indices of the stages whose results it takes.
+    count : int
+        Pieces; 0 if the request leaves the stage out.
+    size : int
+        Approximate bytes of one result.
+    """
+
+    service: str
+    after: tuple[int, ...]
+    count: int
+    size: int
+
+
+class Job(typing.NamedTuple):
+    """The stages of one request, as one instance asks another for them.
+
+    Parameters
+    ----------
+    request : str
+    stages : list of StageWork
+    key : str or None
+        What pieces of first stages are made from.
+    aim_s, until_s : float
+        Seconds from now by which all results should be there for the
+        answer to be in time, and must be for there to be one.  Clocks of
+        instances differ, so no times are told.
+    priority : int
+        0 is the most urgent.
+    """
+
+    request: str
+    stages: list[StageWork]
+    key: str | None
+    aim_s: float
+    until_s: float
+    priority: int
+
+
+class Held(typing.NamedTuple):
+    """A result, and the id of the endpoint that holds it."""
+
+    handle: str
+    maker: str
+
+
+class Done(typing.NamedTuple):
+    """Answer to a `Job`.
+
+    Parameters
+    ----------
+    results : list of Held or None
+        Of the final stages, in order; None if there are none.
+    why : str or None
+        Why there are none.
+    is_late : bool
+        Whether it was given up for lack of time.
+    backlog_s : dict of str to float
+        By service, the seconds of work that wait for each endpoint.
+    retry_s : float or None
+        For a job that was refused: when it should be possible again.
+    """
+
+    results: list[Held] | None
+    why: str | None
+    is_late: bool
+    backlog_s: dict[str, float]
+    retry_s: float | None = None
+
+
 class Piece(typing.NamedTuple):
     """A piece of work of one stage of one request.
 
     Parameters
     ----------
     request : str
-        Id of the request.
     stage, index : int
         Which stage of the route, and which of its pieces.
-    aim, until : float
-        Monotonic times: started later than `aim`, the request's answer
-        will be late; later than `until`, there will be none.
+    until : float
+        Monotonic time; begun later, it is done for nobody.
     key : str or None
         What a piece of a first stage is made from.
     inputs : tuple of str
         Handles of the results that a later stage takes.
-    priority : int
-        Of the request; 0 is the most urgent.
     """
 
     request: str
     stage: int
     index: int
-    aim: float
     until: float
     key: str | None = None
     inputs: tuple = ()
-    priority: int = 0
-
-
-class Ask(typing.NamedTuple):
-    """Pieces of one stage of a request, sent to who batches them.
-
-    Parameters
-    ----------
-    service, request : str
-    stage : int
-    indices : list of int
-        Which pieces are wanted.
-    size : int
-        Approximate bytes of a result.
-    input_size : int
-        Approximate bytes of each input.
-    is_final : bool
-        Whether the engine takes the results, and no other stage.
-    aim_s, until_s : float
-        As in `Piece`, from now on; clocks of instances differ.
-    key : str or None
-    inputs : list of str
-    priority : int
-    """
-
-    service: str
-    request: str
-    stage: int
-    indices: list[int]
-    size: int
-    input_size: int
-    is_final: bool
-    aim_s: float
-    until_s: float
-    key: str | None
-    inputs: list[str]
-    priority: int
 
 
 class Result(typing.NamedTuple):
@@ -83,52 +120,52 @@
 
     Parameters
     ----------
-    handle : str or None
+    held : Held or None
     why : str or None
     sent : bool
         Whether a call with the piece reached an endpoint.
-    maker : str or None
-        Id of the endpoint that holds the result.
     """
 
-    handle: str | None
+    held: Held | None
     why: str | None = None
     sent: bool = False
-    maker: str | None = None
-
-
-class Held(typing.NamedTuple):
-    """A result, and the id of the endpoint that holds it."""
-
-    handle: str
-    maker: str
 
 
-class Waits(typing.NamedTuple):
-    """What pieces that came now would wait for their turn, in seconds.
+def final_stages(stages):
+    """Return the indices of stages that no other stage follows.
 
-    Parameters
-    ----------
-    timely : float
-        If they can still be in time; these go first.
-    late : float
-        If they are late already and go last.
+    Examples
+    --------
+    >>> final_stages([StageWork("a", (), 1, 8), StageWork("b", (0,), 1, 8)])
+    [1]
     """
+    followed = set(itertools.chain.from_iterable(s.after for s in stages))
+    return [i for i in range(len(stages)) if i not in followed]
 
-    timely: float
-    late: float
 
+def least_time(stage, spec):
+    """Return the seconds that a call with a stage's pieces takes."""
+    return spec.call_s + min(stage.count, spec.batch) * spec.piece_s
 
-class Made(typing.NamedTuple):
-    """Answer to an `Ask`.
+
+def time_after(stages, index, specs):
+    """Return the least time from the end of a stage to all results.
 
     Parameters
     ----------
-    results : list of Result
-        In the order of the pieces.
-    waits : Waits
-        At the queue that made them.
+    stages : list of StageWork
+    index : int
+    specs : dict of str to PieceSpec
+
+    Returns
+    -------
+    float
+        Seconds, if nothing waits anywhere.
     """
-
-    results: list[Result]
-    waits: Waits
+    longest = 0.0
+    for later, stage in enumerate(stages):
+        if index in stage.after and stage.count:
+            least = least_time(stage, specs[stage.service])
+            after = least + time_after(stages, later, specs)
+            longest = max(longest, after)
+    return longest
--- /dev/null
+++ b/sycamoreshed/staging/planning.py
@@ -0,0 +1,209 @@
+"""What a zone's stages have before them, and which jobs go first.
+
+All jobs of a zone are known in one place, so the time a new one will take
+can be told when it comes: every job ahead of it has to go through the same
+busiest service.
+"""
+
+import typing
+
+from sycamoreshed.staging import pieces
+
+__all__ = ["Plan", "Plans"]
+
+# A request of the next lower priority yields as if its answer were due that
+# much later.  Less, and the most urgent requests, which often have the most
+# stages, are late more often than others; the whole aim of a request is 1
+# to 2 s.
+PRIORITY_STEP_S = 0.25
+# Calls go out with this share of the pieces they may hold, on the average
+# under load: requests do not fit together exactly.
+FILL_SHARE = 0.75
+# Pieces that may wait for a stage, in full calls of all its endpoints, with
+# those that are on their way to it.  More, and results that wait to be
+# fetched fill the room of the stage before, whose calls then go out nearly
+# empty; less, and an endpoint that is done finds nothing to do.
+AHEAD_CALLS = 4.0
+# How long a result takes room: its call, the engine's time to fetch it and
+# begin to answer, and the word that it is freed.  Median of requests with
+# results of 3 MB under load.
+HELD_S = 0.6
+
+
+class Plan(typing.NamedTuple):
+    """A job under way.
+
+    Parameters
+    ----------
+    job : Job
+    aim, until : float
+        Monotonic times of `Job.aim_s` and `Job.until_s`.
+    is_late : bool
+        Whether it cannot be in time; goes behind those that can.
+    order : int
+        Of arrival.
+    """
+
+    job: typing.Any
+    aim: float
+    until: float
+    is_late: bool
+    order: int
+
+    @property
+    def rank(self):
+        """The least goes first."""
+        urgency = self.aim + PRIORITY_STEP_S * self.job.priority
+        return self.is_late, urgency, self.order
+
+
+class Plans:
+    """The jobs of a zone.
+
+    Parameters
+    ----------
+    specs : callable
+        Takes the name of a service, returns its `PieceSpec` or None.
+    places : callable
+        Takes the name of a service, returns how many calls its endpoints
+        work on at a time.
+    """
+
+    def __init__(self, *, specs, places):
+        self._specs = specs
+        self._places = places
+        self._plans = {}
+        self._left = {}
+        self._ahead = {}
+        self._order = 0
+
+    def admit(self, job, now):
+        """Take a job, or return None if it cannot be done in time.
+
+        Returns
+        -------
+        Plan or None
+        """
+        self._order += 1
+        plan = Plan(
+            job, now + job.aim_s, now + job.until_s, False, self._order
+        )
+        if self.expected_end(plan, now) > plan.aim:
+            return None
+        self._plans[self._order] = plan
+        self._left[self._order] = {
+            index: stage.count for index, stage in enumerate(job.stages)
+        }
+        return plan
+
+    def excess(self, job, now):
+        """Return by how much a job would miss its aim, in seconds."""
+        plan = Plan(job, now + job.aim_s, now, False, self._order)
+        return max(0.0, self.expected_end(plan, now) - plan.aim)
+
+    def drop(self, plan):
+        """Forget a job that is done or given up."""
+        self._plans.pop(plan.order, None)
+        self._left.pop(plan.order, None)
+        for index in range(len(plan.job.stages)):
+            self._ahead.pop((plan.order, index), None)
+
+    def started(self, plan, index, count):
+        """Note that pieces of a stage were sent in a call."""
+        left = self._left.get(plan.order)
+        if left is None:
+            return
+        left[index] = max(0, left[index] - count)
+        self._ahead.pop((plan.order, index), None)
+        for later, stage in enumerate(plan.job.stages):
+            if index in stage.after:
+                self._ahead[plan.order, later] = (stage.service, stage.count)
+
+    def may_start(self, plan, index):
+        """Return whether pieces of a stage may be sent now.
+
+        Notes
+        -----
+        Waits where nothing is held yet, instead of where results of the
+        stage before take room.
+        """
+        for later, stage in enumerate(plan.job.stages):
+            if index not in stage.after or not stage.count:
+                continue
+            if (plan.order, later) in self._ahead:
+                # Some of its pieces have been sent already.
+                continue
+            waiting = sum(
+                count
+                for service, count in self._ahead.values()
+                if service == stage.service
+            )
+            spec = self._specs(stage.service)
+            places = max(1, self._places(stage.service))
+            if waiting and waiting + stage.count > (
+                AHEAD_CALLS * places * spec.batch
+            ):
+                return False
+        return True
+
+    def expected_end(self, plan, now):
+        """Return when all results of a job should be there."""
+        ahead = [
+            other
+            for other in self._plans.values()
+            if other.rank < plan.rank and other.order != plan.order
+        ]
+        busiest = 0.0
+        for stage in plan.job.stages:
+            if stage.count:
+                work = self._work(stage.service, ahead)
+                room = self._room_wait(stage, ahead)
+                busiest = max(busiest, work, room)
+        specs = {s.service: self._specs(s.service) for s in plan.job.stages}
+        first = [
+            pieces.least_time(stage, specs[stage.service])
+            + pieces.time_after(plan.job.stages, index, specs)
+            for index, stage in enumerate(plan.job.stages)
+            if stage.count and not stage.after
+        ]
+        return now + busiest + max(first, default=0.0)
+
+    def backlog(self):
+        """Return the seconds of work before each service's endpoints."""
+        plans = list(self._plans.values())
+        services = {s.service for plan in plans for s in plan.job.stages}
+        return {name: self._work(name, plans) for name in services}
+
+    def _work(self, service, plans):
+        """Return the seconds a service needs for what is left of jobs."""
+        spec = self._specs(service)
+        if spec is None:
+            return 0.0
+        places = max(1, self._places(service))
+        count = 0
+        size = 0
+        for each, left in self._left_of(service, plans):
+            count += left
+            size += left * each.size
+        if size > spec.room_bytes * places:
+            # The rest waits for room and is not before anybody else.
+            count *= spec.room_bytes * places / size
+        each = spec.piece_s + spec.call_s / (FILL_SHARE * spec.batch)
+        return count * each / places
+
+    def _room_wait(self, stage, plans):
+        """Return the seconds until a stage's results find room."""
+        spec = self._specs(stage.service)
+        size = stage.count * stage.size
+        for each, left in self._left_of(stage.service, plans):
+            size += left * each.size
+        room = spec.room_bytes * max(1, self._places(stage.service))
+        return max(0.0, size / room - 1.0) * HELD_S
+
+    def _left_of(self, service, plans):
+        """Yield stages of a service and how many pieces each has left."""
+        for plan in plans:
+            left = self._left[plan.order]
+            for index, stage in enumerate(plan.job.stages):
+                if stage.service == service and left[index]:
+                    yield stage, left[index]
