Tell callers that come back from new ones, and when to come back

Refused callers came back after 0.3 s, were taken for new ones and served late in place of others that could have been in time. A route's callers give about the same time (85 to 100% of the longest), so less than that tells how long one has waited at the least. Room that results hold now counts in what a new job has to wait for.

--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -133,7 +133,7 @@
                 for stage, count in zip(stages, counts, strict=True)
             ],
             key=request.head.piece_key,
-            aim_s=request.began + target - now,
+            aim_s=request.began - request.waited_s + target - now,
             until_s=request.stages_until - ENGINE_LEAST_S - now,
             priority=request.priority,
         )
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -35,6 +35,8 @@
     body : bytes
     began : float
         Monotonic time of its arrival.
+    waited_s : float
+        Seconds the caller had waited before it sent this attempt.
     until : float
         Monotonic time at which the caller or the operator wants it no
         more.
@@ -50,6 +52,7 @@
     headers: typing.Any
     body: bytes
     began: float
+    waited_s: float
     until: float
 
     @property
@@ -67,7 +70,7 @@
     @property
     def aim(self):
         """Monotonic time until which an answer is in time."""
-        return self.began + self.route.target_s
+        return self.began - self.waited_s + self.route.target_s
 
     @property
     def first_until(self):
@@ -84,7 +87,10 @@
     @property
     def stages_until(self):
         """Monotonic time until which stages are worked on."""
-        patience = STAGE_TARGETS * self.route.target_s
+        # Who comes back is late already when it does; it is worked for
+        # as long as anybody is, from now.
+        patience = STAGE_TARGETS * self.route.target_s - self.waited_s
+        patience = max(patience, self.route.target_s)
         return min(self.first_until, self.began + patience)
 
     @property
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -8,6 +8,7 @@
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding import requests
 from sycamoreshed.gateway import answers
+from sycamoreshed.gateway import patience
 from sycamoreshed.kernel import kernel
 
 __all__ = ["Handler"]
@@ -79,6 +80,7 @@
         self._metrics = metrics
         self._clock = clock
         self._stopping = stopping
+        self._waited = patience.Patience()
         self.in_flight = 0
         self.accepting = True
 
@@ -137,6 +139,7 @@
         deadline = head.deadline_s
         if deadline is None:
             deadline = DEFAULT_DEADLINE_S
+        waited = self._waited.observe(route.name, deadline)
         until = began + min(deadline, route.timeout_s)
         body = await self._read(http, configuration.limits, until)
         if isinstance(body, kinds.Failure):
@@ -162,6 +165,7 @@
             headers=http.headers,
             body=body,
             began=began,
+            waited_s=waited,
             until=until,
         )
 
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -69,6 +69,11 @@
         self._freed = {}
         self._task = None
 
+    @property
+    def held_bytes(self):
+        """Bytes of results that the endpoints hold."""
+        return self._pool.held_bytes
+
     async def make(self, plan, wanted, size):
         """Have pieces of one stage of a job made.
 
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -13,6 +13,13 @@
 # the budget of repeats.
 MOST_ATTEMPTS = 3
 GRACE_S = 0.1
+# A caller whose answer could still be in time if the queue were shorter by
+# that much comes back for just that.  For others it is over; they come back
+# when a burst may have passed, and are served when nobody else is kept
+# waiting.
+SHORT_S = 0.4
+RETRY_SOON_S = 0.2
+RETRY_LATER_S = 2.0
 # Results take a moment to be fetched by whoever takes them as inputs.
 FETCH_S = 0.02
 
@@ -66,7 +73,9 @@
         self._journal = journal
         self._clock = clock
         self._batchers = {}
-        self._plans = planning.Plans(specs=self._spec, places=self._places)
+        self._plans = planning.Plans(
+            specs=self._spec, places=self._places, held=self._held
+        )
 
     async def run(self, job):
         """Run a job; return `Done`."""
@@ -81,7 +90,7 @@
             # without, instead of waiting for its deadline.
             wait = self._plans.excess(job, now)
             refused = self._none("stages are busy for too long", True)
-            return refused._replace(retry_s=round(wait, 3))
+            return refused._replace(retry_s=_retry(wait))
         try:
             # A call that began in time may end a little later; who asked
             # waits no longer than that either.
@@ -259,6 +268,10 @@
             return 0
         return len(self._endpoints(name, self._clock())) * spec.slots
 
+    def _held(self, name):
+        batcher = self._batchers.get(name)
+        return 0 if batcher is None else batcher.held_bytes
+
     def _batcher(self, name):
         service = self._services(name)
         held = self._batchers.get(name)
@@ -271,6 +284,13 @@
         return self._batchers[name]
 
 
+def _retry(excess):
+    """Return when a refused caller should come back, in seconds."""
+    if excess <= SHORT_S:
+        return round(RETRY_SOON_S + excess, 3)
+    return RETRY_LATER_S
+
+
 def _failure(made):
     """Return the failure of a stage's pieces, or None if all are there."""
     bad = [each for each in made if each.held is None]
--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -30,6 +30,12 @@
 HELD_S = 0.6
 
 
+# A job that cannot be in time is taken on if the time it would need, with
+# nothing new before it, is that much shorter than the time it has.  Of those
+# taken on with no such margin 15% were done, while others waited for them.
+LATE_FACTOR = 2.0
+
+
 class Plan(typing.NamedTuple):
     """A job under way.
 
@@ -67,11 +73,15 @@
     places : callable
         Takes the name of a service, returns how many calls its endpoints
         work on at a time.
+    held : callable
+        Takes the name of a service, returns the bytes of results that
+        its endpoints hold.
     """
 
-    def __init__(self, *, specs, places):
+    def __init__(self, *, specs, places, held):
         self._specs = specs
         self._places = places
+        self._held = held
         self._plans = {}
         self._left = {}
         self._ahead = {}
@@ -89,7 +99,12 @@
             job, now + job.aim_s, now + job.until_s, False, self._order
         )
         if self.expected_end(plan, now) > plan.aim:
-            return None
+            # Behind all that can be in time; while those keep coming it
+            # is overtaken again and again.
+            plan = plan._replace(is_late=True)
+            wait = self.expected_end(plan, now) - now
+            if wait * LATE_FACTOR > job.until_s:
+                return None
         self._plans[self._order] = plan
         self._left[self._order] = {
             index: stage.count for index, stage in enumerate(job.stages)
@@ -157,7 +172,8 @@
         for stage in plan.job.stages:
             if stage.count:
                 work = self._work(stage.service, ahead)
-                room = self._room_wait(stage, ahead)
+                size = stage.count * stage.size
+                room = self._room_wait(stage.service, size, ahead)
                 busiest = max(busiest, work, room)
         specs = {s.service: self._specs(s.service) for s in plan.job.stages}
         first = [
@@ -172,7 +188,10 @@
         """Return the seconds of work before each service's endpoints."""
         plans = list(self._plans.values())
         services = {s.service for plan in plans for s in plan.job.stages}
-        return {name: self._work(name, plans) for name in services}
+        return {
+            name: max(self._work(name, plans), self._room_wait(name, 0, plans))
+            for name in services
+        }
 
     def _work(self, service, plans):
         """Return the seconds a service needs for what is left of jobs."""
@@ -191,13 +210,15 @@
         each = spec.piece_s + spec.call_s / (FILL_SHARE * spec.batch)
         return count * each / places
 
-    def _room_wait(self, stage, plans):
-        """Return the seconds until a stage's results find room."""
-        spec = self._specs(stage.service)
-        size = stage.count * stage.size
-        for each, left in self._left_of(stage.service, plans):
+    def _room_wait(self, service, size, plans):
+        """Return the seconds until results of `size` bytes find room."""
+        spec = self._specs(service)
+        if spec is None:
+            return 0.0
+        size += self._held(service)
+        for each, left in self._left_of(service, plans):
             size += left * each.size
-        room = spec.room_bytes * max(1, self._places(stage.service))
+        room = spec.room_bytes * max(1, self._places(service))
         return max(0.0, size / room - 1.0) * HELD_S
 
     def _left_of(self, service, plans):
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -74,6 +74,11 @@
         """Pieces that wait."""
         return len(self._queue)
 
+    @property
+    def held_bytes(self):
+        """Bytes of results that all endpoints hold."""
+        return sum(self._held.values())
+
     def calls(self, endpoint):
         """Return the calls in progress at an endpoint."""
         return len(self._calls.get(endpoint.id, ()))
