Test the forwarding daemon as a process, and go on waiting where nobody else is

Silence of an endpoint ended an attempt at a read after twice its target also where there was no other endpoint to go to; the caller got 502 instead of a late answer. Found by the test of a stop. Patience now ends only if another endpoint is there.

--- /dev/null
+++ b/standins/platformstore.py
@@ -0,0 +1,173 @@
+"""A stand-in of the platform's table store: rows, a feed, and its moods."""
+
+import asyncio
+import base64
+import time
+import typing
+
+from aiohttp import web
+import msgspec
+
+__all__ = ["Mood", "PlatformStore"]
+
+
+class Mood(typing.NamedTuple):
+    """How the store behaves.
+
+    Parameters
+    ----------
+    status : int or None
+        Status of every answer instead of its own.
+    silent : bool
+        Whether calls are left without an answer.
+    loses_answers : bool
+        Whether writes are done and their answers lost.
+    """
+
+    status: int | None = None
+    silent: bool = False
+    loses_answers: bool = False
+
+
+class PlatformStore:
+    """Keeps rows in tables, each with the version of its last change."""
+
+    def __init__(self):
+        self._rows = {}
+        self._log = []
+        self._changed = asyncio.Event()
+        self._oldest = 0
+        self._runner = None
+        self.version = 0
+        self.mood = Mood()
+        self.calls = []
+        self.address = None
+
+    async def start(self):
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_get("/v1/rows-get", self._guarded(self._get))
+        app.router.add_get("/v1/rows-feed", self._guarded(self._feed))
+        app.router.add_post("/v1/rows-tx", self._guarded(self._tx))
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=0,
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0]
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        """Stop listening."""
+        self._changed.set()
+        await self._runner.cleanup()
+
+    def put(self, table, key, value):
+        """Write a row, as an operator or an endpoint would.
+
+        Parameters
+        ----------
+        value : object
+            Written as JSON; bytes as they are.
+        """
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self._change(table, key, base64.b64encode(raw).decode())
+
+    def remove(self, table, key):
+        """Remove a row."""
+        self._change(table, key, None)
+
+    def rows(self, table):
+        """Return the decoded rows of a table by key."""
+        return {
+            key: msgspec.json.decode(base64.b64decode(row["value"]))
+            for (name, key), row in self._rows.items()
+            if name == table
+        }
+
+    def compact(self):
+        """Forget the history."""
+        self._log.clear()
+        self._oldest = self.version
+
+    def _change(self, table, key, value):
+        self.version += 1
+        row = {"table": table, "part": "", "key": key, "ver": self.version}
+        if value is None:
+            self._rows.pop((table, key), None)
+            self._log.append({**row, "tombstone": True})
+        else:
+            row["value"] = value
+            self._rows[table, key] = row
+            self._log.append(row)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _guarded(self, handler):
+        async def guarded(http):
+            self.calls.append((http.path, dict(http.query)))
+            if self.mood.silent:
+                await asyncio.Event().wait()
+            if self.mood.status is not None:
+                return web.json_response({}, status=self.mood.status)
+            answer = await handler(http)
+            if self.mood.loses_answers and http.method == "POST":
+                http.transport.abort()
+            return answer
+
+        return guarded
+
+    def _told(self, **more):
+        now_ms = int(time.monotonic() * 1000)
+        return web.json_response(
+            {"ver": self.version, "now_ms": now_ms, **more}
+        )
+
+    async def _get(self, http):
+        start = http.query.get("from", "")
+        found = sorted(
+            (
+                row
+                for (table, key), row in self._rows.items()
+                if table == http.query["table"] and key >= start
+            ),
+            key=lambda row: row["key"].encode(),
+        )
+        limit = int(http.query.get("limit", 500))
+        return self._told(rows=found[:limit], has_more=len(found) > limit)
+
+    async def _feed(self, http):
+        after = int(http.query["after"])
+        until = time.monotonic() + int(http.query["wait_ms"]) / 1000
+        while True:
+            if after < self._oldest:
+                return web.json_response({}, status=410)
+            found = {
+                row["key"]: row
+                for row in self._log
+                if row["table"] == http.query["table"] and row["ver"] > after
+            }
+            left = until - time.monotonic()
+            if found or left <= 0:
+                return self._told(rows=list(found.values()))
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _tx(self, http):
+        body = await http.json()
+        for row in body["expected"]:
+            held = self._rows.get((row["table"], row["key"]))
+            if (held["ver"] if held else 0) != row["ver"]:
+                return web.json_response({"rows": []}, status=412)
+        for row in body["put"]:
+            self._change(row["table"], row["key"], row["value"])
+        for row in body["remove"]:
+            self._change(row["table"], row["key"], None)
+        return self._told()
--- /dev/null
+++ b/standins/scripted.py
@@ -0,0 +1,121 @@
+"""An endpoint that answers from a script, byte by byte if need be."""
+
+import asyncio
+import socket
+import struct
+import typing
+
+__all__ = ["RESET", "Endpoint", "Seen", "answer", "stream_head"]
+
+# In a script: reset the connection, instead of bytes to send.
+RESET = object()
+
+
+class Seen(typing.NamedTuple):
+    """A request that an endpoint has read."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+
+def answer(status, body=b"", **headers):
+    """Return the bytes of an answer with a length."""
+    named = {key.replace("_", "-"): value for key, value in headers.items()}
+    named["Content-Length"] = str(len(body))
+    return _head(status, named) + body
+
+
+def stream_head(status=200, **headers):
+    """Return the head of an answer that its connection ends."""
+    named = {key.replace("_", "-"): value for key, value in headers.items()}
+    return _head(status, {**named, "Connection": "close"})
+
+
+def _head(status, headers):
+    lines = [f"HTTP/1.1 {status} Told"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+class Endpoint:
+    """Reads one request a connection, then follows its script.
+
+    Parameters
+    ----------
+    script : callable
+        Takes a `Seen`, returns what to do: bytes to send, a number of
+        seconds to wait, or `RESET`.
+
+    Attributes
+    ----------
+    seen : list of Seen
+    left : int
+        Connections that the other side closed before the script's end.
+    """
+
+    def __init__(self, script):
+        self._script = script
+        self._server = None
+        self.seen = []
+        self.left = 0
+        self.address = None
+
+    async def start(self):
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            seen = await _read(reader)
+            self.seen.append(seen)
+            for step in self._script(seen):
+                if step is RESET:
+                    _reset(writer)
+                    return
+                if isinstance(step, bytes):
+                    writer.write(step)
+                    await writer.drain()
+                    continue
+                await self._wait(reader, step)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.left += 1
+        finally:
+            writer.close()
+
+    async def _wait(self, reader, seconds):
+        try:
+            async with asyncio.timeout(seconds):
+                if not await reader.read(1):
+                    raise ConnectionError("closed by the other side")
+        except TimeoutError:
+            return
+
+
+def _reset(writer):
+    # With no time to linger a close sends a reset.
+    sock = writer.get_extra_info("socket")
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+async def _read(reader):
+    raw = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = raw.decode().split("\r\n")[:-2]
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Seen(method, target, headers, body)
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -80,15 +80,13 @@
         """Whether an endpoint may have begun to work on the request."""
         return self._may_have_run
 
-    async def open(self, *, last_event_id=None, patience=None):
+    async def open(self, *, last_event_id=None):
         """Send the request until an endpoint takes it.
 
         Parameters
         ----------
         last_event_id : str, optional
             For a stream that goes on.
-        patience : float, optional
-            Seconds for the head of each answer.
 
         Returns
         -------
@@ -112,7 +110,7 @@
                 choice,
                 request.until - now,
                 last_event_id,
-                self._within(left, patience),
+                self._within(left, choice),
             )
             if isinstance(result, Opened):
                 return result
@@ -174,14 +172,18 @@
         )
         return why is None
 
-    def _within(self, left, patience):
+    def _within(self, left, choice):
+        """Return the seconds until an attempt is given up for another.
+
+        Silence alone is no reason: without another endpoint to go to it
+        would turn a late answer into none.
+        """
         route = self._request.route
-        if patience is None and route.idempotent:
-            if self._sent + 1 < route.max_attempts:
-                patience = max(
-                    LEAST_PATIENCE_S, PATIENCE_FACTOR * route.target_s
-                )
-        return left if patience is None else min(left, patience)
+        last = self._sent + 1 >= route.max_attempts
+        if last or not route.idempotent or choice.of < 2:
+            return left
+        patience = max(LEAST_PATIENCE_S, PATIENCE_FACTOR * route.target_s)
+        return min(left, patience)
 
     def _choose(self, now):
         parts, request = self._parts, self._request
--- a/sycamoreshed/forwarding/placing.py
+++ b/sycamoreshed/forwarding/placing.py
@@ -30,7 +30,7 @@
     endpoint : Endpoint
     why : str
     of : int
-        Endpoints it was chosen among.
+        Endpoints that are not avoided and had not been tried.
     """
 
     endpoint: typing.Any
@@ -142,7 +142,7 @@
             )
             for each in near:
                 if self.in_flight(each) <= least + AFFINITY_SLACK:
-                    return Choice(each, "prefix", len(near))
+                    return Choice(each, "prefix", len(good))
         # Ties are broken differently by each request, or all instances
         # would send to the same one first.
         pick = min(
@@ -152,7 +152,7 @@
                 rendezvous.rank(str(now), each.id),
             ),
         )
-        return Choice(pick, "least in flight", len(near))
+        return Choice(pick, "least in flight", len(good))
 
 
 @kernel.plugin("placer", needs=("health",))
--- /dev/null
+++ b/testkit/gateways.py
@@ -0,0 +1,150 @@
+"""Forwarding daemons as real processes, for tests."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+
+import aiohttp
+
+from testkit import processes
+from testkit import wiredata
+
+__all__ = ["Gateway", "gateways"]
+
+START_S = 20.0
+STOP_S = 15.0
+HOST = "127.0.0.1"
+
+
+class Gateway:
+    """One forwarding daemon.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        For its settings and its log.
+    ports : Ports
+    document : dict
+        Changes to the settings of `wiredata.settings`.
+    """
+
+    def __init__(self, *, folder, ports, document):
+        taken = {
+            name: f"{HOST}:{ports.take(HOST)}"
+            for name in ("public", "ready", "control")
+        }
+        self.document = wiredata.settings(**{**taken, **document})
+        name = self.document["instance"]
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self.process = None
+
+    @property
+    def public(self):
+        """Address for callers."""
+        return self.document["public"]
+
+    @property
+    def control(self):
+        """Address for other instances."""
+        return self.document["control"]
+
+    def write_settings(self):
+        """Write the settings file."""
+        self._settings.write_text(json.dumps(self.document))
+
+    async def start(self):
+        """Start the process; it need not be ready yet."""
+        self.write_settings()
+        with open(self._log, "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "sycamoreshed",
+                "gateway",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ),
+            )
+
+    async def stop(self):
+        """Stop gracefully; return the exit code."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(self.process.wait(), STOP_S)
+
+    async def kill(self):
+        """End the process at once."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    def events(self, name):
+        """Return the journal's lines of one event."""
+        found = []
+        for line in self._log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                document = json.loads(line)
+                if document.get("event") == name:
+                    found.append(document)
+        return found
+
+    async def is_ready(self):
+        """Return whether it says that it is ready."""
+        url = f"http://{self.document['ready']}/ready"
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(url) as answer,
+            ):
+                return answer.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def wait_ready(self):
+        """Wait until it says that it is ready."""
+        async with asyncio.timeout(START_S):
+            while not await self.is_ready():
+                if self.process.returncode is not None:
+                    raise RuntimeError(self._log.read_text())
+                await asyncio.sleep(0.05)
+
+    async def status(self):
+        """Return what it tells operators."""
+        url = f"http://{self.control}/control/status"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(url) as answer,
+        ):
+            return await answer.json()
+
+
+@contextlib.asynccontextmanager
+async def gateways(folder, documents):
+    """Run forwarding daemons; end them at the end of the block.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+    documents : list of dict
+        Changes to the settings of each.
+    """
+    ports = processes.Ports()
+    found = [
+        Gateway(folder=folder, ports=ports, document=each)
+        for each in documents
+    ]
+    try:
+        for each in found:
+            await each.start()
+        yield found
+    finally:
+        for each in found:
+            if each.process is not None:
+                await each.kill()
+        ports.close()
