--- /dev/null
+++ b/sycamoreshed/catalog/tests/test_replica.py
@@ -0,0 +1,102 @@
+"""A copy of a table never goes back, whatever comes in which order."""
+
+import hypothesis
+from hypothesis import strategies
+import hypothesis.stateful
+
+from sycamoreshed.catalog import replica
+
+KEYS = ["a", "b", "c"]
+
+
+class Replicas(hypothesis.stateful.RuleBasedStateMachine):
+    """A store, a replica that follows it, and copies told by peers.
+
+    Feed answers, whole listings and peers' copies reach the replica late,
+    twice and in any order.  A row that went back would bring back a key
+    that was revoked, or an endpoint that has left.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.history = [{}]
+        self.replica = replica.Replica()
+        self.seen = -1
+
+    @hypothesis.stateful.rule(
+        key=strategies.sampled_from(KEYS),
+        value=strategies.sampled_from([b"1", b"2", None]),
+    )
+    def change(self, key, value):
+        """Write or remove a row."""
+        rows = dict(self.history[-1])
+        if value is None:
+            rows.pop(key, None)
+        else:
+            rows[key] = value
+        self.history.append(rows)
+
+    @hypothesis.stateful.rule(point=strategies.integers(0, 100))
+    def hear_whole(self, point):
+        """Get a whole copy, as old as it may be."""
+        version = point % len(self.history)
+        self.replica.replace(self.history[version], version)
+
+    @hypothesis.stateful.rule(
+        first=strategies.integers(0, 100), last=strategies.integers(0, 100)
+    )
+    def hear_changes(self, first, last):
+        """Get the changes of any span."""
+        since = first % len(self.history)
+        version = last % len(self.history)
+        if version < since:
+            return
+        old, new = self.history[since], self.history[version]
+        rows = [(key, new.get(key)) for key in KEYS]
+        rows = [(k, v) for k, v in rows if v != old.get(k)]
+        self.replica.apply(rows, since, version)
+
+    @hypothesis.stateful.invariant()
+    def never_goes_back(self):
+        """Hold the rows of its version, and a version not below the last."""
+        version = self.replica.version
+        assert version >= self.seen
+        self.seen = version
+        if version >= 0:
+            assert self.replica.rows == self.history[version]
+
+
+TestReplicas = Replicas.TestCase
+TestReplicas.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, derandomize=True, deadline=None
+)
+
+
+def test_a_planted_fault_is_found():
+    """Changes taken across a gap leave rows that never stood together."""
+
+    class Careless(replica.Replica):
+        def apply(self, rows, since, version):
+            return super().apply(rows, min(since, self.version), version)
+
+    class Planted(Replicas):
+        def __init__(self):
+            super().__init__()
+            self.replica = Careless()
+
+    settings = hypothesis.settings(
+        max_examples=200,
+        stateful_step_count=20,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        report_multiple_bugs=False,
+        print_blob=False,
+    )
+    try:
+        hypothesis.stateful.run_state_machine_as_test(
+            Planted, settings=settings
+        )
+    except AssertionError:
+        return
+    raise AssertionError("the planted fault was not found")
--- /dev/null
+++ b/sycamoreshed/forwarding/tests/test_placing.py
@@ -0,0 +1,115 @@
+"""Which endpoint gets a request."""
+
+import pytest
+
+from sycamoreshed.catalog import types
+from sycamoreshed.forwarding import health as healths
+from sycamoreshed.forwarding import placing
+from testkit import journals
+
+
+@pytest.fixture
+def health():
+    """Return the evidence of an instance that has seen nothing."""
+    return healths.Health(journal=journals.Journal())
+
+
+@pytest.fixture
+def placer(health):
+    """Return the choice of an instance of north-a."""
+    regions = {"north-a": "north", "north-b": "north", "south-a": "south"}
+    return placing.Placer(zone="north-a", regions=regions, health=health)
+
+
+def endpoint(name, zone="north-a"):
+    """Return an endpoint of an engine."""
+    return types.Endpoint(name, "engine", f"{name}:80", zone, 64)
+
+
+def test_the_own_zone_first_then_the_region(placer, health):
+    far = endpoint("far", "south-a")
+    near = endpoint("near", "north-b")
+    own = endpoint("own")
+    pool = [far, near, own]
+    assert placer.choose(pool, 0.0).endpoint is own
+    health.bad(own, 0.0, "refused", reached=False)
+    assert placer.choose(pool, 0.1).endpoint is near
+
+
+def test_large_results_draw_a_request_to_their_zone(placer):
+    """Fetched from another zone, results of 7.5 MB cost a tenth of what
+    the request is worth; its body is much smaller.
+    """
+    pool = [endpoint("own"), endpoint("far", "south-a")]
+    choice = placer.choose(
+        pool, 0.0, body_bytes=18000, held={"south-a": 7_500_000}
+    )
+    assert choice.endpoint.id == "far"
+    choice = placer.choose(
+        pool, 0.0, body_bytes=18000, held={"south-a": 96_000}
+    )
+    assert choice.endpoint.id == "own"
+
+
+def test_equal_prefixes_find_the_same_engine(placer):
+    pool = [endpoint(f"e{number}") for number in range(5)]
+    chosen = {
+        placer.choose(order, 0.0, affinity="part").endpoint.id
+        for order in (pool, pool[::-1])
+    }
+    assert len(chosen) == 1
+
+
+def test_a_prefix_does_not_overrun_its_engine(placer):
+    """One key gets much of the traffic; its requests spread over others
+    once the engine has some more in flight than the least loaded.
+    """
+    pool = [endpoint(f"e{number}") for number in range(3)]
+    for _ in range(30):
+        choice = placer.choose(pool, 0.0, affinity="hot")
+        placer.begin(choice.endpoint)
+    counts = [placer.in_flight(each) for each in pool]
+    assert max(counts) - min(counts) <= placing.AFFINITY_SLACK + 1
+
+
+def test_avoided_endpoints_are_better_than_none(placer, health):
+    only = endpoint("only")
+    health.bad(only, 0.0, "refused", reached=False)
+    assert placer.choose([only], 0.1).endpoint is only
+    assert placer.choose([only], 0.1, tried={"only"}) is None
+
+
+def test_failures_in_a_row_put_an_endpoint_out_for_a_while(health):
+    """An endpoint fails everything; one failure is no reason yet."""
+    failing = endpoint("failing")
+    for number in range(healths.FAILURES_OUT):
+        assert not health.is_out(failing, number)
+        health.bad(failing, number, "500")
+    assert health.is_out(failing, number + 0.1)
+    assert not health.is_out(failing, number + 60.0)
+
+
+def test_an_endpoint_that_fails_half_its_answers_is_put_out(health):
+    """Good answers in between end each row of failures."""
+    grey = endpoint("grey")
+    out = False
+    for number in range(40):
+        now = number * 0.01
+        if number % 2:
+            health.good(grey, now)
+        else:
+            health.bad(grey, now, "500")
+        out = out or health.is_out(grey, now)
+    assert out
+
+
+def test_a_service_that_often_fails_a_read_is_not_put_out(health):
+    """One answer in seven fails at all endpoints at all times."""
+    usual = endpoint("usual")
+    for number in range(140):
+        now = number * 0.01
+        if number % 7:
+            health.good(usual, now)
+        else:
+            health.bad(usual, now, "500")
+        assert not health.is_out(usual, now)
--- /dev/null
+++ b/sycamoreshed/gateway/tests/test_answers.py
@@ -0,0 +1,50 @@
+"""What callers are told when no endpoint's answer is passed on."""
+
+import pytest
+
+from sycamoreshed.errors import kinds
+from sycamoreshed.gateway import answers
+
+PROMISES = {408, 421, 429, 503}
+
+
+@pytest.mark.parametrize("kind", list(kinds.Kind))
+def test_a_promise_is_told_only_if_nothing_was_sent(kind):
+    """A ballot that may have been recorded is answered; told "not run" by
+    its status, the member's client votes again.
+    """
+    failure = kinds.Failure(kind, "why", sent=True)
+    assert answers.status_of(failure) not in PROMISES
+
+
+@pytest.mark.parametrize(
+    ("kind", "sent", "status"),
+    [
+        (kinds.Kind.HOPELESS, False, 503),
+        (kinds.Kind.NO_ENDPOINT, False, 503),
+        (kinds.Kind.LATE, False, 503),
+        (kinds.Kind.LATE, True, 504),
+        (kinds.Kind.REFUSED, True, 502),
+        (kinds.Kind.REFUSED, False, 503),
+        (kinds.Kind.STRAY_ANSWER, True, 502),
+        (kinds.Kind.BROKEN_STREAM, True, 502),
+        (kinds.Kind.INTERNAL, True, 502),
+        (kinds.Kind.DRAINING, False, 503),
+        (kinds.Kind.NOT_READY, False, 503),
+        (kinds.Kind.UNKNOWN_KEY, False, 401),
+        (kinds.Kind.UNKNOWN_PATH, False, 404),
+        (kinds.Kind.TOO_LARGE, False, 413),
+        (kinds.Kind.BAD_REQUEST, False, 400),
+    ],
+)
+def test_statuses(kind, sent, status):
+    failure = kinds.Failure(kind, "why", sent=sent)
+    assert answers.status_of(failure) == status
+
+
+def test_callers_hear_when_to_come_back():
+    failure = kinds.Failure(kinds.Kind.HOPELESS, "busy")
+    told = answers.told(failure, "r-1", 0.25)
+    assert told.headers["Retry-After"] == "0.25"
+    sent = answers.told(failure._replace(sent=True), "r-1", 0.25)
+    assert "Retry-After" not in sent.headers
--- /dev/null
+++ b/sycamoreshed/platform/tests/test_calls.py
@@ -0,0 +1,102 @@
+"""Heads of requests and answers on the wire."""
+
+import multidict
+import pytest
+
+from sycamoreshed.platform import calls
+from sycamoreshed.staging import pieces
+from testkit import wiredata
+
+
+def forwarded(**headers):
+    """Return what an endpoint gets of a caller's headers."""
+    sent = multidict.CIMultiDict(wiredata.head())
+    sent.extend({k.replace("_", "-"): v for k, v in headers.items()})
+    return calls.forwarded_headers(
+        sent, team="team-a", endpoint="i-1", left_s=1.5, priority=2
+    )
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "X-Sycamoreshed-Hold",
+        "X-Sycamoreshed-Pin-Ms",
+        "X-Sycamoreshed-Kv-Backup",
+        "X-Sycamoreshed-Inputs",
+        "X-Sycamoreshed-Expect-Version",
+        "Kv-From",
+        "Kv-Fetch",
+        "Authorization",
+        "Connection",
+        "Transfer-Encoding",
+        "Keep-Alive",
+    ],
+)
+def test_what_only_the_system_may_set_is_dropped(name):
+    """A caller names memory or a reservation of somebody else's request;
+    passed on, an engine would answer from that.
+    """
+    assert name not in forwarded(**{name: "x"})
+
+
+def test_headers_that_the_connection_names_are_dropped():
+    found = forwarded(Connection="close, X-Mine", X_Mine="1", X_Other="2")
+    assert "X-Mine" not in found
+    assert found["X-Other"] == "2"
+
+
+def test_what_the_system_sets():
+    found = forwarded(**{"X-Sycamoreshed-Tenant": "team-b"})
+    assert found.getall("X-Sycamoreshed-Tenant") == ["team-a"]
+    assert found["X-Sycamoreshed-Deadline-Ms"] == "1500"
+    assert found["X-Sycamoreshed-Expect-Instance"] == "i-1"
+    assert found["X-Sycamoreshed-Priority-Class"] == "2"
+
+
+@pytest.mark.parametrize(
+    ("status", "says_not_run", "verdict"),
+    [
+        (200, False, calls.Verdict.DONE),
+        (404, False, calls.Verdict.DONE),
+        (421, False, calls.Verdict.ELSEWHERE),
+        (503, True, calls.Verdict.NOT_RUN),
+        (409, True, calls.Verdict.NOT_RUN),
+        (503, False, calls.Verdict.UNSURE),
+        (429, False, calls.Verdict.UNSURE),
+        (408, False, calls.Verdict.UNSURE),
+        (500, False, calls.Verdict.FAILED),
+        (504, False, calls.Verdict.FAILED),
+    ],
+)
+def test_what_an_answer_says_of_the_request(status, says_not_run, verdict):
+    headers = {"X-Sycamoreshed-Not-Executed": "1"} if says_not_run else {}
+    assert calls.judge(status, headers) is verdict
+
+
+@pytest.mark.parametrize("text", ["", "x", "1,x", ":3", "a:b,c"])
+def test_heads_that_cannot_be_read_count_as_left_out(text):
+    head = calls.read_head(
+        {
+            "X-Sycamoreshed-Deadline-Ms": "x" + text,
+            "X-Sycamoreshed-Token-Usage": text,
+            "X-Sycamoreshed-Prefix-Hash": text,
+        }
+    )
+    assert head.deadline_s is None
+    assert head.prefix == ()
+
+
+def test_a_piece_has_a_key_or_inputs():
+    """A piece of a later stage that was given a key instead of its inputs
+    would be made from nothing of its request.
+    """
+    first = pieces.Piece("r", 0, 1, until=2.0, key="k")
+    later = pieces.Piece("r", 1, 0, until=2.0, inputs=("h",))
+    _, headers, body = calls.piece_call([first, later], endpoint="i", now=1.0)
+    assert headers["X-Sycamoreshed-Expect-Instance"] == "i"
+    assert body == (
+        b'{"items":[{"id":"r","phase":0,"segment":1,"remaining_ms":1000,'
+        b'"key":"k"},{"id":"r","phase":1,"segment":0,"remaining_ms":1000,'
+        b'"inputs":["h"]}]}'
+    )
--- /dev/null
+++ b/sycamoreshed/staging/tests/test_planning.py
@@ -0,0 +1,107 @@
+"""Which jobs are taken on, and what waits where."""
+
+from sycamoreshed.staging import pieces
+from sycamoreshed.staging import planning
+from sycamoreshed.staging.tests import builders
+
+
+def test_a_job_that_cannot_be_in_time_is_refused_at_once():
+    """Callers come faster than stages can work.  Taken on, each would wait
+    until its deadline and be late with all others; refused, it hears so at
+    once, and those before it are in time.
+    """
+    plans = builders.plans()
+    admitted = 0
+    while plans.admit(builders.job(f"r{admitted}"), 0.0) is not None:
+        admitted += 1
+        assert admitted < 100
+    assert 2 <= admitted <= 20
+    assert plans.excess(builders.job("next"), 0.0) > 0
+
+
+def test_the_load_of_a_burst_is_served_in_time():
+    """Twice the load that two stages can carry comes for four seconds.
+
+    Each admitted job is played through: a call takes its time, with as
+    many jobs as fit.  Nine in ten of those that are taken on have to be
+    done by their aim, and the stages must not run idle for it.
+    """
+    plans = builders.plans()
+    service = builders.spec()
+    arrivals = [0.05 * number for number in range(80)]
+    done, late, refused = 0, 0, 0
+    free_at = 0.0
+    queue = []
+    for now in arrivals:
+        while queue and free_at <= now:
+            plan = queue.pop(0)
+            # The busier stage has four pieces a job, a call for each.
+            free_at = max(free_at, plan.aim - 1.0) + service.call_s
+            free_at += 4 * service.piece_s
+            plans.started(plan, 0, 2)
+            plans.started(plan, 1, 4)
+            plans.drop(plan)
+            late += free_at > plan.aim + 0.15
+            done += 1
+        plan = plans.admit(builders.job(f"r{now}"), now)
+        if plan is None:
+            refused += 1
+        elif not plan.is_late:
+            queue.append(plan)
+    assert refused > 20
+    assert late <= done / 10
+    assert done >= 15
+
+
+def test_what_is_urgent_goes_first_and_what_is_late_last():
+    plans = builders.plans(places=4)
+    low = plans.admit(builders.job("low", priority=2), 0.0)
+    high = plans.admit(builders.job("high", priority=0), 0.0)
+    late = plans.admit(builders.job("late", aim_s=0.1), 0.0)
+    assert high.rank < low.rank < late.rank
+    assert late.is_late
+
+
+def test_work_waits_where_nothing_takes_room_yet():
+    """The second stage is slow.  With the first stage far ahead of it,
+    results would fill the room of the first, whose calls then go out with
+    few pieces or none.
+    """
+    plans = builders.plans(places=1)
+    started = 0
+    for number in range(12):
+        plan = plans.admit(
+            builders.job(f"r{number}", aim_s=99.0, until_s=99.0), 0.0
+        )
+        if plans.may_start(plan, 0):
+            plans.started(plan, 0, 2)
+            started += 1
+    assert started * 4 <= planning.AHEAD_CALLS * 4
+    assert started >= 2
+
+
+def test_waiting_for_room_counts():
+    """Results that are held leave no room for those of a new job."""
+    free = builders.plans(held=0)
+    full = builders.plans(held=5000)
+    job = builders.job(aim_s=0.6)
+    assert free.admit(job, 0.0) is not None
+    assert full.excess(job, 0.0) > 1.0
+
+
+def test_stages_left_out_take_no_time():
+    plans = builders.plans()
+    short = plans.expected_end(
+        planning.Plan(builders.job(counts=(2, 0)), 9, 9, False, 0), 0.0
+    )
+    both = plans.expected_end(
+        planning.Plan(builders.job(counts=(2, 4)), 9, 9, False, 0), 0.0
+    )
+    assert short < both
+
+
+def test_time_after_a_stage():
+    stages = builders.job().stages
+    specs = {"first": builders.spec(), "second": builders.spec()}
+    assert round(pieces.time_after(stages, 0, specs), 3) == 0.19
+    assert pieces.time_after(stages, 1, specs) == 0.0
