See a reset that arrives together with bytes

An answer without length that was reset was passed on as whole in one of some ten runs of its test. Cause: where bytes and a reset arrive together the event loop reports the bytes and a plain end, and the error stays in the socket unread. The protocol of connections to endpoints asks the socket for it at the end. Ruled out: the order of events in the HTTP library (the protocol holds no error at all in that case).

--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -1,10 +1,12 @@
 """One request to an endpoint, on a connection of its own."""
 
 import asyncio
+import functools
 import socket
 import typing
 
 import aiohttp
+from aiohttp import client_proto
 import yarl
 
 from sycamoreshed.adapters import web
@@ -27,6 +29,42 @@
 USER_TIMEOUT_MS = 3000
 
 
+class Protocol(client_proto.ResponseHandler):
+    """A connection that tells whether the other side reset it.
+
+    Notes
+    -----
+    Where bytes and a reset arrive together, the event loop reports the
+    bytes and then a plain end, and never asks for the error that the
+    socket holds.  So it is asked for here, while the socket is open.
+    """
+
+    was_reset = False
+
+    def eof_received(self):
+        """Take in the end of what the other side sends."""
+        found = self.transport.get_extra_info("socket")
+        if found.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self.was_reset = True
+        return super().eof_received()
+
+    def connection_lost(self, error):
+        """Take in the end of the connection."""
+        if error is not None:
+            self.was_reset = True
+        super().connection_lost(error)
+
+
+class Connector(aiohttp.TCPConnector):
+    """Opens a connection for each request; see `Protocol`."""
+
+    def __init__(self, **more):
+        super().__init__(**more)
+        # The HTTP library has no public place for it; a test fails if
+        # this one changes.
+        self._factory = functools.partial(Protocol, loop=self._loop)
+
+
 class Response(aiohttp.ClientResponse):
     """A response that still knows its connection when it is whole.
 
@@ -146,9 +184,7 @@
         "Content-Length" in response.headers
         or "Transfer-Encoding" in response.headers
     )
-    if framed:
-        return False
-    return isinstance(response.protocol.exception(), aiohttp.ClientOSError)
+    return not framed and response.protocol.was_reset
 
 
 def _failure(kind, error, *, sent):
@@ -173,7 +209,7 @@
 @kernel.plugin("endpoint_client", needs=("sockets",))
 async def endpoint_client(core):
     """Provide the client of endpoints."""
-    connector = aiohttp.TCPConnector(
+    connector = Connector(
         limit=0, force_close=True, socket_factory=open_socket
     )
     async with aiohttp.ClientSession(
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -158,9 +158,10 @@
     )
     async with endpoints(store, crash):
         async with serving(store, tmp_path) as (gateway, session):
-            status, told, _ = await call(session, gateway, "POST")
-    assert status == 502
-    assert SEAL not in told
+            # Whether bytes and reset are read together is up to chance.
+            results = [await call(session, gateway, "POST") for _ in range(60)]
+    assert {status for status, _, _ in results} == {502}
+    assert not any(SEAL in told for _, told, _ in results)
 
 
 @pytest.mark.parametrize("kind", ["unsafe", "streaming"])
