Count slow endpoints of stages for less, and hand a zone's stages over at a stop

A stage endpoint that works four times slower was taken at its usual speed, so its zone went on being sent requests (backlog told 0.97 s for more than a second). An instance that stopped kept a zone's stages until its end, and the jobs it had were cut off. Calls now tell how slow an endpoint is; a stopping instance says so in its row and ends the jobs it has.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -28,12 +28,15 @@
         ``control`` is its ``IP:port`` for other instances.
     boot : int
         Start of its process, Unix time in ms.
+    is_leaving : bool
+        Whether it stops; it ends what it has and takes on nothing new.
     """
 
     name: str
     zone: str
     control: str
     boot: int = 0
+    is_leaving: bool = False
 
 
 class Catalog:
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import time
 import typing
@@ -32,6 +33,9 @@
 RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
 PEER_TIMEOUT_S = 0.7
+# Between looks whether the own row is there; spread, so that many instances
+# that start together do not write together.
+REGISTER_S = (2.0, 4.0)
 READ_TIMEOUT_S = 2.0
 PATH = "/control/catalog"
 
@@ -242,8 +246,6 @@
     Another instance that cannot reach this one for long removes the row,
     as of a process that is gone for good; the row is then written again.
     """
-    codec = core.part("platform")
-    journal = core.part("journal")
     settings = core.settings
     row = catalogs.Peer(
         name=settings.instance,
@@ -251,18 +253,27 @@
         control=settings.control,
         boot=time.time_ns() // 1_000_000,
     )
-    value = msgspec.json.encode(row)
-    while True:
-        held = core.part("catalog").peers.get(row.name)
-        if held != row:
-            failure = await codec.store.put(
-                codec.tables["peers"],
-                row.name,
-                value,
-                timeout=READ_TIMEOUT_S,
-            )
-            if failure is not None:
-                journal.write(
-                    "store_lost", table="peers", why=failure.reason, age_s=None
-                )
-        await asyncio.sleep(random.uniform(2.0, 4.0))
+    while not core.stopping.is_set():
+        if core.part("catalog").peers.get(row.name) != row:
+            await _write_row(core, row)
+        pause = random.uniform(*REGISTER_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause):
+                await core.stopping.wait()
+    # Others pass on what this instance did for its zone before it ends.
+    core.part("peers").is_leaving = True
+    await _write_row(core, row._replace(is_leaving=True))
+
+
+async def _write_row(core, row):
+    codec = core.part("platform")
+    failure = await codec.store.put(
+        codec.tables["peers"],
+        row.name,
+        msgspec.json.encode(row),
+        timeout=READ_TIMEOUT_S,
+    )
+    if failure is not None:
+        core.part("journal").write(
+            "store_lost", table="peers", why=failure.reason, age_s=None
+        )
--- a/sycamoreshed/catalog/peers.py
+++ b/sycamoreshed/catalog/peers.py
@@ -49,12 +49,13 @@
         self._choose = choose or random.Random()
         self._lost = {}
         self.seeds = tuple(seeds)
+        self.is_leaving = False
 
     def some(self, now):
         """Return a few control addresses to ask, the nearest first."""
         near, far = [], []
         for peer in self._catalog.peers.values():
-            if peer.name == self._own or self.is_lost(peer.control, now):
+            if peer.name == self._own or self._is_away(peer, now):
                 continue
             (near if peer.zone == self._zone else far).append(peer.control)
         known = {*near, *far, self._control}
@@ -77,9 +78,9 @@
         found = {
             peer.name: peer.control
             for peer in self._catalog.peers.values()
-            if peer.zone == zone and not self.is_lost(peer.control, now)
+            if peer.zone == zone and not self._is_away(peer, now)
         }
-        if zone == self._zone:
+        if zone == self._zone and not self.is_leaving:
             found[self._own] = self._control
         return found
 
@@ -87,6 +88,9 @@
         """Return how many instances are registered, at least one."""
         return max(1, len(self._catalog.peers))
 
+    def _is_away(self, peer, now):
+        return peer.is_leaving or self.is_lost(peer.control, now)
+
     def is_lost(self, control, now):
         """Return whether a peer is left alone for now."""
         held = self._lost.get(control)
--- a/sycamoreshed/gateway/inner.py
+++ b/sycamoreshed/gateway/inner.py
@@ -30,6 +30,7 @@
         self._metrics = metrics
         self._clock = clock
         self._status = status
+        self.in_flight = 0
 
     async def tell(self, http):
         """Answer with a table's copy if it is newer than the asker's."""
@@ -41,7 +42,11 @@
     async def run(self, http):
         """Run the stages of a job with the endpoints of a zone."""
         job = msgspec.json.decode(await http.read(), type=pieces.Job)
-        return _json(await self._stages.run_here(job, http.query["zone"]))
+        self.in_flight += 1
+        try:
+            return _json(await self._stages.run_here(job, http.query["zone"]))
+        finally:
+            self.in_flight -= 1
 
     async def free(self, http):
         """Give up results."""
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -82,7 +82,8 @@
     await asyncio.sleep(min(ACCEPT_S, core.settings.grace_s / 2))
     handler.accepting = False
     end = began + core.settings.grace_s - MARGIN_S
-    while handler.in_flight and core.clock() < end:
+    inner = core.part("inner")
+    while handler.in_flight + inner.in_flight and core.clock() < end:
         await asyncio.sleep(POLL_S)
     journal.write(
         "stopped",
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -74,6 +74,15 @@
         """Bytes of results that the endpoints hold."""
         return self._pool.held_bytes
 
+    @property
+    def places(self):
+        """Calls at the usual speed that endpoints work on at a time."""
+        slots = self.service.pieces.slots
+        return sum(
+            slots / self._pool.slowness(each)
+            for each in self._endpoints(self._clock())
+        )
+
     async def make(self, plan, wanted, size):
         """Have pieces of one stage of a job made.
 
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -263,10 +263,7 @@
         return None if service is None else service.pieces
 
     def _places(self, name):
-        spec = self._spec(name)
-        if spec is None:
-            return 0
-        return len(self._endpoints(name, self._clock())) * spec.slots
+        return self._batcher(name).places if self._services(name) else 0
 
     def _held(self, name):
         batcher = self._batchers.get(name)
--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -24,6 +24,9 @@
 # fetched fill the room of the stage before, whose calls then go out nearly
 # empty; less, and an endpoint that is done finds nothing to do.
 AHEAD_CALLS = 4.0
+# Places that are counted at the least, so that nothing is divided by zero
+# where a zone has no endpoint for the moment.
+LEAST_PLACES = 0.1
 # How long a result takes room: its call, the engine's time to fetch it and
 # begin to answer, and the word that it is freed.  Median of requests with
 # results of 3 MB under load.
@@ -154,7 +157,7 @@
                 if service == stage.service
             )
             spec = self._specs(stage.service)
-            places = max(1, self._places(stage.service))
+            places = max(1.0, self._places(stage.service))
             if waiting and waiting + stage.count > (
                 AHEAD_CALLS * places * spec.batch
             ):
@@ -198,7 +201,7 @@
         spec = self._specs(service)
         if spec is None:
             return 0.0
-        places = max(1, self._places(service))
+        places = max(LEAST_PLACES, self._places(service))
         count = 0
         size = 0
         for each, left in self._left_of(service, plans):
@@ -218,7 +221,7 @@
         size += self._held(service)
         for each, left in self._left_of(service, plans):
             size += left * each.size
-        room = spec.room_bytes * max(1, self._places(service))
+        room = spec.room_bytes * max(1.0, self._places(service))
         return max(0.0, size / room - 1.0) * HELD_S
 
     def _left_of(self, service, plans):
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -10,6 +10,8 @@
 
 __all__ = ["Batch", "Pool", "Waiting"]
 
+# Weight of the newest call in how slow an endpoint is; two calls tell.
+SLOW_WEIGHT = 0.5
 # How long an endpoint's word that it has no room goes before what is counted
 # here: it may hold results of an instance that batched before, or larger
 # ones than the configuration says.  Some two calls; then it is tried again.
@@ -68,6 +70,7 @@
         self._held = {}
         self._expiry = {}
         self._full = {}
+        self._slow = {}
 
     @property
     def queued(self):
@@ -79,6 +82,17 @@
         """Bytes of results that all endpoints hold."""
         return sum(self._held.values())
 
+    def slowness(self, endpoint):
+        """Return how many times longer its calls take than they should.
+
+        Notes
+        -----
+        An endpoint can turn slow without failing.  Taken at the speed
+        the configuration tells, its zone would go on being sent requests
+        that it answers four times too late.
+        """
+        return self._slow.get(endpoint.id, 1.0)
+
     def calls(self, endpoint):
         """Return the calls in progress at an endpoint."""
         return len(self._calls.get(endpoint.id, ()))
@@ -171,7 +185,8 @@
             When it should be done.
         """
         key = batch.endpoint.id
-        ready = now + self.work(len(batch.waiting))
+        work = self.work(len(batch.waiting))
+        ready = now + work * self.slowness(batch.endpoint)
         self._calls.setdefault(key, []).append(ready)
         size = sum(each.size for each in batch.waiting)
         self._held[key] = self._held.get(key, 0) + size
@@ -190,6 +205,8 @@
         """
         key = batch.endpoint.id
         self._calls[key].remove(ready)
+        if any(result.held for result in results):
+            self._observe(batch, ready, now)
         until = now + self.spec.result_ttl_s
         for waiting, result in zip(batch.waiting, results, strict=True):
             if result.held is None:
@@ -207,6 +224,13 @@
             unknown = self.room(batch.endpoint) - min(refused) / 2
             self._full[key] = (now + FULL_S, max(0.0, unknown))
 
+    def _observe(self, batch, ready, now):
+        slow = self.slowness(batch.endpoint)
+        work = self.work(len(batch.waiting))
+        began = ready - work * slow
+        found = max(1.0, (now - began) / work)
+        self._slow[batch.endpoint.id] = slow + SLOW_WEIGHT * (found - slow)
+
     def free(self, handle):
         """Release the room of a result that is freed or has expired."""
         held = self._expiry.pop(handle, None)
