Free results at endpoints that are not used at the moment

Results were given up only at endpoints that might get calls just then. Ruled out: accounts of two instances during a handover (the room was gone at endpoints that only one of them fed).

--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -32,6 +32,8 @@
     service : Service
     endpoints : callable
         Takes the time, returns the endpoints that may get calls.
+    lookup : callable
+        Takes the id of an endpoint, returns it or None.
     plans : Plans
     client : EndpointClient
     codec : Platform
@@ -46,6 +48,7 @@
         *,
         service,
         endpoints,
+        lookup,
         plans,
         client,
         codec,
@@ -56,6 +59,7 @@
     ):
         self.service = service
         self._endpoints = endpoints
+        self._lookup = lookup
         self._plans = plans
         self._client = client
         self._codec = codec
@@ -274,15 +278,15 @@
     async def _tell_freed(self, name):
         await asyncio.sleep(FREE_DELAY_S)
         handles = self._freed.pop(name)
-        now = self._clock()
-        found = [e for e in self._endpoints(now) if e.id == name]
-        if not found:
-            # Leaving or avoided; its results expire by themselves.
+        # Also one that leaves, is avoided or belongs to another zone: it
+        # holds the results until it is told, or they expire.
+        endpoint = self._lookup(name)
+        if endpoint is None:
             return
         path, headers, body = self._codec.free_call(handles, endpoint=name)
         response = await self._client.send(
             "POST",
-            found[0].address,
+            endpoint.address,
             path,
             headers,
             body,
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -319,6 +319,7 @@
         return batching.Batcher(
             service=service,
             endpoints=endpoints,
+            lookup=core.part("catalog").endpoint,
             plans=plans,
             client=core.part("endpoint_client"),
             codec=core.part("platform"),
