--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -23,9 +23,9 @@
 # How long the store may hold a call that waits for changes.  A connection
 # that went silent is found after this and the slack, which must be below
 # what the platform allows for a configuration (2.5 s) and the 4 s that an
-# instance counts as disturbed after its connections were; half a call a
-# second and table is a quarter of the store's reads at 410 instances.
-WAIT_S = 2.0
+# instance counts as disturbed after its connections were.  At 410 instances
+# two tables are 234 of the store's 2,000 reads a second.
+WAIT_S = 3.5
 SLACK_S = 1.0
 # Peers' rows change when instances start; nobody waits for them.
 PEERS_WAIT_S = 10.0
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -13,13 +13,9 @@
 # the budget of repeats.
 MOST_ATTEMPTS = 3
 GRACE_S = 0.1
-# A caller whose answer could still be in time if the queue were shorter by
-# that much comes back for just that.  For others it is over; they come back
-# when a burst may have passed, and are served when nobody else is kept
-# waiting.
-SHORT_S = 0.4
-RETRY_SOON_S = 0.2
-RETRY_LATER_S = 2.0
+# A refused caller is told to come back when its job would be in time if
+# nothing new came, and that much later.
+RETRY_EXTRA_S = 0.2
 # Results take a moment to be fetched by whoever takes them as inputs.
 FETCH_S = 0.02
 
@@ -90,7 +86,7 @@
             # without, instead of waiting for its deadline.
             wait = self._plans.excess(job, now)
             refused = self._none("stages are busy for too long", True)
-            return refused._replace(retry_s=_retry(wait))
+            return refused._replace(retry_s=round(RETRY_EXTRA_S + wait, 3))
         try:
             # A call that began in time may end a little later; who asked
             # waits no longer than that either.
@@ -281,13 +277,6 @@
         return self._batchers[name]
 
 
-def _retry(excess):
-    """Return when a refused caller should come back, in seconds."""
-    if excess <= SHORT_S:
-        return round(RETRY_SOON_S + excess, 3)
-    return RETRY_LATER_S
-
-
 def _failure(made):
     """Return the failure of a stage's pieces, or None if all are there."""
     bad = [each for each in made if each.held is None]
