Let long streams with stages go on at another engine, and explain requests

A resumable stream that broke late was cut off although another engine could have gone on: its inputs had been freed, and the stages that make them again were refused as too late for a new request. They get time of their own now.

--- a/sycamoreshed/cli/main.py
+++ b/sycamoreshed/cli/main.py
@@ -1,5 +1,6 @@
 """The command line: the daemon and the operators' client."""
 
+import contextlib
 import pathlib
 import sys
 import typing
@@ -11,6 +12,8 @@
 from sycamoreshed.entry import daemon
 from sycamoreshed import exceptions
 from sycamoreshed.gateway import daemon as forwarding
+from sycamoreshed.gateway import settings as forwarding_settings
+from sycamoreshed.observe import explain as explaining
 from sycamoreshed.settings import schema
 
 __all__ = ["app", "run"]
@@ -57,9 +60,55 @@
 
 
 @app.command
-def check_settings(file: pathlib.Path, /):
-    """Check a settings file."""
-    daemon.check(schema.load(file), source=str(file))
+def explain(
+    *words: str,
+    failed: typing.Annotated[bool, cyclopts.Parameter(negative="")] = False,
+):
+    """Tell from the logs of instances what became of a request.
+
+    Parameters
+    ----------
+    words
+        The request's id and log files; with --failed log files only.
+    failed
+        List the causes of all requests that failed, with an example.
+    """
+    request, logs = (None, words) if failed else (words[:1], words[1:])
+    if not logs:
+        print("name the log files", file=sys.stderr)
+        return client.Exit.INVALID
+    with contextlib.ExitStack() as stack:
+        files = [stack.enter_context(open(log)) for log in logs]
+        lines = explaining.read(files)
+        if failed:
+            for cause, count, example in explaining.failures(lines):
+                print(f"{count} (such as {example}): {cause}")
+            return client.Exit.DONE
+        text = explaining.tell(explaining.trace(lines, request[0]))
+    print("\n".join(text))
+    return client.Exit.DONE
+
+
+@app.command
+def check_settings(
+    file: pathlib.Path,
+    /,
+    *,
+    gateway: typing.Annotated[bool, cyclopts.Parameter(negative="")] = False,
+):
+    """Check a settings file.
+
+    Parameters
+    ----------
+    file
+        JSON file.
+    gateway
+        Whether it is one of an instance that forwards by route.
+    """
+    if gateway:
+        forwarding_settings.load(file)
+    else:
+        daemon.check(schema.load(file), source=str(file))
     print(f"{file}: valid")
 
 
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -16,6 +16,10 @@
 STAGES_AIM_SHARE = 0.75
 # Least time an engine needs after the last stage for an answer at all.
 ENGINE_LEAST_S = 0.2
+# For the stages of a stream that goes on at another engine: its caller
+# hangs up after two seconds without an event at the least.
+RENEW_AIM_S = 1.0
+RENEW_UNTIL_S = 1.8
 # Runs of all stages of a request; results may expire before their use.
 MOST_CHAINS = 2
 
@@ -113,7 +117,8 @@
                 return outcome
         return outcome
 
-    async def _inputs(self, request, kept):
+    async def _inputs(self, request, kept, *, renewed=False):
+        """Run the stages; return handles of their results or a `Failure`."""
         stages = request.route.stages
         if not stages:
             return []
@@ -124,6 +129,11 @@
             )
         now = self._parts.clock()
         target = request.route.target_s * STAGES_AIM_SHARE
+        aim_s = request.began - request.waited_s + target - now
+        until_s = request.stages_until - ENGINE_LEAST_S - now
+        if renewed:
+            aim_s = RENEW_AIM_S
+            until_s = min(RENEW_UNTIL_S, request.until - now)
         job = pieces.Job(
             request=request.id,
             stages=[
@@ -133,8 +143,8 @@
                 for stage, count in zip(stages, counts, strict=True)
             ],
             key=request.head.piece_key,
-            aim_s=request.began - request.waited_s + target - now,
-            until_s=request.stages_until - ENGINE_LEAST_S - now,
+            aim_s=aim_s,
+            until_s=until_s,
             priority=request.priority,
         )
         return await self._stages.run(job, kept)
@@ -149,7 +159,7 @@
                 request,
                 sink,
                 self._parts,
-                renew=lambda: self._inputs(request, kept),
+                renew=lambda: self._inputs(request, kept, renewed=True),
             )
         if isinstance(result, streams.StreamEnd):
             return Outcome(
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -21,6 +21,10 @@
 DEFAULT_DEADLINE_S = 60.0
 
 
+class _Cut(Exception):
+    """Ends a handler whose connection was closed within an answer."""
+
+
 class Sink:
     """Takes the events of a stream for a caller.
 
@@ -96,6 +100,8 @@
                 return self._refused(found, head, None, began)
             route = found.route
             return await self._serve(http, found, began)
+        except _Cut:
+            raise asyncio.CancelledError from None
         except (asyncio.CancelledError, ConnectionError):
             self._journal.write(
                 "caller_left",
@@ -264,7 +270,7 @@
         self._metrics.ended(request.route, "broken", now - request.began)
         if http.transport is not None:
             http.transport.abort()
-        raise asyncio.CancelledError
+        raise _Cut
 
     def _refused(self, failure, head, route, began):
         now = self._clock()
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -452,6 +452,45 @@
     return script
 
 
+async def test_a_stream_with_stages_goes_on_at_another_engine(store, tmp_path):
+    """An engine crashes late in a long stream whose stages' results were
+    freed when it began, after the time in which stages of a new request
+    would have to be done.  They are made again for the other engine.
+    """
+    stages = [{"service": "first", "after": [], "size_bytes": 8000}]
+    services = [wiredata.service(), wiredata.piece_service("first")]
+    document = stream_route(stages=stages, resumable=True)
+    store.put("op", "config", {**document, "services": services})
+    sent = []
+
+    def crash_or_go_on(seen):
+        sent.append(seen.headers.get("x-sycamoreshed-inputs"))
+        yield scripted.stream_head(**{SEAL: "proof"})
+        if len(sent) == 1:
+            yield event(0)
+            yield 0.7
+            yield scripted.RESET
+            return
+        yield event(1)
+
+    first = scripted.Endpoint(
+        pieces_script(lambda _: {"handle": f"h{len(first.seen)}"})
+    )
+    await first.start()
+    store.put("servers", "i-9", wiredata.beat(first.address, service="first"))
+    async with endpoints(store, crash_or_go_on, crash_or_go_on):
+        async with serving(store, tmp_path) as (gateway, session):
+            status, _, body = await call(
+                session,
+                gateway,
+                "POST",
+                headers=wiredata.head(pieces="1", piece_key="k"),
+            )
+    await first.stop()
+    assert (status, body) == (200, event(0) + event(1))
+    assert len(sent) == 2 and sent[0] != sent[1]
+
+
 async def test_stages_run_before_a_request_and_are_freed(store, tmp_path):
     """A request has two pieces of one stage and three of the next.  Each
     piece of the second takes both results of the first; the engine gets
