--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -43,8 +43,9 @@
 
 
 def test_a_lower_version_is_never_taken(catalog):
-    """A peer that was cut off tells an old configuration.  Taken, a key
-    that was revoked would be good again.
+    """A peer that was cut off tells an old configuration.
+
+    Taken, a key that was revoked would be good again.
     """
     catalog.replace("settings", settings(7), 20, 0.0, source="store")
     catalog.replace("settings", settings(5), 30, 0.0, source="peer")
@@ -64,9 +65,10 @@
 
 
 def test_entries_that_lapse_while_the_store_is_away_stay(catalog):
-    """The store was away and dropped the entries of live endpoints, which
-    cannot renew them meanwhile.  Taken at its word, the instance would
-    refuse everything in the moment of the store's return.  After two
+    """The store was away and dropped the entries of live endpoints.
+
+    They cannot renew them meanwhile. Taken at its word, the instance
+    would refuse everything in the moment of the store's return. After two
     seconds what is still missing is gone.
     """
     catalog.replace("endpoints", beats("a", "b"), 5, 0.0, source="store")
@@ -89,8 +91,10 @@
 
 
 def test_a_leaver_in_a_dropped_history_is_seen(catalog):
-    """A leaver is announced while nothing is heard, and the history with
-    it is dropped; the whole listing tells it all the same.
+    """A leaver is announced while nothing is heard.
+
+    The history with it is dropped; the whole listing tells it all the
+    same.
     """
     catalog.replace("endpoints", beats("a", "b"), 5, 0.0, source="store")
     rows = {**beats("b"), **beats("a", state="draining")}
--- a/sycamoreshed/catalog/tests/test_replica.py
+++ b/sycamoreshed/catalog/tests/test_replica.py
@@ -1,15 +1,16 @@
 """A copy of a table never goes back, whatever comes in which order."""
 
 import hypothesis
+from hypothesis import stateful
 from hypothesis import strategies
-import hypothesis.stateful
+
 
 from sycamoreshed.catalog import replica
 
 KEYS = ["a", "b", "c"]
 
 
-class Replicas(hypothesis.stateful.RuleBasedStateMachine):
+class Replicas(stateful.RuleBasedStateMachine):
     """A store, a replica that follows it, and copies told by peers.
 
     Feed answers, whole listings and peers' copies reach the replica late,
@@ -23,7 +24,7 @@
         self.replica = replica.Replica()
         self.seen = -1
 
-    @hypothesis.stateful.rule(
+    @stateful.rule(
         key=strategies.sampled_from(KEYS),
         value=strategies.sampled_from([b"1", b"2", None]),
     )
@@ -36,13 +37,13 @@
             rows[key] = value
         self.history.append(rows)
 
-    @hypothesis.stateful.rule(point=strategies.integers(0, 100))
+    @stateful.rule(point=strategies.integers(0, 100))
     def hear_whole(self, point):
         """Get a whole copy, as old as it may be."""
         version = point % len(self.history)
         self.replica.replace(self.history[version], version)
 
-    @hypothesis.stateful.rule(
+    @stateful.rule(
         first=strategies.integers(0, 100), last=strategies.integers(0, 100)
     )
     def hear_changes(self, first, last):
@@ -56,7 +57,7 @@
         rows = [(k, v) for k, v in rows if v != old.get(k)]
         self.replica.apply(rows, since, version)
 
-    @hypothesis.stateful.invariant()
+    @stateful.invariant()
     def never_goes_back(self):
         """Hold the rows of its version, and a version not below the last."""
         version = self.replica.version
@@ -94,9 +95,7 @@
         print_blob=False,
     )
     try:
-        hypothesis.stateful.run_state_machine_as_test(
-            Planted, settings=settings
-        )
+        stateful.run_state_machine_as_test(Planted, settings=settings)
     except AssertionError:
         return
     raise AssertionError("the planted fault was not found")
--- a/sycamoreshed/forwarding/tests/test_budget.py
+++ b/sycamoreshed/forwarding/tests/test_budget.py
@@ -16,9 +16,10 @@
 
 
 def test_all_instances_together_stay_within_the_budget():
-    """Nine instances see an endpoint fail at the same moment and all send
-    again.  More than the budget, and a service that is failing gets twice
-    its load just then.
+    """Nine instances see an endpoint fail at once and all send again.
+
+    More than the budget, and a service that is failing gets twice its
+    load just then.
     """
     for instances in (1, 3, 9, 12):
         allowed = 0.2 * 50 * instances + 58
--- a/sycamoreshed/forwarding/tests/test_placing.py
+++ b/sycamoreshed/forwarding/tests/test_placing.py
@@ -37,8 +37,10 @@
 
 
 def test_large_results_draw_a_request_to_their_zone(placer):
-    """Fetched from another zone, results of 7.5 MB cost a tenth of what
-    the request is worth; its body is much smaller.
+    """Results of 7.5 MB lie in another zone.
+
+    Fetched from there they cost a tenth of what the request is worth; its
+    body is much smaller.
     """
     pool = [endpoint("own"), endpoint("far", "south-a")]
     choice = placer.choose(
@@ -61,8 +63,10 @@
 
 
 def test_a_prefix_does_not_overrun_its_engine(placer):
-    """One key gets much of the traffic; its requests spread over others
-    once the engine has some more in flight than the least loaded.
+    """One key gets much of the traffic.
+
+    Its requests spread over others once the engine has some more in
+    flight than the least loaded.
     """
     pool = [endpoint(f"e{number}") for number in range(3)]
     for _ in range(30):
--- a/sycamoreshed/gateway/tests/test_answers.py
+++ b/sycamoreshed/gateway/tests/test_answers.py
@@ -10,8 +10,9 @@
 
 @pytest.mark.parametrize("kind", list(kinds.Kind))
 def test_a_promise_is_told_only_if_nothing_was_sent(kind):
-    """A ballot that may have been recorded is answered; told "not run" by
-    its status, the member's client votes again.
+    """A ballot that may have been recorded is not told as "not run".
+
+    Told so by the status, the member's client would vote again.
     """
     failure = kinds.Failure(kind, "why", sent=True)
     assert answers.status_of(failure) not in PROMISES
--- a/sycamoreshed/observe/tests/test_explain.py
+++ b/sycamoreshed/observe/tests/test_explain.py
@@ -19,8 +19,9 @@
 
 
 def test_refused_though_engines_were_free():
-    """Nine engines were free, and the request never came to one: its
-    stages had 0.79 s of work before them, more than its time allowed.
+    """Nine engines were free, and the request never came to one.
+
+    Its stages had 0.79 s of work before them, more than its time allowed.
     """
     text = told("refused", "71a801a8797e3c41")
     assert text[0].startswith("edge-cwb-a-3 believed: configuration 4 for")
@@ -31,8 +32,9 @@
 
 
 def test_a_vote_whose_outcome_is_unknown():
-    """The endpoint reset the connection after the vote was sent; it is not
-    sent again, since it may have been recorded.
+    """The endpoint reset the connection after the vote was sent.
+
+    It is not sent again, since it may have been recorded.
     """
     text = told("unknown", "9548826414271963")
     failed = next(line for line in text if " attempt_failed: " in line)
--- a/sycamoreshed/observe/tests/test_journal.py
+++ b/sycamoreshed/observe/tests/test_journal.py
@@ -38,9 +38,11 @@
 
 
 async def test_a_reader_that_stops_holds_up_nothing():
-    """Nobody reads standard output any more.  A daemon that waited for it
-    would stop serving; what it keeps instead is bounded, and of what is
-    left out the ends of failed requests are kept longest.
+    """Nobody reads standard output any more.
+
+    A daemon that waited for it would stop serving; what it keeps instead is
+    bounded, and of what is left out the ends of failed requests are kept
+    longest.
     """
     _, writer = pipe()
     log = journal.Journal(instance="edge-1", fd=writer)
--- a/sycamoreshed/platform/tests/test_calls.py
+++ b/sycamoreshed/platform/tests/test_calls.py
@@ -34,8 +34,9 @@
     ],
 )
 def test_what_only_the_system_may_set_is_dropped(name):
-    """A caller names memory or a reservation of somebody else's request;
-    passed on, an engine would answer from that.
+    """A caller names memory or a reservation of somebody else's request.
+
+    Passed on, an engine would answer from that.
     """
     assert name not in forwarded(**{name: "x"})
 
@@ -88,8 +89,10 @@
 
 
 def test_a_piece_has_a_key_or_inputs():
-    """A piece of a later stage that was given a key instead of its inputs
-    would be made from nothing of its request.
+    """A piece of a first stage has a key, of a later one inputs.
+
+    Given a key instead of its inputs, it would be made from nothing of
+    its request.
     """
     first = pieces.Piece("r", 0, 1, until=2.0, key="k")
     later = pieces.Piece("r", 1, 0, until=2.0, inputs=("h",))
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -59,9 +59,10 @@
 
 
 async def test_results_at_an_endpoint_that_is_not_used_now_are_freed(client):
-    """An endpoint is avoided for a second, or belongs to another zone from
-    which it was borrowed.  Not told, it keeps the results until they
-    expire, has no room, and refuses the pieces of everybody.
+    """An endpoint with results is avoided, or was borrowed from a zone.
+
+    Not told, it keeps the results until they expire, has no room, and
+    refuses the pieces of everybody.
     """
     avoided = builders.endpoint("avoided")
     found = batcher(
--- a/sycamoreshed/staging/tests/test_planning.py
+++ b/sycamoreshed/staging/tests/test_planning.py
@@ -8,9 +8,10 @@
 
 
 def test_a_job_that_cannot_be_in_time_is_refused_at_once():
-    """Callers come faster than stages can work.  Taken on, each would wait
-    until its deadline and be late with all others; refused, it hears so at
-    once, and those before it are in time.
+    """Callers come faster than stages can work.
+
+    Taken on, each would wait until its deadline and be late with all
+    others; refused, it hears so at once, and those before it are in time.
     """
     plans = builders.plans()
     admitted = 0
@@ -65,9 +66,10 @@
 
 
 def test_work_waits_where_nothing_takes_room_yet():
-    """The second stage is slow.  With the first stage far ahead of it,
-    results would fill the room of the first, whose calls then go out with
-    few pieces or none.
+    """The second stage is slow.
+
+    With the first stage far ahead of it, results would fill the room of the
+    first, whose calls then go out with few pieces or none.
     """
     plans = builders.plans(places=1)
     started = 0
@@ -92,9 +94,10 @@
 
 
 def test_the_least_urgent_are_not_starved():
-    """Three kinds of requests press for long, three times what the stages
-    can do.  If the least urgent always yielded, their callers would see a
-    service that is down.
+    """Three kinds of requests press for long, three times the capacity.
+
+    If the least urgent always yielded, their callers would see a service
+    that is down.
     """
     plans = builders.plans()
     chance = random.Random(7)
--- a/sycamoreshed/staging/tests/test_pool.py
+++ b/sycamoreshed/staging/tests/test_pool.py
@@ -31,9 +31,10 @@
 
 
 def test_a_request_is_not_torn_apart_while_another_fits():
-    """Three pieces each, four to a call: the rest of the second request
-    would keep its first piece's room for a whole call.  The third, with
-    one piece, goes along instead.
+    """Two requests of three pieces each, and four pieces to a call.
+
+    The rest of the second request would keep its first piece's room for a
+    whole call. The third, with one piece, goes along instead.
     """
     found = filled(
         *(builders.waiting("a", i) for i in range(3)),
@@ -79,8 +80,9 @@
 
 
 def test_an_endpoint_that_says_it_has_no_room_is_believed_for_a_while():
-    """It holds results of an instance that batched before and died, of
-    which nothing is known here.  Pieces sent all the same come back
+    """An endpoint holds results of an instance that died.
+
+    Nothing is known of them here. Pieces sent all the same come back
     unmade, a call each time.
     """
     endpoint = builders.endpoint("e")
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -140,9 +140,10 @@
 async def test_an_answer_without_length_that_is_reset_is_not_whole(
     store, tmp_path
 ):
-    """An endpoint sends an answer that its connection ends, and crashes
-    after the first half.  The HTTP library takes the reset for the end; a
-    caller would be given half a page as if it were all.
+    """An endpoint crashes after half an answer that its connection ends.
+
+    The HTTP library takes the reset for the end; a caller would be given
+    half a page as if it were all.
     """
 
     def crash(_seen):
@@ -166,9 +167,10 @@
 
 @pytest.mark.parametrize("kind", ["unsafe", "streaming"])
 async def test_what_may_run_once_is_not_sent_again(store, tmp_path, kind):
-    """An endpoint runs a ballot and its connection breaks before the
-    answer.  Sent again, the ballot would be recorded twice; told "not
-    run", the member would vote again.
+    """An endpoint runs a ballot and its connection breaks before the answer.
+
+    Sent again, the ballot would be recorded twice; told "not run", the
+    member would vote again.
     """
 
     def lost(_seen):
@@ -216,8 +218,9 @@
 async def test_a_promise_without_the_endpoints_word_is_not_passed_on(
     store, tmp_path
 ):
-    """A faulty endpoint answers 503 after it ran a ballot.  Passed on, the
-    status would tell the member that the vote was not cast.
+    """A faulty endpoint answers 503 after it ran a ballot.
+
+    Passed on, the status would tell the member that the vote was not cast.
     """
 
     def wrong(_seen):
@@ -261,8 +264,9 @@
 
 
 async def test_a_resumable_stream_goes_on_at_another_engine(store, tmp_path):
-    """An engine crashes in the middle of its second event.  The caller
-    gets each event once and the end, from two engines.
+    """An engine crashes in the middle of its second event.
+
+    The caller gets each event once and the end, from two engines.
     """
     sent = []
 
@@ -287,8 +291,10 @@
 
 
 async def test_a_broken_stream_does_not_look_whole(store, tmp_path):
-    """An engine crashes after the first event of a stream that may not be
-    resumed.  The caller must see that the end is missing.
+    """An engine crashes after the first event of a stream.
+
+    It may not be resumed, and the caller must see that the end is
+    missing.
     """
 
     def crash(_seen):
@@ -307,8 +313,9 @@
 
 
 async def test_work_ends_when_the_caller_leaves(store, tmp_path):
-    """A caller hangs up while an engine works; the engine must hear of it,
-    or it goes on for nobody.
+    """A caller hangs up while an engine works.
+
+    The engine must hear of it, or it goes on for nobody.
     """
 
     def slow(_seen):
@@ -327,8 +334,9 @@
 
 
 async def test_nothing_is_served_before_a_configuration_is_known(tmp_path):
-    """A process starts while neither store nor peers can be reached.  It
-    must not answer 404 for routes that exist.
+    """A process starts while neither store nor peers can be reached.
+
+    It must not answer 404 for routes that exist.
     """
     store = platformstore.PlatformStore()
     await store.start()
@@ -352,8 +360,9 @@
 
 async def test_a_revoked_key_reaches_who_the_store_turns_away(tmp_path):
     """The store refuses one instance while the operator revokes a key.
-    Other instances know; with the key still accepted there, a former
-    member would go on for as long as the store refuses.
+
+    Other instances know; with the key still accepted there, a former member
+    would go on for as long as the store refuses.
     """
     store = platformstore.PlatformStore()
     turning = platformstore.PlatformStore()
@@ -387,8 +396,9 @@
 
 
 async def test_an_endpoint_that_leaves_gets_nothing_new(store, tmp_path):
-    """An endpoint says that it leaves; within a second all requests go to
-    the other one.
+    """An endpoint says that it leaves.
+
+    Within a second all requests go to the other one.
     """
     async with endpoints(store, well, well) as (leaving, staying):
         async with serving(store, tmp_path) as (gateway, session):
@@ -403,8 +413,10 @@
 
 
 async def test_entries_of_other_writers_do_no_harm(store, tmp_path):
-    """Rows with missing fields, other types or bytes that are no JSON lie
-    among the endpoints' entries; the others are still used.
+    """Rows that name no endpoint lie among the endpoints' entries.
+
+    Fields are missing or of other types, or the bytes are no JSON; the
+    others are still used.
     """
     store.put("servers", "bad-1", b"\xff\x00")
     store.put("servers", "bad-2", {"service": 7})
@@ -417,8 +429,10 @@
 
 
 async def test_a_stop_ends_requests_and_closes_connections(store, tmp_path):
-    """An operator stops an instance while a request runs.  The caller gets
-    its answer, and the process ends with 0 within the grace.
+    """An operator stops an instance while a request runs.
+
+    The caller gets its answer, and the process ends with 0 within the
+    grace.
     """
 
     def slow(_seen):
@@ -453,9 +467,11 @@
 
 
 async def test_a_stream_with_stages_goes_on_at_another_engine(store, tmp_path):
-    """An engine crashes late in a long stream whose stages' results were
-    freed when it began, after the time in which stages of a new request
-    would have to be done.  They are made again for the other engine.
+    """An engine crashes late in a long stream with stages.
+
+    Their results were freed when it began, and the time in which stages
+    of a new request have to be done is over. They are made again for the
+    other engine.
     """
     stages = [{"service": "first", "after": [], "size_bytes": 8000}]
     services = [wiredata.service(), wiredata.piece_service("first")]
@@ -492,9 +508,10 @@
 
 
 async def test_stages_run_before_a_request_and_are_freed(store, tmp_path):
-    """A request has two pieces of one stage and three of the next.  Each
-    piece of the second takes both results of the first; the engine gets
-    the results of the second; all results are freed afterwards.
+    """A request has two pieces of one stage and three of the next.
+
+    Each piece of the second takes both results of the first; the engine
+    gets the results of the second; all results are freed afterwards.
     """
     stages = [
         {"service": "first", "after": [], "size_bytes": 8000},
