Refuse nothing where stages have nothing to do; register once ready

A route whose target leaves less time than its stages take was refused always, also with nothing before it: the time a less urgent job leaves, and twice its least time, were asked of idle stages as well. Found by the test of stages beside the one of registering. Time that is left for others now counts only where somebody is ahead, and a job gets twice its least time where its target leaves less.

Calls to a slow endpoint of a stage were given up after four times their usual time, while it worked on them.

--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -36,6 +36,8 @@
 # Between looks whether the own row is there; spread, so that many instances
 # that start together do not write together.
 REGISTER_S = (2.0, 4.0)
+# Between looks whether enough is known to register at all.
+LOOK_S = 0.05
 READ_TIMEOUT_S = 2.0
 PATH = "/control/catalog"
 
@@ -253,10 +255,13 @@
         control=settings.control,
         boot=time.time_ns() // 1_000_000,
     )
+    catalog = core.part("catalog")
     while not core.stopping.is_set():
-        if core.part("catalog").peers.get(row.name) != row:
+        # Before it knows the services it cannot do for its zone what
+        # others would ask of it.
+        if catalog.ready and catalog.peers.get(row.name) != row:
             await _write_row(core, row)
-        pause = random.uniform(*REGISTER_S)
+        pause = random.uniform(*REGISTER_S) if catalog.ready else LOOK_S
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause):
                 await core.stopping.wait()
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -131,9 +131,10 @@
         target = request.route.target_s * STAGES_AIM_SHARE
         aim_s = request.began - request.waited_s + target - now
         until_s = request.stages_until - ENGINE_LEAST_S - now
+        limit_s = request.first_until - ENGINE_LEAST_S - now
         if renewed:
             aim_s = RENEW_AIM_S
-            until_s = min(RENEW_UNTIL_S, request.until - now)
+            until_s = limit_s = min(RENEW_UNTIL_S, request.until - now)
         job = pieces.Job(
             request=request.id,
             stages=[
@@ -145,6 +146,7 @@
             key=request.head.piece_key,
             aim_s=aim_s,
             until_s=until_s,
+            limit_s=limit_s,
             team_priority=request.priority.team,
             priority=request.priority.route,
         )
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -11,9 +11,11 @@
 
 __all__ = ["Batcher"]
 
-# On top of the time a call should take, before it counts as lost.  A call
-# that waits at the endpoint behind another instance's takes twice as long.
-CALL_FACTOR = 4.0
+# How many times longer than it should a call may take before it counts as
+# lost.  Endpoints that turn slow take five times as long, and a call that
+# waits behind another instance's twice; given up earlier, the endpoint works
+# on it all the same, for nobody.
+CALL_FACTOR = 8.0
 CALL_EXTRA_S = 0.5
 FREE_TIMEOUT_S = 1.0
 # Results to be freed are gathered that long: a call each would cost more
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -90,7 +90,7 @@
         try:
             # A call that began in time may end a little later; who asked
             # waits no longer than that either.
-            async with asyncio.timeout(job.until_s + GRACE_S):
+            async with asyncio.timeout(plan.until - now + GRACE_S):
                 result = await self._run(plan)
         except TimeoutError:
             result = kinds.Failure(kinds.Kind.HOPELESS, "results are late")
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -126,8 +126,8 @@
         if not any(stage.count for stage in job.stages):
             return []
         avoid = set()
-        until = self._clock() + job.until_s
-        aim = self._clock() + job.aim_s
+        began = self._clock()
+        given = job
         for _ in range(MOST_ASKED):
             now = self._clock()
             zone = self.choose_zone(job, now, avoid)
@@ -135,8 +135,13 @@
                 return kinds.Failure(
                     kinds.Kind.NO_ENDPOINT, "no endpoint for a stage"
                 )
-            job = job._replace(aim_s=aim - now, until_s=until - now)
-            if job.until_s <= 0:
+            spent = now - began
+            job = given._replace(
+                aim_s=given.aim_s - spent,
+                until_s=given.until_s - spent,
+                limit_s=given.limit_s - spent,
+            )
+            if job.limit_s <= 0:
                 break
             done = await self._ask(job, zone)
             if not isinstance(done, kinds.Failure):
@@ -158,7 +163,7 @@
                 why=f"stages in {zone}: {failure.reason}",
                 budget=None,
             )
-        if job.until_s <= 0:
+        if job.limit_s <= 0:
             return kinds.Failure(kinds.Kind.HOPELESS, "no time for stages")
         return failure
 
@@ -267,7 +272,7 @@
             "POST",
             control,
             f"{RUN_PATH}?zone={zone}",
-            timeout=job.until_s + EXTRA_S,
+            timeout=job.limit_s + EXTRA_S,
             body=job,
         )
         if isinstance(reply, kinds.Failure):
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -44,10 +44,11 @@
     stages : list of StageWork
     key : str or None
         What pieces of first stages are made from.
-    aim_s, until_s : float
+    aim_s, until_s, limit_s : float
         Seconds from now by which all results should be there for the
-        answer to be in time, and must be for there to be one.  Clocks of
-        instances differ, so no times are told.
+        answer to be in time, until which they are worked for while
+        others wait, and after which nobody waits for the answer.  Clocks
+        of instances differ, so no times are told.
     team_priority, priority : int
         Of the team and of the route; 0 is the most urgent.
     """
@@ -57,6 +58,7 @@
     key: str | None
     aim_s: float
     until_s: float
+    limit_s: float
     team_priority: int
     priority: int
 
--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -53,6 +53,12 @@
 LATE_FACTOR = 2.0
 
 
+# A job is given this many times the least time that its stages take, where
+# its route's target leaves less: otherwise requests of a route with a tight
+# target were refused by stages that have nothing to do.
+LEAST_FACTOR = 2.0
+
+
 class Plan(typing.NamedTuple):
     """A job under way.
 
@@ -60,7 +66,8 @@
     ----------
     job : Job
     aim, until : float
-        Monotonic times of `Job.aim_s` and `Job.until_s`.
+        Monotonic times by which it should be done, and after which it
+        is given up.
     priority : int
         Of its route, or `NEGLECTED`.
     is_late : bool
@@ -124,20 +131,20 @@
             reserve = 0.0
         elif any(map(self._is_neglected, self._shares)):
             reserve = max(reserve, NEGLECT_RESERVE_S)
+        least = self._least(job)
+        patience = max(job.until_s, LEAST_FACTOR * least)
         plan = Plan(
             job=job,
             aim=now + job.aim_s,
-            until=now + job.until_s,
+            until=now + min(job.limit_s, patience),
             priority=priority,
             is_late=False,
             order=self._order,
         )
-        if self.expected_end(plan, now) + reserve > plan.aim:
-            # Behind all that can be in time; while those keep coming it
-            # is overtaken again and again.
+        busy = self._busy(plan)
+        if now + busy + least + (reserve if busy else 0.0) > plan.aim:
             plan = plan._replace(is_late=True)
-            wait = self.expected_end(plan, now) - now
-            if wait * LATE_FACTOR > job.until_s:
+            if not self._is_late_worth(plan, least, now):
                 self._observe(job.priority, 0.0)
                 return None
         self._observe(job.priority, 1.0)
@@ -147,6 +154,18 @@
         }
         return plan
 
+    def _is_late_worth(self, plan, least, now):
+        """Return whether a job that cannot be in time is taken on.
+
+        Behind all that can be in time it is overtaken again and again
+        while those keep coming.  Where nothing is ahead it is done as
+        fast as it ever can be.
+        """
+        busy = self._busy(plan)
+        if busy:
+            return (busy + least) * LATE_FACTOR <= plan.job.until_s
+        return now + least <= plan.until
+
     def _observe(self, priority, taken):
         for key in (priority, ALL):
             share = self._shares.get(key, 1.0)
@@ -214,6 +233,10 @@
 
     def expected_end(self, plan, now):
         """Return when all results of a job should be there."""
+        return now + self._busy(plan) + self._least(plan.job)
+
+    def _busy(self, plan):
+        """Return the seconds of work ahead of a job, where it is most."""
         ahead = [
             other
             for other in self._plans.values()
@@ -226,14 +249,18 @@
                 size = stage.count * stage.size
                 room = self._room_wait(stage.service, size, ahead)
                 busiest = max(busiest, work, room)
-        specs = {s.service: self._specs(s.service) for s in plan.job.stages}
+        return busiest
+
+    def _least(self, job):
+        """Return the seconds a job takes if nothing waits anywhere."""
+        specs = {s.service: self._specs(s.service) for s in job.stages}
         first = [
             pieces.least_time(stage, specs[stage.service])
-            + pieces.time_after(plan.job.stages, index, specs)
-            for index, stage in enumerate(plan.job.stages)
+            + pieces.time_after(job.stages, index, specs)
+            for index, stage in enumerate(job.stages)
             if stage.count and not stage.after
         ]
-        return now + busiest + max(first, default=0.0)
+        return max(first, default=0.0)
 
     def backlog(self):
         """Return the seconds of work before each service's endpoints."""
--- a/sycamoreshed/staging/tests/test_planning.py
+++ b/sycamoreshed/staging/tests/test_planning.py
@@ -56,6 +56,20 @@
     assert done >= 15
 
 
+def test_stages_with_nothing_to_do_refuse_nothing():
+    """A route's target leaves less time than its stages ever take.
+
+    Its callers would be refused each time, though nobody is before them
+    and they would wait for the answer.
+    """
+    for priority in (0, 1, 2):
+        plans = builders.plans()
+        tight = builders.job(aim_s=0.2, until_s=0.3, priority=priority)
+        plan = plans.admit(tight, 0.0)
+        assert plan is not None and plan.until > 0.6
+    assert plans.admit(tight._replace(limit_s=0.2), 0.0) is None
+
+
 def test_what_is_urgent_goes_first_and_what_is_late_last():
     plans = builders.plans(places=4)
     low = plans.admit(builders.job("low", priority=2), 0.0)
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -358,6 +358,32 @@
     await store.stop()
 
 
+async def test_an_instance_registers_once_it_knows_what_to_do(tmp_path):
+    """An instance has started and does not know the services yet.
+
+    Registered already, it would be asked to take requests of its zone
+    through their stages, and refuse them.
+    """
+    table = "sycamoreshed-instances"
+    store = platformstore.PlatformStore()
+    await store.start()
+    settings = {"table": store.address}
+    async with gateways.gateways(tmp_path, [settings]) as (gateway,):
+        async with asyncio.timeout(10):
+            while not store.calls:
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
+        assert not store.rows(table)
+        store.put("op", "config", wiredata.configuration())
+        await gateway.wait_ready()
+        async with asyncio.timeout(2):
+            while "edge-1" not in store.rows(table):
+                await asyncio.sleep(0.05)
+        await gateway.stop()
+        assert store.rows(table)["edge-1"][-1] is True
+    await store.stop()
+
+
 async def test_a_revoked_key_reaches_who_the_store_turns_away(tmp_path):
     """The store refuses one instance while the operator revokes a key.
 
