--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -15,10 +15,10 @@
 # much later.  Less, and the most urgent requests, which often have the most
 # stages, are late more often than others; the whole aim of a request is 1
 # to 2 s.
-PRIORITY_STEP_S = 0.25
+PRIORITY_STEP_S = 0.1
 # What a job of the next lower priority leaves of its time for more urgent
 # ones that come while it waits and overtake it.
-RESERVE_S = 0.1
+RESERVE_S = 0.05
 # Share of jobs taken on, by priority and of all; a priority whose share is
 # less than so much of all jobs' goes before the others, which leave some of
 # their time for it.  Going first is not enough: with a few hundredths of a
