Remove the rows of instances that are gone, and meet restarted ones at once

Rows of replaced instances stayed for ever, and each instance tried them now and then, holding up requests. One that has not answered for 30 s is removed; it writes its row again if it lives. An instance that registered anew was left alone for up to 8 s as before its restart.

Settings files are read in one place, and two small leftovers are gone.

--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -261,6 +261,7 @@
         # others would ask of it.
         if catalog.ready and catalog.peers.get(row.name) != row:
             await _write_row(core, row)
+        await _sweep(core)
         pause = random.uniform(*REGISTER_S) if catalog.ready else LOOK_S
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(pause):
@@ -270,6 +271,22 @@
     await _write_row(core, row._replace(is_leaving=True))
 
 
+async def _sweep(core):
+    """Remove the rows of instances that are gone.
+
+    Rows do not expire.  Each instance would go on trying those that were
+    replaced, and hold up requests with it, for as long as it runs.
+    """
+    codec = core.part("platform")
+    for name in core.part("peers").gone():
+        failure = await codec.store.remove(
+            codec.tables["peers"], name, timeout=READ_TIMEOUT_S
+        )
+        core.part("journal").write(
+            "peer_removed", peer=name, why=failure and failure.reason
+        )
+
+
 async def _write_row(core, row):
     codec = core.part("platform")
     failure = await codec.store.put(
--- a/sycamoreshed/catalog/peers.py
+++ b/sycamoreshed/catalog/peers.py
@@ -14,11 +14,17 @@
 LONGEST_AVOID_S = 8.0
 # Peers that are asked in turn, when one is needed at once.
 ASKED_AT_ONCE = 2
+# A peer that has not answered for so long is gone for good, and its row is
+# removed; one that lives writes it again within seconds.  Longer than a
+# restart takes (a few seconds) and than most cuts last.
+GONE_S = 30.0
 
 
 class _Lost(typing.NamedTuple):
+    since: float
     until: float
     for_s: float
+    boot: int
 
 
 class PeerBook:
@@ -78,7 +84,9 @@
         found = {
             peer.name: peer.control
             for peer in self._catalog.peers.values()
-            if peer.zone == zone and not self._is_away(peer, now)
+            if peer.zone == zone
+            and peer.name != self._own
+            and not self._is_away(peer, now)
         }
         if zone == self._zone and not self.is_leaving:
             found[self._own] = self._control
@@ -88,7 +96,25 @@
         """Return how many instances are registered, at least one."""
         return max(1, len(self._catalog.peers))
 
+    def gone(self):
+        """Return the names of registered peers that are gone for good."""
+        return [
+            peer.name
+            for peer in self._catalog.peers.values()
+            if self._is_gone(peer)
+        ]
+
+    def _is_gone(self, peer):
+        held = self._lost.get(peer.control)
+        if held is None or held.boot != peer.boot:
+            return False
+        return held.until - held.since >= GONE_S
+
     def _is_away(self, peer, now):
+        held = self._lost.get(peer.control)
+        if held is not None and held.boot != peer.boot:
+            # It was started again since it did not answer.
+            del self._lost[peer.control]
         return peer.is_leaving or self.is_lost(peer.control, now)
 
     def is_lost(self, control, now):
@@ -99,14 +125,22 @@
     def failed(self, control, now, why):
         """Leave a peer alone that did not answer."""
         held = self._lost.get(control)
-        for_s = AVOID_S
+        since, for_s = now, AVOID_S
         if held is not None:
             if now < held.until:
                 return
+            since = held.since
             for_s = min(LONGEST_AVOID_S, held.for_s * 2)
-        self._lost[control] = _Lost(now + for_s, for_s)
+        boot = self._boot(control)
+        self._lost[control] = _Lost(since, now + for_s, for_s, boot)
         self._journal.write("peer_lost", peer=control, why=why, for_s=for_s)
 
+    def _boot(self, control):
+        for peer in self._catalog.peers.values():
+            if peer.control == control:
+                return peer.boot
+        return 0
+
     def answered(self, control):
         """Note that a peer answered."""
         if self._lost.pop(control, None) is not None:
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -1,11 +1,7 @@
 """Settings of a daemon that forwards requests by route."""
 
-import pathlib
 import typing
 
-import msgspec
-
-from sycamoreshed import exceptions
 from sycamoreshed.settings import checking
 from sycamoreshed.settings import schema
 
@@ -103,17 +99,4 @@
     CheckError
         If it cannot be read or is not valid.
     """
-    try:
-        raw = pathlib.Path(path).read_bytes()
-    except OSError as err:
-        raise exceptions.CheckError(
-            source=str(path),
-            path="$",
-            expected=f"expected a readable file ({err.strerror})",
-        ) from None
-    return parse(raw, source=str(path))
-
-
-def decode(document):
-    """Return settings from a decoded document, for tests."""
-    return parse(msgspec.json.encode(document), source="document")
+    return parse(checking.read(path), source=str(path))
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -86,6 +86,11 @@
         Class.STATE, "peer, why, for_s", "a peer did not answer"
     ),
     "peer_met": Event(Class.STATE, "peer", "a lost peer answered"),
+    "peer_removed": Event(
+        Class.STATE,
+        "peer, why",
+        "the row of an instance that is gone was removed; why if it failed",
+    ),
     "store_lost": Event(
         Class.STATE, "table, why, age_s", "the store does not answer"
     ),
--- a/sycamoreshed/observe/journal.py
+++ b/sycamoreshed/observe/journal.py
@@ -9,7 +9,6 @@
 import collections
 import os
 import time
-import typing
 
 import msgspec
 
@@ -31,6 +30,7 @@
 FLUSH_S = 0.25
 # After a write that the reader did not take.
 BLOCKED_S = 0.5
+TELL_DROPPED_S = 5.0
 
 _encode = msgspec.json.Encoder(enc_hook=str).encode
 
@@ -125,12 +125,6 @@
         self._timer = loop.call_later(delay, self.flush)
 
 
-class Told(typing.NamedTuple):
-    """How often lines were dropped when that was last logged."""
-
-    count: int = 0
-
-
 @kernel.plugin("journal")
 async def journal(core):
     """Provide the journal of a daemon, on standard output."""
@@ -142,10 +136,10 @@
 
 
 async def _tell_dropped(result):
-    told = Told()
+    told = 0
     while True:
-        await asyncio.sleep(5.0)
+        await asyncio.sleep(TELL_DROPPED_S)
         count = sum(result.dropped.values())
-        if count > told.count:
+        if count > told:
             result.write("lines_dropped", by_class=dict(result.dropped))
-            told = Told(count)
+            told = count
--- a/sycamoreshed/platform/store.py
+++ b/sycamoreshed/platform/store.py
@@ -18,7 +18,6 @@
 __all__ = ["Changes", "Row", "TableStore"]
 
 _OK = 200
-_CONDITION_FAILED = 412
 _HISTORY_GONE = 410
 
 
@@ -109,11 +108,10 @@
         }
         return await self._transact([], [entry], [], timeout)
 
-    async def remove(self, table, key, version, *, timeout):
-        """Remove a row if it still has a version; None or a `Failure`."""
+    async def remove(self, table, key, *, timeout):
+        """Remove a row whatever it holds; return None or a `Failure`."""
         entry = {"table": table, "part": "", "key": key}
-        held = {**entry, "ver": version}
-        return await self._transact([held], [], [entry], timeout)
+        return await self._transact([], [], [entry], timeout)
 
     async def _transact(self, expected, put, remove, timeout):
         body = {"expected": expected, "put": put, "remove": remove}
@@ -127,7 +125,7 @@
         )
         if isinstance(reply, kinds.Failure):
             return reply
-        if reply.status in (_OK, _CONDITION_FAILED):
+        if reply.status == _OK:
             return None
         return _refused(reply.status)
 
--- a/sycamoreshed/settings/checking.py
+++ b/sycamoreshed/settings/checking.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import pathlib
 import re
 import typing
 
@@ -12,11 +13,29 @@
 
 from sycamoreshed import exceptions
 
-__all__ = ["decode", "convert"]
+__all__ = ["convert", "decode", "read"]
 
 _MESSAGE = re.compile(r"^(?P<what>.*?)(?: - at `(?P<path>.*)`)?$", re.S)
 
 
+def read(path):
+    """Return the bytes of a settings file.
+
+    Raises
+    ------
+    CheckError
+        If it cannot be read.
+    """
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as err:
+        raise exceptions.CheckError(
+            source=str(path),
+            path="$",
+            expected=f"expected a readable file ({err.strerror})",
+        ) from None
+
+
 def decode(raw, kind, *, source):
     """Decode JSON bytes and check them.
 
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -1,7 +1,6 @@
 """What a daemon's settings file holds, and how it is checked."""
 
 import ipaddress
-import pathlib
 import typing
 
 import msgspec
@@ -225,15 +224,7 @@
     CheckError
         If it cannot be read or is not valid.
     """
-    try:
-        raw = pathlib.Path(path).read_bytes()
-    except OSError as err:
-        raise exceptions.CheckError(
-            source=str(path),
-            path="$",
-            expected=f"expected a readable file ({err.strerror})",
-        ) from None
-    return parse(raw, source=str(path))
+    return parse(checking.read(path), source=str(path))
 
 
 def check_address(text, *, source, path):
