Tell the only endpoint's own failure, and bound what is kept of endpoints

A read that the one endpoint of a service failed was told as 502 of ours after a second attempt found nobody else; the endpoint's own answer is passed on instead. Evidence against endpoints was kept for each id ever seen.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -94,6 +94,7 @@
             `Opened` for a success whose body is still to be read.
         """
         parts, request = self._parts, self._request
+        last = None
         while True:
             now = parts.clock()
             left = request.until - now
@@ -102,6 +103,10 @@
             if left <= 0:
                 return self._fail(kinds.Kind.LATE, "no time left")
             choice = self._choose(now)
+            if choice is None and last is not None:
+                # An endpoint's own answer tells more than that there is
+                # nobody else to ask.
+                return last
             if choice is None:
                 return self._fail(
                     kinds.Kind.NO_ENDPOINT, f"no endpoint of {request.service}"
@@ -119,6 +124,7 @@
                 failure = result.failure
                 if failure is None:
                     return result
+                last = result
             if not self.may_retry(failure):
                 return result
 
--- a/sycamoreshed/forwarding/health.py
+++ b/sycamoreshed/forwarding/health.py
@@ -8,8 +8,6 @@
 
 # In a row; a single failure may be the request's own.
 FAILURES_OUT = 3
-# A connection that is refused or does not open says more than an answer.
-UNREACHABLE_OUT = 1
 AVOID_S = 1.0
 LONGEST_AVOID_S = 10.0
 # Share of recent answers that failed, and the least that must have been
@@ -20,6 +18,8 @@
 GREY_LEAST = 5
 # Weight of the newest answer in the share, the last ten or so count.
 GREY_WEIGHT = 0.15
+# Endpoints that are remembered; the oldest is forgotten first.
+MOST_KEPT = 4096
 
 
 class _State(typing.NamedTuple):
@@ -84,12 +84,14 @@
             self._journal.write(
                 "endpoint_out", endpoint=endpoint.id, why=why, for_s=for_s
             )
-        self._states[endpoint.id] = state
-
-    def keep(self, ids):
-        """Forget endpoints that are not among `ids`."""
-        for gone in self._states.keys() - ids:
-            del self._states[gone]
+        self._keep(endpoint.id, state)
+
+    def _keep(self, key, state):
+        # Each start of an endpoint has a new id; without a bound, those
+        # of years would be kept.
+        if len(self._states) >= MOST_KEPT and key not in self._states:
+            del self._states[next(iter(self._states))]
+        self._states[key] = state
 
 
 @kernel.plugin("health", needs=("journal",))
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -252,6 +252,21 @@
     assert {status for status, _, _ in results} == {200}
 
 
+async def test_the_only_endpoints_failure_is_told_as_it_is(store, tmp_path):
+    """The one endpoint of a service fails a read, and nobody else is there.
+
+    The caller gets that answer with its proof, not one of ours.
+    """
+
+    def fails(_seen):
+        yield scripted.answer(500, b"no", **{SEAL: "proof"})
+
+    async with endpoints(store, fails):
+        async with serving(store, tmp_path) as (gateway, session):
+            status, told, body = await call(session, gateway)
+    assert (status, body, told[SEAL]) == (500, b"no", "proof")
+
+
 def event(number):
     """Return an event of a stream."""
     return f"id: {number}\ndata: token {number}\n\n".encode()
