--- a/sycamoreshed/staging/usage.py
+++ b/sycamoreshed/staging/usage.py
@@ -9,7 +9,7 @@
 DECAY_S = 5.0
 # Times an equal share beyond which a team has to yield: teams differ in size,
 # and one that is a little larger than others crowds out nobody.
-HEAVY_FACTOR = 1.5
+HEAVY_FACTOR = 1.2
 # Teams that are remembered; the oldest is forgotten first.
 MOST_TEAMS = 4096
 # Less than so much use of a team is as good as none.
