Start only its own plug-ins in the product's daemon

Since the command line imports the gateway, which registers plug-ins of its own, 'serve' started those as well and ended at once. Seen in the whole test run beside load, where all integration tests of the product's own interface failed; the runs of parts before had left them out. Ruled out: the load (they fail alone as well).

--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -41,6 +41,10 @@
 
 __all__ = ["check", "serve"]
 
+# Plug-ins that nothing else needs; with what they need they are this daemon.
+# The command line knows the gateway's plug-ins as well, and all of them
+# together would neither fit these settings nor be wanted.
+PARTS = ("orders", "servers", "sweeper")
 # Names in the settings that stand for what plug-ins registered.
 REGISTRIES = {"routing": policies.POLICIES}
 
@@ -78,4 +82,4 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, core.stopping.set)
-    await core.run(until=servers.drain)
+    await core.run(until=servers.drain, wanted=PARTS)
