Check addresses of settings in one place, and drop what nothing calls

The gateway's settings repeated the loop over addresses of the product's own; both call one function now. An encoder of rows had no caller, and the table store was made through a partial for nothing. Behaviour is the same; tests of settings, command line, platform and gateway pass unchanged.

--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -94,10 +94,7 @@
     """
     document = checking.decode(raw, Document, source=source)
     settings = Settings(**document)
-    for name in ADDRESSES:
-        schema.check_address(
-            getattr(settings, name), source=source, path=f"$.{name}"
-        )
+    schema.check_addresses(settings, ADDRESSES, source=source)
     return settings
 
 
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -1,7 +1,5 @@
 """The platform as one part: its store, its records, its headers."""
 
-import functools
-
 from sycamoreshed.kernel import kernel
 from sycamoreshed.platform import calls
 from sycamoreshed.platform import names
@@ -44,5 +42,8 @@
 @kernel.plugin("platform", needs=("web",))
 async def platform(core):
     """Provide the platform named in the settings."""
-    make = functools.partial(store.TableStore, session=core.part("web"))
-    yield Platform(store=make(address=core.settings.table))
+    yield Platform(
+        store=store.TableStore(
+            session=core.part("web"), address=core.settings.table
+        )
+    )
--- a/sycamoreshed/platform/store.py
+++ b/sycamoreshed/platform/store.py
@@ -9,8 +9,6 @@
 import typing
 import urllib.parse
 
-import msgspec
-
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.platform import names
@@ -169,8 +167,3 @@
         return base64.b64decode(text or "")
     except (ValueError, TypeError):
         return b""
-
-
-def encode(document):
-    """Return the bytes of a row of our own."""
-    return msgspec.json.encode(document)
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -8,7 +8,14 @@
 from sycamoreshed import exceptions
 from sycamoreshed.settings import checking
 
-__all__ = ["Document", "Settings", "check_address", "load", "parse"]
+__all__ = [
+    "Document",
+    "Settings",
+    "check_address",
+    "check_addresses",
+    "load",
+    "parse",
+]
 
 Positive = typing.Annotated[int, msgspec.Meta(gt=0)]
 Seconds = typing.Annotated[float, msgspec.Meta(ge=0)]
@@ -209,8 +216,7 @@
     document = checking.decode(raw, Document, source=source)
     document.setdefault("advertise", document["control"])
     settings = Settings(**document)
-    for name in ADDRESSES:
-        check_address(getattr(settings, name), source=source, path=f"$.{name}")
+    check_addresses(settings, ADDRESSES, source=source)
     for index, peer in enumerate(settings.peers):
         check_address(peer, source=source, path=f"$.peers[{index}]")
     return settings
@@ -227,6 +233,17 @@
     return parse(checking.read(path), source=str(path))
 
 
+def check_addresses(settings, names, *, source):
+    """Check that fields of settings are ``IP:port`` addresses.
+
+    Raises
+    ------
+    CheckError
+    """
+    for name in names:
+        check_address(getattr(settings, name), source=source, path=f"$.{name}")
+
+
 def check_address(text, *, source, path):
     """Check that `text` is an ``IP:port`` address.
 
