Sum the work ahead of a job in one pass

Each job that came scanned all others once for each stage and service, twice over, and each look for pieces that may start summed all stages ahead. Behaviour is the same; tests unchanged.

--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -1,10 +1,11 @@
-"""What a zone's stages have before them, and which jobs go first.
+"""What a queue's stages have before them, and which jobs go first.
 
-All jobs of a zone are known in one place, so the time a new one will take
+All jobs of a queue are known in one place, so the time a new one will take
 can be told when it comes: every job ahead of it has to go through the same
 busiest service.
 """
 
+import collections
 import typing
 
 from sycamoreshed.staging import pieces
@@ -97,8 +98,18 @@
         return self.is_late, urgency, self.order
 
 
+class _Load(typing.NamedTuple):
+    """Pieces that jobs still need of a service, and bytes of results."""
+
+    count: int = 0
+    size: int = 0
+
+
+_NO_LOAD = _Load()
+
+
 class Plans:
-    """The jobs of a zone.
+    """The jobs of a queue.
 
     Parameters
     ----------
@@ -117,8 +128,12 @@
         self._places = places
         self._held = held
         self._plans = {}
+        self._ranks = {}
         self._left = {}
+        # Stages whose results of the stage before are there or being made,
+        # and their pieces by service.
         self._ahead = {}
+        self._ahead_of = collections.Counter()
         self._order = 0
         self._shares = {}
         self._usage = usage.TeamUsage()
@@ -159,6 +174,7 @@
         self._observe(job.priority, 1.0)
         self._usage.add(job.team, now)
         self._plans[self._order] = plan
+        self._ranks[self._order] = plan.rank
         self._left[self._order] = {
             index: stage.count for index, stage in enumerate(job.stages)
         }
@@ -199,9 +215,10 @@
     def drop(self, plan):
         """Forget a job that is done or given up."""
         self._plans.pop(plan.order, None)
+        self._ranks.pop(plan.order, None)
         self._left.pop(plan.order, None)
         for index in range(len(plan.job.stages)):
-            self._ahead.pop((plan.order, index), None)
+            self._pass(plan, index)
 
     def started(self, plan, index, count):
         """Note that pieces of a stage were sent in a call."""
@@ -209,10 +226,16 @@
         if left is None:
             return
         left[index] = max(0, left[index] - count)
-        self._ahead.pop((plan.order, index), None)
+        self._pass(plan, index)
         for later, stage in enumerate(plan.job.stages):
-            if index in stage.after:
+            if index in stage.after and (plan.order, later) not in self._ahead:
                 self._ahead[plan.order, later] = (stage.service, stage.count)
+                self._ahead_of[stage.service] += stage.count
+
+    def _pass(self, plan, index):
+        """Count a stage no longer as one that is about to be sent."""
+        service, count = self._ahead.pop((plan.order, index), (None, 0))
+        self._ahead_of[service] -= count
 
     def may_start(self, plan, index):
         """Return whether pieces of a stage may be sent now.
@@ -228,11 +251,7 @@
             if (plan.order, later) in self._ahead:
                 # Some of its pieces have been sent already.
                 continue
-            waiting = sum(
-                count
-                for service, count in self._ahead.values()
-                if service == stage.service
-            )
+            waiting = self._ahead_of[stage.service]
             spec = self._specs(stage.service)
             places = max(1.0, self._places(stage.service))
             if waiting and waiting + stage.count > (
@@ -247,17 +266,19 @@
 
     def _busy(self, plan):
         """Return the seconds of work ahead of a job, where it is most."""
-        ahead = [
-            other
-            for other in self._plans.values()
-            if other.rank < plan.rank and other.order != plan.order
-        ]
+        rank = plan.rank
+        loads = self._loads(
+            order
+            for order, other in self._ranks.items()
+            if other < rank and order != plan.order
+        )
         busiest = 0.0
         for stage in plan.job.stages:
             if stage.count:
-                work = self._work(stage.service, ahead)
-                size = stage.count * stage.size
-                room = self._room_wait(stage.service, size, ahead)
+                load = loads.get(stage.service, _NO_LOAD)
+                work = self._work(stage.service, load)
+                size = stage.count * stage.size + load.size
+                room = self._room_wait(stage.service, size)
                 busiest = max(busiest, work, room)
         return busiest
 
@@ -274,45 +295,46 @@
 
     def backlog(self):
         """Return the seconds of work before each service's endpoints."""
-        plans = list(self._plans.values())
-        services = {s.service for plan in plans for s in plan.job.stages}
         return {
-            name: max(self._work(name, plans), self._room_wait(name, 0, plans))
-            for name in services
+            name: max(
+                self._work(name, load), self._room_wait(name, load.size)
+            )
+            for name, load in self._loads(self._plans).items()
         }
 
-    def _work(self, service, plans):
+    def _loads(self, orders):
+        """Return what is left of jobs, by service, in one pass.
+
+        Services whose pieces have all been sent are among them.
+        """
+        loads = {}
+        for order in orders:
+            left = self._left[order]
+            for index, stage in enumerate(self._plans[order].job.stages):
+                count, size = loads.get(stage.service, _NO_LOAD)
+                count += left[index]
+                size += left[index] * stage.size
+                loads[stage.service] = _Load(count, size)
+        return loads
+
+    def _work(self, service, load):
         """Return the seconds a service needs for what is left of jobs."""
         spec = self._specs(service)
         if spec is None:
             return 0.0
         places = max(LEAST_PLACES, self._places(service))
-        count = 0
-        size = 0
-        for each, left in self._left_of(service, plans):
-            count += left
-            size += left * each.size
-        if size > spec.room_bytes * places:
+        count = load.count
+        if load.size > spec.room_bytes * places:
             # The rest waits for room and is not before anybody else.
-            count *= spec.room_bytes * places / size
+            count *= spec.room_bytes * places / load.size
         each = spec.piece_s + spec.call_s / (FILL_SHARE * spec.batch)
         return count * each / places
 
-    def _room_wait(self, service, size, plans):
+    def _room_wait(self, service, size):
         """Return the seconds until results of `size` bytes find room."""
         spec = self._specs(service)
         if spec is None:
             return 0.0
         size += self._held(service)
-        for each, left in self._left_of(service, plans):
-            size += left * each.size
         room = spec.room_bytes * max(1.0, self._places(service))
         return max(0.0, size / room - 1.0) * HELD_S
-
-    def _left_of(self, service, plans):
-        """Yield stages of a service and how many pieces each has left."""
-        for plan in plans:
-            left = self._left[plan.order]
-            for index, stage in enumerate(plan.job.stages):
-                if stage.service == service and left[index]:
-                    yield stage, left[index]
