Fill calls of stages, keep room for whole requests, and yield to teams less often

Three reasons. - A call went out with one request's pieces when the call that brings the next ones was about to end. It now waits for them within two thirds of its fixed time, unless that makes somebody late. With room for one of them, one piece of each of several requests was made, and all waited for their rest.

--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -24,6 +24,9 @@
 # Between looks while pieces wait: an endpoint may come back or results may
 # expire without anybody saying so here.
 LOOK_S = 0.05
+# A call waits for pieces of the next one that are due within this share of
+# its fixed time.
+COMPANY_SHARE = 0.67
 
 
 class Batcher:
@@ -113,6 +116,7 @@
         now = self._clock()
         futures = []
         self._by_request[plan.job.request] = plan
+        self._plans.arrived(plan, wanted[0].stage)
         for piece in wanted:
             future = loop.create_future()
             futures.append(future)
@@ -169,18 +173,50 @@
         plan = self._by_request.get(piece.request)
         return plan is None or self._plans.may_start(plan, piece.stage)
 
+    def _holds(self, chosen, now):
+        """Return whether a call waits for pieces that come in a moment.
+
+        Notes
+        -----
+        Sent at once, the call takes its fixed time for a few pieces, and
+        those that come a moment later wait for all of it.
+        """
+        spec = self.service.pieces
+        until = now + COMPANY_SHARE * spec.call_s
+        count = len(chosen)
+        wait = None
+        for each in self._plans.coming(self.service.name, now, until):
+            count += each.count
+            if count > spec.batch:
+                break
+            wait = each.due - now
+        if wait is None:
+            return False
+        end = now + wait + self._pool.work(min(count, spec.batch))
+        return all(end <= self._aim(each.piece) for each in chosen)
+
+    def _aim(self, piece):
+        """Return when a piece should be done for its job to be in time."""
+        plan = self._by_request.get(piece.request)
+        if plan is None:
+            return piece.until
+        return piece.until - (plan.until - plan.aim)
+
     def _send_next(self):
         now = self._clock()
         batch = self._pool.next_batch(
-            self._endpoints(now), now, may_start=self._may_start
+            self._endpoints(now),
+            now,
+            may_start=self._may_start,
+            hold=lambda chosen: self._holds(chosen, now),
         )
         if batch is None:
             return False
+        ready = self._pool.begin(batch, now)
         for waiting in batch.waiting:
             plan = self._by_request.get(waiting.piece.request)
             if plan is not None:
-                self._plans.started(plan, waiting.piece.stage, 1)
-        ready = self._pool.begin(batch, now)
+                self._plans.started(plan, waiting.piece.stage, 1, ready)
         self._spawn(self._call(batch, ready), name="call with pieces")
         return True
 
--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -11,7 +11,7 @@
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import usage
 
-__all__ = ["Plan", "Plans"]
+__all__ = ["Coming", "Plan", "Plans"]
 
 # A request of the next lower priority yields as if its answer were due that
 # much later.  Less, and the most urgent requests, which often have the most
@@ -55,9 +55,9 @@
 
 
 # A job that cannot be in time is taken on if the time it would need, with
-# nothing new before it, is that much shorter than the time it has.  Of those
-# taken on with no such margin 15% were done, while others waited for them.
-LATE_FACTOR = 2.0
+# nothing new before it, is that much shorter than the time it has: behind all
+# that can be in time it is overtaken by those that come meanwhile.
+LATE_FACTOR = 1.3
 
 
 # A job is given this many times the least time that its stages take, where
@@ -98,6 +98,14 @@
         return self.is_late, urgency, self.order
 
 
+class Coming(typing.NamedTuple):
+    """Pieces that will wait as soon as a call of the stage before ends."""
+
+    service: str
+    count: int
+    due: float
+
+
 class _Load(typing.NamedTuple):
     """Pieces that jobs still need of a service, and bytes of results."""
 
@@ -134,6 +142,8 @@
         # and their pieces by service.
         self._ahead = {}
         self._ahead_of = collections.Counter()
+        # Those of them whose results are still being made, and until when.
+        self._coming = {}
         self._order = 0
         self._shares = {}
         self._usage = usage.TeamUsage()
@@ -220,8 +230,17 @@
         for index in range(len(plan.job.stages)):
             self._pass(plan, index)
 
-    def started(self, plan, index, count):
-        """Note that pieces of a stage were sent in a call."""
+    def started(self, plan, index, count, ready):
+        """Note that pieces of a stage were sent in a call.
+
+        Parameters
+        ----------
+        plan : Plan
+        index, count : int
+            Of the stage, and how many pieces.
+        ready : float
+            Monotonic time at which the call should end.
+        """
         left = self._left.get(plan.order)
         if left is None:
             return
@@ -231,9 +250,27 @@
             if index in stage.after and (plan.order, later) not in self._ahead:
                 self._ahead[plan.order, later] = (stage.service, stage.count)
                 self._ahead_of[stage.service] += stage.count
+            if index in stage.after and stage.count and not left[index]:
+                self._coming[plan.order, later] = Coming(
+                    stage.service, stage.count, ready
+                )
+
+    def arrived(self, plan, index):
+        """Note that the inputs of a stage are there."""
+        self._coming.pop((plan.order, index), None)
+
+    def coming(self, service, now, until):
+        """Return the `Coming` of a service due in a time, soonest first."""
+        found = [
+            each
+            for each in self._coming.values()
+            if each.service == service and now <= each.due <= until
+        ]
+        return sorted(found, key=lambda each: each.due)
 
     def _pass(self, plan, index):
         """Count a stage no longer as one that is about to be sent."""
+        self._coming.pop((plan.order, index), None)
         service, count = self._ahead.pop((plan.order, index), (None, 0))
         self._ahead_of[service] -= count
 
@@ -296,9 +333,7 @@
     def backlog(self):
         """Return the seconds of work before each service's endpoints."""
         return {
-            name: max(
-                self._work(name, load), self._room_wait(name, load.size)
-            )
+            name: max(self._work(name, load), self._room_wait(name, load.size))
             for name, load in self._loads(self._plans).items()
         }
 
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -12,6 +12,9 @@
 
 # Weight of the newest call in how slow an endpoint is; two calls tell.
 SLOW_WEIGHT = 0.5
+# Results of more than this share of an endpoint's room are large: with 13 or 6
+# of them it is full, with those of all other stages seen after 80 or more.
+LARGE_SHARE = 0.04
 # How long an endpoint's word that it has no room goes before what is counted
 # here: it may hold results of an instance that batched before, or larger
 # ones than the configuration says.  Some two calls; then it is tried again.
@@ -117,7 +120,7 @@
             ]
         return late
 
-    def next_batch(self, endpoints, now, *, may_start):
+    def next_batch(self, endpoints, now, *, may_start, hold=None):
         """Take the pieces of the next call from the queue.
 
         Parameters
@@ -128,6 +131,9 @@
         may_start : callable
             Takes a `Piece`; False while the stage that follows has
             enough waiting already.
+        hold : callable, optional
+            Takes the pieces chosen for the last free endpoint; True if
+            the call waits for more of them.
 
         Returns
         -------
@@ -147,6 +153,8 @@
         chosen = self._fill(self.room(endpoint), may_start)
         if not chosen:
             return None
+        if hold is not None and len(free) == 1 and hold(chosen):
+            return None
         taken = {id(waiting) for waiting in chosen}
         self._queue = [w for w in self._queue if id(w) not in taken]
         return Batch(endpoint, chosen)
@@ -159,6 +167,11 @@
                 continue
             left = self.spec.batch - len(chosen)
             size = sum(waiting.size for waiting in group)
+            if self._is_whole(group) and size > room:
+                # Room that becomes free is kept for it, or smaller ones
+                # behind would take it again and again.
+                room = min(room, group[0].size - 1)
+                continue
             if chosen and (len(group) > left or size > room):
                 passed.append(group)
                 continue
@@ -170,6 +183,24 @@
             room = _take(group[:left], room, chosen)
         return chosen
 
+    def _is_whole(self, group):
+        """Return whether a request's pieces are sent together or not at all.
+
+        Notes
+        -----
+        Results of encoders fill an endpoint's room with those of a few
+        requests.  Sent in parts as single results find room, many
+        requests each hold some and wait for the rest, in calls of one or
+        two pieces.  What fits into no call or no endpoint has to be
+        parted.
+        """
+        size = sum(waiting.size for waiting in group)
+        return (
+            group[0].size >= LARGE_SHARE * self.spec.room_bytes
+            and size <= self.spec.room_bytes
+            and len(group) <= self.spec.batch
+        )
+
     def room(self, endpoint):
         """Return the bytes left for results at an endpoint."""
         held = self._held.get(endpoint.id, 0)
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from sycamoreshed.catalog import types
@@ -39,16 +40,16 @@
     return Client()
 
 
-def batcher(client, *, endpoints, known):
+def batcher(client, *, endpoints, known, plans=None, name="first"):
     """Return a batcher; `known` are all endpoints there are."""
     journal = journals.Journal()
-    service = types.Service("first", "/healthz", 100, None, builders.spec())
+    service = types.Service(name, "/healthz", 100, None, builders.spec())
     loop = asyncio.get_running_loop()
     return batching.Batcher(
         service=service,
         endpoints=lambda _now: endpoints,
         lookup={each.id: each for each in known}.get,
-        plans=builders.plans(),
+        plans=plans or builders.plans(),
         client=client,
         codec=Codec(),
         health=health.Health(journal=journal),
@@ -80,3 +81,72 @@
     found.free([pieces.Held("h1", "gone")])
     await asyncio.sleep(3 * batching.FREE_DELAY_S)
     assert not client.sent
+
+
+def seconds(request, plan, until):
+    """Return the piece of a request's second stage."""
+    return pieces.Piece(request, 1, 0, until=until, inputs=("h",))
+
+
+async def test_a_call_waits_for_pieces_that_come_in_a_moment(client):
+    """A stage's call ends 30 ms after the next stage's endpoint is free.
+
+    Sent at once with one request's piece, the next stage's call takes its
+    fixed time, and the other request waits for all of it.
+    """
+    endpoint = builders.endpoint("e")
+    plans = builders.plans()
+    found = batcher(
+        client,
+        endpoints=[endpoint],
+        known=[endpoint],
+        plans=plans,
+        name="second",
+    )
+    now = asyncio.get_running_loop().time()
+    here = plans.admit(builders.job("here", counts=(0, 1)), now)
+    coming = plans.admit(builders.job("coming", counts=(1, 1)), now)
+    plans.started(coming, 0, 1, now + 0.03)
+    tasks = [
+        asyncio.create_task(
+            found.make(here, [seconds("here", here, now + 2.0)], 1)
+        )
+    ]
+    await asyncio.sleep(0.005)
+    assert not client.sent
+    tasks.append(
+        asyncio.create_task(
+            found.make(coming, [seconds("coming", coming, now + 2.0)], 1)
+        )
+    )
+    await asyncio.sleep(0.005)
+    assert len(client.sent) == 1
+    _, _, body = client.sent[0]
+    assert len(msgspec.json.decode(body)["items"]) == 2
+    for task in tasks:
+        task.cancel()
+
+
+async def test_a_call_does_not_wait_where_that_makes_it_late(client):
+    """The piece that waits has just the time that its own call takes."""
+    endpoint = builders.endpoint("e")
+    plans = builders.plans()
+    found = batcher(
+        client,
+        endpoints=[endpoint],
+        known=[endpoint],
+        plans=plans,
+        name="second",
+    )
+    now = asyncio.get_running_loop().time()
+    here = plans.admit(builders.job("here", counts=(0, 1)), now)
+    coming = plans.admit(builders.job("coming", counts=(1, 1)), now)
+    plans.started(coming, 0, 1, now + 0.09)
+    # A second later than the aim, as the whole job's limit is.
+    until = now + 1.0 + 0.17
+    task = asyncio.create_task(
+        found.make(here, [seconds("here", here, until)], 1)
+    )
+    await asyncio.sleep(0.005)
+    assert len(client.sent) == 1
+    task.cancel()
--- a/sycamoreshed/staging/tests/test_planning.py
+++ b/sycamoreshed/staging/tests/test_planning.py
@@ -41,8 +41,8 @@
             # The busier stage has four pieces a job, a call for each.
             free_at = max(free_at, plan.aim - 1.0) + service.call_s
             free_at += 4 * service.piece_s
-            plans.started(plan, 0, 2)
-            plans.started(plan, 1, 4)
+            plans.started(plan, 0, 2, 0.3)
+            plans.started(plan, 1, 4, 0.3)
             plans.drop(plan)
             late += free_at > plan.aim + 0.15
             done += 1
@@ -92,7 +92,7 @@
             builders.job(f"r{number}", aim_s=99.0, until_s=99.0), 0.0
         )
         if plans.may_start(plan, 0):
-            plans.started(plan, 0, 2)
+            plans.started(plan, 0, 2, 0.3)
             started += 1
     assert started * 4 <= planning.AHEAD_CALLS * 4
     assert started >= 2
@@ -177,3 +177,41 @@
     specs = {"first": builders.spec(), "second": builders.spec()}
     assert round(pieces.time_after(stages, 0, specs), 3) == 0.19
     assert pieces.time_after(stages, 1, specs) == 0.0
+
+
+def test_pieces_that_come_are_known_until_they_are_there():
+    """A stage's call is under way, and the next stage's will have work."""
+    plans = builders.plans()
+    plan = plans.admit(builders.job(counts=(2, 4)), 0.0)
+    plans.started(plan, 0, 1, 0.3)
+    assert not plans.coming("second", 0.0, 1.0)
+    plans.started(plan, 0, 1, 0.4)
+    (coming,) = plans.coming("second", 0.0, 1.0)
+    assert (coming.count, coming.due) == (4, 0.4)
+    assert not plans.coming("second", 0.0, 0.3)
+    assert not plans.coming("second", 0.5, 1.0)
+    plans.arrived(plan, 1)
+    assert not plans.coming("second", 0.0, 1.0)
+    plans.started(plan, 0, 1, 0.6)
+    plans.drop(plan)
+    assert not plans.coming("second", 0.0, 1.0)
+
+
+def test_a_team_twice_as_large_as_four_others_does_not_yield():
+    """Teams differ in size; the largest sends a third of all.
+
+    Made to yield to teams that are not there to use it, its callers are
+    refused while endpoints wait for work.
+    """
+    plans = builders.plans()
+    for _ in range(4):
+        for team in ("large", "large", "a", "b", "c", "d"):
+            plans.drop(plans.admit(builders.job(team=team), 0.0))
+    # Work before it that leaves just the time to be done.
+    ahead = plans.admit(builders.job("ahead", counts=(24, 0), team="a"), 0.0)
+    aim_s = plans.expected_end(
+        planning.Plan(builders.job(), 9, 9, 0, False, 99), 0.0
+    )
+    tight = builders.job(aim_s=aim_s + 0.05, until_s=aim_s + 0.05)
+    assert ahead is not None
+    assert not plans.admit(tight._replace(team="large"), 0.0).is_late
--- a/sycamoreshed/staging/tests/test_pool.py
+++ b/sycamoreshed/staging/tests/test_pool.py
@@ -115,3 +115,53 @@
     found.begin(found.next_batch([endpoint], 0.0, may_start=always), 0.0)
     found.add(builders.waiting("b", 0))
     assert found.next_batch([endpoint], 0.0, may_start=always) is None
+
+
+def test_results_that_fill_an_endpoint_are_made_together():
+    """Two requests, each of whose two results takes 300 of 1,000 bytes.
+
+    Room for one of four is left.  With one piece of each sent as room
+    comes, both requests hold some of it and wait for the rest, and their
+    answers are late; calls go out with a single piece.
+    """
+    endpoint = builders.endpoint("e")
+    found = filled(builders.waiting("held", 0, size=600))
+    first = found.next_batch([endpoint], 0.0, may_start=always)
+    ready = found.begin(first, 0.0)
+    for request in "ab":
+        for index in range(2):
+            found.add(builders.waiting(request, index, size=300))
+    small = builders.waiting("small", 0, rank=9, size=10)
+    found.add(small)
+    held = pieces.Held("h", "e")
+    found.end(first, ready, [pieces.Result(held, None, True)], 0.2)
+    batch = found.next_batch([endpoint], 0.2, may_start=always)
+    assert taken(batch) == [("small", 0)]
+    found.free("h")
+    batch = found.next_batch([builders.endpoint("f")], 0.2, may_start=always)
+    assert taken(batch)[:2] == [("a", 0), ("a", 1)]
+    assert ("b", 0) not in taken(batch)
+
+
+def test_results_larger_than_an_endpoint_are_parted():
+    """Four results of 300 bytes fit into no endpoint's 1,000 at once.
+
+    Kept together, the request would wait until its deadline.
+    """
+    found = filled(*(builders.waiting("a", i, size=300) for i in range(4)))
+    batch = found.next_batch([builders.endpoint("e")], 0.0, may_start=always)
+    assert taken(batch) == [("a", 0), ("a", 1), ("a", 2)]
+
+
+def test_the_last_free_endpoint_may_wait_for_more():
+    """Asked when it is the only one; another one that idles goes at once."""
+    found = filled(builders.waiting("a", 0))
+    ends = [builders.endpoint("e"), builders.endpoint("f")]
+
+    def hold(chosen):
+        return len(chosen) < 2
+
+    assert found.next_batch(ends[:1], 0.0, may_start=always, hold=hold) is None
+    assert found.queued == 1
+    batch = found.next_batch(ends, 0.0, may_start=always, hold=hold)
+    assert taken(batch) == [("a", 0)]
--- a/sycamoreshed/staging/usage.py
+++ b/sycamoreshed/staging/usage.py
@@ -7,9 +7,12 @@
 
 # Over which use counts: a few bursts of a team.
 DECAY_S = 5.0
-# Times an equal share beyond which a team has to yield: teams differ in size,
-# and one that is a little larger than others crowds out nobody.
-HEAVY_FACTOR = 1.2
+# Where between an equal share (0) and all that is used (1) a team has to
+# yield.  With two teams it is 62% of what is used, with five 40%: teams differ
+# in size, and one twice as large as the others crowds out nobody, but costs
+# its own callers answers where it has to yield (0.07 of what is attained under
+# load with five teams, the largest of them 39%).
+HEAVY_POINT = 0.25
 # Teams that are remembered; the oldest is forgotten first.
 MOST_TEAMS = 4096
 # Less than so much use of a team is as good as none.
@@ -52,9 +55,10 @@
         own = self._amount(team, now)
         amounts = [self._amount(each, now) for each in self._uses]
         active = [each for each in amounts if each > LEAST_USE]
-        return len(active) > 1 and own * len(active) > HEAVY_FACTOR * sum(
-            active
-        )
+        if len(active) < 2:
+            return False
+        equal = 1 / len(active)
+        return own > sum(active) * (equal + HEAVY_POINT * (1 - equal))
 
     def _amount(self, team, now):
         held = self._uses.get(team)
