Keep to an endpoint's connections over all instances, and tell what a reload takes

An endpoint resets connections beyond what it takes from all callers; whether a request sent on one of them ran is then unknown, and one that may run once only ends as 502 or a close. The limit was decoded and not used. Each instance now has an equal share of it in flight and refuses what is beyond unsent; with 110 connections and nine instances that is 12 (an endpoint works on 6 and queues 24). A changed settings file took over the peers only and said nothing of the rest; the retry budget is taken over too, and the log names what needs a restart.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -6,10 +6,12 @@
 share, and counts as one of the attempts the route allows.
 """
 
+import math
 import typing
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
+from sycamoreshed.forwarding import placing
 from sycamoreshed.kernel import kernel
 
 __all__ = ["Attempts", "Ended", "Opened"]
@@ -193,6 +195,12 @@
 
     def _choose(self, now):
         parts, request = self._parts, self._request
+        service = parts.catalog.configuration.services.get(request.service)
+        most = math.inf
+        if service is not None:
+            most = placing.connection_share(
+                service.max_connections, parts.peers.count()
+            )
         choice = parts.placer.choose(
             parts.catalog.endpoints(request.service, now),
             now,
@@ -200,6 +208,7 @@
             affinity=request.affinity,
             body_bytes=len(request.body),
             held=self._held,
+            most=most,
         )
         if choice is not None:
             parts.journal.write(
--- a/sycamoreshed/forwarding/budget.py
+++ b/sycamoreshed/forwarding/budget.py
@@ -75,6 +75,11 @@
         self._firsts = {}
         self._repeats = {}
 
+    def limit(self, ratio, slack):
+        """Take over other limits; what was spent stays counted."""
+        self._ratio = ratio
+        self._slack = slack
+
     def earn(self, service, now, count=1):
         """Count requests to a service."""
         self._window(self._firsts, service).add(now, count)
--- a/sycamoreshed/forwarding/placing.py
+++ b/sycamoreshed/forwarding/placing.py
@@ -1,12 +1,13 @@
 """Chooses the endpoint of a request."""
 
+import math
 import types
 import typing
 
 from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
 
-__all__ = ["Choice", "Placer"]
+__all__ = ["Choice", "Placer", "connection_share"]
 
 # A prefix's own endpoint is passed over when it has that many more
 # requests in flight than the least loaded one.  Reading a long prompt
@@ -22,6 +23,28 @@
 OVERHEAD_BYTES = 4000
 
 
+def connection_share(most, instances):
+    """Return how many connections of an endpoint an instance may have.
+
+    An endpoint resets those beyond what it takes from all instances
+    together.  Whether a request that was sent on one of them ran is then
+    unknown, and one that may run once only is lost to its caller; refused
+    before it is sent, it can come back.
+
+    Parameters
+    ----------
+    most : int
+        Connections the endpoint takes.
+    instances : int
+
+    Examples
+    --------
+    >>> connection_share(110, 9), connection_share(5, 9)
+    (12, 1)
+    """
+    return max(1, most // max(1, instances))
+
+
 class Choice(typing.NamedTuple):
     """An endpoint, and why it was chosen.
 
@@ -95,6 +118,7 @@
         affinity=None,
         body_bytes=0,
         held=types.MappingProxyType({}),
+        most=math.inf,
     ):
         """Choose an endpoint, or return None if there is none.
 
@@ -112,6 +136,8 @@
             Of the request.
         held : dict of str to int
             Bytes that the endpoint fetches, by the zone they lie in.
+        most : float
+            Requests that this instance may have at an endpoint.
 
         Returns
         -------
@@ -123,7 +149,11 @@
         the evidence may be wrong, and a request that is refused unsent
         is refused for certain.
         """
-        left = [each for each in endpoints if each.id not in tried]
+        left = [
+            each
+            for each in endpoints
+            if each.id not in tried and self.in_flight(each) < most
+        ]
         good = [each for each in left if not self._health.is_out(each, now)]
         pool = good or left
         if not pool:
--- a/sycamoreshed/forwarding/tests/test_budget.py
+++ b/sycamoreshed/forwarding/tests/test_budget.py
@@ -41,3 +41,13 @@
     each = budget.RepeatBudget(ratio=0.0, slack=2, window_s=10)
     assert each.spend("a", 0.0, 1)
     assert each.spend("b", 0.0, 1)
+
+
+def test_other_limits_keep_what_was_spent():
+    """The operator lowers the budget while it is half used."""
+    each = budget.RepeatBudget(ratio=0.0, slack=8, window_s=10)
+    assert all(each.spend("s", 0.0, 1) for _ in range(3))
+    each.limit(0.0, 4)
+    assert not each.spend("s", 0.0, 1)
+    each.limit(0.0, 8)
+    assert each.spend("s", 0.0, 1)
--- a/sycamoreshed/forwarding/tests/test_placing.py
+++ b/sycamoreshed/forwarding/tests/test_placing.py
@@ -117,3 +117,20 @@
         else:
             health.bad(usual, now, "500")
         assert not health.is_out(usual, now)
+
+
+def test_no_more_connections_than_the_share_of_an_endpoint(placer):
+    """An endpoint takes ten connections, five from each of two instances.
+
+    The next one would be reset. A caller whose request was on its way
+    then cannot be told whether it ran.
+    """
+    near, far = endpoint("near"), endpoint("far", "south-a")
+    most = placing.connection_share(10, 2)
+    for _ in range(5):
+        placer.begin(placer.choose([near, far], 0.0, most=most).endpoint)
+    assert placer.in_flight(near) == 5
+    assert placer.choose([near, far], 0.0, most=most).endpoint is far
+    assert placer.choose([near], 0.0, most=most) is None
+    placer.end(near)
+    assert placer.choose([near], 0.0, most=most).endpoint is near
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -39,6 +39,9 @@
 
 # Between looks at the settings file: it may change without a signal.
 RELOAD_S = 5.0
+# Settings that are taken over from a changed file; addresses, names and the
+# bounds that others derive from need a restart, which is told in the log.
+RELOADED = frozenset({"peers", "retry_ratio", "retry_slack"})
 
 
 def serve(path):
@@ -92,15 +95,25 @@
 
 
 def _read(core, path):
-    """Take over what may change while running: the peers to ask first."""
+    """Take over what may change while running; tell what may not."""
     events = core.part("journal")
     try:
         settings = schema.load(path)
     except exceptions.CheckError as err:
         events.write("reload_bad", why=str(err))
         return
+    changed = {
+        name
+        for name, value in settings._asdict().items()
+        if value != getattr(core.settings, name)
+    }
     core.part("peers").seeds = tuple(settings.peers)
-    events.write("reload", seeds=len(settings.peers))
+    core.part("budget").limit(settings.retry_ratio, settings.retry_slack)
+    events.write(
+        "reload",
+        taken=sorted(changed & RELOADED),
+        after_restart=sorted(changed - RELOADED),
+    )
 
 
 def run(path):
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -41,7 +41,12 @@
     ),
     "stop": Event(Class.STATE, "in_flight", "SIGTERM was received"),
     "stopped": Event(Class.STATE, "in_flight, took_s", "the process ends"),
-    "reload": Event(Class.STATE, "seeds", "the settings were read again"),
+    "reload": Event(
+        Class.STATE,
+        "taken, after_restart",
+        "the settings were read again; which changed and are in force, and "
+        "which need a restart",
+    ),
     "reload_bad": Event(
         Class.STATE, "why", "settings that are not valid were left alone"
     ),
