--- /dev/null
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -0,0 +1,188 @@
+"""Builders of requests, and of endpoints that answer by a script."""
+
+import typing
+
+import aiohttp
+import multidict
+
+from sycamoreshed.catalog import types
+from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import attempts
+from sycamoreshed.forwarding import budget
+from sycamoreshed.forwarding import health
+from sycamoreshed.forwarding import placing
+from sycamoreshed.forwarding import requests
+from sycamoreshed.platform import calls
+from sycamoreshed.platform import names
+from sycamoreshed.platform import platform
+from testkit import journals
+
+__all__ = ["OUTCOMES", "Outcome", "ScriptedClient", "parts", "request"]
+
+SERVICE = "desk"
+ID = "r1"
+
+
+class Outcome(typing.NamedTuple):
+    """What comes of sending a request to an endpoint.
+
+    Parameters
+    ----------
+    status : int or None
+        Of the answer; None if there is none.
+    headers : dict
+    may_have_run : bool
+        As far as anybody but the endpoint can tell.
+    reached : bool
+        Whether a byte of the request left.
+    whole : bool
+        Whether the body of the answer comes to its end.
+    """
+
+    status: int | None
+    headers: typing.Any
+    may_have_run: bool
+    reached: bool = True
+    whole: bool = True
+
+
+_OWN = {names.REQUEST_ID: ID}
+_NOT_RUN = {**_OWN, names.NOT_RUN: "1"}
+
+OUTCOMES = {
+    "no connection": Outcome(None, {}, False, reached=False),
+    "reset": Outcome(None, {}, True),
+    "full": Outcome(503, _NOT_RUN, False),
+    "too many": Outcome(429, _NOT_RUN, False),
+    "another endpoint": Outcome(421, _OWN, False),
+    "unproved promise": Outcome(503, _OWN, True),
+    "failed": Outcome(500, _OWN, True),
+    "another's answer": Outcome(200, {names.REQUEST_ID: "r2"}, True),
+    "cut": Outcome(200, _OWN, True, whole=False),
+    "done": Outcome(200, _OWN, True),
+}
+
+
+class _Protocol:
+    was_reset = False
+
+
+class _Response:
+    """An answer as the HTTP client gives it."""
+
+    reason = ""
+    protocol = _Protocol()
+
+    def __init__(self, outcome):
+        self._whole = outcome.whole
+        self.status = outcome.status
+        self.headers = multidict.CIMultiDict(outcome.headers)
+        self.headers["Content-Length"] = "2"
+
+    async def read(self):
+        """Return the body, or fail within it."""
+        if not self._whole:
+            raise aiohttp.ClientPayloadError("cut")
+        return b"{}"
+
+    def close(self):
+        """Do nothing."""
+
+
+class ScriptedClient:
+    """A client whose endpoints answer by a script.
+
+    Parameters
+    ----------
+    script : iterable of Outcome
+        One for each sending; whatever is sent after the last is done.
+    """
+
+    def __init__(self, script):
+        self._script = iter(script)
+        self.sent = []
+
+    async def send(
+        self, _method, address, _target, _headers, _body, *, within
+    ):
+        """Take the next outcome."""
+        outcome = next(self._script, OUTCOMES["done"])
+        self.sent.append((address, outcome))
+        if outcome.status is None:
+            return kinds.Failure(
+                kinds.Kind.REFUSED, "no answer", sent=outcome.reached
+            )
+        return _Response(outcome)
+
+
+class _Catalog:
+    """A configuration and endpoints that stay as they are."""
+
+    def __init__(self, endpoints):
+        self._endpoints = endpoints
+        service = types.Service(SERVICE, "/healthz", 100)
+        self.configuration = types.Configuration(
+            1, (), {SERVICE: service}, {}, False, types.Limits()
+        )
+
+    def endpoints(self, _service, _now):
+        """Return all endpoints."""
+        return self._endpoints
+
+    def age(self, _table, _now):
+        """Return 0, as if just heard."""
+        return 0.0
+
+
+class _Peers:
+    def count(self):
+        """Return that this instance is alone."""
+        return 1
+
+
+def parts(client, *, endpoints=4):
+    """Return what attempts share, with like endpoints of one zone."""
+    journal = journals.Journal()
+    evidence = health.Health(journal=journal)
+    found = [
+        types.Endpoint(f"e{n}", SERVICE, f"e{n}:80", "north-a", 6)
+        for n in range(endpoints)
+    ]
+    return attempts.Parts(
+        catalog=_Catalog(found),
+        placer=placing.Placer(zone="north-a", regions={}, health=evidence),
+        health=evidence,
+        budget=budget.RepeatBudget(ratio=1.0, slack=99, window_s=10),
+        peers=_Peers(),
+        client=client,
+        codec=platform.Platform(store=None),
+        journal=journal,
+        clock=lambda: 0.0,
+    )
+
+
+def request(**changes):
+    """Return a request that no endpoint may run twice."""
+    route = types.Route(
+        "ballots",
+        "h",
+        "/",
+        ((SERVICE, 1.0),),
+        **{"max_attempts": 3, **changes},
+    )
+    headers = multidict.CIMultiDict({names.REQUEST_ID: ID})
+    return requests.Request(
+        id=ID,
+        route=route,
+        service=SERVICE,
+        team=None,
+        priority=requests.Priority(0, 0),
+        head=calls.read_head(headers),
+        method="POST",
+        target="/",
+        headers=headers,
+        body=b"{}",
+        began=0.0,
+        waited_s=0.0,
+        until=4.0,
+    )
