Begin all first stages of a request at once again

Begun only when the long branch nears its end, a short branch leaves room to others, but is late where a call more is before it than the estimate knows. No gain over both sites, so it is taken out with its two tests.

--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -19,9 +19,6 @@
 # for good; callers come back once, within a third of the time they have (2 s
 # of 6), so a longer time has no effect.
 RETRY_EXTRA_S = 1.6
-# A branch is begun when another has no more than so much longer to go.  About
-# a call, which is what waits for an endpoint may take.
-EARLY_S = 0.2
 # Results take a moment to be fetched by whoever takes them as inputs.
 FETCH_S = 0.02
 
@@ -182,7 +179,6 @@
         inputs = []
         for before in stage.after:
             inputs += await run.stages[before]
-        await self._until_due(run, index)
         results = []
         if stage.count:
             results = await self._make(run, index, inputs)
@@ -192,40 +188,6 @@
         self._free_inputs(run, index)
         return None
 
-    async def _until_due(self, run, index):
-        """Wait while a longer branch of the job has far more before it.
-
-        Results of a short branch that are made at once lie in the room of
-        their endpoint until the long one is done.
-        """
-        stages = run.plan.job.stages
-        if stages[index].after or not stages[index].count:
-            return
-        own = self._left_after(run, index)
-        while True:
-            others = [
-                later
-                for later, future in enumerate(run.stages)
-                if later != index and not future.done()
-            ]
-            left = max(
-                (self._left_after(run, each) for each in others), default=0.0
-            )
-            if left - own <= EARLY_S:
-                return
-            await asyncio.wait(
-                [run.stages[each] for each in others],
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-
-    def _left_after(self, run, index):
-        """Return the least time from the start of a stage to all results."""
-        stage = run.plan.job.stages[index]
-        after = pieces.time_after(run.plan.job.stages, index, run.specs)
-        if not stage.count:
-            return after
-        return pieces.least_time(stage, run.specs[stage.service]) + after
-
     def _free_inputs(self, run, index):
         """Free what only stages that are done by now took as inputs."""
         stages = run.plan.job.stages
--- a/sycamoreshed/staging/tests/test_coordinator.py
+++ b/sycamoreshed/staging/tests/test_coordinator.py
@@ -134,34 +134,3 @@
         await task
     await asyncio.sleep(0.05)
     assert batchers["first"].freed == ["0/0"]
-
-
-async def test_a_short_branch_is_begun_when_the_long_one_nears_its_end():
-    """One branch takes one call, the other three.
-
-    Made at once, the short one's results lie in their endpoint's room for
-    three calls; with large results that room is what others wait for.
-    """
-    order = []
-
-    def noting(piece):
-        order.append(piece.stage)
-        return made(piece)
-
-    found, _ = zone(short=noting, a=noting, b=noting, c=noting)
-    await found.run(
-        job(
-            ("short", (), 1),
-            ("a", (), 1),
-            ("b", (1,), 1),
-            ("c", (2,), 1),
-        )
-    )
-    assert order == [1, 0, 2, 3] or order == [1, 2, 0, 3]
-
-
-async def test_a_short_branch_alone_is_begun_at_once():
-    """The longer branch is left out by the request."""
-    found, batchers = zone(short=made, a=made, b=made)
-    done = await found.run(job(("short", (), 1), ("a", (), 0), ("b", (1,), 0)))
-    assert [held.handle for held in done.results] == ["0/0"]
