Tell peers that entries may have lapsed while the store was away

Entries of live endpoints vanish while the store is away and are back within two seconds of its return. An instance that reaches the store again keeps them so long; one that had not reached it yet and was told the table by the first took the missing entries at their word, dropped all endpoints and refused its callers. What a peer is told now says for how long entries may come back. Found by reading; the test fails when that is left out.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -126,16 +126,27 @@
         """Return the `Endpoint` of an id, or None."""
         return self._endpoints.get(name)
 
-    def regained(self, now):
+    def lapse_left(self, now):
+        """Return for how many seconds missing entries may have lapsed."""
+        return max(0.0, self._lapse_until - now)
+
+    def regained(self, now, for_s=LAPSE_S):
         """Note that the store is back after it could not be reached.
 
+        Parameters
+        ----------
+        now : float
+        for_s : float
+            Seconds for which entries that are missing may come back; less
+            if another instance noticed the return before this one.
+
         Notes
         -----
         Endpoints cannot renew their entries while the store is away, and
         the store drops them as if they had died.  Taken at its word, it
         would empty a whole service in the moment of its return.
         """
-        self._lapse_until = now + LAPSE_S
+        self._lapse_until = max(self._lapse_until, now + for_s)
 
     def replace(self, table, rows, version, now, *, source):
         """Take a whole copy of a table; return whether it was newer."""
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -18,7 +18,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Follower", "TableNews"]
+__all__ = ["Follower", "TableNews", "take", "tell"]
 
 # How long the store may hold a call that waits for changes, as a share of the
 # time after a disturbance in which an instance has to know a new
@@ -60,12 +60,16 @@
         None if the asking instance has this version or a newer one.
     age_s : float
         Since the teller last knew its copy to be current.
+    lapse_s : float
+        For how long entries that are missing may have lapsed while the
+        store was away, and come back.
     """
 
     table: str
     version: int
     rows: dict[str, bytes] | None
     age_s: float
+    lapse_s: float = 0.0
 
 
 class Follower:
@@ -215,10 +219,25 @@
         except msgspec.ValidationError as err:
             self._journal.write("peer_bad", peer=peer, why=str(err))
             return
-        if news.rows is not None:
-            self._catalog.replace(
-                self._table, news.rows, news.version, now, source=peer
-            )
+        take(self._catalog, news._replace(table=self._table), now, peer)
+
+
+def take(catalog, news, now, peer):
+    """Take what another instance tells.
+
+    Parameters
+    ----------
+    catalog : Catalog
+    news : TableNews
+    now : float
+    peer : str
+        Who told it.
+    """
+    # It may have reached the store before this instance does.
+    if news.lapse_s > 0:
+        catalog.regained(now, min(news.lapse_s, catalogs.LAPSE_S))
+    if news.rows is not None:
+        catalog.replace(news.table, news.rows, news.version, now, source=peer)
 
 
 def tell(catalog, table, after, now):
@@ -226,7 +245,8 @@
     copy = catalog.replica(table).copy
     rows = copy.rows if copy.version > after else None
     age = min(catalog.age(table, now), 1e9)
-    return TableNews(table, copy.version, rows, round(age, 3))
+    lapse = catalog.lapse_left(now)
+    return TableNews(table, copy.version, rows, round(age, 3), round(lapse, 3))
 
 
 @kernel.plugin(
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -108,3 +108,34 @@
     news = following.tell(catalog, "endpoints", 4, 3.0)
     assert (news.version, set(news.rows), news.age_s) == (5, {"a"}, 2.0)
     assert following.tell(catalog, "endpoints", 5, 3.0).rows is None
+
+
+def test_entries_that_lapsed_stay_where_a_peer_tells_it(catalog):
+    """The store was away; another instance reaches it again first.
+
+    Endpoints are about to renew their entries.  An instance that is told
+    the table by the other one, and takes it at its word, drops all of
+    them and refuses its callers for up to two seconds.
+    """
+    other = catalogs.Catalog(
+        decode_configuration=records.decode_configuration,
+        decode_endpoint=records.decode_endpoint,
+        configuration_key="config",
+        journal=journals.Journal(),
+    )
+    for each in (catalog, other):
+        each.replace("endpoints", beats("a", "b"), 5, 0.0, source="store")
+    other.regained(10.0)
+    rows = [("a", None), ("b", None)]
+    other.apply("endpoints", rows, 5, 6, 10.0, source="store")
+    following.take(
+        catalog, following.tell(other, "endpoints", 5, 10.5), 20.5, "other"
+    )
+    assert ids(catalog, 20.6) == {"a", "b"}
+    back = list(beats("b").items())
+    other.apply("endpoints", back, 6, 7, 11.0, source="store")
+    following.take(
+        catalog, following.tell(other, "endpoints", 6, 11.0), 21.0, "other"
+    )
+    assert ids(catalog, 21.9) == {"a", "b"}
+    assert ids(catalog, 22.1) == {"b"}
