Leave a zone whose engines have far more in flight than others

The zone was chosen by the bytes that cross and the load only within it, so one engine that was left there, and slow, got all of its requests: up to 24 in flight from one instance, at others at most 6. Ruled out: refusals by stages (few), an engine that fails (it answered, at 0.069 s an event against 0.02 to 0.04).

--- a/sycamoreshed/forwarding/placing.py
+++ b/sycamoreshed/forwarding/placing.py
@@ -14,6 +14,11 @@
 # again takes an engine 0.2 s; four more running requests cost each token
 # about 3% and a queued prompt ahead as much as the prompt itself.
 AFFINITY_SLACK = 4
+# The cheapest zone is passed over for all others when its least loaded
+# endpoint has that many more requests in flight than the least loaded of all.
+# One engine left in a zone, and slow, had 24 from one instance while those of
+# other zones had at most 6, and 36 of its 274 streams broke or were left.
+SPILL_SLACK = 8
 # What a byte costs that crosses on the way of a request, against a byte of
 # results that an engine fetches from another zone: bodies and answers
 # between regions are priced some hundred times higher.
@@ -165,6 +170,9 @@
         cheapest = min(costs.values())
         near = [e for e in pool if costs[e.zone] == cheapest]
         least = min(self.in_flight(each) for each in near)
+        least_of_all = min(self.in_flight(each) for each in pool)
+        if least > least_of_all + SPILL_SLACK:
+            near, least = pool, least_of_all
         if affinity is not None:
             near.sort(
                 key=lambda each: rendezvous.rank(affinity, each.id),
--- a/sycamoreshed/forwarding/tests/test_placing.py
+++ b/sycamoreshed/forwarding/tests/test_placing.py
@@ -134,3 +134,31 @@
     assert placer.choose([near], 0.0, most=most) is None
     placer.end(near)
     assert placer.choose([near], 0.0, most=most).endpoint is near
+
+
+def test_a_zone_with_one_slow_engine_left_does_not_get_all(placer):
+    """Two of three engines of a zone are replaced, the third is slow.
+
+    Requests gather there, and callers of the zone wait for streams that
+    never end in time while engines of other zones have nothing to do.
+    """
+    pool = [
+        endpoint("slow"),
+        endpoint("a", "south-a"),
+        endpoint("b", "south-a"),
+    ]
+    held = {"north-a": 7_500_000}
+    for number in range(40):
+        affinity = None if number % 2 else "part"
+        choice = placer.choose(pool, 0.0, affinity=affinity, held=held)
+        placer.begin(choice.endpoint)
+    assert placer.in_flight(pool[0]) < 20
+    assert placer.in_flight(pool[1]) > 5
+    assert placer.in_flight(pool[2]) > 5
+
+
+def test_a_few_more_in_flight_do_not_leave_the_zone(placer):
+    pool = [endpoint("own"), endpoint("far", "south-a")]
+    for _ in range(placing.SPILL_SLACK):
+        placer.begin(placer.choose(pool, 0.0).endpoint)
+    assert placer.in_flight(pool[1]) == 0
