--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -83,16 +83,16 @@
     assert not client.sent
 
 
-def seconds(request, plan, until):
+def second_piece(request, until):
     """Return the piece of a request's second stage."""
     return pieces.Piece(request, 1, 0, until=until, inputs=("h",))
 
 
-async def test_a_call_waits_for_pieces_that_come_in_a_moment(client):
-    """A stage's call ends 30 ms after the next stage's endpoint is free.
+def second_stage(client, due_in_s):
+    """Return a second stage's batcher, its plans and two of them.
 
-    Sent at once with one request's piece, the next stage's call takes its
-    fixed time, and the other request waits for all of it.
+    The first plan's piece can be sent; the call that the second one's
+    needs ends `due_in_s` from now.
     """
     endpoint = builders.endpoint("e")
     plans = builders.plans()
@@ -106,17 +106,27 @@
     now = asyncio.get_running_loop().time()
     here = plans.admit(builders.job("here", counts=(0, 1)), now)
     coming = plans.admit(builders.job("coming", counts=(1, 1)), now)
-    plans.started(coming, 0, 1, now + 0.03)
+    plans.started(coming, 0, 1, now + due_in_s)
+    return found, here, coming
+
+
+async def test_a_call_waits_for_pieces_that_come_in_a_moment(client):
+    """A stage's call ends 30 ms after the next stage's endpoint is free.
+
+    Sent at once with one request's piece, the next stage's call takes its
+    fixed time, and the other request waits for all of it.
+    """
+    found, here, coming = second_stage(client, 0.03)
     tasks = [
         asyncio.create_task(
-            found.make(here, [seconds("here", here, now + 2.0)], 1)
+            found.make(here, [second_piece("here", here.until)], 1)
         )
     ]
     await asyncio.sleep(0.005)
     assert not client.sent
     tasks.append(
         asyncio.create_task(
-            found.make(coming, [seconds("coming", coming, now + 2.0)], 1)
+            found.make(coming, [second_piece("coming", coming.until)], 1)
         )
     )
     await asyncio.sleep(0.005)
@@ -129,23 +139,12 @@
 
 async def test_a_call_does_not_wait_where_that_makes_it_late(client):
     """The piece that waits has just the time that its own call takes."""
-    endpoint = builders.endpoint("e")
-    plans = builders.plans()
-    found = batcher(
-        client,
-        endpoints=[endpoint],
-        known=[endpoint],
-        plans=plans,
-        name="second",
-    )
-    now = asyncio.get_running_loop().time()
-    here = plans.admit(builders.job("here", counts=(0, 1)), now)
-    coming = plans.admit(builders.job("coming", counts=(1, 1)), now)
-    plans.started(coming, 0, 1, now + 0.09)
-    # A second later than the aim, as the whole job's limit is.
-    until = now + 1.0 + 0.17
+    found, here, _ = second_stage(client, 0.09)
+    # The job is given up a second after its aim, and so is its piece; a
+    # call with one piece takes 0.16 s.
+    until = here.aim + 0.17
     task = asyncio.create_task(
-        found.make(here, [seconds("here", here, until)], 1)
+        found.make(here, [second_piece("here", until)], 1)
     )
     await asyncio.sleep(0.005)
     assert len(client.sent) == 1
