Test calls that wait with a clock that stands still

On a machine under load the 30 ms of the test could pass before the first look, and the call would be sent at once: the test hung on wall-clock speed.

--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -15,6 +15,10 @@
 from testkit import journals
 
 
+# A clock that stands still: what waits for a time waits for ever.
+NOW = 100.0
+
+
 class Client:
     """Keeps the addresses and paths that were sent to; answers nothing."""
 
@@ -40,7 +44,7 @@
     return Client()
 
 
-def batcher(client, *, endpoints, known, plans=None, name="first"):
+def batcher(client, *, endpoints, known, plans=None, name="first", clock=None):
     """Return a batcher; `known` are all endpoints there are."""
     journal = journals.Journal()
     service = types.Service(name, "/healthz", 100, None, builders.spec())
@@ -54,7 +58,7 @@
         codec=Codec(),
         health=health.Health(journal=journal),
         journal=journal,
-        clock=loop.time,
+        clock=clock or loop.time,
         spawn=lambda call, name: asyncio.create_task(call, name=name),
     )
 
@@ -102,11 +106,11 @@
         known=[endpoint],
         plans=plans,
         name="second",
+        clock=lambda: NOW,
     )
-    now = asyncio.get_running_loop().time()
-    here = plans.admit(builders.job("here", counts=(0, 1)), now)
-    coming = plans.admit(builders.job("coming", counts=(1, 1)), now)
-    plans.started(coming, 0, 1, now + due_in_s)
+    here = plans.admit(builders.job("here", counts=(0, 1)), NOW)
+    coming = plans.admit(builders.job("coming", counts=(1, 1)), NOW)
+    plans.started(coming, 0, 1, NOW + due_in_s)
     return found, here, coming
 
 
