--- /dev/null
+++ b/tests/integration/test_gateway_store.py
@@ -0,0 +1,135 @@
+"""What the forwarding daemon believes, with its store in trouble."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from standins import platformstore
+from testkit import gateways
+from testkit import wiredata
+from tests.integration import harness
+
+
+async def test_nothing_is_served_before_a_configuration_is_known(tmp_path):
+    """A process starts while neither store nor peers can be reached.
+
+    It must not answer 404 for routes that exist.
+    """
+    store = platformstore.PlatformStore()
+    await store.start()
+    store.mood = platformstore.Mood(status=503)
+    settings = {"table": store.address}
+    async with gateways.gateways(tmp_path, [settings]) as (gateway,):
+        async with aiohttp.ClientSession() as session:
+            async with asyncio.timeout(10):
+                while True:
+                    with contextlib.suppress(aiohttp.ClientError):
+                        status, _, _ = await harness.call(session, gateway)
+                        break
+                    await asyncio.sleep(0.05)
+            assert status == 503
+            assert not await gateway.is_ready()
+            store.put("op", "config", wiredata.configuration())
+            store.mood = platformstore.Mood()
+            await gateway.wait_ready()
+    await store.stop()
+
+
+async def test_an_instance_registers_once_it_knows_what_to_do(tmp_path):
+    """An instance has started and does not know the services yet.
+
+    Registered already, it would be asked to take requests of its zone
+    through their stages, and refuse them.
+    """
+    table = "sycamoreshed-instances"
+    store = platformstore.PlatformStore()
+    await store.start()
+    settings = {"table": store.address}
+    async with gateways.gateways(tmp_path, [settings]) as (gateway,):
+        async with asyncio.timeout(10):
+            while not store.calls:
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
+        assert not store.rows(table)
+        store.put("op", "config", wiredata.configuration())
+        await gateway.wait_ready()
+        async with asyncio.timeout(2):
+            while "edge-1" not in store.rows(table):
+                await asyncio.sleep(0.05)
+        await gateway.stop()
+        assert store.rows(table)["edge-1"][-1] is True
+    await store.stop()
+
+
+async def test_a_revoked_key_reaches_who_the_store_turns_away(tmp_path):
+    """The store refuses one instance while the operator revokes a key.
+
+    Other instances know; with the key still accepted there, a former member
+    would go on for as long as the store refuses.
+    """
+    store = platformstore.PlatformStore()
+    turning = platformstore.PlatformStore()
+    await store.start()
+    await turning.start()
+    for each in (store, turning):
+        each.put("op", "config", wiredata.configuration())
+    documents = [
+        {"instance": "edge-1", "table": store.address},
+        {"instance": "edge-2", "table": turning.address},
+    ]
+    async with (
+        harness.endpoints(store, harness.well) as (endpoint,),
+        gateways.gateways(tmp_path, documents) as (near, away),
+    ):
+        turning.put("servers", "i-0", wiredata.beat(endpoint.address))
+        away.document["peers"] = [near.control]
+        away.write_settings()
+        await near.wait_ready()
+        await away.wait_ready()
+        away.process.send_signal(1)
+        turning.mood = platformstore.Mood(status=429)
+        store.put("op", "config", wiredata.configuration(9, tenants=[]))
+        async with aiohttp.ClientSession() as session:
+            async with asyncio.timeout(6):
+                while (await harness.call(session, away))[0] != 401:
+                    await asyncio.sleep(0.1)
+        assert (await away.status())["version"] == 9
+    await store.stop()
+    await turning.stop()
+
+
+async def test_an_endpoint_that_leaves_gets_nothing_new(store, tmp_path):
+    """An endpoint says that it leaves.
+
+    Within a second all requests go to the other one.
+    """
+    async with harness.endpoints(store, harness.well, harness.well) as (
+        leaving,
+        staying,
+    ):
+        async with harness.serving(store, tmp_path) as (gateway, session):
+            beat = wiredata.beat(leaving.address, state="draining")
+            store.put("servers", "i-0", beat)
+            await asyncio.sleep(0.5)
+            before = len(leaving.seen)
+            for _ in range(6):
+                await harness.call(session, gateway)
+    assert len(leaving.seen) == before
+    assert len(staying.seen) == 6
+
+
+async def test_entries_of_other_writers_do_no_harm(store, tmp_path):
+    """Rows that name no endpoint lie among the endpoints' entries.
+
+    Fields are missing or of other types, or the bytes are no JSON; the
+    others are still used.
+    """
+    store.put("servers", "bad-1", b"\xff\x00")
+    store.put("servers", "bad-2", {"service": 7})
+    store.put("servers", "bad-3", wiredata.beat("nowhere"))
+    store.put("servers", "bad-4", wiredata.beat("1.2.3.4:5", state="odd"))
+    async with harness.endpoints(store, harness.well):
+        async with harness.serving(store, tmp_path) as (gateway, session):
+            status, _, _ = await harness.call(session, gateway)
+    assert status == 200
