--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -167,7 +167,7 @@
                 continue
             left = self.spec.batch - len(chosen)
             size = sum(waiting.size for waiting in group)
-            if self._is_whole(group) and size > room:
+            if size > room and self._is_whole(group, size):
                 # Room that becomes free is kept for it, or smaller ones
                 # behind would take it again and again.
                 room = min(room, group[0].size - 1)
@@ -183,7 +183,7 @@
             room = _take(group[:left], room, chosen)
         return chosen
 
-    def _is_whole(self, group):
+    def _is_whole(self, group, size):
         """Return whether a request's pieces are sent together or not at all.
 
         Notes
@@ -194,7 +194,6 @@
         two pieces.  What fits into no call or no endpoint has to be
         parted.
         """
-        size = sum(waiting.size for waiting in group)
         return (
             group[0].size >= LARGE_SHARE * self.spec.room_bytes
             and size <= self.spec.room_bytes
--- a/sycamoreshed/staging/usage.py
+++ b/sycamoreshed/staging/usage.py
@@ -10,8 +10,7 @@
 # Where between an equal share (0) and all that is used (1) a team has to
 # yield.  With two teams it is 62% of what is used, with five 40%: teams differ
 # in size, and one twice as large as the others crowds out nobody, but costs
-# its own callers answers where it has to yield (0.07 of what is attained under
-# load with five teams, the largest of them 39%).
+# its own callers answers where it has to yield.
 HEAVY_POINT = 0.25
 # Teams that are remembered; the oldest is forgotten first.
 MOST_TEAMS = 4096
