Make large results of a short branch late, when the longer one nears its end

Cause: an engine fetches the results of all final stages together. The first service's endpoints had 4.8 of 20.5 MB free at the start of a call, calls went out with 2.5 pieces of 4, and 40 of 112 of the most urgent requests were refused or given up in a burst.

Ruled out: making them when the longer branch has ended, which adds their own time to it.

Change: pieces of a final stage with large results wait until the inputs of each other final stage are under way.

--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -9,6 +9,7 @@
 import typing
 
 from sycamoreshed.staging import pieces
+from sycamoreshed.staging import pool
 from sycamoreshed.staging import usage
 
 __all__ = ["Coming", "Plan", "Plans"]
@@ -284,6 +285,8 @@
         Waits where nothing is held yet, instead of where results of the
         stage before take room.
         """
+        if self._is_early(plan, index):
+            return False
         for later, stage in enumerate(plan.job.stages):
             if index not in stage.after or not stage.count:
                 continue
@@ -299,6 +302,31 @@
                 return False
         return True
 
+    def _is_early(self, plan, index):
+        """Return whether results would only lie and wait for other stages.
+
+        Notes
+        -----
+        An engine fetches the results of all final stages together.  Made
+        while a branch of three stages has just begun, 3 MB lie for a
+        second or more, and room for some six of them is all that an
+        endpoint has: its calls then go out with one or two pieces while
+        requests wait for room.
+        """
+        stages = plan.job.stages
+        stage = stages[index]
+        spec = self._specs(stage.service)
+        final = pieces.final_stages(stages)
+        if index not in final or not pool.is_large(stage.size, spec):
+            return False
+        left = self._left.get(plan.order, {})
+        return any(
+            left.get(before, 0)
+            for other in final
+            if other != index
+            for before in stages[other].after
+        )
+
     def expected_end(self, plan, now):
         """Return when all results of a job should be there."""
         return now + self._busy(plan) + self._least(plan.job)
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -8,7 +8,7 @@
 import bisect
 import typing
 
-__all__ = ["Batch", "Pool", "Waiting"]
+__all__ = ["Batch", "Pool", "Waiting", "is_large"]
 
 # Weight of the newest call in how slow an endpoint is; two calls tell.
 SLOW_WEIGHT = 0.5
@@ -50,6 +50,11 @@
     waiting: list
 
 
+def is_large(size, spec):
+    """Return whether few results of a size fill an endpoint's room."""
+    return size >= LARGE_SHARE * spec.room_bytes
+
+
 def _by_request(queue):
     """Return lists of the entries of each request, in order."""
     groups = {}
@@ -195,7 +200,7 @@
         parted.
         """
         return (
-            group[0].size >= LARGE_SHARE * self.spec.room_bytes
+            is_large(group[0].size, self.spec)
             and size <= self.spec.room_bytes
             and len(group) <= self.spec.batch
         )
