Drop only the pieces of the stage that ended, not of its whole request

Cause: a route may have two stages at one service. When the pieces of one were made, all that still waited there for the request was dropped with them; the other stage never ended, and its caller was told after 3.3 s that results are late. The pieces of a request were also taken as one group, so that one stage that has to wait held up the other.

Ruled out: endpoints that lose pieces (no call ever held them, in the log).

Change: queue, groups and plans go by request and stage. Test: such requests, one every two seconds, are all in time; before, none with large results was.

--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -74,7 +74,8 @@
         self._clock = clock
         self._spawn = spawn
         self._pool = pool.Pool(spec=service.pieces)
-        self._by_request = {}
+        # Of stages that are being made; two of a request may be.
+        self._plan_of = {}
         self._wake = asyncio.Event()
         self._freed = {}
         self._task = None
@@ -116,7 +117,8 @@
         loop = asyncio.get_running_loop()
         now = self._clock()
         futures = []
-        self._by_request[plan.job.request] = plan
+        key = plan.job.request, wanted[0].stage
+        self._plan_of[key] = plan
         self._plans.arrived(plan, wanted[0].stage)
         for piece in wanted:
             future = loop.create_future()
@@ -127,8 +129,8 @@
         try:
             return list(await asyncio.gather(*futures))
         finally:
-            self._pool.discard(plan.job.request)
-            self._by_request.pop(plan.job.request, None)
+            self._pool.discard(*key)
+            self._plan_of.pop(key, None)
 
     def free(self, results):
         """Give up results; their endpoints are told a moment later.
@@ -171,7 +173,7 @@
                 continue
 
     def _may_start(self, piece):
-        plan = self._by_request.get(piece.request)
+        plan = self._plan_of.get((piece.request, piece.stage))
         return plan is None or self._plans.may_start(plan, piece.stage)
 
     def _holds(self, chosen, now):
@@ -198,7 +200,7 @@
 
     def _aim(self, piece):
         """Return when a piece should be done for its job to be in time."""
-        plan = self._by_request.get(piece.request)
+        plan = self._plan_of.get((piece.request, piece.stage))
         if plan is None:
             return piece.until
         return piece.until - (plan.until - plan.aim)
@@ -215,9 +217,10 @@
             return False
         ready = self._pool.begin(batch, now)
         for waiting in batch.waiting:
-            plan = self._by_request.get(waiting.piece.request)
+            piece = waiting.piece
+            plan = self._plan_of.get((piece.request, piece.stage))
             if plan is not None:
-                self._plans.started(plan, waiting.piece.stage, 1, ready)
+                self._plans.started(plan, piece.stage, 1, ready)
         self._spawn(self._call(batch, ready), name="call with pieces")
         return True
 
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -55,11 +55,18 @@
     return size >= LARGE_SHARE * spec.room_bytes
 
 
-def _by_request(queue):
-    """Return lists of the entries of each request, in order."""
+def _by_stage(queue):
+    """Return lists of the entries of each request's stages, in order.
+
+    Notes
+    -----
+    A service may work on two stages of a request, of which one has to wait
+    until the other is done.
+    """
     groups = {}
     for waiting in queue:
-        groups.setdefault(waiting.piece.request, []).append(waiting)
+        key = waiting.piece.request, waiting.piece.stage
+        groups.setdefault(key, []).append(waiting)
     return groups.values()
 
 
@@ -109,10 +116,12 @@
         """Put a piece into the queue."""
         bisect.insort(self._queue, waiting, key=lambda each: each.rank)
 
-    def discard(self, request):
-        """Drop what waits for a request that nobody wants any more."""
+    def discard(self, request, stage):
+        """Drop what waits for a request's stage that nobody wants."""
         self._queue = [
-            each for each in self._queue if each.piece.request != request
+            each
+            for each in self._queue
+            if (each.piece.request, each.piece.stage) != (request, stage)
         ]
 
     def take_late(self, now):
@@ -167,7 +176,7 @@
     def _fill(self, room, may_start):
         chosen = []
         passed = []
-        for group in _by_request(self._queue):
+        for group in _by_stage(self._queue):
             if not may_start(group[0].piece):
                 continue
             left = self.spec.batch - len(chosen)
--- a/sycamoreshed/staging/tests/test_loads.py
+++ b/sycamoreshed/staging/tests/test_loads.py
@@ -92,3 +92,15 @@
         shares.append(in_time(played(load), "urgent"))
     print(shares)
     assert sum(shares) / len(shares) > 0.9
+
+
+def test_two_stages_of_a_request_at_one_service_are_both_made():
+    """A service works on two stages of a request, of which one ends first.
+
+    If the pieces of the other are dropped with it, the caller waits for
+    nothing until its stages are given up on, a second or three later.
+    """
+    load = arrivals({patient: 0.5}, seconds=60, seed=1)
+    told = played(load)
+    assert len(told) > 20
+    assert all(each.in_time for each in told)
