Free results once the engine should have fetched them

Cause: results of 3 MB were held until the engine's first event, 0.3 s (median) after it was sent the request and 1 s at the 90th percentile; an endpoint has room for six. Calls went out with 2.5 pieces of 4 while 5 to 13 waited.

Change: the inputs are freed 60, 80 or 160 ms after sending, by the distance of the zone, and the time follows engines that found them or did not. Whoever sends the request once more has them made again first, before the first event as well as after it.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -76,6 +76,11 @@
         self._sent = 0
         self._may_have_run = False
         self.inputs_gone = False
+        # Set by who had the inputs made: what is told of their use, and
+        # what makes them again.
+        self.release = None
+        self.renew = None
+        self.inputs_freed = False
 
     @property
     def may_have_run(self):
@@ -113,6 +118,13 @@
                 return self._fail(
                     kinds.Kind.NO_ENDPOINT, f"no endpoint of {request.service}"
                 )
+            if self.inputs_freed:
+                inputs = await self.renew()
+                if isinstance(inputs, kinds.Failure):
+                    return inputs._replace(sent=self._may_have_run)
+                self.inputs = inputs
+                self.inputs_freed = False
+                continue
             result = await self._send(
                 choice,
                 request.until - now,
@@ -138,6 +150,8 @@
     def failed(self, endpoint, failure, began, *, reached=True):
         """Note a failed attempt."""
         now = self._parts.clock()
+        if self.release is not None:
+            self.release.cancel()
         if failure.sent:
             self._may_have_run = True
         # Inputs that are gone are no fault of the endpoint that says so.
@@ -239,6 +253,8 @@
         )
         began = parts.clock()
         parts.placer.begin(endpoint)
+        if self.release is not None and self.inputs:
+            self.release.sent(endpoint)
         keep = False
         # If this is cancelled the request may have left.
         result = kinds.Failure(kinds.Kind.INTERNAL, "cancelled", sent=True)
@@ -301,6 +317,8 @@
         sent = verdict not in ("not-run", "elsewhere")
         if answer.status == 409 and not sent:
             self.inputs_gone = True
+            if self.release is not None and self.inputs_freed:
+                self.release.gone()
         failure = kinds.Failure(
             kinds.Kind.REFUSED,
             f"endpoint answered {answer.status} ({verdict})",
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -1,10 +1,12 @@
 """The way of a request: its stages, its attempts, its answer."""
 
+import asyncio
 import random
 import typing
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import attempts
+from sycamoreshed.forwarding import fetching
 from sycamoreshed.forwarding import streams
 from sycamoreshed.kernel import kernel
 from sycamoreshed.staging import pieces
@@ -84,6 +86,7 @@
     def __init__(self, *, parts, stages):
         self._parts = parts
         self._stages = stages
+        self._fetch_times = fetching.FetchTimes(distance=parts.placer.distance)
 
     async def forward(self, request, sink):
         """Serve a request; return its `Outcome`.
@@ -167,16 +170,23 @@
         return await self._stages.run(job, kept, wanted_in=zone)
 
     async def _attempt(self, request, tries, sink, kept):
+        release = _Release(
+            free=lambda: self._give_up(tries, kept),
+            times=self._fetch_times,
+        )
+        tries.release = release
+        tries.renew = lambda: self._inputs(request, kept, renewed=True)
+        try:
+            return await self._send(request, tries, sink, kept, release)
+        finally:
+            release.cancel()
+
+    async def _send(self, request, tries, sink, kept, release):
         result = await tries.open()
         if isinstance(result, attempts.Opened):
-            sink.on_begin = lambda: self._begun(kept)
+            sink.on_begin = release.now
             result = await streams.pass_on(
-                result,
-                tries,
-                request,
-                sink,
-                self._parts,
-                renew=lambda: self._inputs(request, kept, renewed=True),
+                result, tries, request, sink, self._parts
             )
         if isinstance(result, streams.StreamEnd):
             return Outcome(
@@ -196,17 +206,57 @@
             return Outcome(answer=ended.answer, endpoint=ended.endpoint)
         return Outcome(failure=ended.failure, endpoint=ended.endpoint)
 
-    def _begun(self, kept):
-        """Free the inputs once the engine has begun to answer.
+    def _give_up(self, tries, kept):
+        """Free the inputs; another engine would have them made again.
 
-        Endpoints have room for the results of a few requests only.  A
-        stream that goes on at another engine, which is rare, has its
-        inputs made again.
+        Endpoints have room for the results of a few requests only.
         """
+        tries.inputs_freed = bool(kept)
         self._stages.free(kept)
         kept.clear()
 
 
+class _Release:
+    """Frees a request's inputs once its engine should have fetched them.
+
+    Parameters
+    ----------
+    free : callable
+    times : FetchTimes
+    """
+
+    def __init__(self, *, free, times):
+        self._free = free
+        self._times = times
+        self._timer = None
+        self._zone = None
+
+    def sent(self, endpoint):
+        """Note that the request is being sent to an engine."""
+        self.cancel()
+        self._zone = endpoint.zone
+        self._timer = asyncio.get_running_loop().call_later(
+            self._times.delay(endpoint.zone), self._free
+        )
+
+    def now(self):
+        """Free the inputs: the engine has begun its answer."""
+        self.cancel()
+        if self._zone is not None:
+            self._times.fetched(self._zone)
+        self._free()
+
+    def gone(self):
+        """Note that the engine did not find its inputs."""
+        self._times.gone(self._zone)
+
+    def cancel(self):
+        """Free nothing by time any more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
 @kernel.plugin("forwarder", needs=("attempts", "stages"))
 async def forwarder(core):
     """Provide the way of a request."""
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -52,7 +52,7 @@
         self.last = None
 
 
-async def pass_on(opened, tries, request, sink, parts, *, renew):
+async def pass_on(opened, tries, request, sink, parts):
     """Pass a stream on to a caller until it is whole or broken.
 
     Parameters
@@ -64,9 +64,6 @@
     sink : Sink
         ``begin(response)`` before the first event, then ``send(bytes)``.
     parts : Parts
-    renew : coroutine function
-        Returns the inputs for another engine, or a `Failure`; those of
-        the first are freed once a stream has begun.
 
     Returns
     -------
@@ -87,11 +84,6 @@
         tries.failed(opened.endpoint, failure, began)
         if not request.route.resumable or not tries.may_retry(failure):
             return _end(failure, progress, opened)
-        if progress.begun:
-            inputs = await renew()
-            if isinstance(inputs, kinds.Failure):
-                return _end(failure, progress, opened)
-            tries.inputs = inputs
         again = await tries.open(last_event_id=progress.last)
         if not isinstance(again, attempts.Opened):
             if isinstance(again, attempts.Ended) and not progress.begun:
