Wait no longer for a silent engine than for a silent read

Cause: an engine that goes dark after it took a stream gives no head.

Change: a stream that may go on elsewhere goes to another engine after twice its target as an idempotent request does. Test: time given to a first and second attempt by kind of route.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -16,9 +16,11 @@
 
 __all__ = ["Attempts", "Ended", "Opened"]
 
-# For an idempotent request: an endpoint that has not answered after this
-# many times the target hangs or is far too slow, and another one may still
-# answer in time to be of use.
+# For a request that may run again, or a stream that may go on elsewhere: an
+# endpoint that has not begun to answer after this many times the target hangs
+# or is far too slow, and another one may still answer in time to be of use.
+# An engine that went dark after it took a stream left its caller 7.5 s of
+# silence, until the deadline.
 PATIENCE_FACTOR = 2.0
 LEAST_PATIENCE_S = 0.5
 
@@ -202,7 +204,7 @@
         """
         route = self._request.route
         last = self._sent + 1 >= route.max_attempts
-        if last or not route.idempotent or choice.of < 2:
+        if last or not self._request.may_repeat or choice.of < 2:
             return left
         patience = max(LEAST_PATIENCE_S, PATIENCE_FACTOR * route.target_s)
         return min(left, patience)
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -101,6 +101,7 @@
     def __init__(self, script):
         self._script = iter(script)
         self.sent = []
+        self.given_s = []
 
     async def send(
         self, _method, address, _target, _headers, _body, *, within
@@ -108,6 +109,7 @@
         """Take the next outcome."""
         outcome = next(self._script, OUTCOMES["done"])
         self.sent.append((address, outcome))
+        self.given_s.append(within)
         if outcome.status is None:
             return kinds.Failure(
                 kinds.Kind.REFUSED, "no answer", sent=outcome.reached
--- a/sycamoreshed/forwarding/tests/test_attempts.py
+++ b/sycamoreshed/forwarding/tests/test_attempts.py
@@ -93,3 +93,25 @@
         client, _, _ = await _play(script, builders.request(idempotent=True))
         addresses = [address for address, _ in client.sent]
         assert len(set(addresses)) == len(addresses)
+
+
+@pytest.mark.parametrize(
+    ("terms", "given_s"),
+    [
+        ({"streaming": True, "resumable": True}, [2.0, 4.0]),
+        ({"idempotent": True}, [2.0, 4.0]),
+        ({"streaming": True}, [4.0]),
+        ({}, [4.0]),
+    ],
+)
+async def test_a_silent_endpoint_is_not_waited_for_to_the_deadline(
+    terms, given_s
+):
+    """An engine goes dark after it took a request, before its first event.
+
+    Its caller would see nothing for the rest of the time it has, though
+    another engine could answer; what may run once only has to wait.
+    """
+    request = builders.request(target_s=1.0, max_attempts=2, **terms)
+    client, _, _ = await _play([builders.OUTCOMES["reset"]], request)
+    assert client.given_s == given_s
