Give the attempts of a request their inputs when they are made

What frees inputs by time was set on the attempts from outside and stood in the module of the way of a request, which had grown; it is beside the times it goes by now. Two tests of streams with a stage share their set-up. The engine of one of them takes 0.4 s until its first event instead of 1 s: since a silent engine is left after twice the target, it would be left before. No change of behaviour.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -67,22 +67,32 @@
         Handles of results of stages.
     held : dict of str to int
         Bytes of those results in each zone.
+    release : Release or None
+        Frees the inputs; None if there are none.
+    renew : coroutine function
+        Returns the inputs made again, or a `Failure`.
     """
 
-    def __init__(self, *, request, parts, inputs=(), held=None):
+    def __init__(
+        self,
+        *,
+        request,
+        parts,
+        inputs=(),
+        held=None,
+        release=None,
+        renew=None,
+    ):
         self._request = request
         self._parts = parts
-        self.inputs = inputs
+        self._inputs = inputs
+        self._release = release
+        self._renew = renew
         self._held = held or {}
         self._tried = set()
         self._sent = 0
         self._may_have_run = False
         self.inputs_gone = False
-        # Set by who had the inputs made: what is told of their use, and
-        # what makes them again.
-        self.release = None
-        self.renew = None
-        self.inputs_freed = False
 
     @property
     def may_have_run(self):
@@ -120,12 +130,13 @@
                 return self._fail(
                     kinds.Kind.NO_ENDPOINT, f"no endpoint of {request.service}"
                 )
-            if self.inputs_freed:
-                inputs = await self.renew()
+            if self._release is not None and self._release.freed:
+                inputs = await self._renew()
                 if isinstance(inputs, kinds.Failure):
                     return inputs._replace(sent=self._may_have_run)
-                self.inputs = inputs
-                self.inputs_freed = False
+                self._inputs = inputs
+                self._release.freed = False
+                # That took time, in which endpoints came and went.
                 continue
             result = await self._send(
                 choice,
@@ -144,6 +155,11 @@
             if not self.may_retry(failure):
                 return result
 
+    def begun(self):
+        """Note that an endpoint has begun its answer."""
+        if self._release is not None:
+            self._release.begun()
+
     def closed(self, opened):
         """Note that the body of an answer is done with."""
         opened.response.close()
@@ -152,8 +168,9 @@
     def failed(self, endpoint, failure, began, *, reached=True):
         """Note a failed attempt."""
         now = self._parts.clock()
-        if self.release is not None:
-            self.release.cancel()
+        if self._release is not None:
+            # Another endpoint may still find the inputs.
+            self._release.cancel()
         if failure.sent:
             self._may_have_run = True
         # Inputs that are gone are no fault of the endpoint that says so.
@@ -250,13 +267,13 @@
             endpoint=endpoint.id,
             left_s=left,
             priority=request.priority.level,
-            inputs=self.inputs,
+            inputs=self._inputs,
             last_event_id=last_event_id,
         )
         began = parts.clock()
         parts.placer.begin(endpoint)
-        if self.release is not None and self.inputs:
-            self.release.sent(endpoint)
+        if self._inputs:
+            self._release.sent(endpoint)
         keep = False
         # If this is cancelled the request may have left.
         result = kinds.Failure(kinds.Kind.INTERNAL, "cancelled", sent=True)
@@ -319,8 +336,8 @@
         sent = verdict not in ("not-run", "elsewhere")
         if answer.status == 409 and not sent:
             self.inputs_gone = True
-            if self.release is not None and self.inputs_freed:
-                self.release.gone()
+            if self._release is not None:
+                self._release.gone()
         failure = kinds.Failure(
             kinds.Kind.REFUSED,
             f"endpoint answered {answer.status} ({verdict})",
--- a/sycamoreshed/forwarding/fetching.py
+++ b/sycamoreshed/forwarding/fetching.py
@@ -1,8 +1,9 @@
 """How long engines take to fetch their inputs, learnt from those that miss."""
 
+import asyncio
 import typing
 
-__all__ = ["FetchTimes"]
+__all__ = ["FetchTimes", "Release"]
 
 # After which results are given up at first, by the distance of the engine's
 # zone: a connection and the request take three ways of 1 or 20 ms, and 7 MB of
@@ -78,3 +79,56 @@
         if zone not in self._zones:
             return _Learnt(FIRST_S[self._distance(zone)])
         return self._zones[zone]
+
+
+class Release:
+    """Frees the inputs of a request once its engine should have them.
+
+    Parameters
+    ----------
+    free : callable
+        Frees the inputs; returns whether there were any.
+    times : FetchTimes
+
+    Attributes
+    ----------
+    freed : bool
+        Whether another engine has to have them made again.
+    """
+
+    def __init__(self, *, free, times):
+        self._free = free
+        self._times = times
+        self._timer = None
+        self._zone = None
+        self.freed = False
+
+    def sent(self, endpoint):
+        """Note that the request is being sent to an engine."""
+        self.cancel()
+        self._zone = endpoint.zone
+        self._timer = asyncio.get_running_loop().call_later(
+            self._times.delay(endpoint.zone), self._now
+        )
+
+    def begun(self):
+        """Note that the engine has begun its answer, and has its inputs."""
+        self.cancel()
+        if self._zone is not None:
+            self._times.fetched(self._zone)
+        self._now()
+
+    def gone(self):
+        """Note that the engine did not find its inputs."""
+        # Results that expired before they were freed say nothing of that.
+        if self.freed:
+            self._times.gone(self._zone)
+
+    def cancel(self):
+        """Free nothing by time any more."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _now(self):
+        self.freed = self._free() or self.freed
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -1,6 +1,5 @@
 """The way of a request: its stages, its attempts, its answer."""
 
-import asyncio
 import random
 import typing
 
@@ -112,13 +111,21 @@
                 # Work on pieces is no run of the request itself: it may
                 # be done again, and leaves no effect.
                 return Outcome(failure=inputs._replace(sent=False))
+            release = fetching.Release(
+                free=lambda: self._give_up(kept), times=self._fetch_times
+            )
             tries = attempts.Attempts(
                 request=request,
                 parts=self._parts,
                 inputs=inputs,
                 held=self._stages.zone_bytes(inputs, request.route.stages),
+                release=release,
+                renew=lambda: self._inputs(request, kept, renewed=True),
             )
-            outcome = await self._attempt(request, tries, sink, kept)
+            try:
+                outcome = await self._attempt(request, tries, sink)
+            finally:
+                release.cancel()
             if not tries.inputs_gone or tries.may_have_run:
                 return outcome
         return outcome
@@ -169,22 +176,10 @@
         )
         return await self._stages.run(job, kept, wanted_in=zone)
 
-    async def _attempt(self, request, tries, sink, kept):
-        release = _Release(
-            free=lambda: self._give_up(tries, kept),
-            times=self._fetch_times,
-        )
-        tries.release = release
-        tries.renew = lambda: self._inputs(request, kept, renewed=True)
-        try:
-            return await self._send(request, tries, sink, kept, release)
-        finally:
-            release.cancel()
-
-    async def _send(self, request, tries, sink, kept, release):
+    async def _attempt(self, request, tries, sink):
         result = await tries.open()
         if isinstance(result, attempts.Opened):
-            sink.on_begin = release.now
+            sink.on_begin = tries.begun
             result = await streams.pass_on(
                 result, tries, request, sink, self._parts
             )
@@ -206,55 +201,16 @@
             return Outcome(answer=ended.answer, endpoint=ended.endpoint)
         return Outcome(failure=ended.failure, endpoint=ended.endpoint)
 
-    def _give_up(self, tries, kept):
-        """Free the inputs; another engine would have them made again.
+    def _give_up(self, kept):
+        """Free the inputs; return whether there were any.
 
         Endpoints have room for the results of a few requests only.
         """
-        tries.inputs_freed = bool(kept)
+        if not kept:
+            return False
         self._stages.free(kept)
         kept.clear()
-
-
-class _Release:
-    """Frees a request's inputs once its engine should have fetched them.
-
-    Parameters
-    ----------
-    free : callable
-    times : FetchTimes
-    """
-
-    def __init__(self, *, free, times):
-        self._free = free
-        self._times = times
-        self._timer = None
-        self._zone = None
-
-    def sent(self, endpoint):
-        """Note that the request is being sent to an engine."""
-        self.cancel()
-        self._zone = endpoint.zone
-        self._timer = asyncio.get_running_loop().call_later(
-            self._times.delay(endpoint.zone), self._free
-        )
-
-    def now(self):
-        """Free the inputs: the engine has begun its answer."""
-        self.cancel()
-        if self._zone is not None:
-            self._times.fetched(self._zone)
-        self._free()
-
-    def gone(self):
-        """Note that the engine did not find its inputs."""
-        self._times.gone(self._zone)
-
-    def cancel(self):
-        """Free nothing by time any more."""
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        return True
 
 
 @kernel.plugin("forwarder", needs=("attempts", "stages"))
--- a/tests/integration/test_gateway_streams.py
+++ b/tests/integration/test_gateway_streams.py
@@ -11,6 +11,41 @@
 from tests.integration import harness
 
 
+def one_result():
+    """Return an endpoint whose results have a new name in each call."""
+    endpoint = scripted.Endpoint(
+        harness.pieces_script(lambda _: {"handle": f"h{len(endpoint.seen)}"})
+    )
+    return endpoint
+
+
+async def call_with_stage(store, folder, engine, first=None):
+    """Send a stream with one stage to two like engines.
+
+    Returns
+    -------
+    (int, bytes)
+        Status and body of the answer.
+    """
+    first = one_result() if first is None else first
+    stages = [{"service": "first", "after": [], "size_bytes": 8000}]
+    services = [wiredata.service(), wiredata.piece_service("first")]
+    document = harness.stream_route(stages=stages, resumable=True)
+    store.put("op", "config", {**document, "services": services})
+    await first.start()
+    store.put("servers", "i-9", wiredata.beat(first.address, service="first"))
+    async with harness.endpoints(store, engine, engine):
+        async with harness.serving(store, folder) as (gateway, session):
+            status, _, body = await harness.call(
+                session,
+                gateway,
+                "POST",
+                headers=wiredata.head(pieces="1", piece_key="k"),
+            )
+    await first.stop()
+    return status, body
+
+
 async def test_a_resumable_stream_goes_on_at_another_engine(store, tmp_path):
     """An engine crashes in the middle of its second event.
 
@@ -69,10 +104,6 @@
     of a new request have to be done is over. They are made again for the
     other engine.
     """
-    stages = [{"service": "first", "after": [], "size_bytes": 8000}]
-    services = [wiredata.service(), wiredata.piece_service("first")]
-    document = harness.stream_route(stages=stages, resumable=True)
-    store.put("op", "config", {**document, "services": services})
     sent = []
 
     def crash_or_go_on(seen):
@@ -85,20 +116,7 @@
             return
         yield harness.event(1)
 
-    first = scripted.Endpoint(
-        harness.pieces_script(lambda _: {"handle": f"h{len(first.seen)}"})
-    )
-    await first.start()
-    store.put("servers", "i-9", wiredata.beat(first.address, service="first"))
-    async with harness.endpoints(store, crash_or_go_on, crash_or_go_on):
-        async with harness.serving(store, tmp_path) as (gateway, session):
-            status, _, body = await harness.call(
-                session,
-                gateway,
-                "POST",
-                headers=wiredata.head(pieces="1", piece_key="k"),
-            )
-    await first.stop()
+    status, body = await call_with_stage(store, tmp_path, crash_or_go_on)
     assert (status, body) == (200, harness.event(0) + harness.event(1))
     assert len(sent) == 2 and sent[0] != sent[1]
 
@@ -169,22 +187,18 @@
 async def test_results_are_freed_while_an_engine_reads_its_prompt(
     store, tmp_path
 ):
-    """An engine takes a second until its first event.
+    """An engine takes a while until its first event.
 
     It has fetched its inputs by then.  Held all the time, they fill the
     room of their endpoints, and other callers are refused for want of it.
     The engine then crashes, and another one needs the inputs once more.
     """
-    stages = [{"service": "first", "after": [], "size_bytes": 8000}]
-    services = [wiredata.service(), wiredata.piece_service("first")]
-    document = harness.stream_route(stages=stages, resumable=True)
-    store.put("op", "config", {**document, "services": services})
     sent = []
 
     def crash_or_answer(seen):
         sent.append(seen.headers.get("x-sycamoreshed-inputs"))
         if len(sent) == 1:
-            yield 1.0
+            yield 0.4
             freed.extend(each.target for each in first.seen)
             yield scripted.RESET
             return
@@ -192,20 +206,10 @@
         yield harness.event(0)
 
     freed = []
-    first = scripted.Endpoint(
-        harness.pieces_script(lambda _: {"handle": f"h{len(first.seen)}"})
+    first = one_result()
+    status, body = await call_with_stage(
+        store, tmp_path, crash_or_answer, first
     )
-    await first.start()
-    store.put("servers", "i-9", wiredata.beat(first.address, service="first"))
-    async with harness.endpoints(store, crash_or_answer, crash_or_answer):
-        async with harness.serving(store, tmp_path) as (gateway, session):
-            status, _, body = await harness.call(
-                session,
-                gateway,
-                "POST",
-                headers=wiredata.head(pieces="1", piece_key="k"),
-            )
-    await first.stop()
     assert "/v1/stage-free" in freed
     assert (status, body) == (200, harness.event(0))
     assert len(sent) == 2 and sent[0] != sent[1]
