Expect waits as long as they are seen to be

Cause: jobs were taken on by the work ahead of them alone.

Ruled out: a longer time that results take room, which is a number of one deployment.

Change: a factor on the work ahead follows the waits of jobs that were done, so that six in ten wait no longer than expected.

--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -95,6 +95,8 @@
             # waits no longer than that either.
             async with asyncio.timeout(plan.until - now + GRACE_S):
                 result = await self._run(plan)
+            if not isinstance(result, kinds.Failure):
+                self._plans.done(plan, self._clock())
         except TimeoutError:
             result = kinds.Failure(kinds.Kind.HOPELESS, "results are late")
         finally:
--- a/sycamoreshed/staging/tests/test_loads.py
+++ b/sycamoreshed/staging/tests/test_loads.py
@@ -122,3 +122,21 @@
             urgent_share += in_time(told, "urgent") / 4
             patient_share += in_time(told, "patient") / 4
         assert urgent_share >= patient_share
+
+
+def test_nine_in_ten_that_are_taken_on_end_in_time():
+    """Requests come faster than a zone's stages can work.
+
+    Room frees in pieces, calls go out part full and later requests overtake,
+    so that waits are longer than the work ahead tells.  Taken on by that
+    alone, one in seven ended late, and its caller had waited for little.
+    """
+    for kind in ("urgent", "patient"):
+        done = on_time = 0
+        for seed in range(4):
+            load = arrivals({urgent: 2.4, patient: 1.4}, seconds=60, seed=seed)
+            for each in played(load):
+                if each.kind == kind:
+                    done += each.is_done
+                    on_time += each.in_time
+        assert on_time >= 0.9 * done
