--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -11,6 +11,7 @@
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import pool
 from sycamoreshed.staging import usage
+from sycamoreshed.staging import waits
 
 __all__ = ["Coming", "Plan", "Plans"]
 
@@ -64,20 +65,6 @@
 LATE_FACTOR = 1.6
 
 
-# How the wait that a job is taken on with follows what was seen: a factor on
-# the work ahead.  So many of the jobs should wait no longer than expected; a
-# job moves the factor by a step at the most, so that some ten jobs, a second
-# or two of a zone under load, tell.  The bounds keep a zone that was slow for
-# a while from refusing everybody afterwards.
-FIRST_DRIFT = 1.0
-DRIFT_QUANTILE = 0.6
-DRIFT_STEP = 0.1
-LEAST_DRIFT = 0.7
-MOST_DRIFT = 4.0
-# Shorter waits tell nothing of the work ahead.
-LEAST_EXPECTED_S = 0.1
-
-
 # A job is given this many times the least time that its stages take, where
 # its route's target leaves less: otherwise requests of a route with a tight
 # target were refused by stages that have nothing to do.
@@ -122,31 +109,6 @@
         return self.is_late, urgency, self.order
 
 
-class _Drift:
-    """By how much longer jobs wait than the work ahead of them tells.
-
-    Notes
-    -----
-    Calls go out part full, room frees in pieces that a request's results do
-    not fit into, and later jobs overtake.  Taken on as if none of that were,
-    one in seven of a zone's jobs ended late under load, in which time others
-    could have been in time; with it one in fourteen (played by a test).
-    """
-
-    def __init__(self):
-        self.factor = FIRST_DRIFT
-
-    def observe(self, expected_s, took_s):
-        """Take in how long a job waited, of which so much was expected."""
-        if expected_s < LEAST_EXPECTED_S:
-            return
-        if took_s > self.factor * expected_s:
-            self.factor += DRIFT_STEP * DRIFT_QUANTILE
-        else:
-            self.factor -= DRIFT_STEP * (1 - DRIFT_QUANTILE)
-        self.factor = min(MOST_DRIFT, max(LEAST_DRIFT, self.factor))
-
-
 class Coming(typing.NamedTuple):
     """Pieces that will wait as soon as a call of the stage before ends."""
 
@@ -195,7 +157,7 @@
         self._coming = {}
         self._order = 0
         self._shares = {}
-        self._drift = _Drift()
+        self._waits = waits.WaitFactor()
         self._usage = usage.TeamUsage()
 
     def admit(self, job, now):
@@ -227,7 +189,7 @@
         )
         ahead = self._busy(plan)
         plan = plan._replace(began=now, ahead_s=ahead)
-        busy = self._drift.factor * ahead
+        busy = self._waits.factor * ahead
         if now + busy + least + (reserve if busy else 0.0) > plan.aim:
             plan = plan._replace(is_late=True)
             if not self._is_late_worth(plan, least, now):
@@ -249,7 +211,7 @@
         while those keep coming.  Where nothing is ahead it is done as
         fast as it ever can be.
         """
-        busy = self._drift.factor * self._busy(plan)
+        busy = self._waits.factor * self._busy(plan)
         if busy:
             return (busy + least) * LATE_FACTOR <= plan.job.until_s
         return now + least <= plan.until
@@ -278,7 +240,7 @@
         """Learn from a job whose results are all there."""
         if not plan.is_late:
             waited = now - plan.began - self._least(plan.job)
-            self._drift.observe(plan.ahead_s, waited)
+            self._waits.observe(plan.ahead_s, waited)
 
     def drop(self, plan):
         """Forget a job that is done or given up."""
@@ -384,7 +346,7 @@
 
     def expected_end(self, plan, now):
         """Return when all results of a job should be there."""
-        busy = self._drift.factor * self._busy(plan)
+        busy = self._waits.factor * self._busy(plan)
         return now + busy + self._least(plan.job)
 
     def _busy(self, plan):
