--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -63,7 +63,7 @@
     @staticmethod
     def piece_call(items, *, endpoint, now):
         """Return path, headers and body of a call."""
-        return "run", {}, (now, list(items))
+        return "run", {}, list(items)
 
     @staticmethod
     def read_pieces(raw):
@@ -77,7 +77,7 @@
 
 
 class _Endpoint:
-    """Works on one call at a time and holds results."""
+    """Works on one call at a time and holds results until they are freed."""
 
     def __init__(self, *, name, spec, sizes, clock):
         self._name = name
@@ -86,21 +86,18 @@
         self._clock = clock
         self._turn = asyncio.Lock()
         self._held = {}
-        self.busy_s = 0.0
-        self.wasted = 0
 
-    async def work(self, sent_at, items):
+    async def work(self, items):
         """Work on a call; return its results."""
         async with self._turn:
             now = self._clock()
-            made = [self._take(each, sent_at, now) for each in items]
+            made = [self._take(each, now) for each in items]
             count = sum(each.handle is not None for each in made)
             took = self._spec.call_s + count * self._spec.piece_s
-            self.busy_s += took
             await asyncio.sleep(took)
             return made
 
-    def _take(self, item, sent_at, now):
+    def _take(self, item, now):
         if now > item.until:
             return _Made(None, "late")
         size = self._sizes[item.stage]
@@ -166,7 +163,7 @@
 
     async def send(self, _method, address, _path, _headers, body, *, within):
         """Answer a call with pieces."""
-        return _Response(await self.endpoints[address].work(*body))
+        return _Response(await self.endpoints[address].work(body))
 
     async def tell(self, address, _path, _headers, body, *, within):
         """Answer a call that frees results."""
