Do not run a request again after it was answered

Cause: an engine that finds its inputs gone says so, the request goes to another engine and is answered; that the first one had found them gone was still noted, so the request's stages were made and it was run once more. A caller of a stream got a second answer within the first; a request that may run once only would run twice.

Ruled out: a stream that goes on elsewhere (one head is written); two requests on one connection.

Change: the note is of one attempt only, and nothing is run after an answer. Test: an engine without inputs, then one that answers: two runs before, one now.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -261,6 +261,9 @@
         parts, request = self._parts, self._request
         endpoint = choice.endpoint
         self._tried.add(endpoint.id)
+        # Of this attempt only: were it still set when a later engine has
+        # answered, the request would be run once more.
+        self.inputs_gone = False
         headers = parts.codec.forwarded_headers(
             request.headers,
             team=request.team.name if request.team else None,
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -126,6 +126,8 @@
                 outcome = await self._attempt(request, tries, sink)
             finally:
                 release.cancel()
+            if outcome.failure is None or outcome.begun:
+                return outcome
             if not tries.inputs_gone or tries.may_have_run:
                 return outcome
         return outcome
