Serve what reached an instance before it was stopped

Callers saw: 503 "draining" for requests that they had sent before the instance was told to stop.

Cause: the grace is a timer. An instance that is short of processor time, or was paused, still has requests in its socket buffers when it fires, and refused them as it read them.

Change: after the grace the instance accepts until three looks of 20 ms in a row brought no new request, each of them on time, for a second at most. Entry daemon and gateway share the wait. The unit test of the drain has a stand-in for the new wait; its checks are as they were.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sycamoreshed.entry import answers
+from sycamoreshed.entry import backlog
 from sycamoreshed.entry import events
 from sycamoreshed.entry import guard
 from sycamoreshed.entry import parsing
@@ -40,6 +41,7 @@
         self._once = core.part("once")
         self._metrics = core.part("metrics")
         self._open = 0
+        self._taken = 0
         self._runs = set()
         self._latest = 0.0
         self.accepting = True
@@ -61,6 +63,10 @@
         """Latest deadline of any request taken in, monotonic seconds."""
         return self._latest
 
+    async def drained(self):
+        """Return once the requests that have arrived are read."""
+        await backlog.drained(lambda: self._taken, self._core.clock)
+
     def routes(self):
         """Return the routes of the interface."""
         return [
@@ -72,6 +78,7 @@
 
     async def call(self, http):
         """Run a pipeline and answer."""
+        self._taken += 1
         refusal = self._refusal()
         if refusal is not None:
             return self._refuse(refusal)
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -64,8 +64,9 @@
 async def drain(core):
     """Wait for the stop, then until no request is in flight.
 
-    After the grace a request that comes on any connection, also on one
-    kept open, is answered with kind ``draining``.
+    What arrives during the grace is served, also if the process could not
+    read it until later.  A request that comes after that on any connection,
+    also on one kept open, is answered with kind ``draining``.
 
     Notes
     -----
@@ -76,9 +77,10 @@
     await core.stopping.wait()
     settings = core.settings
     logger.info("stopping: not ready any more")
-    await asyncio.sleep(settings.grace_s)
-    core.part("callers").accepting = False
     callers = core.part("callers")
+    await asyncio.sleep(settings.grace_s)
+    await callers.drained()
+    callers.accepting = False
     end = core.clock() + settings.drain_s
     while callers.in_flight:
         # Each request ends by its deadline, so waiting until the latest
--- a/sycamoreshed/entry/tests/test_servers.py
+++ b/sycamoreshed/entry/tests/test_servers.py
@@ -17,6 +17,9 @@
         self.latest_deadline = deadline
         self.accepting = True
 
+    async def drained(self):
+        """Return at once: nothing waits to be read."""
+
     @property
     def in_flight(self):
         return int(self._clock() < self._until)
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from sycamoreshed.entry import backlog
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding import requests
@@ -86,12 +87,14 @@
         self._clock = clock
         self._stopping = stopping
         self._waited = patience.Patience()
+        self._taken = 0
         self.in_flight = 0
         self.accepting = True
 
     async def __call__(self, http):
         """Answer one request."""
         began = self._clock()
+        self._taken += 1
         self.in_flight += 1
         route = None
         head = self._codec.read_head(http.headers)
@@ -127,6 +130,10 @@
         finally:
             self.in_flight -= 1
 
+    async def drained(self):
+        """Return once the requests that have arrived are read."""
+        await backlog.drained(lambda: self._taken, self._clock)
+
     async def _admit(self, http, head, began):
         """Return the `Request`, or the `Failure` that refuses it."""
         configuration = self._catalog.configuration
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -80,6 +80,7 @@
     journal = core.part("journal")
     journal.write("stop", in_flight=handler.in_flight)
     await asyncio.sleep(min(ACCEPT_S, core.settings.grace_s / 2))
+    await handler.drained()
     handler.accepting = False
     end = began + core.settings.grace_s - MARGIN_S
     inner = core.part("inner")
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -136,6 +136,24 @@
     assert code == 0
 
 
+async def test_stop_serves_what_arrived_during_a_pause():
+    """Requests that arrive before SIGTERM are not refused as "draining"."""
+    async with processes.cluster() as cluster:
+        daemon = cluster.daemons[0]
+        daemon.send_signal(signal.SIGSTOP)
+        calls = [
+            asyncio.create_task(cluster.call(0, "summary", {"input": n}))
+            for n in range(100)
+        ]
+        await asyncio.sleep(0.2)
+        daemon.send_signal(signal.SIGTERM)
+        daemon.send_signal(signal.SIGCONT)
+        answers = await asyncio.gather(*calls)
+        code = await daemon.stop()
+    assert [status for status, _, _ in answers] == [200] * 100
+    assert code == 0
+
+
 async def test_cut_off_instance_still_serves_reads():
     """A daemon loses the platform; reads need only endpoints."""
     platform = ("table", "objects", "instances")
