Let only large instances of a zone coordinate its stages

On a deployment with 3 instances of 2.15 cores and 29 of 0.516 in a zone the hash made one of the small ones coordinate all stages of the zone nine times of ten. Instances with less than half of the largest one's processor time are left out, as for readers; where all are of one size nothing changes.

--- a/sycamoreshed/catalog/tests/test_peers.py
+++ b/sycamoreshed/catalog/tests/test_peers.py
@@ -94,3 +94,16 @@
     catalog.add("a", boot=2)
     assert not book.gone()
     book.answered("a")
+
+
+def test_small_instances_do_not_work_for_others(book, catalog):
+    """A small one is late with the stages and the news of its whole zone."""
+    catalog.add("a", boot=1, cores=2.15)
+    catalog.add("b", boot=1, cores=0.516)
+    assert set(book.able("north-a", 0.0)) == {"a"}
+    book.failed("a", 0.0, "no answer")
+    assert set(book.able("north-a", 0.1)) == {"b"}
+
+
+def test_instances_of_one_size_all_work_for_others(book):
+    assert set(book.able("north-a", 0.0)) == {"own", "a", "b"}
