Tell all rows to whoever stands between two whole copies

Found by the random test of replicas, run with its new rule of telling changes on. A reader that had read a table anew knows which rows differ between its two copies, not which changed and changed back in between. An instance that had heard the middle from another reader, and asked this one, kept the middle value: a key that was revoked, or an endpoint that had come back. Such an instance is now told the whole table (16 gaps are remembered; older versions get the whole table as well).

The random test's own feed left out rows that were written and are as they were before. The store's feed tells them, since it goes by their version (trace: b = 1, b = 2, told; b = 1, changes since the first). The rule now goes by writes; the invariant and the planted fault are as they were. A directed test was red before the change.

--- a/sycamoreshed/catalog/replica.py
+++ b/sycamoreshed/catalog/replica.py
@@ -13,6 +13,8 @@
 UNKNOWN = -1
 # Removed rows that are remembered for `Replica.changes`.
 MOST_TOMBSTONES = 1000
+# Gaps between whole copies that are remembered for the same.
+MOST_GAPS = 16
 
 
 class Copy(typing.NamedTuple):
@@ -28,6 +30,11 @@
     rows: dict
 
 
+class _Gap(typing.NamedTuple):
+    first: int
+    last: int
+
+
 class Replica:
     """The newest copy of a table that this process has seen.
 
@@ -50,6 +57,7 @@
         self._copy = Copy(UNKNOWN, {})
         self._changed = {}
         self._tombstones = {}
+        self._gaps = []
         self._floor = UNKNOWN
 
     @property
@@ -87,6 +95,8 @@
         """
         if after < self._floor or not self.known:
             return None
+        if any(gap.first < after < gap.last for gap in self._gaps):
+            return None
         return {
             key: self.rows.get(key)
             for changed in (self._changed, self._tombstones)
@@ -99,7 +109,9 @@
         if version <= self.version:
             return False
         before = self.rows
-        if not self.known:
+        if self.known:
+            self._note_gap(version)
+        else:
             self._floor = version
         keys = {key for key in before if key not in rows}
         keys.update(k for k, value in rows.items() if before.get(k) != value)
@@ -134,6 +146,12 @@
         self._take(merged, keys, version)
         return True
 
+    def _note_gap(self, version):
+        """Remember that rows may have changed and changed back unseen."""
+        self._gaps.append(_Gap(self.version, version))
+        if len(self._gaps) > MOST_GAPS:
+            self._floor = max(self._floor, self._gaps.pop(0).last)
+
     def _take(self, rows, keys, version):
         """Make `rows` the copy, of which `keys` may differ from before."""
         for key in keys:
@@ -145,5 +163,6 @@
                 self._tombstones[key] = version
         while len(self._tombstones) > MOST_TOMBSTONES:
             oldest = next(iter(self._tombstones))
-            self._floor = self._tombstones.pop(oldest)
+            removed_at = self._tombstones.pop(oldest)
+            self._floor = max(self._floor, removed_at)
         self._copy = Copy(version, rows)
--- a/sycamoreshed/catalog/tests/test_replica.py
+++ b/sycamoreshed/catalog/tests/test_replica.py
@@ -1,5 +1,7 @@
 """A copy of a table never goes back, whatever comes in which order."""
 
+import itertools
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -53,11 +55,28 @@
         version = last % len(self.history)
         if version < since:
             return
-        old, new = self.history[since], self.history[version]
-        rows = [(key, new.get(key)) for key in KEYS]
-        rows = [(k, v) for k, v in rows if v != old.get(k)]
+        new = self.history[version]
+        rows = [
+            (k, new.get(k))
+            for k in KEYS
+            if self.has_changed(k, since, version)
+        ]
         self.replica.apply(rows, since, version)
 
+    def has_changed(self, key, since, version):
+        """Return whether a row was written, also if it is as it was."""
+        span = self.history[since : version + 1]
+        return any(
+            old.get(key) != new.get(key)
+            for old, new in itertools.pairwise(span)
+        )
+
+    @stateful.rule(point=strategies.integers(0, 100))
+    def follow_another(self, point):
+        """Let the follower get a whole copy from elsewhere."""
+        version = point % len(self.history)
+        self.follower.replace(self.history[version], version)
+
     @stateful.rule()
     def relay(self):
         """Tell another replica what changed since its version."""
@@ -116,6 +135,16 @@
     raise AssertionError("the planted fault was not found")
 
 
+def test_a_row_that_changed_back_between_whole_copies_is_told():
+    """An instance that saw it changed would keep it, told by a reader."""
+    reader, other = replica.Replica(), replica.Replica()
+    reader.replace({"a": b"1"}, 1)
+    other.replace({"a": b"2"}, 2)
+    reader.replace({"a": b"1", "b": b"1"}, 3)
+    assert reader.changes(1) == {"b": b"1"}
+    assert reader.changes(other.version) is None
+
+
 def test_a_replica_that_forgot_a_removal_tells_all_rows(monkeypatch):
     """A row that was removed would stay at those who are told changes."""
     monkeypatch.setattr(replica, "MOST_TOMBSTONES", 1)
