Hold a call at a reader that knows nothing yet

A starting instance that others already take for their reader answered at once that a table is unknown, and was asked again at once, for as long as its first copies took. The test asks an instance that the store refuses: 0.0 s before, held for the second it was asked for now.

--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -85,13 +85,19 @@
     def _has_news(self, ask):
         if self._is_current != ask.was_current:
             return True
-        for table in self._catalog.tables:
-            changed = self._catalog.replica(table).changes(
-                ask.versions.get(table, -1)
+        return any(
+            self._is_newer(
+                self._catalog.replica(table), ask.versions.get(table, -1)
             )
-            if changed is None or changed:
-                return True
-        return False
+            for table in self._catalog.tables
+        )
+
+    @staticmethod
+    def _is_newer(replica, version):
+        if replica.version <= version:
+            return False
+        changed = replica.changes(version)
+        return changed is None or bool(changed)
 
     async def _changed(self, timeout):
         waits = [
--- a/sycamoreshed/catalog/tests/test_relay.py
+++ b/sycamoreshed/catalog/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sycamoreshed.catalog import news
 from sycamoreshed.catalog import reading
 from testkit import relayzone
 from testkit import virtualtime
@@ -76,6 +77,20 @@
     assert played(scenario) <= 3 * SIZE + 12
 
 
+def test_a_reader_that_knows_nothing_yet_holds_the_call():
+    """Whoever asks it would ask again at once, as often as it can."""
+
+    async def scenario(zone):
+        zone.store.refuses.add("late")
+        unready = zone.add("late")
+        began = zone.clock()
+        asked = news.Ask({"settings": 1}, False, 1.0)
+        await unready.teller.answer(asked)
+        return zone.clock() - began
+
+    assert played(scenario) >= 1.0
+
+
 def test_a_change_is_told_at_once():
     """Instances would serve by the old configuration until they ask again."""
 
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -202,12 +202,15 @@
         for number, name in enumerate(names):
             row = catalogs.Peer(name, ZONE, name, 1, cores(number))
             self.store.put(catalogs.PEERS, name, msgspec.json.encode(row))
-        self.instances = {
-            name: _Instance(
-                zone=self, name=name, cores=cores(number), clock=self.clock
-            )
-            for number, name in enumerate(names)
-        }
+        self.instances = {}
+        for number, name in enumerate(names):
+            self.add(name, cores(number))
+
+    def add(self, name, cores=1.0):
+        """Start an instance and return it."""
+        made = _Instance(zone=self, name=name, cores=cores, clock=self.clock)
+        self.instances[name] = made
+        return made
 
     @property
     def readers(self):
