--- a/sycamoreshed/gateway/inner.py
+++ b/sycamoreshed/gateway/inner.py
@@ -103,6 +103,7 @@
         "handler",
         "journal",
         "peers",
+        "reading",
         "registering",
         "relay",
     ),
@@ -120,6 +121,7 @@
             "ready": catalog.ready and not core.stopping.is_set(),
             "in_flight": core.part("handler").in_flight,
             "peers": sorted(catalog.peers),
+            "reader": core.part("reading").reader(now),
             "settings_age_s": round(min(1e6, catalog.age("settings", now)), 2),
             "endpoints_age_s": round(
                 min(1e6, catalog.age("endpoints", now)), 2
--- a/tests/integration/test_gateway_readers.py
+++ b/tests/integration/test_gateway_readers.py
@@ -67,7 +67,11 @@
     async with zone(store, tmp_path) as found:
         before = len(store.calls)
         await asyncio.sleep(8.0)
-        assert reader(found) in found
+        control = reader(found).control
+        told = [(await each.status())["reader"] for each in found]
+        assert sorted(told, key=str) == sorted(
+            [None, *[control] * (SIZE - 1)], key=str
+        )
         # Three tables, calls of 3.5 s and more; each by itself makes 5 each
         # 8 s, thirty in all.
         assert len(store.calls) - before <= 12
