Wait for the order of this round before the holder is paused

The listed failure "never came about: the late order at an engine": the wait before the pause took any earlier failed order of the holder for the one it needs. Beside load an order of the first version times out, and the holder was paused too early.

--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -129,10 +129,13 @@
             for name in names(specs):
                 await cluster.faults(name, **late)
             stale, new = f"v{version}", f"v{version + 1}"
+            before = await _given(cluster, first, "refused")
             await place(cluster, version, "changed", placement(stale, 2))
             # The order of the version that nobody wants any more leaves.
             await until(
-                lambda index=first: _gave(cluster, index, "refused"),
+                lambda index=first, least=before: _gave_more(
+                    cluster, index, "refused", least
+                ),
                 what="an order whose answer was lost",
             )
             cluster.daemons[first].send_signal(signal.SIGSTOP)
@@ -162,12 +165,20 @@
     assert refused == (stale if checks else [0, 0])
 
 
-async def _gave(cluster, index, outcome):
+async def _given(cluster, index, outcome):
+    """Return how many orders of a daemon had an outcome."""
     address = cluster.daemons[index].public
-    name = f'sycamoreshed_engine_orders_total{{outcome="{outcome}"}}'
+    name = f'sycamoreshed_engine_orders_total{{outcome="{outcome}"}} '
     url = f"http://{address}/metrics"
     async with cluster.session.get(url) as answer:
-        return name in await answer.text()
+        for line in (await answer.text()).splitlines():
+            if line.startswith(name):
+                return float(line.removeprefix(name))
+    return 0.0
+
+
+async def _gave_more(cluster, index, outcome, least):
+    return await _given(cluster, index, outcome) > least
 
 
 async def _stale(cluster, specs, least):
