Name the reader's protocol in the usual terms

An instance watches the zone's reader with requests that are held until a table changes: WatchClient, WatchServer, WatchRequest, Update. Debounce in place of Gathering; constants of the catalog lose the story of their values. Behaviour is as it was; the path between instances is /control/watch.

--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -13,13 +13,13 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import catalog as catalogs
-from sycamoreshed.catalog import news
 from sycamoreshed.catalog import reading
 from sycamoreshed.catalog import signals
+from sycamoreshed.catalog import updates
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Follower", "Gathering", "longest_wait"]
+__all__ = ["Follower", "Debounce", "longest_wait"]
 
 # After the time for which the store may hold a call, it counts as lost: a
 # connection that went silent is found by that alone.
@@ -30,36 +30,33 @@
 # `longest_wait`.
 READ_ANEW_S = 0.5
 LEAST_WAIT_S = 1.0
-# Peers' rows change when instances start; nobody waits for them.
+# Peers' rows change when instances start; nothing waits for them.
 PEERS_WAIT_S = 10.0
-# After changes, before the next call: what changes meanwhile comes with one
-# answer.  When 88 instances start together each would otherwise be told of
-# each other one by one, some 7,000 calls.  Endpoints that leave and keys that
-# are revoked have seconds, so a little is enough to gather them.
+# Pause between changes and the next call, so that one answer brings several
+# changes.  Instances that start together would otherwise be reported to each
+# other one by one.
 PEERS_REST_S = 1.5
 REST_S = 0.1
-# After all rows were read, until a reader of the zone may have answered.
+# Pause after the first full read, in which the zone's reader may answer.
 FIRST_REST_S = 0.05
-# While changes keep coming, as when 200 endpoints start or a service is
-# replaced, the pause doubles up to this share of the time in which a new
-# configuration has to be known (0.5 s of 2.5 s).  What comes after a quiet
-# time is known at once all the same.
+# While changes keep coming the pause doubles, up to this share of the time in
+# which a new configuration has to be known.
 MOST_REST_SHARE = 0.2
-# A call that is answered sooner found changes that came during the pause.
+# A call answered sooner than this found changes made during the pause.
 AT_ONCE_S = 0.1
 # Between attempts at a store that fails; doubles up to the longest.
 RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
-# Between attempts of an instance that another one tells when the store is
-# back: the store may turn away the other one alone.
+# Between attempts of an instance whose reader finds out when the store is
+# back: the store may refuse the reader alone.
 PROBE_S = 3.0
 PEER_TIMEOUT_S = 0.7
 READ_TIMEOUT_S = 2.0
 PATH = "/control/catalog"
 
 
-class Gathering:
-    """How long changes of a table are gathered before the next call.
+class Debounce:
+    """Pause between calls, longer while changes keep coming.
 
     Parameters
     ----------
@@ -68,10 +65,10 @@
 
     Examples
     --------
-    >>> gathering = Gathering(least=0.1, most=0.5)
-    >>> [gathering.pause(0.01) for _ in range(4)]
+    >>> debounce = Debounce(least=0.1, most=0.5)
+    >>> [debounce.pause(0.01) for _ in range(4)]
     [0.2, 0.4, 0.5, 0.5]
-    >>> gathering.pause(3.0)
+    >>> debounce.pause(3.0)
     0.1
     """
 
@@ -96,12 +93,12 @@
 
 
 class StoreAccess:
-    """Whether this instance asks the store, and whether the store answers.
+    """Whether this instance reads the store, and whether the store answers.
 
     Attributes
     ----------
     is_relayed : bool
-        Whether another instance tells this one what it knows.
+        Whether a reader keeps this instance up to date.
     """
 
     def __init__(self):
@@ -122,14 +119,14 @@
         """Whether the store does not answer for a table that is followed."""
         return bool(self._lost)
 
-    def use(self, is_wanted):
-        """Let the tables be read from the store, or not."""
-        if is_wanted:
+    def enable(self, is_enabled):
+        """Start or stop reading the tables from the store."""
+        if is_enabled:
             self._open.set()
         else:
             self._open.clear()
 
-    async def wait(self):
+    async def wait_enabled(self):
         """Wait until the store is to be read."""
         await self._open.wait()
 
@@ -147,7 +144,7 @@
             self._changed.fire()
 
     def is_probed(self, table):
-        """Return whether another table finds out if the store is back."""
+        """Return whether another table's calls probe the store."""
         return bool(self._lost) and self._lost[0] != table
 
     async def pause(self, seconds):
@@ -166,7 +163,7 @@
         Name of the table in the store.
     wait : callable
         Returns the seconds a call may wait for changes.
-    gathering : Gathering
+    debounce : Debounce
         Tells the pause between changes and the next call.
     rest_s : float
         Pause after all rows were read.
@@ -185,7 +182,7 @@
         table,
         remote,
         wait,
-        gathering,
+        debounce,
         rest_s=FIRST_REST_S,
         store,
         catalog,
@@ -198,7 +195,7 @@
         self._table = table
         self._remote = remote
         self._wait = wait
-        self._gathering = gathering
+        self._gathering = debounce
         self._rest_s = rest_s
         self._store = store
         self._catalog = catalog
@@ -215,7 +212,7 @@
         pause = RETRY_S
         whole = True
         while True:
-            await self._access.wait()
+            await self._access.wait_enabled()
             if self._leaves_probe():
                 await self._do_without(LONGEST_RETRY_S)
                 continue
@@ -245,7 +242,7 @@
             whole = False
 
     def _leaves_probe(self):
-        """Return whether it shows otherwise when the store is back."""
+        """Return whether something else finds out when the store is back."""
         if not self._lost:
             return False
         if self._access.is_probed(self._table):
@@ -254,7 +251,7 @@
         return self._access.is_relayed and asked_s < PROBE_S
 
     async def _do_without(self, seconds):
-        """Wait for the store, and hear from others meanwhile."""
+        """Wait before the next attempt, and ask peers meanwhile."""
         if not self._access.is_relayed:
             await self._ask_peers()
         await self._access.pause(seconds * random.uniform(0.5, 1.0))
@@ -327,17 +324,17 @@
                 self._peers.failed(peer, now, str(reply))
                 continue
             self._peers.answered(peer)
-            self._take_news(reply.body, now, peer)
+            self._apply_update(reply.body, now, peer)
             return
 
-    def _take_news(self, body, now, peer):
+    def _apply_update(self, body, now, peer):
         try:
-            found = msgspec.convert(body, news.TableNews)
+            found = msgspec.convert(body, updates.TableUpdate)
         except msgspec.ValidationError as err:
             self._journal.write("peer_bad", peer=peer, why=str(err))
             return
         found = found._replace(table=self._table)
-        news.take(self._catalog, found, now, peer)
+        updates.apply_update(self._catalog, found, now, peer)
 
 
 def longest_wait(stable_s):
@@ -389,7 +386,7 @@
             table=table,
             remote=remote,
             wait=(lambda: PEERS_WAIT_S) if peers else wait,
-            gathering=Gathering(
+            debounce=Debounce(
                 least=PEERS_REST_S if peers else REST_S,
                 most=PEERS_REST_S if peers else most,
             ),
--- a/sycamoreshed/catalog/peers.py
+++ b/sycamoreshed/catalog/peers.py
@@ -21,7 +21,7 @@
 
 
 # Of the processor time of the largest instance of a zone.
-ABLE_SHARE = 0.5
+ELIGIBLE_SHARE = 0.5
 
 
 class _Lost(typing.NamedTuple):
@@ -104,18 +104,18 @@
         """
         return {name: each.control for name, each in self._at(zone, now)}
 
-    def able(self, zone, now):
+    def eligible(self, zone, now):
         """Return those of a zone's instances that may work for the others.
 
-        Where sizes differ the small ones are left out: they would be the
-        first to be late, and with them all they work for.
+        Much smaller instances are left out: they would slow down the whole
+        zone.
         """
         found = self._at(zone, now)
         largest = max((each.cores for _, each in found), default=0.0)
         return {
             name: each.control
             for name, each in found
-            if each.cores >= ABLE_SHARE * largest
+            if each.cores >= ELIGIBLE_SHARE * largest
         }
 
     def size(self, zone):
--- a/sycamoreshed/catalog/reading.py
+++ b/sycamoreshed/catalog/reading.py
@@ -1,8 +1,8 @@
-"""Decides which instances of a zone read the store for the others.
+"""Decides which instance of a zone reads the store for the others.
 
-A reader is agreed by rendezvous hashing over the instances of the zone that
-answer, without a message.  Where instances disagree, or a reader cannot be
-reached by some, there is one reader more for a while.
+The reader is chosen by rendezvous hashing over the instances that answer,
+without a message.  Instances that disagree, or cannot reach it, have a second
+reader for a while.
 """
 
 import typing
@@ -11,17 +11,17 @@
 
 __all__ = ["ReadingRole", "reader_wait"]
 
-# For this long after it was asked an instance reads for others.
+# An instance reads for others until this long after their last request.
 ASKED_S = 5.0
-# For this long another reader is taken after one did not answer; doubles
-# each time up to the longest.
+# How long a reader that did not answer is skipped; doubles each time up to
+# the longest.
 AVOID_S = 4.0
 LONGEST_AVOID_S = 32.0
-# A reader has to save this many times the calls it makes: it has to hear of
-# a failing store sooner, so that its calls are held for a shorter time.
+# Least ratio of the calls that a reader saves to those it makes.  Its own are
+# held for a shorter time, so that it notices a failing store sooner.
 LEAST_GAIN = 2.0
-# What those who are told by a reader still need after it has noticed that it
-# is cut off from the store: to hear of it, and to ask the store themselves.
+# What its watchers still need once a reader has noticed that it lost the
+# store: to be told, and to read the store themselves.
 FALLBACK_S = 1.0
 LEAST_WAIT_S = 0.5
 
@@ -38,8 +38,8 @@
 
     Notes
     -----
-    A reader that is cut off excuses only itself: the instances it tells
-    have to know within the usual time.
+    The watchers of a reader that is cut off are not cut off themselves, and
+    have to know of a change within the usual time.
 
     Examples
     --------
@@ -83,14 +83,14 @@
         return max(self._own_wait_s, self._reader_wait_s)
 
     def reader(self, now):
-        """Return the control address of the reader to ask.
+        """Return the control address of the reader to watch.
 
         Returns
         -------
         str or None
             None if this instance is the reader, or each reads for itself.
         """
-        candidates = self._peers.able(self._zone, now)
+        candidates = self._peers.eligible(self._zone, now)
         size = self._peers.size(self._zone)
         gain = size * self._reader_wait_s / self._own_wait_s
         if gain < LEAST_GAIN:
@@ -106,7 +106,7 @@
         return None if name == self._own else left[name]
 
     def is_reader(self, now):
-        """Return whether others are told what this instance reads."""
+        """Return whether others watch this instance."""
         return now < self._asked_until
 
     def wait_s(self, now):
@@ -116,7 +116,7 @@
         return self._own_wait_s
 
     def asked(self, now):
-        """Note that another instance asked this one."""
+        """Note a request of another instance."""
         self._asked_until = now + ASKED_S
 
     def failed(self, control, now):
--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -1,7 +1,7 @@
-"""Hears from the reader of the zone what changed in the store's tables.
+"""Long polling of the zone's reader instead of the store.
 
-The reader holds a call until there is something to tell.  When it does not
-answer, or does not reach the store itself, this instance reads the store.
+The reader holds a request until a table changes.  When it does not answer, or
+does not reach the store itself, this instance reads the store.
 """
 
 import asyncio
@@ -10,27 +10,26 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import catalog as catalogs
-from sycamoreshed.catalog import news
+from sycamoreshed.catalog import updates
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["PATH", "Listener", "Teller", "longest_hold"]
+__all__ = ["PATH", "WatchClient", "WatchServer", "longest_hold"]
 
-PATH = "/control/news"
-# Of the time in which a change has to be known: a reader that falls silent
-# shows only when the call has been held for so long.
+PATH = "/control/watch"
+# Of the time in which a change has to be known: a silent reader is noticed
+# only at the end of the hold time.
 HOLD_SHARE = 0.4
-# After the time for which a reader may hold a call, it counts as lost.
+# After the hold time, until a request counts as lost.
 SLACK_S = 0.4
-# A reader confirms a table at least this long after its call at the store
-# ended, or it is behind.
-LATE_S = 1.0
-# Between looks whether there is a reader to ask.
-LOOK_S = 0.5
+# After the reader's longest call at the store, until its copy counts as stale.
+STALE_SLACK_S = 1.0
+# Between checks for a reader.
+CHECK_S = 0.5
 
 
 def longest_hold(apply_s):
-    """Return the seconds for which a reader may hold a call.
+    """Return the seconds for which a reader may hold a request.
 
     Examples
     --------
@@ -40,8 +39,8 @@
     return HOLD_SHARE * apply_s
 
 
-class Teller:
-    """Tells others what this instance reads.
+class WatchServer:
+    """Answers the requests of instances that this one reads for.
 
     Parameters
     ----------
@@ -50,7 +49,7 @@
     access : StoreAccess
     clock : callable
     most_s : float
-        Longest time to hold a call.
+        Longest time to hold a request.
     """
 
     def __init__(self, *, catalog, role, access, clock, most_s):
@@ -60,11 +59,11 @@
         self._clock = clock
         self._most_s = most_s
 
-    async def answer(self, ask):
-        """Return the `News` for an `Ask`, once there is something to tell."""
-        self._access.use(True)
-        end = self._clock() + min(ask.wait_s, self._most_s)
-        while not self._has_news(ask):
+    async def answer(self, request):
+        """Return the `Update` for a request once a table has changed."""
+        self._access.enable(True)
+        end = self._clock() + min(request.wait_s, self._most_s)
+        while not self._has_changed(request):
             self._role.asked(self._clock())
             left = end - self._clock()
             if left <= 0:
@@ -73,21 +72,23 @@
         now = self._clock()
         self._role.asked(now)
         tables = [
-            news.tell(self._catalog, table, ask.versions.get(table, -1), now)
+            updates.table_update(
+                self._catalog, table, request.versions.get(table, -1), now
+            )
             for table in self._catalog.tables
         ]
-        return news.News(tables, self._is_current)
+        return updates.Update(tables, self._is_current)
 
     @property
     def _is_current(self):
         return self._catalog.ready and not self._access.is_lost
 
-    def _has_news(self, ask):
-        if self._is_current != ask.was_current:
+    def _has_changed(self, request):
+        if self._is_current != request.was_current:
             return True
         return any(
             self._is_newer(
-                self._catalog.replica(table), ask.versions.get(table, -1)
+                self._catalog.replica(table), request.versions.get(table, -1)
             )
             for table in self._catalog.tables
         )
@@ -111,8 +112,8 @@
                 each.cancel()
 
 
-class Listener:
-    """Asks the reader of the zone, and decides when to do without.
+class WatchClient:
+    """Watches the zone's reader, and falls back on the store without it.
 
     Parameters
     ----------
@@ -120,14 +121,14 @@
     role : ReadingRole
     access : StoreAccess
     ask : callable
-        Coroutine function of a control address, an `Ask` and a timeout in
-        seconds; returns `News` or a `Failure`.
+        Coroutine function of a control address, a `WatchRequest` and a
+        timeout in seconds; returns an `Update` or a `Failure`.
     journal : Journal
     clock : callable
     hold_s : float
-        Seconds for which the reader may hold a call.
+        Seconds for which the reader may hold a request.
     stale_s : float
-        Age of a table from which on a reader does not keep up.
+        Age of a table from which on a reader counts as stale.
     """
 
     def __init__(
@@ -145,25 +146,25 @@
         self._was_current = True
 
     async def run(self):
-        """Ask until cancelled."""
+        """Watch until cancelled."""
         while True:
             reader = self._choose()
             if reader is None:
                 self._access.is_relayed = False
-                self._access.use(True)
-                # Peers become known, or one more of them.
-                await self._catalog.changed.wait(LOOK_S)
+                self._access.enable(True)
+                # A new peer may be the reader.
+                await self._catalog.changed.wait(CHECK_S)
                 continue
-            await self._hear(reader)
+            await self._poll(reader)
 
-    async def _hear(self, reader):
-        """Ask the reader once."""
-        # What it does not tell at once is asked for only after it answered.
+    async def _poll(self, reader):
+        """Send one request to the reader."""
+        # A reader that has not answered yet is not given time to hold.
         hold_s = self._hold_s if self._access.is_relayed else 0.0
-        versions = news.versions(self._catalog)
+        versions = updates.versions(self._catalog)
         found = await self._ask(
             reader,
-            news.Ask(versions, self._was_current, hold_s),
+            updates.WatchRequest(versions, self._was_current, hold_s),
             hold_s + SLACK_S,
         )
         now = self._clock()
@@ -172,8 +173,8 @@
             return
         self._take(found, reader, now)
         if not found.tables:
-            # A reader without tables would answer at once, for ever.
-            await asyncio.sleep(LOOK_S)
+            # Such a reader would answer at once, again and again.
+            await asyncio.sleep(CHECK_S)
 
     def _choose(self):
         if not self._knows_all():
@@ -184,10 +185,9 @@
             self._reader = reader
             self._was_current = True
             self._access.is_relayed = False
-            # A reader that failed before may be silent still; what this
-            # instance has just read is good until any other one answers.
+            # A reader that failed before may still be silent.
             is_open = reader is None or self._role.has_failed(reader)
-            self._access.use(is_open or self._role.is_reader(now))
+            self._access.enable(is_open or self._role.is_reader(now))
             self._journal.write("reader", reader=reader)
         return reader
 
@@ -200,25 +200,24 @@
     def _fail(self, reader, why, now):
         self._journal.write("reader_lost", reader=reader, why=why)
         self._role.failed(reader, now)
-        # What was missed has to be known in time, whatever the next reader
-        # knows.
+        # Changes missed meanwhile may not be known to the next reader either.
         self._access.is_relayed = False
-        self._access.use(True)
+        self._access.enable(True)
 
     def _take(self, found, reader, now):
         self._role.answered(reader)
         self._was_current = found.is_current
         self._access.is_relayed = True
         for each in found.tables:
-            news.take(self._catalog, each, now, reader)
+            updates.apply_update(self._catalog, each, now, reader)
             self._catalog.confirm(each.table, now - each.age_s)
-        keeps_up = found.is_current and all(
+        is_fresh = found.is_current and all(
             each.age_s <= self._stale_s
             for each in found.tables
             if each.table != catalogs.PEERS
         )
-        reads = not keeps_up or self._role.is_reader(now)
-        self._access.use(reads)
+        reads = not is_fresh or self._role.is_reader(now)
+        self._access.enable(reads)
 
 
 async def _ask(core, control, question, timeout):
@@ -232,7 +231,7 @@
             kinds.Kind.REFUSED, f"reader answered {reply.status}"
         )
     try:
-        return msgspec.convert(reply.body, news.News)
+        return msgspec.convert(reply.body, updates.Update)
     except msgspec.ValidationError as err:
         return kinds.Failure(kinds.Kind.REFUSED, str(err))
 
@@ -242,7 +241,7 @@
     needs=("catalog", "following", "journal", "reading", "web"),
 )
 async def relay(core):
-    """Hear from the zone's reader, and tell others if it is this one."""
+    """Watch the zone's reader, and serve others if it is this instance."""
     apply_s = core.settings.apply_ms / 1000
     role = core.part("reading")
     shared = {
@@ -251,12 +250,12 @@
         "access": core.part("following"),
         "clock": core.clock,
     }
-    listener = Listener(
+    listener = WatchClient(
         **shared,
         ask=lambda *question: _ask(core, *question),
         journal=core.part("journal"),
         hold_s=longest_hold(apply_s),
-        stale_s=role.longest_wait_s + LATE_S,
+        stale_s=role.longest_wait_s + STALE_SLACK_S,
     )
-    core.spawn(listener.run(), name="hear from the reader")
-    yield Teller(**shared, most_s=longest_hold(apply_s))
+    core.spawn(listener.run(), name="watch the reader")
+    yield WatchServer(**shared, most_s=longest_hold(apply_s))
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -4,7 +4,7 @@
 import pytest
 
 from sycamoreshed.catalog import catalog as catalogs
-from sycamoreshed.catalog import news as tables
+from sycamoreshed.catalog import updates
 from sycamoreshed.platform import records
 from testkit import journals
 from testkit import wiredata
@@ -105,9 +105,9 @@
 def test_a_peer_is_told_only_what_is_newer(catalog):
     catalog.replace("endpoints", beats("a"), 5, 1.0, source="store")
     catalog.confirm("endpoints", 1.0)
-    news = tables.tell(catalog, "endpoints", 4, 3.0)
+    news = updates.table_update(catalog, "endpoints", 4, 3.0)
     assert (news.version, set(news.rows), news.age_s) == (5, {"a"}, 2.0)
-    assert tables.tell(catalog, "endpoints", 5, 3.0).rows is None
+    assert updates.table_update(catalog, "endpoints", 5, 3.0).rows is None
 
 
 def test_entries_that_lapsed_stay_where_a_peer_tells_it(catalog):
@@ -128,14 +128,20 @@
     other.regained(10.0)
     rows = [("a", None), ("b", None)]
     other.apply("endpoints", rows, 5, 6, 10.0, source="store")
-    tables.take(
-        catalog, tables.tell(other, "endpoints", 5, 10.5), 20.5, "other"
+    updates.apply_update(
+        catalog,
+        updates.table_update(other, "endpoints", 5, 10.5),
+        20.5,
+        "other",
     )
     assert ids(catalog, 20.6) == {"a", "b"}
     back = list(beats("b").items())
     other.apply("endpoints", back, 6, 7, 11.0, source="store")
-    tables.take(
-        catalog, tables.tell(other, "endpoints", 6, 11.0), 21.0, "other"
+    updates.apply_update(
+        catalog,
+        updates.table_update(other, "endpoints", 6, 11.0),
+        21.0,
+        "other",
     )
     assert ids(catalog, 21.9) == {"a", "b"}
     assert ids(catalog, 22.1) == {"b"}
--- a/sycamoreshed/catalog/tests/test_following.py
+++ b/sycamoreshed/catalog/tests/test_following.py
@@ -101,7 +101,7 @@
             table=catalog.SETTINGS,
             remote="remote",
             wait=lambda: wait,
-            gathering=following.Gathering(least=0.1, most=MOST_S),
+            debounce=following.Debounce(least=0.1, most=MOST_S),
             store=store,
             catalog=copy,
             peers=NoPeers(),
--- a/sycamoreshed/catalog/tests/test_peers.py
+++ b/sycamoreshed/catalog/tests/test_peers.py
@@ -100,10 +100,10 @@
     """A small one is late with the stages and the news of its whole zone."""
     catalog.add("a", boot=1, cores=2.15)
     catalog.add("b", boot=1, cores=0.516)
-    assert set(book.able("north-a", 0.0)) == {"a"}
+    assert set(book.eligible("north-a", 0.0)) == {"a"}
     book.failed("a", 0.0, "no answer")
-    assert set(book.able("north-a", 0.1)) == {"b"}
+    assert set(book.eligible("north-a", 0.1)) == {"b"}
 
 
 def test_instances_of_one_size_all_work_for_others(book):
-    assert set(book.able("north-a", 0.0)) == {"own", "a", "b"}
+    assert set(book.eligible("north-a", 0.0)) == {"own", "a", "b"}
--- a/sycamoreshed/catalog/tests/test_relay.py
+++ b/sycamoreshed/catalog/tests/test_relay.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from sycamoreshed.catalog import news
 from sycamoreshed.catalog import reading
+from sycamoreshed.catalog import updates
 from testkit import relayzone
 from testkit import virtualtime
 
@@ -84,8 +84,8 @@
         zone.store.refuses.add("late")
         unready = zone.add("late")
         began = zone.clock()
-        asked = news.Ask({"settings": 1}, False, 1.0)
-        await unready.teller.answer(asked)
+        asked = updates.WatchRequest({"settings": 1}, False, 1.0)
+        await unready.watch_server.answer(asked)
         return zone.clock() - began
 
     assert played(scenario) >= 1.0
--- a/sycamoreshed/catalog/news.py
+++ b/sycamoreshed/catalog/updates.py
@@ -1,17 +1,24 @@
-"""What instances tell each other of their copies of tables."""
+"""Updates of table copies that instances send each other."""
 
 import typing
 
 from sycamoreshed.catalog import catalog as catalogs
 
-__all__ = ["Ask", "News", "TableNews", "take", "tell", "versions"]
+__all__ = [
+    "TableUpdate",
+    "Update",
+    "WatchRequest",
+    "apply_update",
+    "table_update",
+    "versions",
+]
 
 # Age of a table that was never known to be current, in seconds.
 NEVER_S = 1e9
 
 
-class TableNews(typing.NamedTuple):
-    """A table's copy as one instance tells another.
+class TableUpdate(typing.NamedTuple):
+    """The state of a table's copy, sent by one instance to another.
 
     Parameters
     ----------
@@ -20,7 +27,7 @@
     rows : dict of str to (bytes or None), or None
         None if the asking instance has this version or a newer one.
     age_s : float
-        Since the teller last knew its copy to be current.
+        Since the sender last knew its copy to be current.
     lapse_s : float
         For how long entries that are missing may have lapsed while the
         store was away, and come back.
@@ -37,17 +44,17 @@
     since: int | None = None
 
 
-class Ask(typing.NamedTuple):
-    """What an instance asks of the reader of its zone.
+class WatchRequest(typing.NamedTuple):
+    """A request for changes to the reader of a zone.
 
     Parameters
     ----------
     versions : dict of str to int
         Version of each of its copies.
     was_current : bool
-        What it heard last; see `News`.
+        `Update.is_current` of the last answer.
     wait_s : float
-        How long to wait for something to tell.
+        How long to hold the request if nothing has changed.
     """
 
     versions: dict[str, int]
@@ -55,24 +62,24 @@
     wait_s: float
 
 
-class News(typing.NamedTuple):
-    """Answer to `Ask`.
+class Update(typing.NamedTuple):
+    """Answer to a `WatchRequest`.
 
     Parameters
     ----------
-    tables : list of TableNews
+    tables : list of TableUpdate
     is_current : bool
-        Whether the teller reaches the store.
+        Whether the sender reaches the store.
     """
 
-    tables: list[TableNews]
+    tables: list[TableUpdate]
     is_current: bool
 
 
-def tell(catalog, table, after, now):
-    """Return the `TableNews` for an instance that has version `after`."""
+def table_update(catalog, table, after, now):
+    """Return the `TableUpdate` for an instance that has version `after`."""
     replica = catalog.replica(table)
-    known = TableNews(
+    known = TableUpdate(
         table=table,
         version=replica.version,
         rows=None,
@@ -92,30 +99,32 @@
     return {each: catalog.replica(each).version for each in catalog.tables}
 
 
-def take(catalog, news, now, peer):
-    """Take what another instance tells.
+def apply_update(catalog, update, now, peer):
+    """Apply an update to the catalog.
 
     Parameters
     ----------
     catalog : Catalog
-    news : TableNews
+    update : TableUpdate
     now : float
     peer : str
-        Who told it.
+        Address of the sender.
     """
-    # It may have reached the store before this instance does.
-    if news.lapse_s > 0:
-        catalog.regained(now, min(news.lapse_s, catalogs.LAPSE_S))
-    if news.rows is None:
+    # The sender may reach the store again before this instance does.
+    if update.lapse_s > 0:
+        catalog.regained(now, min(update.lapse_s, catalogs.LAPSE_S))
+    if update.rows is None:
         return
-    if news.since is None:
-        catalog.replace(news.table, news.rows, news.version, now, source=peer)
+    if update.since is None:
+        catalog.replace(
+            update.table, update.rows, update.version, now, source=peer
+        )
     else:
         catalog.apply(
-            news.table,
-            list(news.rows.items()),
-            news.since,
-            news.version,
+            update.table,
+            list(update.rows.items()),
+            update.since,
+            update.version,
             now,
             source=peer,
         )
--- a/sycamoreshed/gateway/inner.py
+++ b/sycamoreshed/gateway/inner.py
@@ -4,8 +4,8 @@
 
 from aiohttp import web
 from sycamoreshed.catalog import following
-from sycamoreshed.catalog import news
 from sycamoreshed.catalog import relay
+from sycamoreshed.catalog import updates
 from sycamoreshed.kernel import kernel
 from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
@@ -19,7 +19,7 @@
     Parameters
     ----------
     catalog : Catalog
-    teller : Teller
+    watch_server : WatchServer
     stages : Stages
     metrics : GatewayMetrics
     clock : callable
@@ -27,9 +27,11 @@
         Returns what `sycamoreshed status` shows.
     """
 
-    def __init__(self, *, catalog, teller, stages, metrics, clock, status):
+    def __init__(
+        self, *, catalog, watch_server, stages, metrics, clock, status
+    ):
         self._catalog = catalog
-        self._teller = teller
+        self._watch_server = watch_server
         self._stages = stages
         self._metrics = metrics
         self._clock = clock
@@ -37,15 +39,19 @@
         self.in_flight = 0
 
     async def tell(self, http):
-        """Answer with a table's copy if it is newer than the asker's."""
+        """Answer with what is newer than the asker's copy of a table."""
         table = http.query["table"]
         after = int(http.query["after"])
-        return _json(news.tell(self._catalog, table, after, self._clock()))
+        return _json(
+            updates.table_update(self._catalog, table, after, self._clock())
+        )
 
-    async def news(self, http):
-        """Answer once something has changed, for those who do not read."""
-        ask = msgspec.json.decode(await http.read(), type=news.Ask)
-        return _json(await self._teller.answer(ask))
+    async def watch(self, http):
+        """Answer once a table has changed."""
+        request = msgspec.json.decode(
+            await http.read(), type=updates.WatchRequest
+        )
+        return _json(await self._watch_server.answer(request))
 
     async def run(self, http):
         """Run the stages of a job with the endpoints of a zone."""
@@ -130,7 +136,7 @@
 
     handlers = Inner(
         catalog=core.part("catalog"),
-        teller=core.part("relay"),
+        watch_server=core.part("relay"),
         stages=core.part("stages"),
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
@@ -138,7 +144,7 @@
     )
     _watch(core)
     core.control.router.add_get(following.PATH, handlers.tell)
-    core.control.router.add_post(relay.PATH, handlers.news)
+    core.control.router.add_post(relay.PATH, handlers.watch)
     core.control.router.add_post(delegation.RUN_PATH, handlers.run)
     core.control.router.add_post(delegation.FREE_PATH, handlers.free)
     core.control.router.add_get("/metrics", handlers.metrics)
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -267,7 +267,7 @@
         return handles
 
     def _owner(self, zone, now):
-        candidates = self._peers.able(zone, now)
+        candidates = self._peers.eligible(zone, now)
         if not candidates:
             # Nobody there to coordinate: better one queue too many than
             # endpoints nobody uses.
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -119,13 +119,13 @@
             "clock": clock,
         }
         hold_s = relay.longest_hold(zone.apply_s)
-        self.teller = relay.Teller(**shared, most_s=hold_s)
-        listener = relay.Listener(
+        self.watch_server = relay.WatchServer(**shared, most_s=hold_s)
+        listener = relay.WatchClient(
             **shared,
             ask=lambda *question: zone.ask(name, *question),
             journal=self.journal,
             hold_s=hold_s,
-            stale_s=self.role.longest_wait_s + relay.LATE_S,
+            stale_s=self.role.longest_wait_s + relay.STALE_SLACK_S,
         )
         jobs = [listener.run()]
         for table in TABLES:
@@ -133,7 +133,7 @@
                 table=table,
                 remote=table,
                 wait=lambda: self.role.wait_s(clock()),
-                gathering=following.Gathering(least=0.1, most=0.5),
+                debounce=following.Debounce(least=0.1, most=0.5),
                 store=zone.store.of(name),
                 catalog=self.catalog,
                 peers=_Nobody(),
@@ -226,8 +226,8 @@
             async with asyncio.timeout(timeout):
                 if self.silent & {asker, control}:
                     await asyncio.Event().wait()
-                teller = self.instances[control].teller
-                answer = await teller.answer(question)
+                watch_server = self.instances[control].watch_server
+                answer = await watch_server.answer(question)
                 if self.silent & {asker, control}:
                     await asyncio.Event().wait()
                 return answer
