Let constants of forwarding and staging say what they guard against

Behaviour is as it was: the syntax trees are equal but for one constant of delegation.py that is renamed.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -16,11 +16,9 @@
 
 __all__ = ["Attempts", "Ended", "Opened"]
 
-# For a request that may run again, or a stream that may go on elsewhere: an
-# endpoint that has not begun to answer after this many times the target hangs
-# or is far too slow, and another one may still answer in time to be of use.
-# An engine that went dark after it took a stream left its caller 7.5 s of
-# silence, until the deadline.
+# For a request that may run again, or a stream that may be resumed: an
+# endpoint that has not begun to answer after this many times the target is
+# taken for dead, while another one may still answer in time.
 PATIENCE_FACTOR = 2.0
 LEAST_PATIENCE_S = 0.5
 
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -17,13 +17,10 @@
 __all__ = ["EndpointClient", "WholeAnswer", "opened", "read_whole"]
 
 # A connection that is not open by then is taken for a network partition.
-# Three round trips between regions (40 ms each) and one lost opening
-# packet's early part; the packet itself is sent again after a second only.
 CONNECT_S = 0.5
 MAX_HEADER_BYTES = 32768
-# An endpoint's host that lost power or is cut off sends no reset.  Unsent
-# probes would leave a stream waiting for its next event for ever; these
-# find it within 3 s, and are a few bytes on connections that are silent.
+# An endpoint's host that lost power or is cut off sends no reset; without
+# probes a stream would wait for its next event for ever.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
--- a/sycamoreshed/forwarding/fetching.py
+++ b/sycamoreshed/forwarding/fetching.py
@@ -5,9 +5,8 @@
 
 __all__ = ["FetchTimes", "Release"]
 
-# After which results are given up at first, by the distance of the engine's
-# zone: a connection and the request take three ways of 1 or 20 ms, and 7 MB of
-# results from another region 50 ms more.
+# Initial delay until results are freed, by the distance of the engine's zone:
+# a connection, the request and the transfer of the results.
 FIRST_S = (0.06, 0.08, 0.16)
 LEAST_S = 0.04
 # By then an engine has begun its answer, which tells for certain.
@@ -16,8 +15,8 @@
 # with each that did not.
 SHRINK = 0.97
 GROW = 1.5
-# A time that was too short once is kept away from by so much, and forgotten
-# slowly: some 300 requests later, half of it is left.
+# The delay stays above one that was too short by this factor, which decays
+# with each request.
 MARGIN = 1.3
 FORGET = 0.998
 
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -13,10 +13,7 @@
 __all__ = ["Forwarder", "Outcome", "pick_service"]
 
 # Share of the time to the target by which all results of stages should be
-# there, so that the engine can still read the prompt and begin in time.  What
-# it leaves, 0.2 to 0.3 s of the targets seen, is what 90 in 100 first events
-# took after the request was sent to its engine (0.12 to 0.42 s by route, the
-# longest for prompts of 9,000 tokens).
+# there, so that the engine can still read the prompt and begin in time.
 STAGES_AIM_SHARE = 0.85
 # Least time an engine needs after the last stage for an answer at all.
 ENGINE_LEAST_S = 0.2
--- a/sycamoreshed/forwarding/placing.py
+++ b/sycamoreshed/forwarding/placing.py
@@ -9,29 +9,23 @@
 
 __all__ = ["Choice", "Placer", "connection_share"]
 
-# A prefix's own endpoint is passed over when it has that many more
-# requests in flight than the least loaded one.  Reading a long prompt
-# again takes an engine 0.2 s; four more running requests cost each token
-# about 3% and a queued prompt ahead as much as the prompt itself.
+# A prefix's own endpoint is skipped when it has this many more requests in
+# flight than the least loaded one: reading the prompt again is cheaper then.
 AFFINITY_SLACK = 4
-# The cheapest zone is passed over for all others when its least loaded
-# endpoint has that many more requests in flight than the least loaded of all.
-# One engine left in a zone, and slow, had 24 from one instance while those of
-# other zones had at most 6, and 36 of its 274 streams broke or were left.
+# The cheapest zone is left when its least loaded endpoint has this many more
+# requests in flight than the least loaded of all.
 SPILL_SLACK = 8
-# What a byte costs that crosses on the way of a request, against a byte of
-# results that an engine fetches from another zone: bodies and answers
-# between regions are priced some hundred times higher.
+# Cost of a byte that crosses on the way of a request, relative to a byte of
+# results that an engine fetches from another zone.
 REGION_WEIGHT = 120.0
 ZONE_WEIGHT = 4.0
 # Head and answer, which cross besides the body.
 OVERHEAD_BYTES = 4000
-# What the way to a region and back weighs, 40 ms, in bytes of results; see
+# Cost of a round trip to another region, in bytes of results; see
 # `delegation.CROSSING_S_MB`.
 REGION_WAY = 1e6
-# What a token of a shared prefix weighs that an engine has to read again, in
-# bytes of results.  Engines read 50 to 90 tokens in a ms and some ten requests
-# of the engine wait meanwhile, which makes 0.1 ms of waiting a token.
+# Cost of a token of a shared prefix that an engine reads again, in bytes of
+# results: all requests of the engine wait meanwhile.
 REREAD_WEIGHT = 2500.0
 
 
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -14,9 +14,8 @@
 LEAST_WAIT_S = 2.0
 TARGETS_WAITED = 4.0
 PAUSES_WAITED = 8.0
-# Stages of a request that is late are given up on after this many times its
-# target: a late answer is worth some 15% of one in time, and while requests
-# are late others wait for the same endpoints.
+# Stages of a late request are given up on after this many times its target:
+# others, which may still be in time, wait for the same endpoints.
 STAGE_TARGETS = 1.25
 
 
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -15,9 +15,8 @@
 # silence of this many times the pause its route still counts as on time;
 # callers hang up after eight.
 SILENT_PAUSES = 4.0
-# Before the first event: a share of the time in which it is due.  Prompts
-# are read in some 0.2 s, so an engine that is silent that long is gone or
-# overrun, and there is still time for another.
+# Before the first event: a share of the time in which it is due.  It leaves
+# time for another engine.
 FIRST_SHARE = 0.6
 LEAST_FIRST_S = 0.5
 
--- a/sycamoreshed/gateway/patience.py
+++ b/sycamoreshed/gateway/patience.py
@@ -2,8 +2,8 @@
 
 __all__ = ["Patience"]
 
-# Share of the longest time that callers who come new give at the least; they
-# differ by some 15%, seen in the deadlines of first attempts.
+# Least share of a route's longest deadline on a first attempt; a shorter one
+# is taken for a retry.
 NEW_SHARE = 0.85
 # Routes that are remembered; operators may configure thousands.
 MOST_ROUTES = 2000
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -24,9 +24,8 @@
 # Between looks while pieces wait: an endpoint may come back or results may
 # expire without anybody saying so here.
 LOOK_S = 0.05
-# A call waits for pieces that are due within this share of its fixed time.  In
-# a burst the calls of the second and third stage then hold 23 and 47 pieces
-# instead of 17 and 33 (mean of two seconds); twice the share gains no more.
+# A call waits for pieces that are due within this share of its fixed time, so
+# that it goes out fuller.
 COMPANY_SHARE = 0.67
 
 
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -14,11 +14,8 @@
 # the budget of repeats.
 MOST_ATTEMPTS = 3
 GRACE_S = 0.1
-# A refused caller is told to come back when its job would be in time if
-# nothing new came, and that much later.  Load that comes in bursts of some
-# seconds is still there a moment later, and who comes back into it is refused
-# for good; callers come back once, within a third of the time they have (2 s
-# of 6), so a longer time has no effect.
+# Added to the time after which a refused job would be in time if nothing new
+# came: a caller that returns into the same burst is refused for good.
 RETRY_EXTRA_S = 1.6
 # Results take a moment to be fetched by whoever takes them as inputs.
 FETCH_S = 0.02
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -26,14 +26,12 @@
 # For a call to another instance, on top of the time the job has.
 EXTRA_S = 0.3
 FREE_TIMEOUT_S = 0.5
-# How long what a zone told of its backlog is gone by.
-TOLD_S = 1.0
-# What another zone's backlog must be shorter by for each step of distance:
-# both ways between regions take 40 ms, twice for what is told being old.
+# Time to live of a zone's reported backlog.
+BACKLOG_TTL_S = 1.0
+# Another zone's backlog must be shorter by this for each step of distance.
 CROSSING_S = 0.04
-# And for each megabyte of results that would cross zones, which is paid:
-# 7.5 MB cost about a tenth of what a request is worth, for which its answer
-# may as well come 0.3 s later.
+# And by this for each megabyte of results that would cross zones, which is
+# paid for.
 CROSSING_S_MB = 0.04
 MB = 1e6
 # Instances that are asked in turn for one job.
@@ -247,7 +245,7 @@
 
     def _backlog(self, zone, names, now):
         told = self._told.get(zone)
-        if told is None or now - told.at > TOLD_S:
+        if told is None or now - told.at > BACKLOG_TTL_S:
             return 0.0
         # What was told grows stale: it is worked off meanwhile.
         backlog = max((told.backlog_s.get(n, 0.0) for n in names), default=0.0)
--- a/sycamoreshed/staging/planning.py
+++ b/sycamoreshed/staging/planning.py
@@ -15,26 +15,21 @@
 
 __all__ = ["Coming", "Plan", "Plans"]
 
-# A request of the next lower priority yields as if its answer were due that
-# much later.  What is ranked first often has the shorter target: with 0.1 s
-# the others, taken on before, were due before it.  Of 3.2 and 1.4 requests a
-# second, more than a zone can do, 58 of 100 of the most urgent and of the
-# least were in time; with 0.8 s 71 and 46 (played by a test).
+# A request of the next lower priority yields as if its answer were due this
+# much later.  It exceeds the usual differences between targets, which would
+# outweigh priority otherwise.
 PRIORITY_STEP_S = 0.8
 # What a job of the next lower priority leaves of its time for more urgent
 # ones that come while it waits and overtake it.
 RESERVE_S = 0.25
 # What a job leaves of its time for those of other teams if its team has used
-# far more than an equal share lately.  Without it a team that sends ten times
-# what the stages can do has 70% of another's few jobs refused, with it 9%
-# (played by a test); with 0.15 s, about the work of one job, still 70%.
+# far more than an equal share lately.  It exceeds the work of one job, or a
+# team that floods the stages has the jobs of all others refused.
 TEAM_RESERVE_S = 0.2
-# Share of jobs taken on, by priority and of all; a priority whose share is
-# less than so much of all jobs' goes before the others, which leave some of
-# their time for it.  Going first is not enough: with a few hundredths of a
-# second less to spare than others, a kind of request is refused each time
-# that those are just taken on.  The weight makes some forty jobs count, a few
-# seconds of a zone under load.
+# Share of jobs admitted, by priority and of all.  A priority whose share is
+# below this part of all jobs' goes before the others, which leave some of
+# their time for it: going first alone does not help a kind of request that
+# has a little less time to spare than others.
 FAIR_SHARE = 0.75
 NEGLECTED = -1
 NEGLECT_RESERVE_S = 0.2
@@ -51,17 +46,13 @@
 # Places that are counted at the least, so that nothing is divided by zero
 # where a zone has no endpoint for the moment.
 LEAST_PLACES = 0.1
-# How long a result takes room: its call, the engine's time to fetch it and
-# begin to answer, and the word that it is freed.  Median of requests with
-# results of 3 MB under load.
+# Expected time that a result takes room: its call, the transfer to the engine
+# and the call that frees it.
 HELD_S = 0.6
 
 
-# A job that cannot be in time is taken on if the time it would need, with
-# nothing new before it, is that much shorter than the time it has: behind all
-# that can be in time it is overtaken by those that come meanwhile.  With 1.3,
-# 65 such jobs of a day were given up after some of their stages, with 568
-# requests answered.
+# A job that will be late is admitted if the time it has exceeds the time it
+# needs now by this factor: jobs that can be in time overtake it.
 LATE_FACTOR = 1.6
 
 
--- a/sycamoreshed/staging/pool.py
+++ b/sycamoreshed/staging/pool.py
@@ -12,8 +12,8 @@
 
 # Weight of the newest call in how slow an endpoint is; two calls tell.
 SLOW_WEIGHT = 0.5
-# Results of more than this share of an endpoint's room are large: with 13 or 6
-# of them it is full, with those of all other stages seen after 80 or more.
+# Results of more than this share of an endpoint's room are large: a few calls
+# fill it.
 LARGE_SHARE = 0.04
 # How long an endpoint's word that it has no room goes before what is counted
 # here: it may hold results of an instance that batched before, or larger
--- a/sycamoreshed/staging/usage.py
+++ b/sycamoreshed/staging/usage.py
@@ -8,9 +8,7 @@
 # Over which use counts: a few bursts of a team.
 DECAY_S = 5.0
 # Where between an equal share (0) and all that is used (1) a team has to
-# yield.  With two teams it is 62% of what is used, with five 40%: teams differ
-# in size, and one twice as large as the others crowds out nobody, but costs
-# its own callers answers where it has to yield.
+# yield.  Teams differ in size; one that is merely larger crowds out nobody.
 HEAVY_POINT = 0.25
 # Teams that are remembered; the oldest is forgotten first.
 MOST_TEAMS = 4096
