--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -12,14 +12,15 @@
 import msgspec
 
 from sycamoreshed.adapters import web
+from sycamoreshed.catalog import access as accesses
 from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.catalog import debounce as debounces
 from sycamoreshed.catalog import reading
-from sycamoreshed.catalog import signals
 from sycamoreshed.catalog import updates
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Follower", "Debounce", "longest_wait"]
+__all__ = ["Follower", "longest_wait"]
 
 # After the time for which the store may hold a call, it counts as lost: a
 # connection that went silent is found by that alone.
@@ -42,8 +43,6 @@
 # While changes keep coming the pause doubles, up to this share of the time in
 # which a new configuration has to be known.
 MOST_REST_SHARE = 0.2
-# A call answered sooner than this found changes made during the pause.
-AT_ONCE_S = 0.1
 # Between attempts at a store that fails; doubles up to the longest.
 RETRY_S = 0.1
 LONGEST_RETRY_S = 1.0
@@ -55,103 +54,6 @@
 PATH = "/control/catalog"
 
 
-class Debounce:
-    """Pause between calls, longer while changes keep coming.
-
-    Parameters
-    ----------
-    least, most : float
-        Seconds; the same for a pause that stays as it is.
-
-    Examples
-    --------
-    >>> debounce = Debounce(least=0.1, most=0.5)
-    >>> [debounce.pause(0.01) for _ in range(4)]
-    [0.2, 0.4, 0.5, 0.5]
-    >>> debounce.pause(3.0)
-    0.1
-    """
-
-    def __init__(self, *, least, most):
-        self._least = least
-        self._most = most
-        self._pause = least
-
-    def pause(self, took_s):
-        """Return the pause after a call that brought changes.
-
-        Parameters
-        ----------
-        took_s : float
-            Seconds until the call was answered.
-        """
-        if took_s < AT_ONCE_S:
-            self._pause = min(self._most, 2 * self._pause)
-        else:
-            self._pause = self._least
-        return self._pause
-
-
-class StoreAccess:
-    """Whether this instance reads the store, and whether the store answers.
-
-    Attributes
-    ----------
-    is_relayed : bool
-        Whether a reader keeps this instance up to date.
-    """
-
-    def __init__(self):
-        self._lost = []
-        self.is_relayed = False
-        self._answered = signals.Signal()
-        self._changed = signals.Signal()
-        self._open = asyncio.Event()
-        self._open.set()
-
-    @property
-    def changed(self):
-        """`Signal` that fires when the store is lost or answers again."""
-        return self._changed
-
-    @property
-    def is_lost(self):
-        """Whether the store does not answer for a table that is followed."""
-        return bool(self._lost)
-
-    def enable(self, is_enabled):
-        """Start or stop reading the tables from the store."""
-        if is_enabled:
-            self._open.set()
-        else:
-            self._open.clear()
-
-    async def wait_enabled(self):
-        """Wait until the store is to be read."""
-        await self._open.wait()
-
-    def lost(self, table):
-        """Note that the store does not answer for a table."""
-        if table not in self._lost:
-            self._lost.append(table)
-            self._changed.fire()
-
-    def answered(self, table):
-        """Note that the store answered for a table."""
-        if table in self._lost:
-            self._lost.remove(table)
-            self._answered.fire()
-            self._changed.fire()
-
-    def is_probed(self, table):
-        """Return whether another table's calls probe the store."""
-        return bool(self._lost) and self._lost[0] != table
-
-    async def pause(self, seconds):
-        """Wait before the next attempt, or until the store answers."""
-        await self._answered.wait(seconds)
-
-
 class Follower:
     """Follows one table.
 
@@ -374,7 +276,7 @@
     codec = core.part("platform")
     role = core.part("reading")
     settings = core.settings
-    access = StoreAccess()
+    access = accesses.StoreAccess()
     most = max(REST_S, MOST_REST_SHARE * settings.apply_ms / 1000)
 
     def wait():
@@ -386,7 +288,7 @@
             table=table,
             remote=remote,
             wait=(lambda: PEERS_WAIT_S) if peers else wait,
-            debounce=Debounce(
+            debounce=debounces.Debounce(
                 least=PEERS_REST_S if peers else REST_S,
                 most=PEERS_REST_S if peers else most,
             ),
--- a/sycamoreshed/catalog/tests/test_following.py
+++ b/sycamoreshed/catalog/tests/test_following.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from sycamoreshed.catalog import access
 from sycamoreshed.catalog import catalog
+from sycamoreshed.catalog import debounce
 from sycamoreshed.catalog import following
 from sycamoreshed.errors import kinds
 from sycamoreshed.platform import store as stores
@@ -101,11 +103,11 @@
             table=catalog.SETTINGS,
             remote="remote",
             wait=lambda: wait,
-            debounce=following.Debounce(least=0.1, most=MOST_S),
+            debounce=debounce.Debounce(least=0.1, most=MOST_S),
             store=store,
             catalog=copy,
             peers=NoPeers(),
-            access=following.StoreAccess(),
+            access=access.StoreAccess(),
             session=None,
             journal=journals.Journal(),
             clock=clock,
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -3,7 +3,11 @@
 import asyncio
 import typing
 
+import msgspec
+
+from sycamoreshed.catalog import access as accesses
 from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.catalog import debounce
 from sycamoreshed.catalog import following
 from sycamoreshed.catalog import peers
 from sycamoreshed.catalog import reading
@@ -12,8 +16,6 @@
 from sycamoreshed.platform import store as stores
 from testkit import journals
 
-import msgspec
-
 __all__ = ["Store", "Zone"]
 
 ZONE = "north-a"
@@ -111,7 +113,7 @@
             own_wait_s=following.longest_wait(zone.stable_s),
             reader_wait_s=reading.reader_wait(zone.apply_s, following.SLACK_S),
         )
-        access = following.StoreAccess()
+        access = accesses.StoreAccess()
         shared = {
             "catalog": self.catalog,
             "role": self.role,
@@ -133,7 +135,7 @@
                 table=table,
                 remote=table,
                 wait=lambda: self.role.wait_s(clock()),
-                debounce=following.Debounce(least=0.1, most=0.5),
+                debounce=debounce.Debounce(least=0.1, most=0.5),
                 store=zone.store.of(name),
                 catalog=self.catalog,
                 peers=_Nobody(),
