Cast the ballot again where it was refused unsent

The listed failure of test_answers_lost_after_taking_effect[names1-True-complete], the timeout of its wait: a store that is silent when the ballot is cast has it refused, truly not run, and the test waited for an endpoint to log a ballot that nobody sent.

The test comes again for as long as it is told "not-run", as a caller does. Its checks are as they were, and see more: a ballot that ran although "not-run" was told would count twice.

--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -250,12 +250,12 @@
         "access": core.part("following"),
         "clock": core.clock,
     }
-    listener = WatchClient(
+    client = WatchClient(
         **shared,
         ask=lambda *question: _ask(core, *question),
         journal=core.part("journal"),
         hold_s=longest_hold(apply_s),
         stale_s=role.longest_wait_s + STALE_SLACK_S,
     )
-    core.spawn(listener.run(), name="watch the reader")
+    core.spawn(client.run(), name="watch the reader")
     yield WatchServer(**shared, most_s=longest_hold(apply_s))
--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -103,6 +103,16 @@
         return result
 
 
+async def cast_until_sent(cluster, index, key):
+    """Come again for as long as the answer is that it has not run."""
+
+    async def sent():
+        told = await cast(cluster, index, key)
+        return told if told.outcome != "not-run" else None
+
+    return await until(sent)
+
+
 async def until_complete(cluster, index, key):
     """Come again as told until the answer is complete."""
 
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -122,14 +122,14 @@
         }
         hold_s = relay.longest_hold(zone.apply_s)
         self.watch_server = relay.WatchServer(**shared, most_s=hold_s)
-        listener = relay.WatchClient(
+        client = relay.WatchClient(
             **shared,
             ask=lambda *question: zone.ask(name, *question),
             journal=self.journal,
             hold_s=hold_s,
             stale_s=self.role.longest_wait_s + relay.STALE_SLACK_S,
         )
-        jobs = [listener.run()]
+        jobs = [client.run()]
         for table in TABLES:
             follower = following.Follower(
                 table=table,
--- a/tests/integration/test_once.py
+++ b/tests/integration/test_once.py
@@ -154,7 +154,8 @@
     """
     async with ballots.cluster(lookup=lookup) as cluster:
         await lose_answers(cluster, names, 1.0)
-        call = asyncio.create_task(ballots.cast(cluster, 0, "k"))
+        # A store that is silent for long has the ballot refused unsent.
+        call = asyncio.create_task(ballots.cast_until_sent(cluster, 0, "k"))
         await ballots.until(ballots.log, cluster, "k")
         await lose_answers(cluster, ("table",), 0.0)
         first = await call
