--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -97,7 +97,7 @@
         self._table = table
         self._remote = remote
         self._wait = wait
-        self._gathering = debounce
+        self._debounce = debounce
         self._rest_s = rest_s
         self._store = store
         self._catalog = catalog
@@ -138,7 +138,7 @@
             self._on_answer()
             self._take(result)
             if result.rows and not whole:
-                await asyncio.sleep(self._gathering.pause(took_s))
+                await asyncio.sleep(self._debounce.pause(took_s))
             elif whole:
                 await asyncio.sleep(self._rest_s)
             whole = False
