Read back what a store took whose answers to writes are lost

Callers saw: ballots refused as "not-run, the store is away" for as long as the store's answers to writes were lost, 30 s in two cases of test_answers_lost_after_taking_effect whose ballot was cast into a second of silence.

Cause: three lost answers open a breaker that refuses reads as well, and closes only with an answer to a write; its probe is a write and loses its answer, and settling only writes again. Evidence: in one play the record stood as "done" in the table, the log had three lines "settle, unknown", then the breaker, then only "settle, refused", and four ballots two seconds apart were told "not-run". Ruled out: a store that does not act (the rows' versions show the writes) and one that cannot be read (a scan was answered at once).

--- a/sycamoreshed/idempotency/breaker.py
+++ b/sycamoreshed/idempotency/breaker.py
@@ -34,6 +34,11 @@
         self._most = failures
         self._failures = 0
 
+    @property
+    def failures(self):
+        """Failures in a row that open it."""
+        return self._most
+
     @property
     def is_open(self):
         """Whether calls are to be refused."""
--- a/sycamoreshed/idempotency/decide.py
+++ b/sycamoreshed/idempotency/decide.py
@@ -24,6 +24,7 @@
     "fence_version",
     "found",
     "gives_up",
+    "waits_out",
 ]
 
 # Less than this before the deadline no call could end in time.
@@ -156,6 +157,35 @@
     return store_away or now + MARGIN_S >= deadline
 
 
+def waits_out(now, away_since, patience_s, *, in_doubt):
+    """Return whether an attempt waits for a store that is away.
+
+    Parameters
+    ----------
+    now, away_since : float
+        Monotonic seconds.
+    patience_s : float
+        Seconds after which a refused caller would be told to come again.
+    in_doubt : bool
+        Whether a write of the attempt may have taken effect.
+
+    Notes
+    -----
+    Refused, the caller would come again with a key whose record may be
+    there already.  An attempt that has written nothing is refused at once.
+
+    Examples
+    --------
+    >>> waits_out(1.5, 1.0, 2.0, in_doubt=True)
+    True
+    >>> waits_out(3.5, 1.0, 2.0, in_doubt=True)
+    False
+    >>> waits_out(1.5, 1.0, 2.0, in_doubt=False)
+    False
+    """
+    return in_doubt and now < away_since + patience_s
+
+
 def fence_version(row, attempt):
     """Return at which version an ended attempt fences itself off.
 
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -108,10 +108,11 @@
             never will.
         """
         version = tables.ABSENT
-        in_doubt = False
+        is_lost = False
+        away_since = None
         for pause in settling.pauses():
             step, row, lost = await self._try(key, record, version)
-            in_doubt = in_doubt or lost
+            is_lost = is_lost or lost
             if step is decide.Step.WAIT:
                 step, row = await self._watch(key, record, deadline, ask, row)
             self._trace.row(
@@ -120,15 +121,17 @@
             if step is decide.Step.SEND:
                 return settling.Claim(key, record, row.version)
             now = self._clock()
-            if step not in _AGAIN or decide.gives_up(
-                now, deadline, self.store.away
-            ):
+            away_since = _since(away_since, now, is_away=self.store.away)
+            is_away = away_since is not None and not decide.waits_out(
+                now, away_since, self.store.retry_after, in_doubt=is_lost
+            )
+            if step not in _AGAIN or decide.gives_up(now, deadline, is_away):
                 break
             if step is decide.Step.CLAIM_AGAIN and row.version != version:
                 version = row.version
             else:
                 await asyncio.sleep(pause)
-        if in_doubt:
+        if is_lost:
             self.settler.fence(key, record)
         return self._conclude(step, row)
 
@@ -165,7 +168,10 @@
         if step is not decide.Step.READ_BACK:
             return step, None, False
         row = await self.store.read(key)
-        return decide.after_read(row, attempt, body), row, True
+        step = decide.after_read(row, attempt, body)
+        if step is decide.Step.SEND:
+            self.store.confirm()
+        return step, row, True
 
     async def _watch(self, key, record, deadline, ask, row):
         attempt, body = record["attempt"], record["body"]
@@ -211,6 +217,13 @@
         )
 
 
+def _since(since, now, *, is_away):
+    """Return since when the store is away, or None."""
+    if not is_away:
+        return None
+    return now if since is None else since
+
+
 @kernel.plugin("records", needs=("decisions", "metrics", "table"))
 async def records(core):
     """Provide records of requests that may not be repeated."""
--- a/sycamoreshed/idempotency/settling.py
+++ b/sycamoreshed/idempotency/settling.py
@@ -158,16 +158,35 @@
             write = tables.Write(claim.key, record, version)
             result = await self._store.write(write)
             self._trace.write("settle", write, result)
+            if isinstance(result, kinds.Failure) and result.sent:
+                result = await self._read_back(write, result)
             step = decide.after_finish(result, record["attempt"])
             if step is decide.Step.REPLAY:
                 return replay(result.rows[0])
             if step is decide.Step.CLAIM_AGAIN:
-                version = result.rows[0].version
-                continue
-            if step is not decide.Step.TRY_AGAIN:
+                found = result.rows[0].version
+                if found != version:
+                    version = found
+                    continue
+            elif step is not decide.Step.TRY_AGAIN:
                 return None
             await asyncio.sleep(pause)
 
+    async def _read_back(self, write, lost):
+        """Return the row as a conflict, or the failure if it is not read.
+
+        Notes
+        -----
+        Where all answers to writes are lost, a write that is only sent
+        again never ends, and keeps the breaker open for new requests.
+        """
+        row = await self._store.read(write.key)
+        if isinstance(row, kinds.Failure):
+            return lost
+        if row.value == write.value:
+            self._store.confirm()
+        return tables.Conflict((row,))
+
     async def _fence(self, key, record):
         gone = {**record, "state": decide.State.NOT_RUN}
         for pause in pauses(LONGEST_LATER_S):
--- a/sycamoreshed/idempotency/tests/exploration.py
+++ b/sycamoreshed/idempotency/tests/exploration.py
@@ -318,12 +318,20 @@
         yield "asks after own call", ended(world, i, None, me)
 
 
+def settled(world, i):
+    """Return how a write may end; a lost one may be read back."""
+    for name, after, reply in replies(world, i):
+        yield name, after, as_result(reply)
+        if reply == LOST:
+            row = as_row(after.row, after.version)
+            yield f"{name}, reads back", after, tables.Conflict((row,))
+
+
 def settling(world, i):
     me = world.attempts[i]
     mine = me.told[0]
     state = NOT_RUN if mine == "not-run" else DONE
-    for name, after, reply in replies(world, i):
-        result = as_result(reply)
+    for name, after, result in settled(world, i):
         step = decide.after_finish(result, str(i))
         after = put(after, i, waits=False, reply=None)
         if step is decide.Step.REFUSE and mine == "complete":
--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import signal
 import typing
 import urllib.parse
 
@@ -123,6 +124,32 @@
     return await until(complete)
 
 
+async def open_breakers(cluster):
+    """Cast other ballots until each instance takes the store for away."""
+    for index in range(len(cluster.daemons)):
+        async with asyncio.timeout(LIMIT_S):
+            told = None
+            while told is None or told.status != 503:
+                told = await cast(cluster, index, "other", ms=300)
+
+
+@contextlib.asynccontextmanager
+async def stand_ins_stopped(cluster, seconds):
+    """Stop the process of all stand-ins for a while, from now on."""
+    host = cluster.host
+    host.send_signal(signal.SIGSTOP)
+
+    async def go_on():
+        await asyncio.sleep(seconds)
+        host.send_signal(signal.SIGCONT)
+
+    task = asyncio.create_task(go_on())
+    try:
+        yield
+    finally:
+        await task
+
+
 def hold(cluster, names, held):
     """Hold, or let go, the answers of some stand-ins."""
     for name in names:
