Tell "not run" of a key only where nothing with it may have run

Callers saw: a ballot told "complete", and the same key, sent again as the pages advise, told 503 "not-run"; a member who believes it casts the vote under a new key and votes twice.

Cause: what is refused before its record is read (store away, no time, no room, over the limit, stopping, a withdrawn pipeline, another body) spoke of the request only, by its kind. Ruled out: the record (it stood as "done") and the sending (one run each time).

Change: a failure carries whether an earlier request with the key may have run and is told as "outcome-unknown" then, with kind, status and Retry-After as before. Grounds are the record, which is now read while only writes are refused; keys that this instance has seen; what the caller says in the new header Idempotency-Repeat; and, while the store is away, what the endpoints tell of the key. Refusals for load cost no call. An instance that holds an answer not yet recorded gives it again. Each refusal logs its grounds.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -81,13 +81,13 @@
         self._taken += 1
         refusal = self._refusal()
         if refusal is not None:
-            return self._refuse(refusal)
+            return self._refuse_unread(refusal, http)
         start = self._core.clock()
         self._open += 1
         try:
             ask = await self._read(http, start)
             if isinstance(ask, kinds.Failure):
-                return self._refuse(ask)
+                return self._refuse_unread(ask, http)
             self._latest = max(self._latest, ask.request.deadline)
             return await self._answer(http, ask, start)
         finally:
@@ -131,6 +131,12 @@
         self._metrics.sheds.labels(failure.kind).inc()
         return problems.response(failure, request and request.id)
 
+    def _refuse_unread(self, failure, http):
+        in_doubt = parsing.in_doubt(
+            http.headers, http.match_info["pipeline"], self._notes.config
+        )
+        return self._refuse(failure._replace(in_doubt=in_doubt))
+
     async def _read(self, http, now):
         try:
             async with asyncio.timeout(BODY_S):
@@ -156,17 +162,28 @@
     async def _answer(self, http, ask, start):
         request = ask.request
         if request.key is not None:
-            refusal = self._once.refusal()
-            if refusal is not None:
-                return self._turn_away(refusal, request, start)
             # Goes on when its caller goes away, so that its outcome gets
             # recorded; until then it holds its slot and holds up a drain.
-            run = asyncio.create_task(self._admitted(http, ask, start))
+            run = asyncio.create_task(self._keyed(http, ask, start))
             self._runs.add(run)
             run.add_done_callback(self._runs.discard)
             return await asyncio.shield(run)
         return await self._admitted(http, ask, start)
 
+    async def _keyed(self, http, ask, start):
+        request = ask.request
+        with self._once.under_way(request):
+            try:
+                end = await self._once.early_end(request)
+            except Exception as err:
+                end = _unforeseen(err)
+            if end is None:
+                return await self._admitted(http, ask, start)
+            if isinstance(end, kinds.Failure):
+                return self._turn_away(end, request, start)
+            self._count(request, end.headers["Outcome"], start)
+            return end
+
     def _turn_away(self, failure, request, start):
         self._count(request, kinds.answer_for(failure).outcome, start)
         return self._refuse(failure, request)
@@ -175,6 +192,8 @@
         request = ask.request
         ticket = await self._admission.enter(request, self._core.clock())
         if isinstance(ticket, kinds.Failure):
+            if request.key is not None:
+                ticket = self._once.refused(request, ticket)
             return self._turn_away(ticket, request, start)
         try:
             if ask.stream:
@@ -209,11 +228,7 @@
         try:
             return await self._once.run(request)
         except Exception as err:
-            # Nobody can tell how far it came, so "failed", which invites
-            # a caller to send it again under a new key, would be wrong.
-            logger.opt(exception=err).error("run with a key failed")
-            failure = guard.internal(err)
-            return failure._replace(kind=kinds.Kind.OUTCOME_UNKNOWN)
+            return _unforeseen(err)
 
     async def _stream(self, http, request, start):
         stream = events.EventStream()
@@ -248,6 +263,13 @@
         )
 
 
+def _unforeseen(err):
+    # Nobody can tell how far it came, so "failed", which invites a caller
+    # to send it again under a new key, would be wrong.
+    logger.opt(exception=err).error("run with a key failed")
+    return guard.internal(err)._replace(kind=kinds.Kind.OUTCOME_UNKNOWN)
+
+
 @kernel.plugin(
     "callers",
     needs=("admission", "guard", "metrics", "notes", "once", "runner"),
--- a/sycamoreshed/entry/parsing.py
+++ b/sycamoreshed/entry/parsing.py
@@ -10,14 +10,16 @@
 from sycamoreshed.pipeline import runner
 from sycamoreshed.settings import checking
 
-__all__ = ["Ask", "check", "parse"]
+__all__ = ["Ask", "check", "in_doubt", "parse"]
 
 TEAM = "Team"
 KEY = "Idempotency-Key"
+REPEAT = "Idempotency-Repeat"
 DEADLINE = "Deadline-Ms"
 PRIORITY = "Priority"
 LONGEST_KEY = 200
 LONGEST_DEADLINE_MS = 600_000.0
+REPEATS = {"true": True, "false": False}
 PRIORITIES = frozenset("0123456789")
 DEFAULT_PRIORITY = "1"
 
@@ -54,6 +56,30 @@
     return None
 
 
+def in_doubt(headers, pipeline, config):
+    """Tell whether an earlier request with a caller's key may have run.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        Of a request that is refused before it is understood.
+    pipeline : str
+    config : Config or None
+        None if no configuration is known yet.
+
+    Returns
+    -------
+    bool
+        False as well where the key means nothing to the pipeline.
+    """
+    key = headers.get(KEY, "")
+    if not 0 < len(key) <= LONGEST_KEY or headers.get(REPEAT) == "false":
+        return False
+    if config is None or config.entry("pipelines", pipeline) is None:
+        return True
+    return runner.unrepeatable_stage(config, pipeline) is not None
+
+
 def parse(headers, pipeline, raw, *, config, region, now):
     """Check headers and body of a call.
 
@@ -82,6 +108,7 @@
         body = checking.decode(raw, Body, source="body")
         seconds = _deadline(headers, spec)
         priority = _priority(headers)
+        repeat = _repeat(headers)
     except (exceptions.CheckError, ValueError) as err:
         return kinds.Failure(kinds.Kind.BAD_REQUEST, str(err))
     key = headers.get(KEY)
@@ -104,6 +131,7 @@
         body=body["input"],
         key=key if critical is not None else None,
         priority=priority,
+        repeat=repeat,
     )
     return Ask(request, body.get("stream", False))
 
@@ -115,6 +143,15 @@
     return int(text)
 
 
+def _repeat(headers):
+    text = headers.get(REPEAT)
+    if text is None:
+        return None
+    if text not in REPEATS:
+        raise ValueError(f"{REPEAT} must be true or false")
+    return REPEATS[text]
+
+
 def _deadline(headers, spec):
     text = headers.get(DEADLINE, spec["deadline_ms"])
     try:
--- a/sycamoreshed/entry/tests/test_parsing.py
+++ b/sycamoreshed/entry/tests/test_parsing.py
@@ -47,6 +47,7 @@
         ({**TEAM, "Priority": "10"}, "summary", GOOD, BAD, "Priority"),
         ({**TEAM, "Priority": "-1"}, "summary", GOOD, BAD, "Priority"),
         ({**TEAM, "Priority": "0"}, "summary", GOOD, None, None),
+        ({**TEAM, "Idempotency-Repeat": "no"}, "summary", GOOD, BAD, "true"),
         (TEAM, "ballot", GOOD, kinds.Kind.KEY_MISSING, "'cast'"),
         ({**TEAM, **LONG}, "ballot", GOOD, BAD, "Idempotency-Key"),
     ],
@@ -61,6 +62,34 @@
     assert 400 <= kinds.answer_for(result).status < 500
 
 
+@pytest.mark.parametrize(
+    ("headers", "pipeline", "expected"),
+    [
+        ({}, "ballot", False),
+        ({"Idempotency-Key": "k"}, "ballot", True),
+        ({"Idempotency-Key": "k"}, "summary", False),
+        ({"Idempotency-Key": "k"}, "gone", True),
+        (LONG, "ballot", False),
+        (
+            {"Idempotency-Key": "k", "Idempotency-Repeat": "false"},
+            "ballot",
+            False,
+        ),
+        (
+            {"Idempotency-Key": "k", "Idempotency-Repeat": "true"},
+            "gone",
+            True,
+        ),
+    ],
+)
+def test_refused_unread_may_have_run_before(headers, pipeline, expected):
+    """A vote that counted must not be denied by a check of its repetition.
+
+    Its pipeline may have been withdrawn since it was cast.
+    """
+    assert parsing.in_doubt(headers, pipeline, builders.config()) is expected
+
+
 def test_stream_of_what_may_not_be_repeated_is_refused():
     headers = {**TEAM, "Idempotency-Key": "k"}
     result = parse(headers, "ballot", b'{"input": 1, "stream": true}')
--- a/sycamoreshed/errors/kinds.py
+++ b/sycamoreshed/errors/kinds.py
@@ -71,12 +71,16 @@
         promise: the work truly did not start.
     retry_after : float or None
         Seconds after which trying again makes sense.
+    in_doubt : bool
+        Whether an earlier request with the same idempotency key may have
+        run.
     """
 
     kind: Kind
     reason: str
     sent: bool = False
     retry_after: float | None = None
+    in_doubt: bool = False
 
 
 class Answer(typing.NamedTuple):
@@ -101,6 +105,7 @@
 
 
 _RAN = {Outcome.NOT_RUN: Outcome.FAILED, Outcome.SHED: Outcome.FAILED}
+_PROMISES = frozenset(_RAN)
 
 ANSWERS = {
     Kind.BAD_REQUEST: Answer(400, "Bad request", Outcome.NOT_RUN),
@@ -164,7 +169,8 @@
     Notes
     -----
     "Not run" is told only when nothing was sent: a kind whose table
-    entry says not-run or shed is told as failed once something was.
+    entry says not-run or shed is told as failed once something was, and
+    as outcome-unknown while an earlier request with the key is in doubt.
 
     Examples
     --------
@@ -172,8 +178,12 @@
     <Outcome.SHED: 'shed'>
     >>> answer_for(Failure(Kind.SHED, "queue full", sent=True)).outcome
     <Outcome.FAILED: 'failed'>
+    >>> answer_for(Failure(Kind.SHED, "queue full", in_doubt=True)).outcome
+    <Outcome.OUTCOME_UNKNOWN: 'outcome-unknown'>
     """
     answer = ANSWERS[failure.kind]
+    if failure.in_doubt and answer.outcome in _PROMISES:
+        answer = answer._replace(outcome=Outcome.OUTCOME_UNKNOWN)
     if failure.sent and answer.outcome in _RAN:
         answer = answer._replace(outcome=_RAN[answer.outcome])
     if failure.retry_after is not None:
--- a/sycamoreshed/idempotency/asking.py
+++ b/sycamoreshed/idempotency/asking.py
@@ -9,6 +9,8 @@
 __all__ = ["Asker"]
 
 ASK_TIMEOUT_S = 0.5
+# Refused requests that ask at the same time.
+MOST_REFUSALS = 16
 
 
 class Asker:
@@ -26,6 +28,7 @@
 
     def __init__(self, *, client):
         self._client = client
+        self._free = asyncio.Semaphore(MOST_REFUSALS)
 
     async def ask(self, config, service, key):
         """Return what became of a call.
@@ -41,19 +44,32 @@
         StageAnswer or None
             None when it is not known; see `decide.found`.
         """
+        answer = decide.found(await self._answers(config, service, key))
+        if answer is None:
+            return None
+        return adapters.StageAnswer(answer["output"], 0)
+
+    async def ask_for_refusal(self, config, service, key):
+        """Return what all endpoints tell of a key; see `doubt.from_lookups`.
+
+        Notes
+        -----
+        While the store is away each refused request asks.  Without a
+        bound they would crowd out the calls that can be served.
+        """
+        async with self._free:
+            return await self._answers(config, service, key)
+
+    async def _answers(self, config, service, key):
         spec = config.entry("services", service)
         if spec is None or not spec.get("lookup", False):
-            return None
-        answers = await asyncio.gather(
+            return []
+        return await asyncio.gather(
             *(
                 self._client.look_up(item, key, timeout=ASK_TIMEOUT_S)
                 for item in config.endpoints.get(service, ())
             )
         )
-        answer = decide.found(answers)
-        if answer is None:
-            return None
-        return adapters.StageAnswer(answer["output"], 0)
 
 
 @kernel.plugin("asker", needs=("endpoints",))
--- a/sycamoreshed/idempotency/keys.py
+++ b/sycamoreshed/idempotency/keys.py
@@ -1,6 +1,7 @@
 """Names of requests that may not be repeated: keys and digests."""
 
 import re
+import typing
 import urllib.parse
 import uuid
 
@@ -8,14 +9,18 @@
 import xxhash
 
 from sycamoreshed.errors import kinds
+from sycamoreshed.pipeline import runner
 
 __all__ = [
     "PREFIX",
     "SLACK_S",
+    "Names",
     "digest",
+    "digest_of",
     "endpoint_key",
     "fault",
     "issued_at",
+    "names_of",
     "record_key",
 ]
 
@@ -140,6 +145,40 @@
     return f"{urllib.parse.quote(team, safe='')}/{key}"
 
 
+class Names(typing.NamedTuple):
+    """Names of a request's key.
+
+    Parameters
+    ----------
+    row : str
+        Key of its record.
+    service : str
+        Of the stage that may not be repeated.
+    endpoint : str
+        The key as endpoints of the service know it.
+    """
+
+    row: str
+    service: str
+    endpoint: str
+
+
+def names_of(request):
+    """Return the `Names` of a request's key."""
+    stage = runner.unrepeatable_stage(request.config, request.pipeline)
+    service = stage["service"]
+    return Names(
+        record_key(request.team, service, request.key),
+        service,
+        endpoint_key(request.team, request.key),
+    )
+
+
+def digest_of(request):
+    """Return the digest of what a request asks for."""
+    return digest(request.pipeline, request.body)
+
+
 def digest(pipeline, body):
     """Return a digest of what a request asks for.
 
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from sycamoreshed.adapters import table as tables
 from sycamoreshed.entry import answers
 from sycamoreshed.entry import problems
 from sycamoreshed.errors import kinds
@@ -11,6 +12,7 @@
 from sycamoreshed.idempotency import decide
 from sycamoreshed.idempotency import keys
 from sycamoreshed.idempotency import records
+from sycamoreshed.idempotency import refusing
 from sycamoreshed.idempotency import settling
 from sycamoreshed.idempotency import sweep  # noqa: F401
 from sycamoreshed.idempotency import telling
@@ -77,16 +79,49 @@
         self._notes = notes
         self._instance = instance
         self._ttl_s = ttl_s
+        self._refuser = refusing.Refuser(
+            sightings=records.sightings, asker=asker, trace=records.trace
+        )
+
+    def under_way(self, request):
+        """Return a context in which others know of a request's key."""
+        return self._records.sightings.under_way(keys.names_of(request).row)
+
+    def refused(self, request, failure):
+        """Return a refusal before the record was read, as it may be told."""
+        return self._refuser.refuse_at_once(request, failure)
 
-    def refusal(self):
-        """Return a failure if requests with a key cannot run, or None.
+    async def early_end(self, request):
+        """Answer a request that need not or cannot run, or return None.
+
+        Returns
+        -------
+        Response, Failure or None
 
         Notes
         -----
         Asked before admission: a request that only waited for a slot to
         hear that the store is away would keep it from those that can run.
         """
-        return self._records.refusal()
+        refusal = keys.fault(request.key, time.time(), self._ttl_s)
+        if refusal is not None:
+            return refusal
+        refusal = _two_stages(request)
+        if refusal is not None:
+            return self.refused(request, refusal)
+        row_key = keys.names_of(request).row
+        held = self._records.settler.held(row_key)
+        refusal = self._records.refusal()
+        if held is not None:
+            row = tables.Row(row_key, held, tables.ABSENT)
+        elif refusal is not None:
+            row = await self._records.read(row_key)
+        else:
+            return None
+        end = self._records.end_of(row, keys.digest_of(request))
+        if end is None:
+            end = await self._refuser.refuse_by_record(request, refusal, row)
+        return telling.respond(end)
 
     async def run(self, request):
         """Run a request, or return the first answer to its key.
@@ -100,12 +135,38 @@
         Not to be cancelled when the caller goes away: a write or a call
         would be left without anybody who settles its record.
         """
-        refusal = keys.fault(request.key, time.time(), self._ttl_s)
-        if refusal is None:
-            refusal = _two_stages(request)
-        if refusal is not None:
-            return refusal
-        return await self._run(request)
+        stages = request.spec["stages"]
+        names = [stage["name"] for stage in stages]
+        critical = runners.unrepeatable_stage(request.config, request.pipeline)
+        row_key, service, known_as = keys.names_of(request)
+        record = records.new_record(
+            request,
+            keys.digest_of(request),
+            instance=self._instance,
+            stages=names if critical is stages[-1] else None,
+        )
+        if critical is not stages[0]:
+            end = await self._records.peek(row_key, record)
+            if end is not None:
+                return await self._unclaimed(request, end)
+
+        async def learn(row):
+            return await self._learn(row, service, known_as)
+
+        async def claim():
+            return await self._records.claim(
+                row_key, record, request.deadline, ask=learn
+            )
+
+        async def ask():
+            return await self._asker.ask(request.config, service, known_as)
+
+        gate = _Gate(claim=claim, ask=ask)
+        sent = request._replace(key=known_as)
+        result = await self._runner.run(sent, gate=gate)
+        if gate.claimed is None:
+            return await self._unclaimed(request, result)
+        return await self._end(request, critical, gate, result)
 
     async def look_up(self, http):
         """Tell a caller what became of a request with a key."""
@@ -114,7 +175,11 @@
         service = self._service_of(http.match_info)
         if isinstance(service, kinds.Failure):
             return problems.response(service)
-        row = await self._records.read(keys.record_key(team, service, key))
+        row_key = keys.record_key(team, service, key)
+        held = self._records.settler.held(row_key)
+        if held is not None:
+            return telling.tell(held)
+        row = await self._records.read(row_key)
         if isinstance(row, kinds.Failure):
             # Not "not run", which is what a store that is away means to
             # a request: this one was sent earlier and may have run.
@@ -142,48 +207,23 @@
             )
         return stage["service"]
 
-    async def _run(self, request):
-        stages = request.spec["stages"]
-        names = [stage["name"] for stage in stages]
-        critical = runners.unrepeatable_stage(request.config, request.pipeline)
-        service = critical["service"]
-        row_key = keys.record_key(request.team, service, request.key)
-        known_as = keys.endpoint_key(request.team, request.key)
-        record = records.new_record(
-            request,
-            keys.digest(request.pipeline, request.body),
-            instance=self._instance,
-            stages=names if critical is stages[-1] else None,
+    async def _unclaimed(self, request, result):
+        """Return what a request is told that has sent nothing."""
+        if not isinstance(result, kinds.Failure) or result.sent:
+            return telling.respond(result)
+        return await self._refuser.refuse_after_claim(
+            request, telling.unsent(result)
         )
-        if critical is not stages[0]:
-            end = await self._records.peek(row_key, record)
-            if end is not None:
-                return telling.respond(end)
-
-        async def learn(row):
-            return await self._learn(row, service, known_as)
-
-        async def claim():
-            return await self._records.claim(
-                row_key, record, request.deadline, ask=learn
-            )
-
-        async def ask():
-            return await self._asker.ask(request.config, service, known_as)
-
-        gate = _Gate(claim=claim, ask=ask)
-        sent = request._replace(key=known_as)
-        result = await self._runner.run(sent, gate=gate)
-        if gate.claimed is None:
-            return telling.respond(telling.unsent(result))
-        return await self._end(request, critical, gate, result)
 
     async def _end(self, request, critical, gate, result):
         failure = result if isinstance(result, kinds.Failure) else None
         end = decide.after_run(failure, gate.answer is not None)
         if end is decide.End.RELEASE:
             await self._records.settler.release(gate.claimed)
-            return telling.unsent(failure)
+            return await self._refuser.refuse_after_claim(
+                request, telling.unsent(failure)
+            )
+        self._records.sightings.add(gate.claimed.key)
         if end is decide.End.LEAVE:
             path = f"/v1/pipelines/{request.pipeline}/keys/{request.key}"
             return failure._replace(
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -9,6 +9,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.idempotency import breaker
 from sycamoreshed.idempotency import decide
+from sycamoreshed.idempotency import doubt
 from sycamoreshed.idempotency import settling
 from sycamoreshed.idempotency import store as stores
 from sycamoreshed.idempotency import trace as traces
@@ -62,7 +63,8 @@
 
     def __init__(self, *, store, clock, settler, log=None):
         self.store = store
-        self._trace = traces.Trace(log=log or logs.DecisionLog(), clock=clock)
+        self.sightings = doubt.Sightings()
+        self.trace = traces.Trace(log=log or logs.DecisionLog(), clock=clock)
         self._clock = clock
         self.settler = settler
 
@@ -74,6 +76,25 @@
         """Return the row of a record, or a failure."""
         return await self.store.read(key)
 
+    def end_of(self, row, body):
+        """Return what a record tells a request that writes nothing.
+
+        Parameters
+        ----------
+        row : Row or Failure
+        body : str
+            Digest of what the request asks for.
+
+        Returns
+        -------
+        Replay, Failure or None
+            None unless the key has its answer, or another body.
+        """
+        step = decide.after_read(row, None, body)
+        if step in (decide.Step.REPLAY, decide.Step.CONFLICT):
+            return self._conclude(step, row, in_doubt=False)
+        return None
+
     async def peek(self, key, record):
         """Look for the end of a key before any stage runs.
 
@@ -84,9 +105,12 @@
         """
         row = await self.store.read(key)
         step = decide.after_read(row, record["attempt"], record["body"])
-        if step in (decide.Step.CLAIM_AGAIN, decide.Step.WAIT):
+        if step is decide.Step.WAIT:
+            self.sightings.add(key)
+            return None
+        if step is decide.Step.CLAIM_AGAIN:
             return None
-        return self._conclude(step, row)
+        return self._conclude(step, row, in_doubt=True)
 
     async def claim(self, key, record, deadline, *, ask):
         """Record an attempt before anything is sent.
@@ -105,21 +129,25 @@
         -------
         Claim, Replay or Failure
             A failure has ``sent`` false if this attempt did not run and
-            never will.
+            never will; ``in_doubt`` is true if the record did not tell
+            whether an earlier one has run.
         """
         version = tables.ABSENT
         is_lost = False
+        in_doubt = True
         away_since = None
         for pause in settling.pauses():
             step, row, lost = await self._try(key, record, version)
             is_lost = is_lost or lost
             if step is decide.Step.WAIT:
                 step, row = await self._watch(key, record, deadline, ask, row)
-            self._trace.row(
+            self.trace.row(
                 "claim", row, request=record["attempt"], step=step.value
             )
             if step is decide.Step.SEND:
                 return settling.Claim(key, record, row.version)
+            if doubt.from_record(row) is False:
+                in_doubt = False
             now = self._clock()
             away_since = _since(away_since, now, is_away=self.store.away)
             is_away = away_since is not None and not decide.waits_out(
@@ -133,7 +161,7 @@
                 await asyncio.sleep(pause)
         if is_lost:
             self.settler.fence(key, record)
-        return self._conclude(step, row)
+        return self._conclude(step, row, in_doubt=in_doubt)
 
     async def complete(self, row, answer):
         """Store the answer of an attempt whose instance has not.
@@ -154,7 +182,7 @@
         record = settling.done(row.value, answer, OK)
         write = tables.Write(row.key, record, row.version)
         result = await self.store.write(write)
-        self._trace.write("complete", write, result)
+        self.trace.write("complete", write, result)
         return decide.completed(result, write)
 
     async def _try(self, key, record, version):
@@ -194,7 +222,9 @@
             if step is not decide.Step.WAIT:
                 return step, row
 
-    def _conclude(self, step, row):
+    def _conclude(self, step, row, *, in_doubt):
+        if doubt.from_record(row):
+            self.sightings.add(row.key)
         if step is decide.Step.REPLAY:
             return settling.replay(row)
         if step is decide.Step.CONFLICT:
@@ -202,6 +232,7 @@
             return kinds.Failure(
                 kinds.Kind.KEY_CONFLICT,
                 f"the key was used with another body (pipeline {first!r})",
+                in_doubt=doubt.from_record(row),
             )
         if step is decide.Step.WAIT:
             return kinds.Failure(
@@ -214,6 +245,7 @@
             kinds.Kind.STORE_AWAY,
             "the request could not be recorded in time",
             retry_after=self.store.retry_after,
+            in_doubt=in_doubt,
         )
 
 
--- a/sycamoreshed/idempotency/settling.py
+++ b/sycamoreshed/idempotency/settling.py
@@ -96,12 +96,17 @@
         self._clock = clock
         self._spawn = spawn
         self._later = set()
+        self._held = {}
 
     @property
     def pending(self):
         """Number of writes that go on in the background."""
         return len(self._later)
 
+    def held(self, key):
+        """Return the record of an answer that is not stored yet, or None."""
+        return self._held.get(key)
+
     async def finish(self, claim, answer, status, deadline):
         """Store an answer; in the background if that takes long.
 
@@ -120,6 +125,8 @@
         """
         record = done(claim.record, answer, status)
         task = self._go_on(self._settle(claim, record))
+        self._held[claim.key] = record
+        task.add_done_callback(lambda _: self._held.pop(claim.key, None))
         seconds = min(deadline - self._clock(), FINISH_WAIT_S)
         await asyncio.wait({task}, timeout=max(seconds, 0))
         if task.done() and task.result() is not None:
--- a/sycamoreshed/idempotency/trace.py
+++ b/sycamoreshed/idempotency/trace.py
@@ -59,6 +59,29 @@
             **_came_of(result),
         )
 
+    def refusal(self, failure, *, request, row, is_seen):
+        """Log what a refused request is told, and on what grounds.
+
+        Parameters
+        ----------
+        failure : Failure
+            As it is told.
+        request : Request
+        row : Row, Failure or None
+            The record of its key, as far as it was read.
+        is_seen : bool
+            Whether this instance knows of another request with the key.
+        """
+        self._write(
+            "refuse key",
+            request=request.id,
+            kind=str(failure.kind),
+            in_doubt=failure.in_doubt,
+            repeat=request.repeat,
+            is_seen=is_seen,
+            **_seen(row),
+        )
+
     def _write(self, what, **fields):
         self._log.write(self._clock(), what, **fields)
 
--- a/sycamoreshed/pipeline/requests.py
+++ b/sycamoreshed/pipeline/requests.py
@@ -21,6 +21,9 @@
         The caller's ``Idempotency-Key``.
     priority : int
         Lower goes first within a team.
+    repeat : bool or None
+        Whether an earlier request with the key may have run, as far as
+        the caller knows; None if the caller does not tell.
     """
 
     id: str
@@ -31,6 +34,7 @@
     body: typing.Any
     key: str | None = None
     priority: int = 1
+    repeat: bool | None = None
 
     @property
     def spec(self):
--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -42,14 +42,23 @@
     pipeline="ballot",
     ms=8e3,
     team="gaucho",
+    repeat=None,
 ):
-    """Cast a ballot through a daemon."""
+    """Cast a ballot through a daemon.
+
+    Parameters
+    ----------
+    repeat : bool, optional
+        What the caller tells of earlier requests with the key.
+    """
     address = cluster.daemons[index].public
     headers = {
         "Team": team,
         "Idempotency-Key": key,
         "Deadline-Ms": str(ms),
     }
+    if repeat is not None:
+        headers["Idempotency-Repeat"] = str(repeat).lower()
     url = f"http://{address}/v1/pipelines/{pipeline}"
     return await _fetch(
         cluster, "POST", url, json={"input": body}, headers=headers
--- a/tests/test_api_page.py
+++ b/tests/test_api_page.py
@@ -35,6 +35,7 @@
         *(f"`{name}`" for name in parsing.Body.__annotations__),
         f"`{parsing.TEAM}`",
         f"`{parsing.KEY}`",
+        f"`{parsing.REPEAT}`",
         f"`{parsing.DEADLINE}`",
         f"`{parsing.PRIORITY}`",
         f"at most {parsing.LONGEST_DEADLINE_MS:.0f}",
