Read what came during a pause before an order, a token or a peer counts as lost

Seen while the wait of an order that times out beside load was traced: the page of answers lost in a pause left orders, streams of the product's own interface and messages between instances as open, and on no list. An instance that was paused for longer than the limit of such a call served its timers before it read: an order that was taken was counted as "late" and given again, a token that lay there broke its stream and had the engine blamed, a peer that had answered counted as silent.

Ruled out: the other side (in the tests it answers after a third of the limit).

Change: the three use kernel.limits as the other calls do. A stream is limited wait by wait, since one limit around the generator would end what its reader does in between.

--- a/sycamoreshed/adapters/endpoints.py
+++ b/sycamoreshed/adapters/endpoints.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import typing
 
 import msgspec
@@ -12,6 +13,7 @@
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
+from sycamoreshed.kernel import limits
 
 __all__ = ["Call", "Chunk", "Endpoints", "StageAnswer", "cancel_quietly"]
 
@@ -154,17 +156,29 @@
         """
         data = msgspec.json.encode(call._asdict())
         size = len(data)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout
         try:
-            async with self._session.post(
-                web.url_of(endpoint.address, "/generate"),
-                data=data,
-                headers=web.JSON_HEADERS,
-                timeout=web.within(timeout),
-            ) as response:
+            async with contextlib.AsyncExitStack() as stack:
+                # One limit around the whole would also end what whoever
+                # reads the stream does between two chunks.
+                async with limits.limit(timeout):
+                    response = await stack.enter_async_context(
+                        self._session.post(
+                            web.url_of(endpoint.address, "/generate"),
+                            data=data,
+                            headers=web.JSON_HEADERS,
+                            timeout=web.within(None),
+                        )
+                    )
                 if response.status != 200:
                     yield _status_failure(response.status)
                     return
-                async for line in response.content:
+                while True:
+                    async with limits.limit(end - loop.time()):
+                        line = await response.content.readline()
+                    if not line:
+                        break
                     size += len(line)
                     chunk = self._chunk_of(_decode_line(line), call)
                     if chunk is None:
--- a/sycamoreshed/adapters/engines.py
+++ b/sycamoreshed/adapters/engines.py
@@ -11,6 +11,7 @@
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
+from sycamoreshed.kernel import limits
 
 __all__ = ["Engines", "Order", "Outdated", "State", "Target"]
 
@@ -127,13 +128,16 @@
             yield msgspec.json.encode(order)
 
         try:
-            async with self._session.post(
-                f"http://{endpoint.address}/orders",
-                data=body(),
-                headers=web.JSON_HEADERS,
-                timeout=web.within(timeout),
-                allow_redirects=False,
-            ) as response:
+            async with (
+                limits.limit(timeout),
+                self._session.post(
+                    f"http://{endpoint.address}/orders",
+                    data=body(),
+                    headers=web.JSON_HEADERS,
+                    timeout=web.within(None),
+                    allow_redirects=False,
+                ) as response,
+            ):
                 raw = await response.read()
         except web.NOT_SENT as err:
             return kinds.Failure(kinds.Kind.REFUSED, web.describe(err))
--- a/sycamoreshed/membership/messages.py
+++ b/sycamoreshed/membership/messages.py
@@ -7,6 +7,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import limits
 
 __all__ = ["Message", "decode", "encode", "post"]
 
@@ -63,12 +64,15 @@
         The answer and how many bytes both took.
     """
     try:
-        async with session.post(
-            f"http://{address}{PATH}",
-            data=raw,
-            skip_auto_headers=SKIPPED,
-            timeout=aiohttp.ClientTimeout(total=timeout),
-        ) as response:
+        async with (
+            limits.limit(timeout),
+            session.post(
+                f"http://{address}{PATH}",
+                data=raw,
+                skip_auto_headers=SKIPPED,
+                timeout=aiohttp.ClientTimeout(total=None),
+            ) as response,
+        ):
             answer = await response.read()
             if response.status != 200:
                 return kinds.Failure(
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -1,6 +1,5 @@
 """One streamed stage: offsets, gaps, and resuming on another engine."""
 
-import asyncio
 import contextlib
 import uuid
 
@@ -9,6 +8,7 @@
 
 from sycamoreshed.adapters import endpoints as adapters
 from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import limits
 from sycamoreshed.pipeline import evidence
 from sycamoreshed.pipeline import hedges
 
@@ -115,7 +115,7 @@
         try:
             # The client bounds each wait for the engine; this bounds also
             # the waits for a caller that reads slowly.
-            async with asyncio.timeout(until - began) as timer:
+            async with limits.limit(until - began) as timer:
                 first = hedges.Patience(
                     timer=timer,
                     seconds=patience,
