Play a zone whose reader fails as an endpoint leaves or history is lost

Three more moments with six real processes: an endpoint leaves while the zone's reader is frozen, a key is revoked and the store forgets its history as the reader is killed, and a second reader freezes after the first. All green at once; no fault was found.

--- a/tests/integration/test_gateway_readers.py
+++ b/tests/integration/test_gateway_readers.py
@@ -101,3 +101,64 @@
         store.put("op", "config", wiredata.configuration(9, tenants=[]))
         others = [each for each in found if each is not killed]
         assert await refused(others) < APPLY_S
+
+
+async def test_a_leaving_endpoint_gets_nothing_though_the_reader_is_frozen(
+    store, tmp_path
+):
+    """Instances would send work to an endpoint that is about to exit."""
+    async with (
+        harness.endpoints(store, harness.well, harness.well) as (leaving, _),
+        zone(store, tmp_path) as found,
+    ):
+        frozen = reader(found)
+        frozen.process.send_signal(signal.SIGSTOP)
+        beat = wiredata.beat(leaving.address, state="draining")
+        store.put("servers", "i-0", beat)
+        await asyncio.sleep(APPLY_S)
+        before = len(leaving.seen)
+        async with aiohttp.ClientSession() as session:
+            for each in [each for each in found if each is not frozen] * 4:
+                assert (await harness.call(session, each))[0] == 200
+        assert len(leaving.seen) == before
+
+
+async def test_a_revoked_key_is_refused_though_history_goes_with_the_reader(
+    store, tmp_path
+):
+    """Instances that turn to the store would miss what it has forgotten."""
+    async with zone(store, tmp_path) as found:
+        killed = reader(found)
+        await killed.kill()
+        store.put("op", "config", wiredata.configuration(9, tenants=[]))
+        store.compact()
+        others = [each for each in found if each is not killed]
+        assert await refused(others) < APPLY_S
+
+
+async def test_a_revoked_key_is_refused_though_two_readers_freeze(
+    store, tmp_path
+):
+    """The instance that reads after a frozen one may freeze as well."""
+    async with zone(store, tmp_path) as found:
+        first = reader(found)
+        first.process.send_signal(signal.SIGSTOP)
+        others = [each for each in found if each is not first]
+        async with asyncio.timeout(SETTLE_S + STABLE_S):
+            while (
+                len(
+                    {each.events("reader")[-1]["reader"] for each in others}
+                    - {None, first.control}
+                )
+                != 1
+            ):
+                await asyncio.sleep(0.05)
+        control = {each.events("reader")[-1]["reader"] for each in others} - {
+            None,
+            first.control,
+        }
+        second = next(each for each in others if {each.control} == control)
+        second.process.send_signal(signal.SIGSTOP)
+        store.put("op", "config", wiredata.configuration(9, tenants=[]))
+        left = [each for each in others if each is not second]
+        assert await refused(left) < APPLY_S
