Settle a record only by a row that is newer than the claim

A row that was read out of date, from before the claim, would have ended the settling with the answer unrecorded, and others told "outcome unknown" for good. Read back, a row counts only if its version is past the one that the write asked for; else the write is sent again, as after any lost answer. Six cases of rows, and the exploration has the same condition; both pass.

--- a/sycamoreshed/idempotency/settling.py
+++ b/sycamoreshed/idempotency/settling.py
@@ -171,16 +171,14 @@
             if step is decide.Step.REPLAY:
                 return replay(result.rows[0])
             if step is decide.Step.CLAIM_AGAIN:
-                found = result.rows[0].version
-                if found != version:
-                    version = found
-                    continue
-            elif step is not decide.Step.TRY_AGAIN:
+                version = result.rows[0].version
+                continue
+            if step is not decide.Step.TRY_AGAIN:
                 return None
             await asyncio.sleep(pause)
 
     async def _read_back(self, write, lost):
-        """Return the row as a conflict, or the failure if it is not read.
+        """Return what came of a write whose answer was lost.
 
         Notes
         -----
@@ -188,11 +186,12 @@
         again never ends, and keeps the breaker open for new requests.
         """
         row = await self._store.read(write.key)
-        if isinstance(row, kinds.Failure):
+        if isinstance(row, kinds.Failure) or row.version <= write.if_version:
             return lost
-        if row.value == write.value:
-            self._store.confirm()
-        return tables.Conflict((row,))
+        if row.value != write.value:
+            return tables.Conflict((row,))
+        self._store.confirm()
+        return tables.Written((row.version,))
 
     async def _fence(self, key, record):
         gone = {**record, "state": decide.State.NOT_RUN}
