Bound how long a refused request waits until it may ask the endpoints

While the store is away each refused request with a key asks the endpoints, sixteen at a time. With endpoints that answer none of them, those behind would wait for as long as requests come; after two seconds one is refused without having asked, as "outcome unknown". The tests of silent stores pass, among them 100 ballots refused at once.

--- a/sycamoreshed/idempotency/asking.py
+++ b/sycamoreshed/idempotency/asking.py
@@ -11,6 +11,8 @@
 ASK_TIMEOUT_S = 0.5
 # Refused requests that ask at the same time.
 MOST_REFUSALS = 16
+# Longest time that a refused request waits until it may ask.
+WAIT_S = 2.0
 
 
 class Asker:
@@ -55,10 +57,18 @@
         Notes
         -----
         While the store is away each refused request asks.  Without a
-        bound they would crowd out the calls that can be served.
+        bound they would crowd out the calls that can be served; one that
+        waits too long is refused without having asked.
         """
-        async with self._free:
+        try:
+            async with asyncio.timeout(WAIT_S):
+                await self._free.acquire()
+        except TimeoutError:
+            return []
+        try:
             return await self._answers(config, service, key)
+        finally:
+            self._free.release()
 
     async def _answers(self, config, service, key):
         spec = config.entry("services", service)
