--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -14,6 +14,7 @@
 
 BALLOTS = ("ballot-1", "ballot-2")
 LIMIT_S = 30
+REFUSED = 503
 
 
 class Told(typing.NamedTuple):
@@ -114,11 +115,12 @@
 
 
 async def cast_until_sent(cluster, index, key):
-    """Come again for as long as the answer is that it has not run."""
+    """Come again for as long as the answer is a refusal."""
 
     async def sent():
         told = await cast(cluster, index, key)
-        return told if told.outcome != "not-run" else None
+        is_refused = told.outcome == "not-run" or told.status == REFUSED
+        return None if is_refused else told
 
     return await until(sent)
 
