Say in the example and in the load that no ballot is repeated

Both cast each ballot for the first time, or again after "not-run" alone; told so, a refusal says "not-run" whatever else can be asked.

--- a/bench/load.py
+++ b/bench/load.py
@@ -83,6 +83,7 @@
         "Team": arrival.team,
         "Deadline-Ms": str(spec["deadline_ms"]),
         "Idempotency-Key": uuid.uuid4().hex,
+        "Idempotency-Repeat": "false",
     }
     timeout = aiohttp.ClientTimeout(total=deadline + GRACE_S)
     first = None
--- a/examples/store_away.py
+++ b/examples/store_away.py
@@ -8,7 +8,8 @@
 
 from testkit import processes
 
-KEY = {"Idempotency_Key": "member-12"}
+# Each request before was told as not run, so none is repeated.
+KEY = {"Idempotency_Key": "member-12", "Idempotency_Repeat": "false"}
 
 
 async def main():
