--- a/tests/integration/test_orders.py
+++ b/tests/integration/test_orders.py
@@ -42,14 +42,26 @@
     return body["version"]
 
 
-async def until(check, *, what, limit=LIMIT_S):
-    """Poll until the check holds; the limit is generous."""
+async def until(check, *, what, limit=LIMIT_S, seen=None):
+    """Poll until the check holds; the limit is generous.
+
+    Parameters
+    ----------
+    check : coroutine function
+    what : str
+        What is waited for.
+    limit : float
+        Seconds.
+    seen : object, optional
+        What the check saw last, for the message of a failure.
+    """
     try:
         async with asyncio.timeout(limit):
             while not await check():
                 await asyncio.sleep(0.05)
     except TimeoutError:
-        pytest.fail(f"never came about: {what}")
+        last = "" if seen is None else f"; seen last: {seen}"
+        pytest.fail(f"never came about: {what}{last}")
 
 
 async def versions(cluster, engine_names):
@@ -78,15 +90,19 @@
 async def holder(cluster, among=None):
     """Wait until one daemon holds the lease; return which."""
     found = []
+    seen = {}
 
     async def check():
         for index in among or range(len(cluster.daemons)):
-            if (await status(cluster, index))["holds"]:
+            # Stays where a daemon does not answer.
+            seen[index] = "asked"
+            seen[index] = await status(cluster, index)
+            if seen[index]["holds"]:
                 found.append(index)
                 return True
         return False
 
-    await until(check, what="a holder")
+    await until(check, what="a holder", seen=seen)
     return found[0]
 
 
