Name what judges a key, and what waits out a store, by what they take

from_caller in place of from_word, is_lost for a write whose answer was lost, which in_doubt meant as well as the doubt about earlier requests; the block that stops the stand-ins says when they go on. Behaviour is as it was; the tests of records and of ballots in doubt and silence pass.

--- a/sycamoreshed/idempotency/decide.py
+++ b/sycamoreshed/idempotency/decide.py
@@ -157,7 +157,7 @@
     return store_away or now + MARGIN_S >= deadline
 
 
-def waits_out(now, away_since, patience_s, *, in_doubt):
+def waits_out(now, away_since, patience_s, *, is_lost):
     """Return whether an attempt waits for a store that is away.
 
     Parameters
@@ -166,8 +166,9 @@
         Monotonic seconds.
     patience_s : float
         Seconds after which a refused caller would be told to come again.
-    in_doubt : bool
-        Whether a write of the attempt may have taken effect.
+    is_lost : bool
+        Whether the answer to a write of the attempt was lost, which may
+        have taken effect.
 
     Notes
     -----
@@ -176,14 +177,14 @@
 
     Examples
     --------
-    >>> waits_out(1.5, 1.0, 2.0, in_doubt=True)
+    >>> waits_out(1.5, 1.0, 2.0, is_lost=True)
     True
-    >>> waits_out(3.5, 1.0, 2.0, in_doubt=True)
+    >>> waits_out(3.5, 1.0, 2.0, is_lost=True)
     False
-    >>> waits_out(1.5, 1.0, 2.0, in_doubt=False)
+    >>> waits_out(1.5, 1.0, 2.0, is_lost=False)
     False
     """
-    return in_doubt and now < away_since + patience_s
+    return is_lost and now < away_since + patience_s
 
 
 def fence_version(row, attempt):
--- a/sycamoreshed/idempotency/doubt.py
+++ b/sycamoreshed/idempotency/doubt.py
@@ -13,7 +13,7 @@
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.idempotency import decide
 
-__all__ = ["Sightings", "from_lookups", "from_record", "from_word"]
+__all__ = ["Sightings", "from_lookups", "from_record", "from_caller"]
 
 MOST_KEYS = 10_000
 
@@ -86,7 +86,7 @@
     return xxhash.xxh3_64_intdigest(key.encode())
 
 
-def from_word(repeat, *, is_seen):
+def from_caller(repeat, *, is_seen):
     """Judge by what the caller tells, and what this instance saw.
 
     Parameters
@@ -104,16 +104,16 @@
 
     Examples
     --------
-    >>> [from_word(repeat, is_seen=False) for repeat in (True, False, None)]
+    >>> [from_caller(repeat, is_seen=False) for repeat in (True, False, None)]
     [True, False, None]
-    >>> from_word(False, is_seen=True)
+    >>> from_caller(False, is_seen=True)
     True
     """
     return True if is_seen else repeat
 
 
 def from_record(row):
-    """Judge by the record of the key; see `from_word`.
+    """Judge by the record of the key; see `from_caller`.
 
     Parameters
     ----------
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -151,7 +151,7 @@
             now = self._clock()
             away_since = _since(away_since, now, is_away=self.store.away)
             is_away = away_since is not None and not decide.waits_out(
-                now, away_since, self.store.retry_after, in_doubt=is_lost
+                now, away_since, self.store.retry_after, is_lost=is_lost
             )
             if step not in _AGAIN or decide.gives_up(now, deadline, is_away):
                 break
--- a/sycamoreshed/idempotency/refusing.py
+++ b/sycamoreshed/idempotency/refusing.py
@@ -72,7 +72,9 @@
         return self._told(request, failure, verdict)
 
     def _known(self, request):
-        return doubt.from_word(request.repeat, is_seen=self._is_seen(request))
+        return doubt.from_caller(
+            request.repeat, is_seen=self._is_seen(request)
+        )
 
     def _is_seen(self, request):
         return self._sightings.has(keys.names_of(request).row)
--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -146,7 +146,14 @@
 
 @contextlib.asynccontextmanager
 async def stand_ins_stopped(cluster, seconds):
-    """Stop the process of all stand-ins for a while, from now on."""
+    """Stop the process of all stand-ins; it goes on before the block ends.
+
+    Parameters
+    ----------
+    cluster : Cluster
+    seconds : float
+        From the beginning of the block.
+    """
     host = cluster.host
     host.send_signal(signal.SIGSTOP)
 
