Log a fingerprint of each admitted request

The logs of the incident could not distinguish a request that is repeated under other ids from different requests that fail alike: nothing in them depended on the body. `admitted` now has a fingerprint of method, host, path, team and body, which all repetitions share on all instances.

--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -52,6 +52,8 @@
     headers : CIMultiDict
         As received from the caller.
     body : bytes
+    fingerprint : str
+        Equal for repetitions of a request, which have other ids.
     started_at : float
         Monotonic time of its arrival.
     waited_s : float
@@ -72,6 +74,7 @@
     target: str
     headers: typing.Any
     body: bytes
+    fingerprint: str
     started_at: float
     waited_s: float
     deadline: float
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -187,6 +187,7 @@
         target="/",
         headers=headers,
         body=b"{}",
+        fingerprint="f1",
         started_at=0.0,
         waited_s=0.0,
         deadline=4.0,
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.entry import backlog
 from sycamoreshed.errors import kinds
+from sycamoreshed.findings import fingerprints
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding import requests
 from sycamoreshed.gateway import deadline_history
@@ -165,9 +166,17 @@
         priority = requests.Priority(
             (team and team.priority) or 0, route.priority
         )
+        fingerprint = fingerprints.fingerprint(
+            method=http.method,
+            host=http.headers.get("Host", ""),
+            target=target,
+            team=team.name if team else None,
+            body=body,
+        )
         self._journal.write(
             "admitted",
             request=head.request_id,
+            fingerprint=fingerprint,
             route=route.name,
             version=configuration.version,
             team=team.name if team else None,
@@ -185,6 +194,7 @@
             target=target,
             headers=http.headers,
             body=body,
+            fingerprint=fingerprint,
             started_at=started_at,
             waited_s=waited_s,
             deadline=deadline,
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -123,8 +123,8 @@
     ),
     "admitted": Event(
         EventClass.DETAIL,
-        "request, route, version, team, priority, left_s",
-        "a request was taken",
+        "request, fingerprint, route, version, team, priority, left_s",
+        "a request was taken; the fingerprint is that of all its repetitions",
     ),
     "chosen": Event(
         EventClass.DETAIL,
