--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -5,10 +5,19 @@
 import struct
 import typing
 
-__all__ = ["RESET", "Endpoint", "ReceivedRequest", "answer", "stream_head"]
+__all__ = [
+    "CRASH",
+    "RESET",
+    "Endpoint",
+    "ReceivedRequest",
+    "answer",
+    "stream_head",
+]
 
 # Script step that resets the connection instead of sending bytes.
 RESET = object()
+# Script step that resets all connections and stops listening.
+CRASH = object()
 
 
 class ReceivedRequest(typing.NamedTuple):
@@ -46,7 +55,9 @@
     ----------
     script : callable
         Takes a `ReceivedRequest` and returns an iterable of steps: bytes
-        to send, seconds to wait, or `RESET`.
+        to send, seconds to wait, `RESET` or `CRASH`.
+    on_crash : callable, optional
+        Called with this endpoint when it has crashed.
 
     Attributes
     ----------
@@ -56,9 +67,11 @@
         Connections that the client closed before the script ended.
     """
 
-    def __init__(self, script):
+    def __init__(self, script, *, on_crash=None):
         self._script = script
+        self._on_crash = on_crash
         self._server = None
+        self._writers = set()
         self.seen = []
         self.left = 0
         self.address = None
@@ -73,7 +86,15 @@
         """Stop listening."""
         self._server.close()
 
+    def _crash(self):
+        self._server.close()
+        for writer in self._writers:
+            _reset(writer)
+        if self._on_crash is not None:
+            self._on_crash(self)
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             seen = await _read(reader)
             self.seen.append(seen)
@@ -81,6 +102,9 @@
                 if step is RESET:
                     _reset(writer)
                     return
+                if step is CRASH:
+                    self._crash()
+                    return
                 if isinstance(step, bytes):
                     writer.write(step)
                     await writer.drain()
@@ -89,6 +113,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             self.left += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _wait_open(self, reader, seconds):
