Log the limits that endpoints name in their answers

Nothing in the logs told that an answer named a limit, so that a header that is not read could not be distinguished from one that each instance keeps by itself. `endpoint_limited` is written when the limit that an endpoint names changes. Requests are sent as before.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -394,6 +394,7 @@
 
     async def _exchange(self, endpoint, headers, timeout_s):
         parts, request = self._parts, self._request
+        sent_at = parts.clock()
         response = await parts.client.send(
             request.method,
             endpoint.address,
@@ -417,6 +418,7 @@
         ).value
         if verdict != "elsewhere":
             self._counted_attempts += 1
+            self._record_limit(endpoint, response, verdict, sent_at)
         if request.route.streaming and verdict == "done":
             if response.status == 200:
                 return Opened(endpoint, response)
@@ -427,6 +429,20 @@
             return answer
         return self._classify(endpoint, answer, verdict)
 
+    def _record_limit(self, endpoint, response, verdict, sent_at):
+        """Record the limit that an endpoint names, or no longer names."""
+        parts = self._parts
+        rate = parts.codec.rate_limit(response.headers)
+        if rate is None and verdict != "done":
+            return
+        parts.limits.record_answer(
+            endpoint,
+            rate,
+            sent_at=sent_at,
+            now=parts.clock(),
+            unix_ms=parts.unix_ms(),
+        )
+
     def _classify(self, endpoint, answer, verdict):
         if verdict == "done":
             self.record_served(endpoint)
@@ -461,24 +477,27 @@
     placer : Placer
     health : Health
     crashes : CrashDetector
+    limits : LimitRecords
     budget : RetryBudget
     peers : Peers
     client : EndpointClient
     codec : Platform
     journal : Journal
-    clock : callable
+    clock, unix_ms : callable
     """
 
     catalog: typing.Any
     placer: typing.Any
     health: typing.Any
     crashes: typing.Any
+    limits: typing.Any
     budget: typing.Any
     peers: typing.Any
     client: typing.Any
     codec: typing.Any
     journal: typing.Any
     clock: typing.Any
+    unix_ms: typing.Any
 
 
 @kernel.plugin(
@@ -488,6 +507,7 @@
         "placer",
         "health",
         "crashes",
+        "limit_records",
         "budget",
         "peers",
         "endpoint_client",
@@ -502,10 +522,12 @@
         placer=core.part("placer"),
         health=core.part("health"),
         crashes=core.part("crashes"),
+        limits=core.part("limit_records"),
         budget=core.part("budget"),
         peers=core.part("peers"),
         client=core.part("endpoint_client"),
         codec=core.part("platform"),
         journal=core.part("journal"),
         clock=core.clock,
+        unix_ms=core.unix_ms,
     )
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -7,6 +7,8 @@
 
 from sycamoreshed.catalog import types
 from sycamoreshed.errors import kinds
+from sycamoreshed.findings import board
+from sycamoreshed.findings import limits
 from sycamoreshed.forwarding import attempts
 from sycamoreshed.forwarding import budget
 from sycamoreshed.forwarding import health
@@ -165,12 +167,14 @@
         ),
         health=endpoint_health,
         crashes=crashes.Crashes(),
+        limits=limits.LimitRecords(board=board.Board(), journal=journal),
         budget=budget.RetryBudget(ratio=1.0, slack=99, window_s=10),
         peers=_Peers(),
         client=client,
         codec=platform.Platform(store=None),
         journal=journal,
         clock=lambda: 0.0,
+        unix_ms=lambda: 0,
     )
 
 
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -97,6 +97,12 @@
         "an endpoint broke off a request and refuses connections; the "
         "fingerprints of the requests in flight there",
     ),
+    "endpoint_limited": Event(
+        EventClass.STATE,
+        "endpoint, rate",
+        "an answer named another limit than before: requests a second from "
+        "all instances together, or none",
+    ),
     "request_rejected": Event(
         EventClass.STATE,
         "fingerprint",
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -1,6 +1,7 @@
 """Wire format of request and response headers and of endpoint calls."""
 
 import enum
+import math
 import typing
 
 import msgspec
@@ -19,6 +20,7 @@
     "matches_request",
     "parse_head",
     "piece_call",
+    "rate_limit",
     "response_headers",
 ]
 
@@ -213,6 +215,23 @@
     return Verdict.DONE
 
 
+def rate_limit(headers):
+    """Return the requests per second that an endpoint takes, or None.
+
+    Examples
+    --------
+    >>> rate_limit({"Server-Limit": "1.5"})
+    1.5
+    >>> rate_limit({"Server-Limit": "few"}), rate_limit({})
+    (None, None)
+    """
+    try:
+        rate = float(headers.get(names.RATE_LIMIT, ""))
+    except ValueError:
+        return None
+    return rate if 0 <= rate < math.inf else None
+
+
 class PieceResult(typing.NamedTuple):
     """Result of one piece: its handle, or the reason why there is none."""
 
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -18,6 +18,8 @@
 EXPECT_ENDPOINT = "X-Sycamoreshed-Expect-Instance"
 LOAD = "X-Sycamoreshed-Instance-Load"
 NOT_RUN = "X-Sycamoreshed-Not-Executed"
+# Requests per second that an endpoint takes from all instances together.
+RATE_LIMIT = "Server-Limit"
 # Tokens of the prompt, and the maximum number to generate.
 TOKENS = "X-Sycamoreshed-Token-Usage"
 PRIORITY = "X-Sycamoreshed-Priority-Class"
