Keep the limits that endpoints name, on all instances together

What callers saw: engines in need, which had asked for 1 and 1.3 requests a second, got two to three times as many, and answered late or not at all.

Cause: the header was not read; placement goes by prefix, zone and own requests in flight. Reading it on each instance would not have been enough: a limit is for all instances together, and one that learns of it has to tell the others. Ruled out: a limit that each instance keeps by itself (nothing reads the header), and the restart of an instance (the excess is there before it).

Change: an answer that names a limit is told to all instances as a finding. Requests to such an endpoint, and calls with pieces and of results to free, need a permit, which one instance of the endpoint's zone issues at the limit's rate. So whoever has requests may use the limit up. One that reaches no issuer uses its share. A request goes to the next endpoint then; if the limits of all are used up, it waits for half of its time at most, or is rejected at once with the time until an endpoint takes it, before its stages run.

--- a/sycamoreshed/catalog/peers.py
+++ b/sycamoreshed/catalog/peers.py
@@ -78,9 +78,15 @@
         self._cores = cores
         self._rng = rng or random.Random()
         self._backoffs = {}
+        self._answer_count = 0
         self.seeds = tuple(seeds)
         self.is_draining = False
 
+    @property
+    def answer_count(self):
+        """Number of answers of other instances so far."""
+        return self._answer_count
+
     def sample(self, now):
         """Return control addresses to try in turn, the own zone first."""
         local, remote = [], []
@@ -216,6 +222,7 @@
 
     def record_success(self, control):
         """Clear the failures of a peer that answered."""
+        self._answer_count += 1
         if self._backoffs.pop(control, None) is not None:
             self._journal.write("peer_met", peer=control)
 
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -16,7 +16,14 @@
 from sycamoreshed.forwarding import placement
 from sycamoreshed.kernel import kernel
 
-__all__ = ["Answered", "Attempts", "Opened", "rejection"]
+__all__ = [
+    "MAX_WAIT_SHARE",
+    "Answered",
+    "Attempts",
+    "Opened",
+    "limit_failure",
+    "rejection",
+]
 
 # Time limit for the head of an answer, and again for its body, as a multiple
 # of the route's target, for requests that may run again and streams that may
@@ -24,6 +31,9 @@
 # one may still answer before the deadline.
 TIMEOUT_TARGET_FACTOR = 2.0
 MIN_TIMEOUT_S = 0.5
+# Share of the remaining time that a request may wait for an endpoint whose
+# limit is used up; the rest is for the answer.
+MAX_WAIT_SHARE = 0.5
 
 
 class Opened(typing.NamedTuple):
@@ -77,6 +87,26 @@
     )
 
 
+def limit_failure(endpoints, parts, now, *, sent=False):
+    """Return the `Failure` of a request that the limits leave no time for.
+
+    Parameters
+    ----------
+    endpoints : iterable of Endpoint
+        Those that could serve it.
+    parts : Parts
+    now : float
+    sent : bool
+        Whether an attempt of this request may have run.
+    """
+    return kinds.Failure(
+        kinds.Kind.OVER_LIMIT,
+        "the limits of all endpoints are used up",
+        sent=sent,
+        retry_after=parts.limiter.wait_s(endpoints, now),
+    )
+
+
 class Attempts:
     """The attempts at one request.
 
@@ -171,6 +201,15 @@
                 self._release.freed = False
                 # Endpoints may have joined or left meanwhile.
                 continue
+            choice = await self._acquire(choice, now, remaining_s)
+            if isinstance(choice, kinds.Failure):
+                return choice if last is None else last
+            waited_s = parts.clock() - now
+            now += waited_s
+            remaining_s -= waited_s
+            if not self._is_available(choice.endpoint, now):
+                continue
+            self._log_choice(choice, now)
             result = await self._send(
                 choice,
                 request.deadline - now,
@@ -301,7 +340,57 @@
         timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_TARGET_FACTOR * route.target_s)
         return min(remaining_s, timeout_s)
 
-    def _choose(self, now):
+    async def _acquire(self, choice, now, remaining_s):
+        """Return a `Choice` whose endpoint's limit allows the request.
+
+        Parameters
+        ----------
+        choice : Choice
+            The first one to try.
+        now, remaining_s : float
+
+        Returns
+        -------
+        Choice or Failure
+        """
+        limiter = self._parts.limiter
+        exhausted = limiter.exhausted(now)
+        while choice is not None:
+            endpoint = choice.endpoint
+            if endpoint.id not in exhausted:
+                if await limiter.acquire(endpoint):
+                    return choice
+                exhausted.add(endpoint.id)
+            choice = self._choose(now, exhausted)
+        # The limits of all endpoints are used up: wait for the first of them
+        # that takes the request, unless it is too late then.
+        endpoints = [
+            each
+            for each in self._parts.catalog.endpoints(
+                self._request.service, now
+            )
+            if each.id not in self._tried
+        ]
+        if not endpoints:
+            return self._fail(kinds.Kind.NO_ENDPOINT, "all endpoints left")
+        max_wait_s = MAX_WAIT_SHARE * remaining_s
+        first = min(endpoints, key=lambda each: limiter.wait_s([each], now))
+        if limiter.wait_s([first], now) <= max_wait_s:
+            if await limiter.acquire(first, max_wait_s=max_wait_s):
+                return placement.Choice(first, "limit", len(endpoints))
+        return limit_failure(
+            endpoints, self._parts, now, sent=self._may_have_run
+        )
+
+    def _is_available(self, endpoint, now):
+        """Return whether an endpoint is there after a wait for a permit."""
+        available = self._parts.catalog.endpoints(self._request.service, now)
+        rejected = self._parts.crashes.is_rejected(
+            self._request.fingerprint, now
+        )
+        return endpoint in available and not rejected
+
+    def _choose(self, now, excluded=()):
         parts, request = self._parts, self._request
         service = parts.catalog.configuration.services.get(request.service)
         max_in_flight = math.inf
@@ -312,28 +401,28 @@
         # Suspects of a crash are kept apart: those that share an endpoint
         # again cannot be told from each other if it crashes.
         is_suspect = parts.crashes.is_suspect(request.fingerprint, now)
-        choice = parts.placer.choose(
+        return parts.placer.choose(
             parts.catalog.endpoints(request.service, now),
             now,
-            tried=self._tried,
+            tried=self._tried.union(excluded),
             affinity=request.fingerprint if is_suspect else request.affinity,
             shared_tokens=request.shared_tokens,
             body_bytes=len(request.body),
             result_bytes=self._result_bytes,
             max_in_flight=max_in_flight,
         )
-        if choice is not None:
-            parts.journal.write(
-                "chosen",
-                request=request.id,
-                endpoint=choice.endpoint.id,
-                attempt=len(self._tried) + 1,
-                of=choice.healthy_count,
-                in_flight=parts.placer.in_flight(choice.endpoint),
-                age_s=round(parts.catalog.age("endpoints", now), 2),
-                why=choice.reason,
-            )
-        return choice
+
+    def _log_choice(self, choice, now):
+        self._parts.journal.write(
+            "chosen",
+            request=self._request.id,
+            endpoint=choice.endpoint.id,
+            attempt=len(self._tried) + 1,
+            of=choice.healthy_count,
+            in_flight=self._parts.placer.in_flight(choice.endpoint),
+            age_s=round(self._parts.catalog.age("endpoints", now), 2),
+            why=choice.reason,
+        )
 
     async def _send(self, choice, remaining_s, last_event_id, timeout_s):
         parts, request = self._parts, self._request
@@ -431,17 +520,11 @@
 
     def _record_limit(self, endpoint, response, verdict, sent_at):
         """Record the limit that an endpoint names, or no longer names."""
-        parts = self._parts
-        rate = parts.codec.rate_limit(response.headers)
-        if rate is None and verdict != "done":
-            return
-        parts.limits.record_answer(
-            endpoint,
-            rate,
-            sent_at=sent_at,
-            now=parts.clock(),
-            unix_ms=parts.unix_ms(),
-        )
+        rate = self._parts.codec.rate_limit(response.headers)
+        # A failure may come from what stands before the endpoint's work, and
+        # does not lift a limit.
+        if rate is not None or verdict == "done":
+            self._parts.limiter.record_answer(endpoint, rate, sent_at=sent_at)
 
     def _classify(self, endpoint, answer, verdict):
         if verdict == "done":
@@ -477,27 +560,26 @@
     placer : Placer
     health : Health
     crashes : CrashDetector
-    limits : LimitRecords
+    limiter : Limiter
     budget : RetryBudget
     peers : Peers
     client : EndpointClient
     codec : Platform
     journal : Journal
-    clock, unix_ms : callable
+    clock : callable
     """
 
     catalog: typing.Any
     placer: typing.Any
     health: typing.Any
     crashes: typing.Any
-    limits: typing.Any
+    limiter: typing.Any
     budget: typing.Any
     peers: typing.Any
     client: typing.Any
     codec: typing.Any
     journal: typing.Any
     clock: typing.Any
-    unix_ms: typing.Any
 
 
 @kernel.plugin(
@@ -507,7 +589,7 @@
         "placer",
         "health",
         "crashes",
-        "limit_records",
+        "limiter",
         "budget",
         "peers",
         "endpoint_client",
@@ -522,12 +604,11 @@
         placer=core.part("placer"),
         health=core.part("health"),
         crashes=core.part("crashes"),
-        limits=core.part("limit_records"),
+        limiter=core.part("limiter"),
         budget=core.part("budget"),
         peers=core.part("peers"),
         client=core.part("endpoint_client"),
         codec=core.part("platform"),
         journal=core.part("journal"),
         clock=core.clock,
-        unix_ms=core.unix_ms,
     )
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -99,6 +99,8 @@
         """
         now = self._parts.clock()
         rejected = attempts.rejection(request, self._parts, now)
+        if rejected is None:
+            rejected = self._over_limit(request, now)
         if rejected is not None:
             return Outcome(failure=rejected)
         self._parts.budget.record_requests(request.service, now)
@@ -108,6 +110,21 @@
         finally:
             self._stages.free(results)
 
+    def _over_limit(self, request, now):
+        """Return the `Failure` if no endpoint takes a request in time.
+
+        Its stages would be work for nothing.
+        """
+        endpoints = self._parts.catalog.endpoints(request.service, now)
+        if not endpoints:
+            return None
+        max_wait_s = attempts.MAX_WAIT_SHARE * (
+            request.answer_start_deadline - now
+        )
+        if self._parts.limiter.wait_s(endpoints, now) <= max_wait_s:
+            return None
+        return attempts.limit_failure(endpoints, self._parts, now)
+
     async def _run(self, request, sink, results):
         for _ in range(MAX_ROUNDS):
             inputs = await self._run_stages(request, results)
--- /dev/null
+++ b/sycamoreshed/forwarding/limiting.py
@@ -0,0 +1,226 @@
+"""Keeps the limits that endpoints name, together with other instances."""
+
+import asyncio
+import math
+import random
+import typing
+
+import msgspec
+
+from sycamoreshed.adapters import web
+from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import permits
+from sycamoreshed.kernel import kernel
+from sycamoreshed.membership import rendezvous
+
+__all__ = ["PATH", "Limiter"]
+
+PATH = "/control/permits"
+# For the instance that issues permits to answer.
+TIMEOUT_S = 0.3
+# Instances asked in turn; then this one uses its share of the limit.
+MAX_ATTEMPTS = 2
+# Refusals that are remembered; the oldest one is forgotten first.
+MAX_REFUSALS = 1024
+
+
+class _Refusal(typing.NamedTuple):
+    """When an endpoint takes the next request, and when to ask for it."""
+
+    endpoint: typing.Any
+    free_at: float
+    ask_at: float
+
+
+class Limiter:
+    """Asks for permits to send requests to endpoints with a limit.
+
+    Parameters
+    ----------
+    records : LimitRecords
+    publish : callable
+        Tells other instances findings, which may be None.
+    peers : PeerDirectory
+    own : str
+        Name of this instance.
+    send : callable
+        Coroutine function of a control address and a `PermitRequest`;
+        returns a `Reply` or a `Failure`.
+    clock, unix_ms : callable
+        Return the monotonic time in seconds, and the Unix time in ms.
+    rng : random.Random, optional
+    """
+
+    def __init__(
+        self,
+        *,
+        records,
+        publish,
+        peers,
+        own,
+        send,
+        clock,
+        unix_ms,
+        rng=None,
+    ):
+        self._records = records
+        self._publish = publish
+        self._peers = peers
+        self._own = own
+        self._send = send
+        self._clock = clock
+        self._unix_ms = unix_ms
+        self._issuer = permits.Issuer()
+        # Used when no instance that issues permits can be reached.
+        self._own_share = permits.Issuer(rng=rng or random.Random())
+        self._refusals = {}
+        self._answer_count_at_failure = None
+
+    def record_answer(self, endpoint, rate, *, sent_at):
+        """Record the limit that an answer names; see `LimitRecords`."""
+        finding = self._records.record_answer(
+            endpoint,
+            rate,
+            sent_at=sent_at,
+            now=self._clock(),
+            unix_ms=self._unix_ms(),
+        )
+        self._publish(finding)
+
+    def exhausted(self, now):
+        """Return the ids of endpoints that need not be asked for yet."""
+        return {
+            key
+            for key, refusal in self._refusals.items()
+            if now < refusal.ask_at
+            # The limit may have been lifted, as others found.
+            and self._records.rate(refusal.endpoint, now) is not None
+        }
+
+    def wait_s(self, endpoints, now):
+        """Return the seconds until one of some endpoints takes a request.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+        now : float
+
+        Returns
+        -------
+        float
+            0 if one of them may take it at once, infinity if there is none.
+        """
+        return min(
+            (self._wait_s(each, now) for each in endpoints), default=math.inf
+        )
+
+    async def acquire(self, endpoint, *, max_wait_s=0.0):
+        """Wait for a permit to send one request to an endpoint.
+
+        Returns
+        -------
+        bool
+            Whether the request may be sent now; at once if the endpoint has
+            no limit.
+        """
+        rate = self._records.rate(endpoint, self._clock())
+        if rate is None:
+            self._refusals.pop(endpoint.id, None)
+            return True
+        request = permits.PermitRequest(
+            f"{endpoint.id}@{endpoint.started_at_ms}",
+            rate,
+            max_wait_s,
+            self._own,
+        )
+        permit = await self._ask(endpoint, request)
+        if permit.is_granted:
+            self._refusals.pop(endpoint.id, None)
+            if permit.wait_s > 0:
+                await asyncio.sleep(permit.wait_s)
+            return True
+        self._remember(endpoint, permit)
+        return False
+
+    def issue(self, request):
+        """Return the `Permit` for a request of another instance."""
+        self._answer_count_at_failure = None
+        return self._issuer.issue(request, self._clock())
+
+    def _wait_s(self, endpoint, now):
+        refusal = self._refusals.get(endpoint.id)
+        if refusal is None or self._records.rate(endpoint, now) is None:
+            return 0.0
+        return max(0.0, refusal.free_at - now)
+
+    def _remember(self, endpoint, permit):
+        now = self._clock()
+        self._refusals.pop(endpoint.id, None)
+        self._refusals[endpoint.id] = _Refusal(
+            endpoint, now + permit.wait_s, now + permit.retry_s
+        )
+        while len(self._refusals) > MAX_REFUSALS:
+            del self._refusals[next(iter(self._refusals))]
+
+    @property
+    def _may_be_cut_off(self):
+        """Whether no instance has answered since one did not answer.
+
+        Then that one, or the next, may still issue permits to all others.
+        """
+        return self._answer_count_at_failure == self._peers.answer_count
+
+    async def _ask(self, endpoint, request):
+        for _ in range(MAX_ATTEMPTS):
+            candidates = self._peers.eligible(endpoint.zone, self._clock())
+            if not candidates:
+                break
+            (name,) = rendezvous.top(f"permits {endpoint.id}", candidates, 1)
+            if name == self._own:
+                if self._may_be_cut_off:
+                    break
+                return self._issuer.issue(request, self._clock())
+            reply = await self._send(candidates[name], request)
+            if isinstance(reply, kinds.Failure):
+                self._peers.record_failure(
+                    candidates[name], self._clock(), reply.reason
+                )
+                self._answer_count_at_failure = self._peers.answer_count
+                continue
+            self._peers.record_success(candidates[name])
+            if reply.status != 200:
+                break
+            try:
+                return msgspec.convert(reply.body, permits.Permit)
+            except msgspec.ValidationError:
+                # Another version of the program; use the own share.
+                break
+        share = request.rate / self._peers.count()
+        return self._own_share.issue(
+            request._replace(rate=share), self._clock()
+        )
+
+
+async def _send(core, control, request):
+    return await web.fetch(
+        core.part("web"),
+        "POST",
+        control,
+        PATH,
+        timeout=TIMEOUT_S,
+        body=request,
+    )
+
+
+@kernel.plugin("limiter", needs=("findings", "limit_records", "peers", "web"))
+async def limiter(core):
+    """Provide the `Limiter`."""
+    yield Limiter(
+        records=core.part("limit_records"),
+        publish=core.part("findings").publish,
+        peers=core.part("peers"),
+        own=core.settings.instance,
+        send=lambda *call: _send(core, *call),
+        clock=core.clock,
+        unix_ms=core.unix_ms,
+    )
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -7,8 +7,6 @@
 
 from sycamoreshed.catalog import types
 from sycamoreshed.errors import kinds
-from sycamoreshed.findings import board
-from sycamoreshed.findings import limits
 from sycamoreshed.forwarding import attempts
 from sycamoreshed.forwarding import budget
 from sycamoreshed.forwarding import health
@@ -19,6 +17,7 @@
 from sycamoreshed.platform import platform
 from testkit import crashes
 from testkit import journals
+from testkit import limiters
 
 __all__ = [
     "OUTCOMES",
@@ -152,8 +151,11 @@
         return 1
 
 
-def parts(client, *, endpoints=4):
-    """Return shared components, with equal endpoints in one zone."""
+def parts(client, *, endpoints=4, permits=None):
+    """Return shared components, with equal endpoints in one zone.
+
+    `permits` are those that limited endpoints ``e0``, ``e1`` ... grant.
+    """
     journal = journals.Journal()
     endpoint_health = health.Health(journal=journal)
     available = [
@@ -167,14 +169,13 @@
         ),
         health=endpoint_health,
         crashes=crashes.Crashes(),
-        limits=limits.LimitRecords(board=board.Board(), journal=journal),
+        limiter=limiters.Limiter(permits=permits),
         budget=budget.RetryBudget(ratio=1.0, slack=99, window_s=10),
         peers=_Peers(),
         client=client,
         codec=platform.Platform(store=None),
         journal=journal,
         clock=lambda: 0.0,
-        unix_ms=lambda: 0,
     )
 
 
--- a/sycamoreshed/forwarding/tests/test_attempts.py
+++ b/sycamoreshed/forwarding/tests/test_attempts.py
@@ -186,3 +186,61 @@
     parts = builders.parts(builders.ScriptedClient([builders.OUTCOMES[name]]))
     await attempts.Attempts(request=builders.request(), parts=parts).open()
     assert bool(parts.crashes.broken) is is_broken
+
+
+async def test_endpoint_whose_limit_is_used_up_is_passed_over():
+    """An engine that had named a limit got requests beyond it."""
+    client = builders.ScriptedClient([])
+    parts = builders.parts(client, endpoints=2, permits={"e0": 1})
+    for _ in range(5):
+        await attempts.Attempts(
+            request=builders.request(idempotent=True), parts=parts
+        ).open()
+    sent = [address for address, _ in client.sent]
+    assert sent.count("e0:80") <= 1
+    assert len(sent) == 5
+
+
+async def test_request_waits_for_a_limit_if_there_is_time():
+    """Requests were rejected although an engine took one in a moment."""
+    client = builders.ScriptedClient([])
+    parts = builders.parts(client, endpoints=1, permits={"e0": 0})
+    parts.limiter.free_after_s = 1.0
+    result = await attempts.Attempts(
+        request=builders.request(idempotent=True), parts=parts
+    ).open()
+    assert len(client.sent) == 1
+    assert result.failure is None
+
+
+async def test_request_is_rejected_at_once_if_limits_leave_no_time():
+    """Requests waited for their deadline before engines with limits."""
+    client = builders.ScriptedClient([])
+    parts = builders.parts(client, endpoints=1, permits={"e0": 0})
+    parts.limiter.free_after_s = 3.5
+    result = await attempts.Attempts(
+        request=builders.request(idempotent=True), parts=parts
+    ).open()
+    assert not client.sent
+    assert result.kind is kinds.Kind.OVER_LIMIT
+    assert not result.sent
+    assert result.retry_after == 3.5
+
+
+@pytest.mark.parametrize(
+    ("name", "answers"),
+    [
+        # An answer that is none of the endpoint's work lifts no limit.
+        ("full", []),
+        ("another endpoint", []),
+        ("done", [("e0", None)]),
+    ],
+)
+async def test_only_an_answer_to_a_request_that_ran_lifts_a_limit(
+    name, answers
+):
+    """A refusal without the limit lifted it for everybody."""
+    client = builders.ScriptedClient([builders.OUTCOMES[name]])
+    parts = builders.parts(client, endpoints=1)
+    await attempts.Attempts(request=builders.request(), parts=parts).open()
+    assert parts.limiter.answers == answers
--- a/sycamoreshed/forwarding/tests/test_forwarder.py
+++ b/sycamoreshed/forwarding/tests/test_forwarder.py
@@ -54,3 +54,21 @@
     assert outcome.answer is not None
     runs = [each for _, each in client.sent if each.may_have_run]
     assert len(runs) == 1
+
+
+@pytest.mark.parametrize("reason", ["crashes", "limits"])
+async def test_request_that_cannot_be_served_runs_no_stages(reason):
+    """Stages worked for requests that no engine would take."""
+    client = builders.ScriptedClient([])
+    parts = builders.parts(client, endpoints=1, permits={"e0": 0})
+    if reason == "crashes":
+        parts.crashes.rejected.add("f1")
+    stage = types.Stage("first", (), 8000)
+    request = builders.request(stages=(stage,))
+    request = request._replace(head=request.head._replace(pieces=(1,)))
+    stages = StageRunner()
+    under_test = forwarder.Forwarder(parts=parts, stages=stages)
+    outcome = await under_test.forward(request, sink=None)
+    assert outcome.failure.retry_after > 0
+    assert not outcome.failure.sent
+    assert (stages.runs, client.sent) == (0, [])
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -7,6 +7,8 @@
 from sycamoreshed.catalog import relay
 from sycamoreshed.catalog import updates
 from sycamoreshed.findings import exchange as exchanges
+from sycamoreshed.forwarding import limiting
+from sycamoreshed.forwarding import permits
 from sycamoreshed.kernel import kernel
 from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
@@ -22,6 +24,7 @@
     catalog : Catalog
     watch_server : WatchServer
     exchange : Exchange
+    limiter : Limiter
     stages : StageRunner
     metrics : GatewayMetrics
     clock : callable
@@ -35,6 +38,7 @@
         catalog,
         watch_server,
         exchange,
+        limiter,
         stages,
         metrics,
         clock,
@@ -43,6 +47,7 @@
         self._catalog = catalog
         self._watch_server = watch_server
         self._exchange = exchange
+        self._limiter = limiter
         self._stages = stages
         self._metrics = metrics
         self._clock = clock
@@ -77,6 +82,13 @@
         digest = msgspec.json.decode(await http.read(), type=int)
         return _json(self._exchange.compare(digest))
 
+    async def permit(self, http):
+        """Issue a permit to send a request to an endpoint with a limit."""
+        request = msgspec.json.decode(
+            await http.read(), type=permits.PermitRequest
+        )
+        return _json(self._limiter.issue(request))
+
     async def run(self, http):
         """Run the stages of a job on the endpoints of a zone."""
         job = msgspec.json.decode(await http.read(), type=pieces.Job)
@@ -137,6 +149,7 @@
         "following",
         "handler",
         "journal",
+        "limiter",
         "peers",
         "reading",
         "registering",
@@ -167,6 +180,7 @@
         catalog=core.part("catalog"),
         watch_server=core.part("relay"),
         exchange=core.part("findings"),
+        limiter=core.part("limiter"),
         stages=core.part("stages"),
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
@@ -179,6 +193,7 @@
     core.control.router.add_post(
         exchanges.COMPARE_PATH, handlers.compare_findings
     )
+    core.control.router.add_post(limiting.PATH, handlers.permit)
     core.control.router.add_post(delegation.RUN_PATH, handlers.run)
     core.control.router.add_post(delegation.FREE_PATH, handlers.free)
     core.control.router.add_get("/metrics", handlers.metrics)
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -22,6 +22,8 @@
 # Results to be freed are collected for this long: a call for each would cost
 # more than its memory is worth.
 FREE_DELAY_S = 0.02
+# For an endpoint whose limit is used up; then other ones are tried.
+MAX_PERMIT_WAIT_S = 0.5
 # Interval of checks while pieces are queued: no event announces that an
 # endpoint is available again or that results have expired.
 POLL_S = 0.05
@@ -45,6 +47,7 @@
     codec : Platform
     health : Health
     crashes : CrashDetector
+    limiter : Limiter
     journal : Journal
     clock : callable
     spawn : callable
@@ -61,6 +64,7 @@
         codec,
         health,
         crashes,
+        limiter,
         journal,
         clock,
         spawn,
@@ -73,6 +77,7 @@
         self._codec = codec
         self._health = health
         self._crashes = crashes
+        self._limiter = limiter
         self._journal = journal
         self._clock = clock
         self._spawn = spawn
@@ -280,10 +285,14 @@
     async def _attempt(self, batch, started_at):
         """Return the outcomes of a call, and its status for the log."""
         endpoint = batch.endpoint
+        if not await self._limiter.acquire(
+            endpoint, max_wait_s=MAX_PERMIT_WAIT_S
+        ):
+            return _no_results(batch, "full", sent=False), "over its limit"
         path, headers, body = self._codec.piece_call(
             [each.piece for each in batch.entries],
             endpoint=endpoint.id,
-            now=started_at,
+            now=self._clock(),
         )
         calls = [
             self._crashes.record_start(endpoint, fingerprint)
@@ -311,6 +320,7 @@
     async def _send(self, batch, path, headers, body):
         """Send a call; return a `FullAnswer` or a `Failure`."""
         work_s = self._queue.call_s(len(batch.entries))
+        sent_at = self._clock()
         response = await self._client.send(
             "POST",
             batch.endpoint.address,
@@ -321,6 +331,9 @@
         )
         if isinstance(response, kinds.Failure):
             return response
+        rate = self._codec.rate_limit(response.headers)
+        if rate is not None or response.status == 200:
+            self._limiter.record_answer(batch.endpoint, rate, sent_at=sent_at)
         return await client.read_full(response, timeout_s=CALL_TIMEOUT_EXTRA_S)
 
     def _parse(self, batch, answer):
@@ -359,7 +372,8 @@
         # This also finds endpoints that are leaving, avoided or in another
         # zone: they store the results until this call, or until they expire.
         endpoint = self._find_endpoint(endpoint_id)
-        if endpoint is None:
+        # Over its limit, an endpoint frees the results when they expire.
+        if endpoint is None or not await self._limiter.acquire(endpoint):
             return
         path, headers, body = self._codec.free_call(
             handles, endpoint=endpoint_id
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -351,7 +351,12 @@
     """Return the endpoints that a zone's queue of a service may use."""
     health = core.part("health")
     listed = core.part("catalog").endpoints(name, now)
-    healthy = [each for each in listed if not health.is_avoided(each, now)]
+    exhausted = core.part("limiter").exhausted(now)
+    healthy = [
+        each
+        for each in listed
+        if not health.is_avoided(each, now) and each.id not in exhausted
+    ]
     # The health records may be wrong, while pieces that wait for endpoints
     # to recover are certainly late.
     usable = healthy or list(listed)
@@ -370,6 +375,7 @@
             codec=core.part("platform"),
             health=core.part("health"),
             crashes=core.part("crashes"),
+            limiter=core.part("limiter"),
             journal=core.part("journal"),
             clock=core.clock,
             spawn=core.spawn,
@@ -397,6 +403,7 @@
         "endpoint_client",
         "health",
         "journal",
+        "limiter",
         "peers",
         "placer",
         "platform",
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -14,6 +14,7 @@
 from sycamoreshed.staging.tests import builders
 from testkit import crashes
 from testkit import journals
+from testkit import limiters
 
 
 # Time of a clock that never advances: no time that is awaited ever comes.
@@ -44,6 +45,7 @@
     """Encodes the calls of a batcher as the platform does."""
 
     piece_call = staticmethod(calls.piece_call)
+    rate_limit = staticmethod(calls.rate_limit)
     free_call = staticmethod(calls.free_call)
 
 
@@ -69,6 +71,7 @@
         codec=Codec(),
         health=health.Health(journal=journal),
         crashes=crashes.Crashes(),
+        limiter=limiters.Limiter(),
         journal=journal,
         clock=clock or loop.time,
         spawn=lambda call, name: asyncio.create_task(call, name=name),
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -17,6 +17,7 @@
 from sycamoreshed.staging import pieces
 from testkit import crashes
 from testkit import journals
+from testkit import limiters
 
 __all__ = ["JobRecord", "Zone", "simulate"]
 
@@ -62,6 +63,11 @@
 class _Codec:
     """Passes calls and results as Python objects, without encoding."""
 
+    @staticmethod
+    def rate_limit(_headers):
+        """Return None: no endpoint names a limit."""
+        return None
+
     @staticmethod
     def piece_call(items, *, endpoint, now):
         """Return path, headers and body of a call."""
@@ -200,6 +206,7 @@
             codec=_Codec(),
             health=health.Health(journal=journal),
             crashes=crashes.Crashes(),
+            limiter=limiters.Limiter(),
             journal=journal,
             clock=self._clock,
             spawn=self._spawn,
