Store results of stages where an engine's limit has a turn

Cause: the zone for a request's stages is chosen by the engine that its prefix ranks first, also while that engine's limit is used up and the request goes to another one. Engines that need not be asked yet are now left out there, as they are when the request is sent. The test fails without the change (the zone of the exhausted engine is told); what it gains is not measured yet.

--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -210,6 +210,7 @@
         zone = self._parts.placer.likely_zone(
             self._parts.catalog.endpoints(request.service, now),
             now,
+            tried=self._parts.limiter.exhausted(now),
             affinity=request.affinity,
             shared_tokens=request.shared_tokens,
             body_bytes=len(request.body),
--- a/sycamoreshed/forwarding/tests/test_forwarder.py
+++ b/sycamoreshed/forwarding/tests/test_forwarder.py
@@ -5,6 +5,7 @@
 from sycamoreshed.catalog import types
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding.tests import builders
+from sycamoreshed.membership import rendezvous
 from sycamoreshed.platform import names
 
 
@@ -13,10 +14,12 @@
 
     def __init__(self):
         self.runs = 0
+        self.engine_zones = []
 
     async def run(self, _job, results, *, engine_zone, fingerprint):
         """Add a result."""
         self.runs += 1
+        self.engine_zones.append(engine_zone)
         results.append(f"h{self.runs}")
         return list(results)
 
@@ -72,3 +75,30 @@
     assert outcome.failure.retry_after > 0
     assert not outcome.failure.sent
     assert (stages.runs, client.sent) == (0, [])
+
+
+async def test_results_of_stages_are_not_stored_for_an_exhausted_endpoint():
+    """Results crossed zones from where an engine with a limit had no turn."""
+    client = builders.ScriptedClient([])
+    parts = builders.parts(client, endpoints=2)
+    zones = ["south-a", "north-a"]
+    listed = [
+        each._replace(zone=zone)
+        for each, zone in zip(
+            parts.catalog.endpoints(None, 0.0), zones, strict=True
+        )
+    ]
+    parts.catalog.endpoints = lambda _service, _now: listed
+    # Without the limit the prefix ranks this endpoint first.
+    parts.limiter.exhausted = lambda _now: {preferred.id}
+    prefix = (("p", 4000), ("q", 9))
+    preferred = max(listed, key=lambda each: rendezvous.rank("p", each.id))
+    (other,) = [each for each in listed if each is not preferred]
+    request = builders.request(
+        stages=(types.Stage("first", (), 8000),), sticky=True
+    )
+    head = request.head._replace(pieces=(1,), prefix=prefix)
+    stages = StageRunner()
+    under_test = forwarder.Forwarder(parts=parts, stages=stages)
+    await under_test.forward(request._replace(head=head), sink=None)
+    assert stages.engine_zones == [other.zone]
