Share the set-up of instances in zones between two integration tests

Both modules started three instances in two zones and waited until they knew each other by a fixed pause; the harness now does, and waits for what their status tells.

--- a/tests/integration/harness.py
+++ b/tests/integration/harness.py
@@ -1,5 +1,6 @@
 """Helpers that run a forwarding daemon with scripted endpoints."""
 
+import asyncio
 import contextlib
 import json
 
@@ -14,6 +15,7 @@
     "ENTRY_S",
     "SEAL",
     "URL",
+    "ZONES",
     "answer_ok",
     "call",
     "call_with_stage",
@@ -21,12 +23,17 @@
     "event",
     "pieces_script",
     "serving",
+    "serving_in_zones",
     "stream_route",
 ]
 
 URL = "http://{}/lookup/a%2Fb//c?q=1"
 SEAL = "X-Sycamoreshed-Response-Seal"
 ENTRY_S = 3.0
+# Zone of each instance of `serving_in_zones`.
+ZONES = ("north-a", "north-a", "south-a")
+REGIONS = {"north-a": "north", "south-a": "south"}
+START_TIMEOUT_S = 15.0
 
 
 @contextlib.asynccontextmanager
@@ -55,6 +62,35 @@
             yield gateway, session
 
 
+@contextlib.asynccontextmanager
+async def serving_in_zones(store, folder, **document):
+    """Run an instance for each of `ZONES`, and open a client session.
+
+    Waits until all of them are ready and know each other.
+    """
+    documents = [
+        {
+            "instance": f"edge-{number}",
+            "zone": zone,
+            "region": REGIONS[zone],
+            "table": store.address,
+            **document,
+        }
+        for number, zone in enumerate(ZONES)
+    ]
+    async with (
+        gateways.gateways(folder, documents) as instances,
+        aiohttp.ClientSession() as session,
+    ):
+        for each in instances:
+            await each.wait_ready()
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for each in instances:
+                while len((await each.status())["peers"]) < len(ZONES):
+                    await asyncio.sleep(0.05)
+        yield instances, session
+
+
 async def call(session, gateway, method="GET", **more):
     """Send a request; return status, headers and body."""
     headers = more.pop("headers", wiredata.head())
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -9,13 +9,10 @@
 from standins import crashing
 from standins import platformstore
 from standins import scripted
-from testkit import gateways
 from testkit import wiredata
 from tests.integration import harness
 
 POISON = b"poison"
-ZONES = ("north-a", "north-a", "south-a")
-REGIONS = {"north-a": "north", "south-a": "south"}
 # Crashes that reveal a request, and the retries that the service allows its
 # callers after them.
 MAX_RUNS = 3 + 3
@@ -45,40 +42,21 @@
     store.put("op", "config", harness.stream_route(**route))
     fleet = crashing.Fleet(
         store=store,
-        zones=[ZONES[number % len(ZONES)] for number in range(engines)],
+        zones=[
+            harness.ZONES[number % len(harness.ZONES)]
+            for number in range(engines)
+        ],
         script=script,
         entry=lambda address, zone: wiredata.beat(address, zone=zone),
     )
     await fleet.start()
-    documents = [
-        {
-            "instance": f"edge-{number}",
-            "zone": zone,
-            "region": REGIONS[zone],
-            "table": store.address,
-            "retry_slack": 1000.0,
-        }
-        for number, zone in enumerate(ZONES)
-    ]
-    async with (
-        gateways.gateways(folder, documents) as instances,
-        aiohttp.ClientSession() as session,
-    ):
-        for each in instances:
-            await each.wait_ready()
-        await wait_registered(store)
+    document = {"retry_slack": 1000.0}
+    async with harness.serving_in_zones(store, folder, **document) as running:
+        instances, session = running
         yield instances, session, fleet
     await fleet.stop()
 
 
-async def wait_registered(store):
-    """Wait until all instances know each other."""
-    async with asyncio.timeout(10):
-        while len(store.rows("sycamoreshed-instances")) < len(ZONES):
-            await asyncio.sleep(0.05)
-    await asyncio.sleep(2.0)
-
-
 async def send(session, instance, body):
     """Send a request under a new id; return its status and headers."""
     headers = wiredata.head(f"r-{next(_request_ids)}")
--- a/tests/integration/test_limited_endpoints.py
+++ b/tests/integration/test_limited_endpoints.py
@@ -5,16 +5,12 @@
 import itertools
 import time
 
-import aiohttp
 import pytest
 
 from standins import scripted
-from testkit import gateways
 from testkit import wiredata
 from tests.integration import harness
 
-ZONES = ("north-a", "north-a", "south-a")
-REGIONS = {"north-a": "north", "south-a": "south"}
 RATE = 2.0
 # What an endpoint may get in a window, in requests: a factor on the limit, and
 # a number beside it.
@@ -65,28 +61,11 @@
     for number, each in enumerate(limited):
         await each.endpoint.start()
         entry = wiredata.beat(
-            each.endpoint.address, zone=ZONES[number % len(ZONES)]
+            each.endpoint.address,
+            zone=harness.ZONES[number % len(harness.ZONES)],
         )
         store.put("servers", f"i-{number}", entry)
-    documents = [
-        {
-            "instance": f"edge-{number}",
-            "zone": zone,
-            "region": REGIONS[zone],
-            "table": store.address,
-        }
-        for number, zone in enumerate(ZONES)
-    ]
-    async with (
-        gateways.gateways(folder, documents) as instances,
-        aiohttp.ClientSession() as session,
-    ):
-        for each in instances:
-            await each.wait_ready()
-        async with asyncio.timeout(10):
-            while len(store.rows("sycamoreshed-instances")) < len(ZONES):
-                await asyncio.sleep(0.05)
-        await asyncio.sleep(2.0)
+    async with harness.serving_in_zones(store, folder) as (instances, session):
         yield instances, session, limited
     for each in limited:
         await each.endpoint.stop()
