Let an instance that misses a finding keep its work for the zone

What callers saw: nothing that was traced.

Cause, suspected: a message with findings that is not answered within half a second counted as a failure of the instance for everything, so that one that was merely slow lost its zone's stages, and the zone had two queues for a second or more.

--- a/sycamoreshed/findings/exchange.py
+++ b/sycamoreshed/findings/exchange.py
@@ -20,6 +20,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
+from sycamoreshed.findings import avoidance
 from sycamoreshed.findings import board
 from sycamoreshed.findings import topics
 from sycamoreshed.kernel import kernel
@@ -113,6 +114,7 @@
         self._journal = journal
         self._clock = clock
         self._rng = rng or random.Random()
+        self._avoidance = avoidance.Avoidance()
         self._to_zones = []
         self._to_members = []
         self._wake = asyncio.Event()
@@ -186,7 +188,10 @@
     async def _tell_zone(self, zone, findings):
         """Tell one instance of a zone, which tells the others there."""
         for _ in range(MAX_ATTEMPTS):
-            members = self._peers.of_zone(zone, self._clock())
+            now = self._clock()
+            members = self._avoidance.available(
+                self._peers.of_zone(zone, now), now
+            )
             if not members:
                 break
             (name,) = rendezvous.top(f"findings {zone}", members, 1)
@@ -215,7 +220,7 @@
         """Return the decoded reply of an instance, or a `Failure`."""
         reply = await self._send(control, path, body)
         if isinstance(reply, kinds.Failure):
-            self._peers.record_failure(control, self._clock(), reply.reason)
+            self._avoidance.add(control, self._clock())
             return reply
         self._peers.record_success(control)
         if reply.status not in _SUCCESSES:
--- a/sycamoreshed/findings/tests/builders.py
+++ b/sycamoreshed/findings/tests/builders.py
@@ -39,18 +39,19 @@
         self.zone = peer.zone
         self.board = board.Board()
         self.saved = []
+        self.peers = peers.PeerDirectory(
+            catalog=network.catalog,
+            own=peer.name,
+            zone=peer.zone,
+            seeds=(),
+            control=peer.control,
+            journal=journal,
+        )
         self.exchange = exchange.Exchange(
             board=self.board,
             own=peer.name,
             zone=peer.zone,
-            peers=peers.PeerDirectory(
-                catalog=network.catalog,
-                own=peer.name,
-                zone=peer.zone,
-                seeds=(),
-                control=peer.control,
-                journal=journal,
-            ),
+            peers=self.peers,
             send=lambda *call: network.send(self, *call),
             save=self.saved.extend,
             spawn=lambda call, name: network.spawn(call),
--- a/sycamoreshed/findings/tests/test_exchange.py
+++ b/sycamoreshed/findings/tests/test_exchange.py
@@ -137,3 +137,22 @@
         return known
 
     assert "a-1" in run(scenario)
+
+
+def test_instance_that_is_slow_to_answer_keeps_its_work():
+    """An instance that missed a comparison no longer worked for its zone."""
+
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        network = builders.Network(sizes=SMALL)
+        network.cut = {"a-0"}
+        each = network.instances["a-1"]
+        each.add(builders.PASSING, "k", 1, now=clock())
+        was_available = []
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            was_available.append("a-0" in each.peers.of_zone("a", clock()))
+        await network.stop()
+        return was_available
+
+    assert all(run(scenario))
