Let an instance that issues a permit late keep its work for the zone

Cause: an instance that did not answer a request for a permit within 0.3 s counted as failed for everything, so that its zone's stages had two queues. The test fails without this change.

--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -9,6 +9,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
+from sycamoreshed.findings import avoidance
 from sycamoreshed.forwarding import permits
 from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
@@ -74,6 +75,7 @@
         # Used when no instance that issues permits can be reached.
         self._own_share = permits.Issuer(rng=rng or random.Random())
         self._refusals = {}
+        self._avoidance = avoidance.Avoidance()
         self._answer_count_at_failure = None
 
     def record_answer(self, endpoint, rate, *, sent_at):
@@ -172,7 +174,10 @@
 
     async def _ask(self, endpoint, request):
         for _ in range(MAX_ATTEMPTS):
-            candidates = self._peers.eligible(endpoint.zone, self._clock())
+            now = self._clock()
+            candidates = self._avoidance.available(
+                self._peers.eligible(endpoint.zone, now), now
+            )
             if not candidates:
                 break
             (name,) = rendezvous.top(f"permits {endpoint.id}", candidates, 1)
@@ -182,9 +187,7 @@
                 return self._issuer.issue(request, self._clock())
             reply = await self._send(candidates[name], request)
             if isinstance(reply, kinds.Failure):
-                self._peers.record_failure(
-                    candidates[name], self._clock(), reply.reason
-                )
+                self._avoidance.add(candidates[name], self._clock())
                 self._answer_count_at_failure = self._peers.answer_count
                 continue
             self._peers.record_success(candidates[name])
--- a/sycamoreshed/forwarding/tests/limitedzone.py
+++ b/sycamoreshed/forwarding/tests/limitedzone.py
@@ -49,6 +49,8 @@
         Calls for permits between instances.
     cut : set of str
         Names of instances that reach nobody.
+    peers : dict of str to PeerDirectory
+        What each instance knows of the others.
     """
 
     def __init__(self, *, size, rate):
@@ -60,6 +62,7 @@
         rows = [catalogs.Peer(name, ENDPOINT.zone, name) for name in names]
         self._catalog = _Catalog({each.name: each for each in rows})
         self._limiters = {}
+        self.peers = {}
         for name in names:
             self.restart(name, rate=rate)
 
@@ -72,17 +75,18 @@
         """Start an instance that has issued no permits yet."""
         journal = journals.Journal()
         records = limits.LimitRecords(board=board.Board(), journal=journal)
+        self.peers[name] = peers.PeerDirectory(
+            catalog=self._catalog,
+            own=name,
+            zone=ENDPOINT.zone,
+            seeds=(),
+            control=name,
+            journal=journal,
+        )
         self._limiters[name] = limiting.Limiter(
             records=records,
             publish=lambda *_: None,
-            peers=peers.PeerDirectory(
-                catalog=self._catalog,
-                own=name,
-                zone=ENDPOINT.zone,
-                seeds=(),
-                control=name,
-                journal=journal,
-            ),
+            peers=self.peers[name],
             own=name,
             send=lambda *call: self._send(name, *call),
             clock=self._clock,
--- a/sycamoreshed/forwarding/tests/test_limiting.py
+++ b/sycamoreshed/forwarding/tests/test_limiting.py
@@ -86,6 +86,17 @@
     assert most_in_window(zone.sent_at) <= allowed(2.0)
 
 
+def test_instance_that_is_slow_to_issue_permits_keeps_its_work():
+    """An instance that issued a permit late no longer worked for its zone."""
+
+    def cut(zone):
+        zone.cut = set(zone.names[::3])
+
+    zone = play(size=9, rate=2.0, during=cut)
+    for directory in zone.peers.values():
+        assert len(directory.eligible("north-a", LOAD_S)) == 9
+
+
 class Answers:
     """Records of an endpoint's answers."""
 
