Remove stored findings when those of their topic expire

What callers saw: nothing; found on reading the code.

Cause: rows of findings that a zone could not be told, such as reports of crashes, stayed in the store for an hour, although instances forget them after one or ten minutes. In a long cut the table that all instances copy would have grown with each crash. The test fails without the change.

Change: a row goes with the lifetime of its topic; of a topic that only another version knows, after an hour.

--- a/sycamoreshed/findings/stored.py
+++ b/sycamoreshed/findings/stored.py
@@ -20,6 +20,8 @@
 RETRY_S = (0.5, 1.5)
 # Range of the interval between checks for rows that are missing or expired.
 CHECK_INTERVAL_S = (10.0, 20.0)
+# For rows of topics that only another version of the program knows.
+MAX_TTL_S = 3600.0
 # Rows removed in one check, so that a check costs the store little.
 MAX_REMOVALS = 20
 
@@ -152,7 +154,9 @@
 
     async def _remove_expired(self):
         rows = self._catalog.findings
-        expired = [key for key, raw in rows.items() if self._has_expired(raw)]
+        expired = [
+            key for key, raw in rows.items() if self._has_expired(key, raw)
+        ]
         for key in expired[:MAX_REMOVALS]:
             failure = await self._store.remove(
                 self._table,
@@ -163,12 +167,13 @@
                 self._log_failure(failure)
                 return
 
-    def _has_expired(self, raw):
+    def _has_expired(self, key, raw):
         row = self._decode(None, raw)
         if row is None:
             return True
-        age_s = (self._unix_ms() - row.made_at_ms) / 1000
-        return age_s > max(each.ttl_s for each in topics.all_topics())
+        topic = topics.find(key.partition("/")[0])
+        ttl_s = MAX_TTL_S if topic is None else topic.ttl_s
+        return self._unix_ms() - row.made_at_ms > ttl_s * 1000
 
     async def _write(self, key, entry):
         """Write one row; return whether the store took it."""
--- a/sycamoreshed/findings/tests/test_stored.py
+++ b/sycamoreshed/findings/tests/test_stored.py
@@ -88,6 +88,10 @@
         store.rows["test-lasting/old"] = msgspec.json.encode([1, 1, 0])
         store.rows["test-lasting/bad"] = b"no row"
         store.rows["test-lasting/new"] = msgspec.json.encode([1, 1, DAY_MS])
+        five_minutes_ago = msgspec.json.encode([1, 1, DAY_MS - 300_000])
+        store.rows["test-lasting/kept"] = five_minutes_ago
+        store.rows["test-passing/short"] = five_minutes_ago
+        store.rows["not-known/kept"] = five_minutes_ago
         each = Instance(store)
         each.stored.load()
         checking = asyncio.create_task(each.stored.run_checking())
@@ -96,8 +100,12 @@
         return store.rows, each.board.entries(builders.LASTING.name, 0.0)
 
     rows, entries = virtualtime.run(scenario())
-    assert list(rows) == ["test-lasting/new"]
-    assert list(entries) == ["new"]
+    assert set(rows) == {
+        "test-lasting/new",
+        "test-lasting/kept",
+        "not-known/kept",
+    }
+    assert set(entries) == {"new", "kept"}
 
 
 def test_finding_is_written_for_an_instance_that_went_away():
