Log why findings did not arrive and why an endpoint counts as up

A message with findings that failed, and the probe that decides whether an endpoint crashed, left no line: an instance that does not learn of a request, or a crash that counts for nothing, could not be explained afterwards. Two events tell the instance or endpoint and the reason.

--- a/sycamoreshed/findings/exchange.py
+++ b/sycamoreshed/findings/exchange.py
@@ -221,18 +221,27 @@
         reply = await self._send(control, path, body)
         if isinstance(reply, kinds.Failure):
             self._avoidance.add(control, self._clock())
-            return reply
+            return self._lost(control, reply)
         self._peers.record_success(control)
         if reply.status not in _SUCCESSES:
-            return kinds.Failure(
-                kinds.Kind.REFUSED, f"instance answered {reply.status}"
+            return self._lost(
+                control,
+                kinds.Failure(
+                    kinds.Kind.REFUSED, f"instance answered {reply.status}"
+                ),
             )
         if reply_type is None:
             return reply.body
         try:
             return msgspec.convert(reply.body, reply_type)
         except msgspec.ValidationError as err:
-            return kinds.Failure(kinds.Kind.REFUSED, str(err))
+            return self._lost(
+                control, kinds.Failure(kinds.Kind.REFUSED, str(err))
+            )
+
+    def _lost(self, control, failure):
+        self._journal.write("findings_lost", peer=control, why=failure.reason)
+        return failure
 
 
 async def _send(core, control, path, body):
--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -2,17 +2,26 @@
 
 import asyncio
 import itertools
+import typing
 
+from sycamoreshed.adapters import web
 from sycamoreshed.findings import blame
 from sycamoreshed.kernel import kernel
 
-__all__ = ["CrashDetector"]
+__all__ = ["CrashDetector", "Probe", "probe"]
 
 # A crashed endpoint's host refuses connections at once; one that does not
 # answer within this time is cut off instead.
 PROBE_TIMEOUT_S = 0.2
 
 
+class Probe(typing.NamedTuple):
+    """Whether a host refuses connections to an address, and what was seen."""
+
+    is_refused: bool
+    why: str
+
+
 class _Call:
     def __init__(self, *, fingerprint, sent_at):
         self.fingerprint = fingerprint
@@ -30,9 +39,9 @@
         Tells other instances findings, which may be None.
     find_endpoint : callable
         Takes the id of an endpoint, returns it or None.
-    is_refused : callable
-        Coroutine function of an address and a timeout in seconds; returns
-        whether the host refuses connections to it.
+    probe : callable
+        Coroutine function of an address and a timeout in seconds; returns a
+        `Probe`.
     spawn : callable
     journal : Journal
     clock, unix_ms : callable
@@ -45,7 +54,7 @@
         records,
         publish,
         find_endpoint,
-        is_refused,
+        probe,
         spawn,
         journal,
         clock,
@@ -54,7 +63,7 @@
         self._records = records
         self._publish = publish
         self._find_endpoint = find_endpoint
-        self._is_refused = is_refused
+        self._send_probe = probe
         self._spawn = spawn
         self._journal = journal
         self._clock = clock
@@ -136,8 +145,13 @@
 
     async def _probe(self, endpoint, suspects):
         try:
-            if await self._is_refused(endpoint.address, PROBE_TIMEOUT_S):
+            result = await self._send_probe(endpoint.address, PROBE_TIMEOUT_S)
+            if result.is_refused:
                 self._record_crash(endpoint, suspects)
+            else:
+                self._journal.write(
+                    "endpoint_up", endpoint=endpoint.id, why=result.why
+                )
         finally:
             del self._probes[endpoint.id]
 
@@ -161,18 +175,18 @@
         )
 
 
-async def is_refused(address, timeout_s):
-    """Return whether a host refuses connections to an address."""
+async def probe(address, timeout_s):
+    """Open a connection to an address; return a `Probe`."""
     host, _, port = address.rpartition(":")
     try:
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(host, int(port))
-    except ConnectionRefusedError:
-        return True
-    except (TimeoutError, OSError):
-        return False
+    except ConnectionRefusedError as err:
+        return Probe(True, web.describe(err))
+    except (TimeoutError, OSError) as err:
+        return Probe(False, web.describe(err))
     writer.close()
-    return False
+    return Probe(False, "accepts connections")
 
 
 @kernel.plugin(
@@ -184,7 +198,7 @@
         records=core.part("crash_records"),
         publish=core.part("findings").publish,
         find_endpoint=core.part("catalog").endpoint,
-        is_refused=is_refused,
+        probe=probe,
         spawn=core.spawn,
         journal=core.part("journal"),
         clock=core.clock,
--- a/sycamoreshed/forwarding/tests/test_crashes.py
+++ b/sycamoreshed/forwarding/tests/test_crashes.py
@@ -24,16 +24,16 @@
             records=self.records,
             publish=self.published.append,
             find_endpoint=lambda _id: listed,
-            is_refused=self._is_refused,
+            probe=self._probe,
             spawn=lambda call, name: asyncio.create_task(call, name=name),
             journal=journals.Journal(),
             clock=lambda: 5.0,
             unix_ms=lambda: 5000,
         )
 
-    async def _is_refused(self, _address, _timeout_s):
+    async def _probe(self, _address, _timeout_s):
         await asyncio.sleep(0)
-        return self._refuses
+        return crashes.Probe(self._refuses, "as the test says")
 
     async def break_off(self, *fingerprints):
         """Break off calls, of which the first one notices it first."""
@@ -94,7 +94,7 @@
     """A crashed endpoint counted as one that merely lost an answer."""
     server = await asyncio.start_server(lambda _r, w: w.close(), "127.0.0.1")
     port = server.sockets[0].getsockname()[1]
-    assert not await crashes.is_refused(f"127.0.0.1:{port}", 1.0)
+    assert not (await crashes.probe(f"127.0.0.1:{port}", 1.0)).is_refused
     server.close()
     await server.wait_closed()
-    assert await crashes.is_refused(f"127.0.0.1:{port}", 1.0)
+    assert (await crashes.probe(f"127.0.0.1:{port}", 1.0)).is_refused
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -97,6 +97,12 @@
         "an endpoint broke off a request and refuses connections; the "
         "fingerprints of the requests in flight there",
     ),
+    "endpoint_up": Event(
+        EventClass.DECISION,
+        "endpoint, why",
+        "an endpoint broke off a request and has not crashed, or it cannot be "
+        "told",
+    ),
     "endpoint_limited": Event(
         EventClass.STATE,
         "endpoint, rate",
@@ -113,6 +119,11 @@
         "topics, count",
         "another instance told what it had found",
     ),
+    "findings_lost": Event(
+        EventClass.DECISION,
+        "peer, why",
+        "an instance did not take or compare findings",
+    ),
     "finding_bad": Event(
         EventClass.STATE, "topic, why", "a finding could not be read"
     ),
