Log why a permit was not answered

An instance that did not answer a request for a permit, answered with an error or told a limit of another form left no line. `permit_lost` and `finding_bad` now tell the reason.

--- a/sycamoreshed/findings/limits.py
+++ b/sycamoreshed/findings/limits.py
@@ -29,7 +29,7 @@
     def rate(self, endpoint, now):
         """Return an endpoint's limit in requests per second, or None."""
         entry = self._board.find(LIMITS.name, _key(endpoint), now)
-        return None if entry is None else _rate(entry.value)
+        return None if entry is None else self._decode(entry.value)
 
     def record_answer(self, endpoint, rate, *, sent_at, now, unix_ms):
         """Record the limit that an answer names; return a new `Finding`.
@@ -51,7 +51,7 @@
             None if nothing has changed.
         """
         entry = self._board.find(LIMITS.name, _key(endpoint), now)
-        known = None if entry is None else _rate(entry.value)
+        known = None if entry is None else self._decode(entry.value)
         if rate is None and (known is None or sent_at <= entry.at):
             return None
         if rate == known and now - entry.at < REFRESH_S:
@@ -64,19 +64,19 @@
             LIMITS.name, _key(endpoint), rate, now=now, unix_ms=unix_ms
         )
 
+    def _decode(self, value):
+        try:
+            return msgspec.convert(value, float | None)
+        except msgspec.ValidationError as err:
+            # Another version of the program may tell more.
+            self._journal.write("finding_bad", topic=LIMITS.name, why=str(err))
+            return None
+
 
 def _key(endpoint):
     return f"{endpoint.id}@{endpoint.started_at_ms}"
 
 
-def _rate(value):
-    try:
-        return msgspec.convert(value, float | None)
-    except msgspec.ValidationError:
-        # Another version of the program may tell more.
-        return None
-
-
 @kernel.plugin("limit_records", needs=("board", "journal"))
 async def limit_records(core):
     """Provide the limits that endpoints named."""
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -1,6 +1,7 @@
 """Keeps the limits that endpoints name, together with other instances."""
 
 import asyncio
+import functools
 import math
 import random
 import typing
@@ -47,6 +48,7 @@
     send : callable
         Coroutine function of a control address and a `PermitRequest`;
         returns a `Reply` or a `Failure`.
+    journal : Journal
     clock, unix_ms : callable
         Return the monotonic time in seconds, and the Unix time in ms.
     rng : random.Random, optional
@@ -60,6 +62,7 @@
         peers,
         own,
         send,
+        journal,
         clock,
         unix_ms,
         rng=None,
@@ -69,6 +72,7 @@
         self._peers = peers
         self._own = own
         self._send = send
+        self._journal = journal
         self._clock = clock
         self._unix_ms = unix_ms
         self._issuer = permits.Issuer()
@@ -172,6 +176,11 @@
         """
         return self._answer_count_at_failure == self._peers.answer_count
 
+    def _log_lost(self, endpoint, control, why):
+        self._journal.write(
+            "permit_lost", endpoint=endpoint.id, peer=control, why=why
+        )
+
     async def _ask(self, endpoint, request):
         for _ in range(MAX_ATTEMPTS):
             now = self._clock()
@@ -188,15 +197,16 @@
             reply = await self._send(candidates[name], request)
             if isinstance(reply, kinds.Failure):
                 self._avoidance.add(candidates[name], self._clock())
+                self._log_lost(endpoint, candidates[name], reply.reason)
                 self._answer_count_at_failure = self._peers.answer_count
                 continue
             self._peers.record_success(candidates[name])
-            if reply.status != 200:
-                break
             try:
                 return msgspec.convert(reply.body, permits.Permit)
-            except msgspec.ValidationError:
-                # Another version of the program; use the own share.
+            except msgspec.ValidationError as err:
+                # An error, or the answer of another version of the program.
+                why = f"status {reply.status}: {err}"
+                self._log_lost(endpoint, candidates[name], why)
                 break
         share = request.rate / self._peers.count()
         return self._own_share.issue(
@@ -215,7 +225,9 @@
     )
 
 
-@kernel.plugin("limiter", needs=("findings", "limit_records", "peers", "web"))
+@kernel.plugin(
+    "limiter", needs=("findings", "journal", "limit_records", "peers", "web")
+)
 async def limiter(core):
     """Provide the `Limiter`."""
     yield Limiter(
@@ -223,7 +235,8 @@
         publish=core.part("findings").publish,
         peers=core.part("peers"),
         own=core.settings.instance,
-        send=lambda *call: _send(core, *call),
+        send=functools.partial(_send, core),
+        journal=core.part("journal"),
         clock=core.clock,
         unix_ms=core.unix_ms,
     )
--- a/sycamoreshed/forwarding/tests/limitedzone.py
+++ b/sycamoreshed/forwarding/tests/limitedzone.py
@@ -89,6 +89,7 @@
             peers=self.peers[name],
             own=name,
             send=lambda *call: self._send(name, *call),
+            journal=journal,
             clock=self._clock,
             unix_ms=lambda: 0,
             rng=random.Random(name),
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -109,6 +109,11 @@
         "an answer named another limit than before: requests a second from "
         "all instances together, or none",
     ),
+    "permit_lost": Event(
+        EventClass.DECISION,
+        "endpoint, peer, why",
+        "an instance did not answer a request for a permit",
+    ),
     "request_rejected": Event(
         EventClass.STATE,
         "fingerprint",
