Ask for an engine's permit before the stages that work for it

Change: the permit is asked for first, and kept for the attempt after the stages; an engine that refuses it is passed over for the whole request. The test fails without the change (results in the zone of the engine that refused).

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -123,6 +123,10 @@
     rerun_stages : coroutine function
         Takes the remaining seconds.  Runs the stages again and returns the
         new inputs or a `Failure`.
+    permitted : collection of str
+        Ids of endpoints with a limit that allows one attempt of the request.
+    refused : collection of str
+        Ids of endpoints with a limit that does not allow it for now.
 
     Attributes
     ----------
@@ -140,6 +144,8 @@
         result_bytes=None,
         release=None,
         rerun_stages=None,
+        permitted=(),
+        refused=(),
     ):
         self._request = request
         self._parts = parts
@@ -147,6 +153,8 @@
         self._release = release
         self._rerun_stages = rerun_stages
         self._result_bytes = result_bytes or {}
+        self._permitted = set(permitted)
+        self._refused = frozenset(refused)
         self._tried = set()
         self._counted_attempts = 0
         self._may_have_run = False
@@ -354,9 +362,12 @@
         Choice or Failure
         """
         limiter = self._parts.limiter
-        exhausted = limiter.exhausted(now)
+        exhausted = limiter.exhausted(now) | self._refused
         while choice is not None:
             endpoint = choice.endpoint
+            if endpoint.id in self._permitted:
+                self._permitted.discard(endpoint.id)
+                return choice
             if endpoint.id not in exhausted:
                 if await limiter.acquire(endpoint):
                     return choice
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -26,6 +26,24 @@
 MAX_ROUNDS = 2
 
 
+class _Plan(typing.NamedTuple):
+    """The engine that a request's stages work for.
+
+    Parameters
+    ----------
+    zone : str
+        Where it is; empty if no stages run.
+    permitted : frozenset of str
+        Its id if it has a limit: the permit for it is there already.
+    refused : frozenset of str
+        Ids of engines whose limits are used up.
+    """
+
+    zone: str
+    permitted: frozenset = frozenset()
+    refused: frozenset = frozenset()
+
+
 class Outcome(typing.NamedTuple):
     """How a request ended.
 
@@ -126,8 +144,9 @@
         return attempts.limit_failure(endpoints, self._parts, now)
 
     async def _run(self, request, sink, results):
+        plan = await self._plan(request)
         for _ in range(MAX_ROUNDS):
-            inputs = await self._run_stages(request, results)
+            inputs = await self._run_stages(request, results, plan.zone)
             if isinstance(inputs, kinds.Failure):
                 # Stages are not a run of the request itself: they have no
                 # effects and may be repeated.
@@ -143,9 +162,11 @@
                     inputs, request.route.stages
                 ),
                 release=release,
-                rerun_stages=lambda remaining_s: self._run_stages(
-                    request, results, rerun_limit_s=remaining_s
+                rerun_stages=lambda remaining_s: self._rerun_stages(
+                    request, results, remaining_s
                 ),
+                permitted=plan.permitted,
+                refused=plan.refused,
             )
             try:
                 outcome = await self._attempt(request, tries, sink)
@@ -157,11 +178,75 @@
                 return outcome
         return outcome
 
-    async def _run_stages(self, request, results, *, rerun_limit_s=None):
+    async def _plan(self, request):
+        """Return the `_Plan` for a request.
+
+        A permit that is asked for only when the results are there may be
+        refused, and another engine would have to fetch them from the zone of
+        the first one.
+        """
+        now = self._parts.clock()
+        if not request.route.stages or not request.head.pieces:
+            return _Plan(zone="")
+        limiter = self._parts.limiter
+        refused = limiter.exhausted(now)
+        while True:
+            choice = self._choose(request, now, refused)
+            if choice is None:
+                return _Plan(self._likely_zone(request, now))
+            endpoint = choice.endpoint
+            if not limiter.is_limited(endpoint, now):
+                return _Plan(endpoint.zone, refused=frozenset(refused))
+            if await limiter.acquire(endpoint):
+                return _Plan(
+                    endpoint.zone,
+                    frozenset((endpoint.id,)),
+                    frozenset(refused),
+                )
+            refused.add(endpoint.id)
+
+    def _choose(self, request, now, excluded):
+        parts = self._parts
+        return parts.placer.choose(
+            parts.catalog.endpoints(request.service, now),
+            now,
+            tried=excluded,
+            affinity=request.affinity,
+            shared_tokens=request.shared_tokens,
+            body_bytes=len(request.body),
+        )
+
+    def _likely_zone(self, request, now):
+        parts = self._parts
+        return parts.placer.likely_zone(
+            parts.catalog.endpoints(request.service, now),
+            now,
+            affinity=request.affinity,
+            shared_tokens=request.shared_tokens,
+            body_bytes=len(request.body),
+        )
+
+    async def _rerun_stages(self, request, results, remaining_s):
+        """Run the stages again for another engine."""
+        now = self._parts.clock()
+        choice = self._choose(request, now, self._parts.limiter.exhausted(now))
+        if choice is None:
+            zone = self._likely_zone(request, now)
+        else:
+            zone = choice.endpoint.zone
+        return await self._run_stages(
+            request, results, zone, rerun_limit_s=remaining_s
+        )
+
+    async def _run_stages(
+        self, request, results, engine_zone, *, rerun_limit_s=None
+    ):
         """Run the stages; return handles of their results or a `Failure`.
 
         Parameters
         ----------
+        engine_zone : str
+            Zone of the engine that will fetch the results.
         rerun_limit_s : float, optional
             Remaining seconds, if the stages run again.
         """
@@ -207,16 +292,11 @@
             team_priority=request.priority.team,
             priority=request.priority.route,
         )
-        zone = self._parts.placer.likely_zone(
-            self._parts.catalog.endpoints(request.service, now),
-            now,
-            tried=self._parts.limiter.exhausted(now),
-            affinity=request.affinity,
-            shared_tokens=request.shared_tokens,
-            body_bytes=len(request.body),
-        )
         return await self._stages.run(
-            job, results, engine_zone=zone, fingerprint=request.fingerprint
+            job,
+            results,
+            engine_zone=engine_zone,
+            fingerprint=request.fingerprint,
         )
 
     async def _attempt(self, request, tries, sink):
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -93,6 +93,10 @@
         )
         self._publish(finding)
 
+    def is_limited(self, endpoint, now):
+        """Return whether an endpoint named a limit."""
+        return self._records.rate(endpoint, now) is not None
+
     def exhausted(self, now):
         """Return the ids of endpoints that need not be asked for yet."""
         return {
--- a/sycamoreshed/forwarding/tests/test_forwarder.py
+++ b/sycamoreshed/forwarding/tests/test_forwarder.py
@@ -77,28 +77,31 @@
     assert (stages.runs, client.sent) == (0, [])
 
 
-async def test_results_of_stages_are_not_stored_for_an_exhausted_endpoint():
+@pytest.mark.parametrize("permits", [0, 1])
+async def test_results_of_stages_are_stored_where_an_engine_has_a_turn(
+    permits,
+):
     """Results crossed zones from where an engine with a limit had no turn."""
     client = builders.ScriptedClient([])
-    parts = builders.parts(client, endpoints=2)
-    zones = ["south-a", "north-a"]
+    names = ["e0", "e1"]
+    # Without the limit the prefix ranks this endpoint first.
+    preferred = max(names, key=lambda name: rendezvous.rank("p", name))
+    parts = builders.parts(client, endpoints=2, permits={preferred: permits})
+    zones = {"e0": "south-a", "e1": "north-a"}
     listed = [
-        each._replace(zone=zone)
-        for each, zone in zip(
-            parts.catalog.endpoints(None, 0.0), zones, strict=True
-        )
+        each._replace(zone=zones[each.id])
+        for each in parts.catalog.endpoints(None, 0.0)
     ]
     parts.catalog.endpoints = lambda _service, _now: listed
-    # Without the limit the prefix ranks this endpoint first.
-    parts.limiter.exhausted = lambda _now: {preferred.id}
-    prefix = (("p", 4000), ("q", 9))
-    preferred = max(listed, key=lambda each: rendezvous.rank("p", each.id))
-    (other,) = [each for each in listed if each is not preferred]
+    head = {"pieces": (1,), "prefix": (("p", 4000), ("q", 9))}
     request = builders.request(
         stages=(types.Stage("first", (), 8000),), sticky=True
     )
-    head = request.head._replace(pieces=(1,), prefix=prefix)
+    request = request._replace(head=request.head._replace(**head))
     stages = StageRunner()
     under_test = forwarder.Forwarder(parts=parts, stages=stages)
-    await under_test.forward(request._replace(head=head), sink=None)
-    assert stages.engine_zones == [other.zone]
+    await under_test.forward(request, sink=None)
+    (used,) = [name for name in names if (name == preferred) == bool(permits)]
+    assert stages.engine_zones == [zones[used]]
+    # The permit of the plan is used, and none asked for besides.
+    assert [address for address, _ in client.sent] == [f"{used}:80"]
--- a/testkit/limiters.py
+++ b/testkit/limiters.py
@@ -30,6 +30,10 @@
         """Record what an answer names."""
         self.answers.append((endpoint.id, rate))
 
+    def is_limited(self, endpoint, _now):
+        """Return whether the test limits an endpoint."""
+        return endpoint.id in self._permits
+
     def exhausted(self, _now):
         """Return no endpoint, so that each is asked for."""
         return set()
