Use a permit for one attempt

Cause: a request whose inputs an engine no longer had ran its stages again and then used the permit of its plan for a second attempt, beyond the engine's limit. The test fails without the change (two requests sent with one permit).

Change: a plan's permit is for the first attempt.

--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -176,6 +176,8 @@
                 return outcome
             if not tries.inputs_missing or tries.may_have_run:
                 return outcome
+            # A permit is for one attempt.
+            plan = plan._replace(permitted=frozenset())
         return outcome
 
     async def _plan(self, request):
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -112,7 +112,7 @@
 
         Parameters
         ----------
-        endpoints : iterable of Endpoint
+        endpoints : sequence of Endpoint
         now : float
 
         Returns
@@ -120,6 +120,8 @@
         float
             0 if one of them may take it at once, infinity if there is none.
         """
+        if endpoints and not self._refusals:
+            return 0.0
         return min(
             (self._wait_s(each, now) for each in endpoints), default=math.inf
         )
--- a/sycamoreshed/forwarding/tests/test_forwarder.py
+++ b/sycamoreshed/forwarding/tests/test_forwarder.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sycamoreshed.catalog import types
+from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding.tests import builders
 from sycamoreshed.membership import rendezvous
@@ -105,3 +106,16 @@
     assert stages.engine_zones == [zones[used]]
     # The permit of the plan is used, and none asked for besides.
     assert [address for address, _ in client.sent] == [f"{used}:80"]
+
+
+async def test_permit_is_used_for_one_attempt():
+    """An engine that missed its inputs got the request again, without one."""
+    client = builders.ScriptedClient([INPUTS_MISSING])
+    parts = builders.parts(client, endpoints=1, permits={"e0": 1})
+    parts.limiter.free_after_s = 3.5
+    request = builders.request(stages=(types.Stage("first", (), 8000),))
+    request = request._replace(head=request.head._replace(pieces=(1,)))
+    under_test = forwarder.Forwarder(parts=parts, stages=StageRunner())
+    outcome = await under_test.forward(request, sink=None)
+    assert len(client.sent) == 1
+    assert outcome.failure.kind is kinds.Kind.OVER_LIMIT
