Let both branches of a job end at the same moment in their test

The check relied on two timers of 10 ms, started one after the other, to fire in one turn of the event loop. What is checked stays as it was; the scenario runs in simulated time, in which both timers fire together.

--- a/sycamoreshed/staging/tests/test_coordinator.py
+++ b/sycamoreshed/staging/tests/test_coordinator.py
@@ -11,6 +11,7 @@
 from sycamoreshed.staging.tests import builders
 from testkit import crashes
 from testkit import journals
+from testkit import virtualtime
 
 
 class Batcher:
@@ -92,23 +93,29 @@
     assert not batchers["second"].freed
 
 
-async def test_the_failure_of_a_branch_cancels_the_others():
+def test_the_failure_of_a_branch_cancels_the_others():
     """One of two branches fails while the next stage waits for the other.
 
     Cancelling the wait must not raise in the coordinator, or the instance
     that delegated the job sees a closed connection instead of an answer.
     """
-    zone_coordinator, batchers = build_coordinator(
-        bad=fail, first=succeed, second=succeed
-    )
-    outcome = await zone_coordinator.run(
-        job(("bad", (), 1), ("first", (), 2), ("second", (1,), 1))
-    )
+
+    async def scenario():
+        zone_coordinator, batchers = build_coordinator(
+            bad=fail, first=succeed, second=succeed
+        )
+        outcome = await zone_coordinator.run(
+            job(("bad", (), 1), ("first", (), 2), ("second", (1,), 1))
+        )
+        await asyncio.sleep(0.05)
+        return outcome, batchers["first"].freed
+
+    # Both branches end at the same simulated moment.
+    outcome, freed = virtualtime.run(scenario())
     assert outcome.results is None
     assert outcome.reason == "gone"
     assert not outcome.is_late
-    await asyncio.sleep(0.05)
-    assert sorted(batchers["first"].freed) == ["1/0", "1/1"]
+    assert sorted(freed) == ["1/0", "1/1"]
 
 
 async def test_only_missing_pieces_are_retried():
