End the rejection of a request after its time

What callers saw: nothing yet; found on reading the code. A request that had crashed endpoints would have been rejected for as long as it was repeated, also after the endpoints had been fixed.

Cause: what crashes tell of requests was worked out again only after a change of the findings, and a finding expires without one. So the request still counted as rejected after the hour, and its next repetition made a new rejection of it. The test fails without the change (rejected at 3,700 s).

Change: a verdict is worked out again after 30 s at the latest.

--- a/sycamoreshed/findings/crashes.py
+++ b/sycamoreshed/findings/crashes.py
@@ -18,6 +18,8 @@
 )
 # Bounds the size of a finding; those that were sent last are kept.
 MAX_SUSPECTS = 64
+# After which a verdict is reached again, without the findings that expired.
+MAX_VERDICT_AGE_S = 30.0
 
 
 class CrashValue(typing.TypedDict):
@@ -47,6 +49,7 @@
         self._journal = journal
         self._verdict = blame.Verdict({}, set())
         self._is_outdated = False
+        self._judged_at = float("-inf")
         for topic in (CRASHES, SERVED, REJECTIONS):
             board.listen(topic.name, self._mark_outdated)
 
@@ -122,8 +125,10 @@
         self._is_outdated = True
 
     def _current_verdict(self, now):
-        if self._is_outdated:
+        # Findings expire without a change of the board.
+        if self._is_outdated or now - self._judged_at >= MAX_VERDICT_AGE_S:
             self._is_outdated = False
+            self._judged_at = now
             self._verdict = self._judge(now)
         return self._verdict
 
--- a/sycamoreshed/findings/tests/test_crashes.py
+++ b/sycamoreshed/findings/tests/test_crashes.py
@@ -1,7 +1,11 @@
 import pytest
 
+from sycamoreshed.catalog import types
 from sycamoreshed.findings import blame
+from sycamoreshed.findings import board
+from sycamoreshed.findings import crashes as crash_records
 from sycamoreshed.findings.tests import crashworld
+from testkit import journals
 from testkit import virtualtime
 
 SEEDS = range(60)
@@ -82,3 +86,19 @@
     """Requests beside one that is known to crash were blamed as well."""
     verdict = blame.judge(crashes(9, a=0.1, x=0.2), {}, {"x"})
     assert verdict == blame.Verdict({}, {"x"})
+
+
+def test_rejection_ends_after_its_time():
+    """A rejection renewed itself with each repetition and never ended."""
+    records = crash_records.CrashRecords(
+        board=board.Board(), instance="i", journal=journals.Journal()
+    )
+    for number in range(3):
+        endpoint = types.Endpoint(f"e{number}", "s", "", "north-a", 4)
+        records.record_crash(
+            endpoint, [blame.Suspect("x", 0.1)], now=0.0, unix_ms=0
+        )
+    assert records.is_rejected("x", 1.0)
+    records.record_rejection("x", now=1.0, unix_ms=1000)
+    assert records.is_rejected("x", 3600.0)
+    assert not records.is_rejected("x", 3700.0)
