--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -1,9 +1,10 @@
-"""Local copies of the configuration, endpoints, peers and findings."""
+"""Local copies of what operators, endpoints and instances wrote."""
 
 import typing
 
 import msgspec
 
+from sycamoreshed.catalog import evacuations
 from sycamoreshed.catalog import replica
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
@@ -56,6 +57,8 @@
         `Endpoint`; both raise `msgspec.MsgspecError`.
     configuration_key : str
         Key of the settings row that holds the configuration.
+    evacuated_zone : callable
+        Returns the zone that the settings row with a key evacuates, or None.
     journal : Journal
     """
 
@@ -65,11 +68,13 @@
         decode_configuration,
         decode_endpoint,
         configuration_key,
+        evacuated_zone,
         journal,
     ):
         self._decode_configuration = decode_configuration
         self._decode_endpoint = decode_endpoint
         self._configuration_key = configuration_key
+        self._evacuated_zone = evacuated_zone
         self._journal = journal
         self._replicas = {
             SETTINGS: replica.Replica(),
@@ -78,6 +83,7 @@
         }
         self._configuration = None
         self._routes = routes.RouteTable(routes=())
+        self._evacuations = evacuations.Evacuations(journal=journal)
         self._endpoints = {}
         self._by_service = {}
         self._retained = {}
@@ -107,6 +113,11 @@
         """Registered instances by name; must not be modified."""
         return self._peers
 
+    @property
+    def evacuations(self):
+        """The `Evacuations` in force."""
+        return self._evacuations
+
     @property
     def findings(self):
         """Stored findings, bytes by key without prefix; not to be modified.
@@ -139,9 +150,10 @@
         self._confirmed[table] = max(self._confirmed[table], at)
 
     def endpoints(self, service, now):
-        """Return a service's endpoints, without those that are draining.
+        """Return the endpoints of a service that may get new work.
 
-        Includes retained endpoints that have no entry.
+        Without those that are draining or in an evacuated zone, and with
+        retained ones that have no entry.
         """
         if self._retained:
             self._expire(now)
@@ -192,6 +204,7 @@
     def _derive(self, table, now, source):
         if table == SETTINGS:
             self._derive_configuration(source)
+            self._derive_evacuations(now, source)
         elif table == ENDPOINTS:
             self._derive_endpoints(now, source)
         else:
@@ -224,6 +237,12 @@
             source=source,
         )
 
+    def _derive_evacuations(self, now, source):
+        rows = self._replicas[SETTINGS].rows
+        zones = {self._evacuated_zone(key) for key in rows} - {None}
+        if self._evacuations.update(zones, now, source):
+            self._group_endpoints()
+
     def _derive_endpoints(self, now, source):
         copy = self._replicas[ENDPOINTS].copy
         previous = self._endpoints
@@ -270,9 +289,12 @@
                 source=source,
             )
         self._endpoints = endpoints
+        self._group_endpoints()
+
+    def _group_endpoints(self):
         grouped = {}
-        for each in endpoints.values():
-            if not each.is_draining:
+        for each in self._endpoints.values():
+            if not each.is_draining and each.zone not in self._evacuations:
                 grouped.setdefault(each.service, []).append(each)
         self._by_service = {
             name: tuple(each) for name, each in grouped.items()
@@ -319,5 +341,6 @@
         decode_configuration=codec.decode_configuration,
         decode_endpoint=codec.decode_endpoint,
         configuration_key=codec.configuration_key,
+        evacuated_zone=codec.evacuated_zone,
         journal=core.part("journal"),
     )
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -286,7 +286,7 @@
     selector = core.part("reading")
     settings = core.settings
     access = accesses.StoreAccess()
-    max_pause_s = max(MIN_PAUSE_S, MAX_PAUSE_SHARE * settings.apply_ms / 1000)
+    max_pause_s = max(MIN_PAUSE_S, MAX_PAUSE_SHARE * settings.update_s)
 
     def wait():
         return selector.wait_s(core.clock())
@@ -325,7 +325,5 @@
         zone=settings.zone,
         peers=core.part("peers"),
         own_wait_s=max_wait(settings.stable_ms / 1000),
-        reader_wait_s=readerselection.reader_wait(
-            settings.apply_ms / 1000, SLACK_S
-        ),
+        reader_wait_s=readerselection.reader_wait(settings.update_s, SLACK_S),
     )
--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -255,7 +255,7 @@
 )
 async def relay(core):
     """Watch the zone's reader, and serve others if it is this instance."""
-    apply_s = core.settings.apply_ms / 1000
+    apply_s = core.settings.update_s
     selector = core.part("reading")
     shared = {
         "catalog": core.part("catalog"),
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -17,6 +17,7 @@
         decode_configuration=records.decode_configuration,
         decode_endpoint=records.decode_endpoint,
         configuration_key="config",
+        evacuated_zone=records.evacuated_zone,
         journal=journals.Journal(),
     )
 
@@ -127,6 +128,7 @@
         decode_configuration=records.decode_configuration,
         decode_endpoint=records.decode_endpoint,
         configuration_key="config",
+        evacuated_zone=records.evacuated_zone,
         journal=journals.Journal(),
     )
     for each in (catalog, other):
--- a/sycamoreshed/catalog/tests/test_draining.py
+++ b/sycamoreshed/catalog/tests/test_draining.py
@@ -42,6 +42,7 @@
             decode_configuration=records.decode_configuration,
             decode_endpoint=records.decode_endpoint,
             configuration_key="config",
+            evacuated_zone=lambda _key: None,
             journal=journals.Journal(),
         )
 
--- a/sycamoreshed/catalog/tests/test_following.py
+++ b/sycamoreshed/catalog/tests/test_following.py
@@ -101,6 +101,7 @@
             decode_configuration=None,
             decode_endpoint=None,
             configuration_key="none",
+            evacuated_zone=lambda _key: None,
             journal=journals.Journal(),
         )
         follower = following.Follower(
--- /dev/null
+++ b/sycamoreshed/catalog/tests/test_places.py
@@ -0,0 +1,81 @@
+"""Tests of evacuated zones in the catalog."""
+
+import msgspec
+import pytest
+
+from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.platform import records
+from testkit import journals
+from testkit import wiredata
+
+ZONES = ("north-a", "south-a")
+
+
+@pytest.fixture
+def catalog():
+    """Return a catalog with an endpoint in each zone."""
+    result = catalogs.Catalog(
+        decode_configuration=records.decode_configuration,
+        decode_endpoint=records.decode_endpoint,
+        configuration_key="config",
+        evacuated_zone=records.evacuated_zone,
+        journal=journals.Journal(),
+    )
+    document = wiredata.configuration()
+    rows = {"config": msgspec.json.encode(document)}
+    result.replace("settings", rows, 1, 0.0, source="store")
+    entries = {zone: entry(zone) for zone in ZONES}
+    result.replace("endpoints", entries, 1, 0.0, source="store")
+    return result
+
+
+def entry(zone, **changes):
+    """Return the bytes of an endpoint's entry."""
+    document = wiredata.beat("10.0.0.1:80", zone=zone, **changes)
+    return msgspec.json.encode(document)
+
+
+def zones(catalog, now=0.0):
+    """Return the zones whose endpoints may get requests."""
+    return {each.zone for each in catalog.endpoints("desk", now)}
+
+
+def test_endpoints_of_an_evacuated_zone_get_nothing_until_it_is_restored(
+    catalog,
+):
+    row = ("evacuate/north-a", b"{}")
+    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    assert zones(catalog) == {"south-a"}
+    assert catalog.evacuations.ages(7.0) == {"north-a": 2.0}
+    row = ("evacuate/north-a", None)
+    catalog.apply("settings", [row], 2, 3, 9.0, source="store")
+    assert zones(catalog) == set(ZONES)
+
+
+def test_an_evacuation_holds_for_endpoints_that_register_later(catalog):
+    """An endpoint that started in an evacuated zone was used at once."""
+    row = ("evacuate/north-a", b"{}")
+    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    catalog.apply(
+        "endpoints", [("new", entry("north-a"))], 1, 3, 6.0, source="store"
+    )
+    assert zones(catalog) == {"south-a"}
+
+
+def test_an_evacuation_holds_for_endpoints_that_lapsed(catalog):
+    """The store recovered, and a zone was used although it is evacuated."""
+    row = ("evacuate/north-a", b"{}")
+    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    catalog.on_store_recovered(6.0)
+    catalog.replace("endpoints", {}, 4, 6.0, source="store")
+    assert zones(catalog, 6.5) == {"south-a"}
+
+
+def test_a_full_copy_restores_a_zone_whose_row_it_lacks(catalog):
+    """A zone stayed unused after the store had dropped its history."""
+    row = ("evacuate/north-a", b"{}")
+    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    rows = dict(catalog.replica("settings").rows)
+    del rows["evacuate/north-a"]
+    catalog.replace("settings", rows, 4, 9.0, source="peer")
+    assert zones(catalog) == set(ZONES)
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -135,6 +135,13 @@
         metrics.export_age(
             table, lambda table=table: catalog.age(table, core.clock())
         )
+    for zone in core.settings.zones:
+        metrics.export_evacuation(
+            zone,
+            lambda zone=zone: catalog.evacuations.ages(core.clock()).get(
+                zone, 0.0
+            ),
+        )
     dropped = core.part("journal").dropped
     metrics.export_dropped(lambda: sum(dropped.values()))
 
@@ -169,6 +176,10 @@
             "ready": catalog.is_ready and not core.stopping.is_set(),
             "in_flight": core.part("handler").in_flight,
             "peers": sorted(catalog.peers),
+            "evacuated_s": {
+                zone: round(age_s, 2)
+                for zone, age_s in catalog.evacuations.ages(now).items()
+            },
             "reader": core.part("reading").reader(now),
             "settings_age_s": round(min(1e6, catalog.age("settings", now)), 2),
             "endpoints_age_s": round(
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -55,6 +55,12 @@
             ["table"],
             registry=registry,
         )
+        self._evacuated = prometheus_client.Gauge(
+            "sycamoreshed_gateway_evacuated_seconds",
+            "Time since a zone is known to be evacuated; 0 if it is not.",
+            ["zone"],
+            registry=registry,
+        )
         self._dropped = prometheus_client.Gauge(
             "sycamoreshed_gateway_log_lines_dropped",
             "Log lines left out since the start.",
@@ -79,6 +85,10 @@
         """Export the age of a table, which `read` returns at each scrape."""
         self._age.labels(table).set_function(read)
 
+    def export_evacuation(self, zone, read):
+        """Export since when a zone is evacuated, in seconds."""
+        self._evacuated.labels(zone).set_function(read)
+
     def export_dropped(self, read):
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -25,6 +25,7 @@
     grace_s: typing.NotRequired[schema.NonNegative]
     stable_ms: typing.NotRequired[schema.PositiveInt]
     apply_ms: typing.NotRequired[schema.PositiveInt]
+    evacuate_ms: typing.NotRequired[schema.PositiveInt]
     retry_ratio: typing.NotRequired[schema.NonNegative]
     retry_slack: typing.NotRequired[schema.NonNegative]
     retry_window_s: typing.NotRequired[schema.NonNegative]
@@ -62,6 +63,9 @@
     apply_ms : int
         Milliseconds within which an undisturbed instance must receive a
         new configuration.
+    evacuate_ms : int or None
+        Milliseconds within which it must send nothing more to the endpoints
+        of a zone that is evacuated; `apply_ms` if not set.
     retry_ratio, retry_slack, retry_window_s : float
         Retries that all instances together may send in a window: a ratio
         of the requests, and a fixed number.
@@ -86,6 +90,7 @@
     grace_s: float = 8.0
     stable_ms: int = 4000
     apply_ms: int = 2500
+    evacuate_ms: int | None = None
     retry_ratio: float = 0.1
     retry_slack: float = 10.0
     retry_window_s: float = 10.0
@@ -94,6 +99,11 @@
     max_body_bytes: int = 4 << 20
     max_control_bytes: int = 1 << 26
 
+    @property
+    def update_s(self):
+        """Seconds within which operators' changes must be known."""
+        return min(self.apply_ms, self.evacuate_ms or self.apply_ms) / 1000
+
     @property
     def cores(self):
         """Processor capacity that this instance may use, in cores."""
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -63,6 +63,16 @@
         "store_version, why",
         "a configuration could not be read; the one in force stays",
     ),
+    "zone_evacuated": Event(
+        EventClass.STATE,
+        "zone, source",
+        "operators asked not to use the endpoints of a zone",
+    ),
+    "zone_restored": Event(
+        EventClass.STATE,
+        "zone, source, after_s",
+        "the endpoints of a zone may be used again",
+    ),
     "endpoint_seen": Event(
         EventClass.STATE,
         "endpoint, service, address, store_version, source",
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -79,4 +79,6 @@
 # which endpoints register; this project only reads both.
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# Begins the keys of the operator's rows that each evacuate a zone.
+EVACUATION_PREFIX = "evacuate/"
 ENDPOINT_TABLE = "servers"
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -27,6 +27,7 @@
     }
     decode_configuration = staticmethod(records.decode_configuration)
     decode_endpoint = staticmethod(records.decode_endpoint)
+    evacuated_zone = staticmethod(records.evacuated_zone)
     parse_head = staticmethod(calls.parse_head)
     forwarded_headers = staticmethod(calls.forwarded_headers)
     response_headers = staticmethod(calls.response_headers)
--- a/sycamoreshed/platform/records.py
+++ b/sycamoreshed/platform/records.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from sycamoreshed.catalog import types
+from sycamoreshed.platform import names
 
-__all__ = ["decode_configuration", "decode_endpoint"]
+__all__ = ["decode_configuration", "decode_endpoint", "evacuated_zone"]
 
 BYTES_PER_MB = 1e6
 
@@ -194,6 +195,19 @@
     )
 
 
+def evacuated_zone(key):
+    """Return the zone that an operator's row evacuates, or None.
+
+    Examples
+    --------
+    >>> evacuated_zone("evacuate/north-a"), evacuated_zone("config")
+    ('north-a', None)
+    """
+    if not key.startswith(names.EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(names.EVACUATION_PREFIX) or None
+
+
 def decode_endpoint(key, raw):
     """Decode an entry of the table of endpoints into an `Endpoint`.
 
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -98,6 +98,7 @@
             decode_configuration=_Configuration,
             decode_endpoint=lambda _key, _raw: None,
             configuration_key="config",
+            evacuated_zone=lambda _key: None,
             journal=self.journal,
         )
         self.peers = peers.PeerDirectory(
--- a/testkit/wiredata.py
+++ b/testkit/wiredata.py
@@ -78,7 +78,7 @@
     }
 
 
-def beat(address, **changes):
+def beat(address, *, cold_ms=0, **changes):
     """Return the heartbeat record of an endpoint."""
     return {
         "service": "desk",
@@ -87,7 +87,7 @@
         "version": "v1",
         "slots": 4,
         "state": "ready",
-        "cold_remaining_ms": 0,
+        "cold_remaining_ms": cold_ms,
         "sequence": 1,
         "born": 1700000000000,
         **changes,
