--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -8,6 +8,7 @@
 from sycamoreshed.catalog import replica
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
+from sycamoreshed.catalog import warmups
 from sycamoreshed.kernel import kernel
 
 __all__ = ["EXPIRY_GRACE_S", "FINDING_PREFIX", "Catalog", "Peer"]
@@ -84,6 +85,7 @@
         self._configuration = None
         self._routes = routes.RouteTable(routes=())
         self._evacuations = evacuations.Evacuations(journal=journal)
+        self._warmups = warmups.Warmups()
         self._endpoints = {}
         self._by_service = {}
         self._retained = {}
@@ -163,6 +165,20 @@
         """Return the `Endpoint` with an id, or None."""
         return self._endpoints.get(endpoint_id)
 
+    def is_cold(self, endpoint, now):
+        """Return whether an endpoint has not warmed up yet."""
+        service = self._configuration and self._configuration.services.get(
+            endpoint.service
+        )
+        cold_start_s = service.cold_start_s if service else 0.0
+        return self._warmups.is_cold(endpoint, now, cold_start_s=cold_start_s)
+
+    def count_cold(self, now):
+        """Return the number of endpoints that have not warmed up yet."""
+        return sum(
+            self.is_cold(each, now) for each in self._endpoints.values()
+        )
+
     def remaining_grace_s(self, now):
         """Return the seconds for which missing endpoints are retained."""
         return max(0.0, self._grace_ends_at - now)
@@ -264,6 +280,9 @@
         for key in list(self._retained):
             if key in copy.rows:
                 del self._retained[key]
+        self._warmups.update(
+            previous, endpoints, now, has_previous=bool(previous)
+        )
         self._set_endpoints(endpoints, copy.version, source)
 
     def _set_endpoints(self, endpoints, version, source):
--- a/sycamoreshed/catalog/tests/test_places.py
+++ b/sycamoreshed/catalog/tests/test_places.py
@@ -1,4 +1,4 @@
-"""Tests of evacuated zones in the catalog."""
+"""Tests of evacuated zones and cold endpoints in the catalog."""
 
 import msgspec
 import pytest
@@ -8,12 +8,16 @@
 from testkit import journals
 from testkit import wiredata
 
+COLD_START_S = 3.0
 ZONES = ("north-a", "south-a")
 
 
 @pytest.fixture
 def catalog():
-    """Return a catalog with an endpoint in each zone."""
+    """Return a catalog with an endpoint in each zone, cold for 3 s at first.
+
+    The endpoints were there before this instance started.
+    """
     result = catalogs.Catalog(
         decode_configuration=records.decode_configuration,
         decode_endpoint=records.decode_endpoint,
@@ -21,7 +25,8 @@
         evacuated_zone=records.evacuated_zone,
         journal=journals.Journal(),
     )
-    document = wiredata.configuration()
+    service = wiredata.service(cold_start_s=COLD_START_S, cold_per_s=11.0)
+    document = wiredata.configuration(services=[service])
     rows = {"config": msgspec.json.encode(document)}
     result.replace("settings", rows, 1, 0.0, source="store")
     entries = {zone: entry(zone) for zone in ZONES}
@@ -40,6 +45,11 @@
     return {each.zone for each in catalog.endpoints("desk", now)}
 
 
+def is_cold(catalog, key, now):
+    """Return whether an endpoint is cold."""
+    return catalog.is_cold(catalog.endpoint(key), now)
+
+
 def test_endpoints_of_an_evacuated_zone_get_nothing_until_it_is_restored(
     catalog,
 ):
@@ -79,3 +89,37 @@
     del rows["evacuate/north-a"]
     catalog.replace("settings", rows, 4, 9.0, source="peer")
     assert zones(catalog) == set(ZONES)
+
+
+def test_an_endpoint_is_cold_for_as_long_as_it_says(catalog):
+    row = ("north-a", entry("north-a", cold_ms=4000))
+    catalog.apply("endpoints", [row], 1, 2, 10.0, source="store")
+    assert is_cold(catalog, "north-a", 13.9)
+    assert not is_cold(catalog, "north-a", 14.1)
+    assert not is_cold(catalog, "south-a", 10.0)
+    assert catalog.count_cold(10.0) == 1
+
+
+def test_other_changes_do_not_make_an_endpoint_cold_for_longer(catalog):
+    """Each change of another entry made it cold for the same time again."""
+    row = ("north-a", entry("north-a", cold_ms=4000))
+    catalog.apply("endpoints", [row], 1, 2, 10.0, source="store")
+    row = ("south-a", entry("south-a", slots=9))
+    catalog.apply("endpoints", [row], 2, 3, 13.0, source="store")
+    assert not is_cold(catalog, "north-a", 14.1)
+
+
+@pytest.mark.parametrize(
+    ("key", "changes"), [("new", {}), ("north-a", {"born": 1800000000000})]
+)
+def test_an_endpoint_that_has_just_started_is_cold(catalog, key, changes):
+    """A started endpoint got the load of a warm one until it said more."""
+    row = (key, entry("north-a", **changes))
+    catalog.apply("endpoints", [row], 1, 2, 10.0, source="store")
+    assert is_cold(catalog, key, 10.0 + COLD_START_S - 0.1)
+    assert not is_cold(catalog, key, 10.0 + COLD_START_S + 0.1)
+
+
+def test_endpoints_from_before_the_start_are_warm(catalog):
+    """All endpoints counted as cold after a start of this instance."""
+    assert catalog.count_cold(0.0) == 0
--- a/sycamoreshed/catalog/types.py
+++ b/sycamoreshed/catalog/types.py
@@ -139,6 +139,11 @@
         Set if its endpoints are model engines.
     pieces : PieceSpec or None
         Set if its endpoints process pieces of stages.
+    cold_start_s : float
+        Seconds for which an endpoint is cold after its start.
+    cold_rate : float or None
+        Requests per second that a cold endpoint takes from all instances
+        together; None if it takes as many as a warm one.
     """
 
     name: str
@@ -146,6 +151,8 @@
     max_connections: int
     engine: EngineSpec | None = None
     pieces: PieceSpec | None = None
+    cold_start_s: float = 0.0
+    cold_rate: float | None = None
 
 
 class Team(typing.NamedTuple):
@@ -208,6 +215,8 @@
         Whether it has asked to receive no new requests.
     started_at_ms : int
         Start of the process, Unix time in ms; 0 if not reported.
+    cold_s : float
+        Seconds for which it stays cold, as of its registration's last change.
     """
 
     id: str
@@ -217,3 +226,4 @@
     slots: int
     is_draining: bool = False
     started_at_ms: int = 0
+    cold_s: float = 0.0
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -1,4 +1,4 @@
-"""Keeps the limits that endpoints name, together with other instances."""
+"""Keeps the rates that endpoints can take, together with other instances."""
 
 import asyncio
 import functools
@@ -40,6 +40,7 @@
     Parameters
     ----------
     records : LimitRecords
+    rates : EndpointRates
     publish : callable
         Tells other instances findings, which may be None.
     peers : PeerDirectory
@@ -58,6 +59,7 @@
         self,
         *,
         records,
+        rates,
         publish,
         peers,
         own,
@@ -68,6 +70,7 @@
         rng=None,
     ):
         self._records = records
+        self._rates = rates
         self._publish = publish
         self._peers = peers
         self._own = own
@@ -94,8 +97,8 @@
         self._publish(finding)
 
     def is_limited(self, endpoint, now):
-        """Return whether an endpoint named a limit."""
-        return self._records.rate(endpoint, now) is not None
+        """Return whether an endpoint takes a limited rate."""
+        return self._rates.find(endpoint, now) is not None
 
     def exhausted(self, now):
         """Return the ids of endpoints that need not be asked for yet."""
@@ -104,7 +107,7 @@
             for key, refusal in self._refusals.items()
             if now < refusal.ask_at
             # The limit may have been lifted, as others found.
-            and self._records.rate(refusal.endpoint, now) is not None
+            and self._rates.find(refusal.endpoint, now) is not None
         }
 
     def wait_s(self, endpoints, now):
@@ -135,7 +138,7 @@
             Whether the request may be sent now; at once if the endpoint has
             no limit.
         """
-        rate = self._records.rate(endpoint, self._clock())
+        rate = self._rates.find(endpoint, self._clock())
         if rate is None:
             self._refusals.pop(endpoint.id, None)
             return True
@@ -161,7 +164,7 @@
 
     def _wait_s(self, endpoint, now):
         refusal = self._refusals.get(endpoint.id)
-        if refusal is None or self._records.rate(endpoint, now) is None:
+        if refusal is None or self._rates.find(endpoint, now) is None:
             return 0.0
         return max(0.0, refusal.free_at - now)
 
@@ -232,12 +235,14 @@
 
 
 @kernel.plugin(
-    "limiter", needs=("findings", "journal", "limit_records", "peers", "web")
+    "limiter",
+    needs=("findings", "journal", "limit_records", "peers", "rates", "web"),
 )
 async def limiter(core):
     """Provide the `Limiter`."""
     yield Limiter(
         records=core.part("limit_records"),
+        rates=core.part("rates"),
         publish=core.part("findings").publish,
         peers=core.part("peers"),
         own=core.settings.instance,
--- a/sycamoreshed/forwarding/tests/limitedzone.py
+++ b/sycamoreshed/forwarding/tests/limitedzone.py
@@ -15,6 +15,7 @@
 from sycamoreshed.findings import limits
 from sycamoreshed.forwarding import limiting
 from sycamoreshed.forwarding import permits
+from sycamoreshed.forwarding import rates
 from testkit import journals
 
 __all__ = ["ENDPOINT", "Zone"]
@@ -27,9 +28,10 @@
 
 
 class _Catalog(typing.NamedTuple):
-    """The only part of a catalog that a `PeerDirectory` needs."""
+    """The parts of a catalog that peers and rates need."""
 
     peers: dict
+    configuration: typing.Any = None
 
 
 class Zone:
@@ -85,6 +87,12 @@
         )
         self._limiters[name] = limiting.Limiter(
             records=records,
+            rates=rates.EndpointRates(
+                records=records,
+                catalog=self._catalog,
+                cold_overrun=1.0,
+                cold_tolerance=0.0,
+            ),
             publish=lambda *_: None,
             peers=self.peers[name],
             own=name,
--- a/sycamoreshed/forwarding/tests/test_limiting.py
+++ b/sycamoreshed/forwarding/tests/test_limiting.py
@@ -3,6 +3,7 @@
 from sycamoreshed.findings import board
 from sycamoreshed.findings import limits
 from sycamoreshed.forwarding import permits
+from sycamoreshed.forwarding import rates
 from sycamoreshed.forwarding.tests import limitedzone
 from testkit import journals
 from testkit import virtualtime
@@ -28,10 +29,10 @@
     return virtualtime.run(scenario())
 
 
-def most_in_window(times):
+def most_in_window(times, window_s=WINDOW_S):
     """Return the most requests in any window."""
     return max(
-        sum(start <= at < start + WINDOW_S for at in times) for start in times
+        sum(start <= at < start + window_s for at in times) for start in times
     )
 
 
@@ -86,6 +87,24 @@
     assert most_in_window(zone.sent_at) <= allowed(2.0)
 
 
+@pytest.mark.parametrize("size", [9, 65, 195])
+@pytest.mark.parametrize("cut_share", [0.0, 0.35, 0.9])
+def test_cold_endpoint_is_spared_by_instances_that_are_cut_off(
+    size, cut_share
+):
+    """Instances that were cut off added their requests to the full rate."""
+    overrun, tolerance, rate = 1.5, 5.0, 11.0
+
+    def cut(zone):
+        zone.cut = set(zone.names[: int(cut_share * size)])
+
+    permitted = rates.cold_rate(rate, overrun=overrun, tolerance=tolerance)
+    zone = play(size=size, rate=permitted, during=cut)
+    most = most_in_window(zone.sent_at, window_s=1.0)
+    assert most <= overrun * rate + tolerance
+    assert len(zone.sent_at) >= MIN_USED_SHARE * permitted * LOAD_S
+
+
 def test_instance_that_is_slow_to_issue_permits_keeps_its_work():
     """An instance that issued a permit late no longer worked for its zone."""
 
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -142,6 +142,7 @@
                 zone, 0.0
             ),
         )
+    metrics.export_cold_endpoints(lambda: catalog.count_cold(core.clock()))
     dropped = core.part("journal").dropped
     metrics.export_dropped(lambda: sum(dropped.values()))
 
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -33,6 +33,7 @@
 from sycamoreshed.forwarding import health  # noqa: E402,F401
 from sycamoreshed.forwarding import limiting  # noqa: E402,F401
 from sycamoreshed.forwarding import placement  # noqa: E402,F401
+from sycamoreshed.forwarding import rates  # noqa: E402,F401
 from sycamoreshed.gateway import control  # noqa: E402,F401
 from sycamoreshed.gateway import handler  # noqa: E402,F401
 from sycamoreshed.gateway import listeners  # noqa: E402
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -61,6 +61,11 @@
             ["zone"],
             registry=registry,
         )
+        self._cold_endpoints = prometheus_client.Gauge(
+            "sycamoreshed_gateway_cold_endpoints",
+            "Endpoints that have not warmed up yet.",
+            registry=registry,
+        )
         self._dropped = prometheus_client.Gauge(
             "sycamoreshed_gateway_log_lines_dropped",
             "Log lines left out since the start.",
@@ -89,6 +94,10 @@
         """Export since when a zone is evacuated, in seconds."""
         self._evacuated.labels(zone).set_function(read)
 
+    def export_cold_endpoints(self, read):
+        """Export the number of cold endpoints, which `read` returns."""
+        self._cold_endpoints.set_function(read)
+
     def export_dropped(self, read):
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -26,6 +26,8 @@
     stable_ms: typing.NotRequired[schema.PositiveInt]
     apply_ms: typing.NotRequired[schema.PositiveInt]
     evacuate_ms: typing.NotRequired[schema.PositiveInt]
+    cold_overrun: typing.NotRequired[schema.NonNegative]
+    cold_tolerance: typing.NotRequired[schema.NonNegative]
     retry_ratio: typing.NotRequired[schema.NonNegative]
     retry_slack: typing.NotRequired[schema.NonNegative]
     retry_window_s: typing.NotRequired[schema.NonNegative]
@@ -66,6 +68,9 @@
     evacuate_ms : int or None
         Milliseconds within which it must send nothing more to the endpoints
         of a zone that is evacuated; `apply_ms` if not set.
+    cold_overrun, cold_tolerance : float
+        In any second a cold endpoint may get its rate times the first, plus
+        the second, of requests.
     retry_ratio, retry_slack, retry_window_s : float
         Retries that all instances together may send in a window: a ratio
         of the requests, and a fixed number.
@@ -91,6 +96,8 @@
     stable_ms: int = 4000
     apply_ms: int = 2500
     evacuate_ms: int | None = None
+    cold_overrun: float = 1.0
+    cold_tolerance: float = 0.0
     retry_ratio: float = 0.1
     retry_slack: float = 10.0
     retry_window_s: float = 10.0
--- a/sycamoreshed/platform/records.py
+++ b/sycamoreshed/platform/records.py
@@ -77,6 +77,9 @@
     max_connections: int = 100
     engine: _Engine | None = None
     segments: _Segments | None = None
+    cold_start_s: float = 0.0
+    # Requests per second of a cold endpoint; 0 if they are not limited.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -109,6 +112,7 @@
     # Start of the endpoint's process, not of the entry, in Unix time in ms;
     # at the top level of everything an endpoint writes about itself.
     born: int = 0
+    cold_remaining_ms: float = 0.0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -192,6 +196,8 @@
         max_connections=wire.max_connections,
         engine=engine,
         pieces=pieces,
+        cold_start_s=wire.cold_start_s,
+        cold_rate=wire.cold_per_s or None,
     )
 
 
@@ -231,4 +237,5 @@
         slots=max(1, wire.slots),
         is_draining=_IS_DRAINING[wire.state],
         started_at_ms=wire.born,
+        cold_s=max(0.0, wire.cold_remaining_ms / 1000),
     )
--- a/sycamoreshed/platform/tests/test_records.py
+++ b/sycamoreshed/platform/tests/test_records.py
@@ -44,6 +44,18 @@
     assert configuration.teams[wiredata.KEY].name == "team-a"
 
 
+def test_cold_starts():
+    configuration = decoded(
+        services=[
+            wiredata.service("a", cold_start_s=3.0, cold_per_s=11.0),
+            wiredata.service("b", cold_start_s=0.0, cold_per_s=0.0),
+        ],
+    )
+    assert configuration.services["a"].cold_start_s == 3.0
+    assert configuration.services["a"].cold_rate == 11.0
+    assert configuration.services["b"].cold_rate is None
+
+
 @pytest.mark.parametrize(
     ("kind", "idempotent"),
     [("safe", True), ("unsafe", False), ("streaming", False)],
--- a/tests/integration/test_places.py
+++ b/tests/integration/test_places.py
@@ -1,4 +1,4 @@
-"""Evacuated zones, with real instances."""
+"""Evacuated zones and cold endpoints, with real instances."""
 
 import asyncio
 import collections
@@ -21,6 +21,8 @@
     "zones": REGIONS,
     "apply_ms": 2500,
     "evacuate_ms": 2500,
+    "cold_overrun": 1.5,
+    "cold_tolerance": 5,
 }
 START_TIMEOUT_S = 15.0
 # A rejection that is made at once.
@@ -74,7 +76,7 @@
             "name": "team-a",
             "api_keys": [wiredata.KEY],
         }
-        service = wiredata.service()
+        service = wiredata.service(cold_start_s=0.0, cold_per_s=2.0)
         self.store.put(
             "op",
             "config",
@@ -204,3 +206,18 @@
         for _ in range(10):
             await running.call(restarted)
     assert "north-a" not in running.zones_since(since)
+
+
+async def test_a_cold_endpoint_gets_no_more_than_its_rate(store, tmp_path):
+    """Endpoints that came back cold got the load of warm ones, and crashed."""
+    async with deployment(store, tmp_path) as running:
+        endpoint = running.endpoints[0]
+        running.register("i-1", endpoint, "north-a", "desk", cold_ms=60000)
+        await asyncio.sleep(APPLY_S)
+        since = time.monotonic()
+        answers = await running.load(4.0, per_s=45)
+    assert {status for status, *_ in answers} == {200}
+    times = [at for at, zone, _ in running.seen if zone == "north-a"]
+    times = [at for at in times if at >= since]
+    most = max(sum(a <= at < a + 1.0 for at in times) for a in times)
+    assert most <= 2.0 * SETTINGS["cold_overrun"] + SETTINGS["cold_tolerance"]
