--- a/sycamoreshed/catalog/routes.py
+++ b/sycamoreshed/catalog/routes.py
@@ -8,7 +8,7 @@
 
     Parameters
     ----------
-    routes : iterable of Route
+    routes : sequence of Route
 
     Examples
     --------
@@ -31,9 +31,14 @@
         self._by_host = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
+        self._by_name = {route.name: route for route in routes}
         for each in self._by_host.values():
             each.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    def named(self, name):
+        """Return the route with a name, or None."""
+        return self._by_name.get(name)
+
     def find(self, host, target):
         """Return the route of a request target, or None."""
         name = host.lower()
--- a/sycamoreshed/catalog/types.py
+++ b/sycamoreshed/catalog/types.py
@@ -64,6 +64,8 @@
         Whether requests are accepted without a key.
     sticky : bool
         Whether requests with a common prefix benefit from the same endpoint.
+    allowed_regions : frozenset of str
+        Regions in which its requests may be served; empty for all.
     """
 
     name: str
@@ -81,6 +83,7 @@
     stages: tuple = ()
     anonymous: bool = False
     sticky: bool = False
+    allowed_regions: frozenset = frozenset()
 
 
 class EngineSpec(typing.NamedTuple):
@@ -163,10 +166,13 @@
     name : str
     priority : int or None
         Overrides the priority of routes if set.
+    allowed_regions : frozenset of str
+        Regions in which its requests may be served; empty for all.
     """
 
     name: str
     priority: int | None = None
+    allowed_regions: frozenset = frozenset()
 
 
 class Limits(typing.NamedTuple):
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -22,6 +22,7 @@
     "Attempts",
     "Opened",
     "limit_failure",
+    "no_endpoint_failure",
     "rejection",
 ]
 
@@ -67,7 +68,9 @@
 
 
 def rejection(request, parts, now, *, sent=False):
-    """Return the `Failure` of a request that crashes endpoints, or None.
+    """Return the `Failure` of a request that no endpoint may get, or None.
+
+    It crashes endpoints, or may be served in no region.
 
     Parameters
     ----------
@@ -78,7 +81,7 @@
         Whether an attempt of this request may have run.
     """
     if not parts.crashes.is_rejected(request.fingerprint, now):
-        return None
+        return parts.residency.rejection(request, sent=sent)
     return kinds.Failure(
         kinds.Kind.CRASHES_ENDPOINTS,
         "endpoints crashed under this request",
@@ -107,6 +110,31 @@
     )
 
 
+def no_endpoint_failure(request, parts, now, *, sent=False):
+    """Return the `Failure` of a request for which there is no endpoint.
+
+    Parameters
+    ----------
+    request : Request
+    parts : Parts
+    now : float
+    sent : bool
+        Whether an attempt of this request may have run.
+    """
+    reason = f"no endpoint of {request.service}"
+    if parts.residency.regions(request) is not None:
+        reason += " in its allowed regions"
+    evacuated = parts.catalog.evacuations.ages(now)
+    if evacuated:
+        reason += f"; evacuated: {', '.join(sorted(evacuated))}"
+    return kinds.Failure(
+        kinds.Kind.NO_ENDPOINT,
+        reason,
+        sent=sent,
+        retry_after=kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after,
+    )
+
+
 class Attempts:
     """The attempts at one request.
 
@@ -116,8 +144,8 @@
     parts : Parts
     inputs : list of str
         Handles of the stage results that the endpoint fetches.
-    result_bytes : dict of str to int
-        Bytes of those results in each zone.
+    locate_inputs : callable
+        Takes handles, returns bytes of their results in each zone.
     release : Release or None
         Frees the inputs; None if nothing is to be freed.
     rerun_stages : coroutine function
@@ -141,7 +169,7 @@
         request,
         parts,
         inputs=(),
-        result_bytes=None,
+        locate_inputs=None,
         release=None,
         rerun_stages=None,
         permitted=(),
@@ -152,7 +180,7 @@
         self._inputs = inputs
         self._release = release
         self._rerun_stages = rerun_stages
-        self._result_bytes = result_bytes or {}
+        self._locate_inputs = locate_inputs
         self._permitted = set(permitted)
         self._refused = frozenset(refused)
         self._tried = set()
@@ -198,10 +226,10 @@
                 # for lack of further endpoints.
                 return last
             if choice is None:
-                return self._fail(
-                    kinds.Kind.NO_ENDPOINT, f"no endpoint of {request.service}"
+                return no_endpoint_failure(
+                    request, parts, now, sent=self._may_have_run
                 )
-            if self._release is not None and self._release.freed:
+            if self._needs_inputs(now):
                 inputs = await self._rerun_stages(remaining_s)
                 if isinstance(inputs, kinds.Failure):
                     return inputs._replace(sent=self._may_have_run)
@@ -377,9 +405,7 @@
         # that takes the request, unless it is too late then.
         endpoints = [
             each
-            for each in self._parts.catalog.endpoints(
-                self._request.service, now
-            )
+            for each in self._parts.residency.endpoints(self._request, now)
             if each.id not in self._tried
         ]
         if not endpoints:
@@ -395,11 +421,36 @@
 
     def _is_available(self, endpoint, now):
         """Return whether an endpoint is there after a wait for a permit."""
-        available = self._parts.catalog.endpoints(self._request.service, now)
-        rejected = self._parts.crashes.is_rejected(
-            self._request.fingerprint, now
+        parts, request = self._parts, self._request
+        is_known = any(
+            each.id == endpoint.id
+            and each.started_at_ms == endpoint.started_at_ms
+            for each in parts.residency.endpoints(request, now)
         )
-        return endpoint in available and not rejected
+        return is_known and rejection(request, parts, now) is None
+
+    def _needs_inputs(self, now):
+        """Return whether the stages must run again before an attempt.
+
+        Their results were freed, or lie in a region that a configuration
+        since then does not allow.
+        """
+        if self._release is None:
+            return False
+        if self._release.freed:
+            return True
+        residency = self._parts.residency
+        regions = residency.regions(self._request)
+        return not all(
+            residency.allows(regions, zone) for zone in self._result_bytes
+        )
+
+    @property
+    def _result_bytes(self):
+        """Bytes of the inputs in each zone."""
+        if self._locate_inputs is None:
+            return {}
+        return self._locate_inputs(self._inputs)
 
     def _choose(self, now, excluded=()):
         parts, request = self._parts, self._request
@@ -413,7 +464,7 @@
         # again cannot be told from each other if it crashes.
         is_suspect = parts.crashes.is_suspect(request.fingerprint, now)
         return parts.placer.choose(
-            parts.catalog.endpoints(request.service, now),
+            parts.residency.endpoints(request, now),
             now,
             tried=self._tried.union(excluded),
             affinity=request.fingerprint if is_suspect else request.affinity,
@@ -568,6 +619,7 @@
     Parameters
     ----------
     catalog : Catalog
+    residency : Residency
     placer : Placer
     health : Health
     crashes : CrashDetector
@@ -581,6 +633,7 @@
     """
 
     catalog: typing.Any
+    residency: typing.Any
     placer: typing.Any
     health: typing.Any
     crashes: typing.Any
@@ -597,6 +650,7 @@
     "attempts",
     needs=(
         "catalog",
+        "residency",
         "placer",
         "health",
         "crashes",
@@ -612,6 +666,7 @@
     """Provide the components that attempts share."""
     yield Parts(
         catalog=core.part("catalog"),
+        residency=core.part("residency"),
         placer=core.part("placer"),
         health=core.part("health"),
         crashes=core.part("crashes"),
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -118,7 +118,7 @@
         now = self._parts.clock()
         rejected = attempts.rejection(request, self._parts, now)
         if rejected is None:
-            rejected = self._over_limit(request, now)
+            rejected = self._unservable(request, now)
         if rejected is not None:
             return Outcome(failure=rejected)
         self._parts.budget.record_requests(request.service, now)
@@ -128,14 +128,14 @@
         finally:
             self._stages.free(results)
 
-    def _over_limit(self, request, now):
+    def _unservable(self, request, now):
         """Return the `Failure` if no endpoint takes a request in time.
 
         Its stages would be work for nothing.
         """
-        endpoints = self._parts.catalog.endpoints(request.service, now)
+        endpoints = self._parts.residency.endpoints(request, now)
         if not endpoints:
-            return None
+            return attempts.no_endpoint_failure(request, self._parts, now)
         max_wait_s = attempts.MAX_WAIT_SHARE * (
             request.answer_start_deadline - now
         )
@@ -158,8 +158,8 @@
                 request=request,
                 parts=self._parts,
                 inputs=inputs,
-                result_bytes=self._stages.zone_bytes(
-                    inputs, request.route.stages
+                locate_inputs=lambda handles: self._stages.zone_bytes(
+                    handles, request.route.stages
                 ),
                 release=release,
                 rerun_stages=lambda remaining_s: self._rerun_stages(
@@ -210,7 +210,7 @@
     def _choose(self, request, now, excluded):
         parts = self._parts
         return parts.placer.choose(
-            parts.catalog.endpoints(request.service, now),
+            parts.residency.endpoints(request, now),
             now,
             tried=excluded,
             affinity=request.affinity,
@@ -221,7 +221,7 @@
     def _likely_zone(self, request, now):
         parts = self._parts
         return parts.placer.likely_zone(
-            parts.catalog.endpoints(request.service, now),
+            parts.residency.endpoints(request, now),
             now,
             affinity=request.affinity,
             shared_tokens=request.shared_tokens,
@@ -298,7 +298,9 @@
             job,
             results,
             engine_zone=engine_zone,
-            fingerprint=request.fingerprint,
+            origin=pieces.Origin(
+                request.fingerprint, self._parts.residency.regions(request)
+            ),
         )
 
     async def _attempt(self, request, tries, sink):
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -5,6 +5,8 @@
 import aiohttp
 import multidict
 
+from sycamoreshed.catalog import evacuations
+from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import types
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import attempts
@@ -15,6 +17,7 @@
 from sycamoreshed.platform import calls
 from sycamoreshed.platform import names
 from sycamoreshed.platform import platform
+from sycamoreshed.residency import residency
 from testkit import crashes
 from testkit import journals
 from testkit import limiters
@@ -29,6 +32,7 @@
 
 SERVICE = "desk"
 ID = "r1"
+REGIONS = {"north-a": "north", "south-a": "south"}
 
 
 class Outcome(typing.NamedTuple):
@@ -131,6 +135,8 @@
 
     def __init__(self, endpoints):
         self._endpoints = endpoints
+        self.routes = routes.RouteTable(routes=())
+        self.evacuations = evacuations.Evacuations(journal=journals.Journal())
         service = types.Service(SERVICE, "/healthz", 100)
         self.configuration = types.Configuration(
             1, (), {SERVICE: service}, {}, False, types.Limits()
@@ -162,8 +168,10 @@
         types.Endpoint(f"e{n}", SERVICE, f"e{n}:80", "north-a", 6)
         for n in range(endpoints)
     ]
+    catalog = _Catalog(available)
     return attempts.Parts(
-        catalog=_Catalog(available),
+        catalog=catalog,
+        residency=residency.Residency(catalog=catalog, regions=REGIONS),
         placer=placement.Placer(
             zone="north-a", regions={}, health=endpoint_health
         ),
--- a/sycamoreshed/forwarding/tests/test_forwarder.py
+++ b/sycamoreshed/forwarding/tests/test_forwarder.py
@@ -17,7 +17,7 @@
         self.runs = 0
         self.engine_zones = []
 
-    async def run(self, _job, results, *, engine_zone, fingerprint):
+    async def run(self, _job, results, *, engine_zone, origin):
         """Add a result."""
         self.runs += 1
         self.engine_zones.append(engine_zone)
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -96,7 +96,9 @@
         try:
             return _json(
                 await self._stages.run_locally(
-                    job, http.query["zone"], http.query.get("fingerprint", "")
+                    job,
+                    http.query["zone"],
+                    delegation.decode_origin(http.query),
                 )
             )
         finally:
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -42,6 +42,7 @@
 from sycamoreshed.kernel import kernel  # noqa: E402
 from sycamoreshed.observe import journal  # noqa: E402,F401
 from sycamoreshed.platform import platform  # noqa: E402,F401
+from sycamoreshed.residency import residency  # noqa: E402,F401
 from sycamoreshed.staging import delegation  # noqa: E402,F401
 
 __all__ = ["serve"]
--- a/sycamoreshed/gateway/error_responses.py
+++ b/sycamoreshed/gateway/error_responses.py
@@ -25,6 +25,10 @@
         kinds.Kind.UNKNOWN_PATH,
     )
 )
+# Of requests that have not run and never can, so that a retry is useless.
+_NOT_RUN_STATUSES = {
+    kinds.Kind.NO_REGION: kinds.ANSWERS[kinds.Kind.NO_REGION].status
+}
 _UNKNOWN_OUTCOMES = frozenset((kinds.Kind.LATE, kinds.Kind.OUTCOME_UNKNOWN))
 
 
@@ -37,11 +41,13 @@
     503
     >>> status_of(kinds.Failure(kinds.Kind.LATE, "silent", sent=True))
     504
+    >>> status_of(kinds.Failure(kinds.Kind.NO_REGION, "none", sent=False))
+    403
     """
     if failure.kind in _CLIENT_ERRORS:
         return kinds.ANSWERS[failure.kind].status
     if not failure.sent:
-        return NOT_RUN_STATUS
+        return _NOT_RUN_STATUSES.get(failure.kind, NOT_RUN_STATUS)
     return (
         UNKNOWN_STATUS if failure.kind in _UNKNOWN_OUTCOMES else FAILED_STATUS
     )
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -13,6 +13,7 @@
 from sycamoreshed.gateway import error_responses
 from sycamoreshed.kernel import kernel
 from sycamoreshed.kernel import timeouts
+from sycamoreshed.residency import residency
 
 __all__ = ["Handler"]
 
@@ -163,6 +164,9 @@
             return body
         if not self.is_accepting:
             return kinds.Failure(kinds.Kind.DRAINING, "this instance stops")
+        regions = residency.common_regions(
+            route.allowed_regions, team.allowed_regions if team else ()
+        )
         priority = requests.Priority(
             (team and team.priority) or 0, route.priority
         )
@@ -180,6 +184,7 @@
             route=route.name,
             version=configuration.version,
             team=team.name if team else None,
+            regions=None if regions is None else sorted(regions),
             priority=priority,
             left_s=round(deadline - started_at, 3),
         )
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -174,7 +174,8 @@
     ),
     "admitted": Event(
         EventClass.DETAIL,
-        "request, fingerprint, route, version, team, priority, left_s",
+        "request, fingerprint, route, version, team, regions, priority, "
+        "left_s",
         "a request was taken; the fingerprint is that of all its repetitions",
     ),
     "chosen": Event(
--- a/sycamoreshed/observe/explain.py
+++ b/sycamoreshed/observe/explain.py
@@ -35,6 +35,8 @@
     "backlog of the zone, and which endpoints were out",
     "no-endpoint": "no endpoint of the service was known that it had not "
     "been sent to already",
+    "no-region": "its route and its team allow no region in common, or none "
+    "of this deployment; see the regions in 'admitted'",
     "stage-failed": "endpoints of a stage failed its pieces, and no attempt "
     "or budget was left",
     "late": "its time passed; if it was sent, nobody knows whether it ran",
--- a/sycamoreshed/platform/records.py
+++ b/sycamoreshed/platform/records.py
@@ -46,6 +46,7 @@
     resumable: bool = False
     # Maximum gap between events of a stream.
     itl_target_ms: float = 1000.0
+    allowed_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -93,6 +94,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    allowed_regions: list[str] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -131,7 +133,11 @@
     wire = _configuration_decoder.decode(raw)
     teams = {}
     for tenant in wire.tenants or ():
-        team = types.Team(tenant.name, tenant.priority)
+        team = types.Team(
+            tenant.name,
+            tenant.priority,
+            frozenset(tenant.allowed_regions or ()),
+        )
         for key in tenant.api_keys:
             teams[key] = team
     return types.Configuration(
@@ -172,6 +178,7 @@
         ),
         anonymous=wire.anonymous,
         sticky=wire.sticky,
+        allowed_regions=frozenset(wire.allowed_regions or ()),
     )
 
 
--- a/sycamoreshed/platform/tests/test_records.py
+++ b/sycamoreshed/platform/tests/test_records.py
@@ -44,13 +44,19 @@
     assert configuration.teams[wiredata.KEY].name == "team-a"
 
 
-def test_cold_starts():
+def test_regions_and_cold_starts():
+    team = {"name": "a", "api_keys": ["k"], "allowed_regions": ["north"]}
     configuration = decoded(
+        routes=[wiredata.route(allowed_regions=["south", "north"])],
         services=[
             wiredata.service("a", cold_start_s=3.0, cold_per_s=11.0),
             wiredata.service("b", cold_start_s=0.0, cold_per_s=0.0),
         ],
+        tenants=[team],
     )
+    (route,) = configuration.routes
+    assert route.allowed_regions == {"north", "south"}
+    assert configuration.teams["k"].allowed_regions == {"north"}
     assert configuration.services["a"].cold_start_s == 3.0
     assert configuration.services["a"].cold_rate == 11.0
     assert configuration.services["b"].cold_rate is None
--- /dev/null
+++ b/sycamoreshed/residency/__init__.py
@@ -0,0 +1,1 @@
+"""Data residency: the regions in which requests may be served."""
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -40,6 +40,9 @@
     service : Service
     endpoints : callable
         Takes the time, returns the endpoints that may get calls.
+    allows : callable
+        Takes regions as in `Origin`, and a zone; returns whether the zone
+        is in one of them.
     find_endpoint : callable
         Takes the id of an endpoint, returns it or None.
     scheduler : Scheduler
@@ -58,6 +61,7 @@
         *,
         service,
         endpoints,
+        allows,
         find_endpoint,
         scheduler,
         client,
@@ -71,6 +75,7 @@
     ):
         self.service = service
         self._endpoints = endpoints
+        self._allows = allows
         self._find_endpoint = find_endpoint
         self._scheduler = scheduler
         self._client = client
@@ -183,7 +188,9 @@
             except TimeoutError:
                 continue
 
-    def _can_start(self, piece):
+    def _can_start(self, piece, endpoint):
+        if not self._allows(piece.origin.regions, endpoint.zone):
+            return False
         admitted = self._admitted.get((piece.request, piece.stage))
         return admitted is None or self._scheduler.can_start(
             admitted, piece.stage
@@ -296,7 +303,9 @@
         )
         calls = [
             self._crashes.record_start(endpoint, fingerprint)
-            for fingerprint in {e.piece.fingerprint for e in batch.entries}
+            for fingerprint in {
+                e.piece.origin.fingerprint for e in batch.entries
+            }
             if fingerprint
         ]
         try:
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -30,7 +30,7 @@
     admitted: typing.Any
     specs: dict
     results: list
-    fingerprint: str
+    origin: typing.Any
 
 
 class Coordinator:
@@ -83,14 +83,13 @@
             stored_bytes=self._stored_bytes,
         )
 
-    async def run(self, job, fingerprint=""):
+    async def run(self, job, origin=pieces.NO_ORIGIN):
         """Run a job; return its `JobOutcome`.
 
         Parameters
         ----------
         job : Job
-        fingerprint : str
-            Of the request; empty if not known.
+        origin : Origin
         """
         now = self._clock()
         names = {s.service for s in job.stages if s.count}
@@ -110,7 +109,7 @@
             # A call that started before the deadline may end a little
             # later; the caller does not wait much longer than that.
             async with timeouts.time_limit(admitted.deadline - now + GRACE_S):
-                result = await self._run_stages(admitted, fingerprint)
+                result = await self._run_stages(admitted, origin)
             if not isinstance(result, kinds.Failure):
                 self._scheduler.record_completion(admitted, self._clock())
         except TimeoutError:
@@ -161,14 +160,14 @@
             },
         )
 
-    async def _run_stages(self, admitted, fingerprint):
+    async def _run_stages(self, admitted, origin):
         loop = asyncio.get_running_loop()
         stages = admitted.job.stages
         run = _Run(
             admitted,
             {s.service: self._find_spec(s.service) for s in stages if s.count},
             [loop.create_future() for _ in stages],
-            fingerprint,
+            origin,
         )
         tasks = [
             asyncio.create_task(self._run_stage(run, index))
@@ -259,7 +258,7 @@
                 deadline=run.admitted.deadline - remaining_s,
                 key=None if inputs else job.key,
                 inputs=tuple(each.handle for each in inputs),
-                fingerprint=run.fingerprint,
+                origin=run.origin,
             )
             for number, ref in enumerate(refs)
             if ref is None
@@ -270,7 +269,7 @@
             return False
         # A retry would have the same inputs, which are no longer stored.
         allowed = failure.reason != "gone" and not self._crashes.is_rejected(
-            run.fingerprint, self._clock()
+            run.origin.fingerprint, self._clock()
         )
         if allowed and failure.sent:
             allowed = self._budget.try_spend(
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -8,6 +8,7 @@
 
 import functools
 import typing
+import urllib.parse
 
 import msgspec
 
@@ -19,7 +20,14 @@
 from sycamoreshed.staging import coordinator
 from sycamoreshed.staging import pieces
 
-__all__ = ["FREE_PATH", "RUN_PATH", "FreedResult", "StageRunner"]
+__all__ = [
+    "FREE_PATH",
+    "RUN_PATH",
+    "FreedResult",
+    "StageRunner",
+    "decode_origin",
+    "encode_origin",
+]
 
 RUN_PATH = "/control/stages"
 FREE_PATH = "/control/results/free"
@@ -35,6 +43,7 @@
 # is paid for.
 TRANSFER_COST_S_PER_MB = 0.04
 MB = 1e6
+_NO_ENDPOINT_RETRY_S = kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after
 # Attempts at one job, in other zones or at other instances if there are any.
 MAX_ATTEMPTS = 3
 
@@ -52,7 +61,7 @@
 
 
 class _StoredResult(typing.NamedTuple):
-    """A result, the service that computed it, and the zone it is stored in."""
+    """A result, the service that computed it, and the zone of its queue."""
 
     service: str
     zone: str
@@ -67,6 +76,7 @@
     instance, zone : str
         This instance's name and zone.
     catalog : Catalog
+    residency : Residency
     peers : PeerDirectory
     placer : Placer
     health : Health
@@ -84,6 +94,7 @@
         instance,
         zone,
         catalog,
+        residency,
         peers,
         placer,
         health,
@@ -96,6 +107,7 @@
         self._instance = instance
         self._zone = zone
         self._catalog = catalog
+        self._residency = residency
         self._peers = peers
         self._placer = placer
         self._health = health
@@ -108,7 +120,7 @@
         self._backlog_reports = {}
         self._stored_results = {}
 
-    async def run(self, job, handles, *, engine_zone, fingerprint=""):
+    async def run(self, job, handles, *, engine_zone, origin=pieces.NO_ORIGIN):
         """Run the stages of a request.
 
         Parameters
@@ -119,8 +131,7 @@
             `free` when they are no longer needed.
         engine_zone : str
             Zone of the engine that will fetch them.
-        fingerprint : str
-            Of the request; empty if not known.
+        origin : Origin
 
         Returns
         -------
@@ -136,10 +147,14 @@
         original = job
         for _ in range(MAX_ATTEMPTS):
             now = self._clock()
-            zone = self.choose_zone(job, now, engine_zone, avoid)
+            zone = self.choose_zone(
+                job, now, engine_zone, avoid, origin.regions
+            )
             if zone is None:
                 return kinds.Failure(
-                    kinds.Kind.NO_ENDPOINT, "no endpoint for a stage"
+                    kinds.Kind.NO_ENDPOINT,
+                    "no endpoint for a stage",
+                    retry_after=_NO_ENDPOINT_RETRY_S,
                 )
             elapsed_s = now - started_at
             job = original._replace(
@@ -149,7 +164,7 @@
             )
             if job.hard_limit_s <= 0:
                 break
-            outcome = await self._run_in_zone(job, zone, fingerprint)
+            outcome = await self._run_in_zone(job, zone, origin)
             if not isinstance(outcome, kinds.Failure):
                 self._backlog_reports[zone] = _BacklogReport(
                     outcome.backlog_s, self._clock()
@@ -182,9 +197,9 @@
             return kinds.Failure(kinds.Kind.HOPELESS, "no time for stages")
         return failure
 
-    async def run_locally(self, job, zone, fingerprint=""):
+    async def run_locally(self, job, zone, origin=pieces.NO_ORIGIN):
         """Run a job with the endpoints of a zone, by this instance."""
-        return await self._coordinator(zone).run(job, fingerprint)
+        return await self._coordinator(zone).run(job, origin)
 
     def free(self, handles):
         """Free results, through the instances that coordinate their zones."""
@@ -220,12 +235,16 @@
             stored = self._stored_results.get(handle)
             if stored is not None:
                 size = sizes.get(stored.service, 0)
-                by_zone[stored.zone] = by_zone.get(stored.zone, 0) + size
+                endpoint = self._catalog.endpoint(stored.ref.endpoint)
+                zone = endpoint.zone if endpoint else stored.zone
+                by_zone[zone] = by_zone.get(zone, 0) + size
         return by_zone
 
-    def choose_zone(self, job, now, engine_zone, avoid=()):
+    def choose_zone(self, job, now, engine_zone, avoid=(), regions=None):
         """Return the zone in which a job should run, or None.
 
+        None if a service has no endpoint that the job may use.
+
         Parameters
         ----------
         job : Job
@@ -234,11 +253,20 @@
             Zone of the engine that will fetch the results.
         avoid : collection of str
             Zones where it failed, used only if there are no others.
+        regions : frozenset of str or None
+            Regions in which it may run; None for all.
         """
         names = {s.service for s in job.stages if s.count}
         usable_by_zone = {}
         for name in names:
-            for each in self._catalog.endpoints(name, now):
+            allowed = [
+                each
+                for each in self._catalog.endpoints(name, now)
+                if self._residency.allows(regions, each.zone)
+            ]
+            if not allowed:
+                return None
+            for each in allowed:
                 usable = not self._health.is_avoided(each, now)
                 services = usable_by_zone.setdefault(each.zone, {})
                 services[name] = services.get(name, False) or usable
@@ -301,17 +329,17 @@
         (name,) = rendezvous.top(zone, candidates, 1)
         return name, candidates[name]
 
-    async def _run_in_zone(self, job, zone, fingerprint):
+    async def _run_in_zone(self, job, zone, origin):
         name, control = self._coordinating_instance(zone, self._clock())
         if name == self._instance:
-            return await self.run_locally(job, zone, fingerprint)
+            return await self.run_locally(job, zone, origin)
         reply = await web.fetch(
             self._session,
             "POST",
             control,
             # Not in the body, which another version of the program could not
             # decode with one more item.
-            f"{RUN_PATH}?zone={zone}&fingerprint={fingerprint}",
+            f"{RUN_PATH}?{encode_origin(zone, origin)}",
             timeout=job.hard_limit_s + CALL_EXTRA_S,
             body=job,
         )
@@ -341,6 +369,33 @@
         return self._coordinators[zone]
 
 
+def encode_origin(zone, origin):
+    """Return the query of a call that delegates a job to another instance."""
+    query = {"zone": zone, "fingerprint": origin.fingerprint}
+    if origin.regions is not None:
+        query["regions"] = ",".join(sorted(origin.regions))
+    return urllib.parse.urlencode(query)
+
+
+def decode_origin(query):
+    """Return the `Origin` of a job that another instance delegated.
+
+    Parameters
+    ----------
+    query : Mapping
+        Of the call's target.
+
+    Examples
+    --------
+    >>> decode_origin({"fingerprint": "f", "regions": "north"}).regions
+    frozenset({'north'})
+    """
+    regions = query.get("regions")
+    if regions is not None:
+        regions = frozenset(filter(None, regions.split(",")))
+    return pieces.Origin(query.get("fingerprint", ""), regions)
+
+
 def _find_service(core, name):
     configuration = core.part("catalog").configuration
     service = configuration and configuration.services.get(name)
@@ -361,7 +416,11 @@
     # to recover are certainly late.
     usable = healthy or list(listed)
     local = [each for each in usable if each.zone == zone]
-    return local or usable
+    regions = core.settings.zones
+    nearby = [
+        each for each in usable if regions.get(each.zone) == regions.get(zone)
+    ]
+    return local or nearby or usable
 
 
 def _coordinator(core, zone):
@@ -369,6 +428,7 @@
         return batching.Batcher(
             service=service,
             endpoints=endpoints,
+            allows=core.part("residency").allows,
             find_endpoint=core.part("catalog").endpoint,
             scheduler=scheduler,
             client=core.part("endpoint_client"),
@@ -407,6 +467,7 @@
         "peers",
         "placer",
         "platform",
+        "residency",
         "web",
     ),
 )
@@ -416,6 +477,7 @@
         instance=core.settings.instance,
         zone=core.settings.zone,
         catalog=core.part("catalog"),
+        residency=core.part("residency"),
         peers=core.part("peers"),
         placer=core.part("placer"),
         health=core.part("health"),
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -4,8 +4,10 @@
 import typing
 
 __all__ = [
+    "NO_ORIGIN",
     "Job",
     "JobOutcome",
+    "Origin",
     "Piece",
     "PieceOutcome",
     "ResultRef",
@@ -66,6 +68,24 @@
     priority: int
 
 
+class Origin(typing.NamedTuple):
+    """What concerns a job but is not part of its work.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Of the request; empty if not known.
+    regions : frozenset of str or None
+        Regions in which its stages may run; None for all.
+    """
+
+    fingerprint: str = ""
+    regions: frozenset | None = None
+
+
+NO_ORIGIN = Origin()
+
+
 class ResultRef(typing.NamedTuple):
     """Handle of a result, and the id of the endpoint that stores it."""
 
@@ -112,8 +132,7 @@
         Identifies the source data of a piece of a first stage.
     inputs : tuple of str
         Handles of the results that a piece of a later stage needs.
-    fingerprint : str
-        Of the request; empty if not known.
+    origin : Origin
     """
 
     request: str
@@ -122,7 +141,7 @@
     deadline: float
     key: str | None = None
     inputs: tuple = ()
-    fingerprint: str = ""
+    origin: Origin = NO_ORIGIN
 
 
 class PieceOutcome(typing.NamedTuple):
--- a/sycamoreshed/staging/queueing.py
+++ b/sycamoreshed/staging/queueing.py
@@ -148,7 +148,8 @@
             Those that may get calls now.
         now : float
         can_start : callable
-            Takes a `Piece`, returns whether it may be sent now.
+            Takes a `Piece` and an endpoint, returns whether it may be sent
+            there now.
         should_wait : callable, optional
             Takes the pieces selected for the last free endpoint; True if
             the call should wait for more of them.
@@ -169,9 +170,12 @@
         ]
         if not free:
             return None
-        endpoint = max(free, key=self.free_bytes)
-        selected = self._select(self.free_bytes(endpoint), can_start)
-        if not selected:
+        free.sort(key=self.free_bytes, reverse=True)
+        for endpoint in free:
+            selected = self._select(endpoint, can_start)
+            if selected:
+                break
+        else:
             return None
         if (
             should_wait is not None
@@ -183,11 +187,12 @@
         self._queue = [e for e in self._queue if id(e) not in selected_ids]
         return Batch(endpoint, selected)
 
-    def _select(self, free_bytes, can_start):
+    def _select(self, endpoint, can_start):
+        free_bytes = self.free_bytes(endpoint)
         selected = []
         postponed = []
         for group in _group_by_stage(self._queue):
-            if not can_start(group[0].piece):
+            if not can_start(group[0].piece, endpoint):
                 continue
             capacity = self.spec.batch - len(selected)
             size = sum(entry.result_bytes for entry in group)
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -71,6 +71,7 @@
         codec=Codec(),
         health=health.Health(journal=journal),
         crashes=crashes.Crashes(),
+        allows=lambda regions, zone: regions is None or zone in regions,
         limiter=limiters.Limiter(),
         journal=journal,
         clock=clock or loop.time,
@@ -174,3 +175,22 @@
     await asyncio.sleep(0.005)
     assert len(client.sent) == 1
     task.cancel()
+
+
+@pytest.mark.parametrize("regions", [None, frozenset(("north-a",))])
+async def test_pieces_are_sent_only_where_their_request_allows(
+    client, regions
+):
+    """A zone without endpoints used those of a region that is not allowed."""
+    remote = builders.endpoint("remote")._replace(zone="south-a")
+    batcher = build_batcher(client, endpoints=[remote], listed=[remote])
+    scheduler = builders.scheduler()
+    now = asyncio.get_running_loop().time()
+    admitted = scheduler.admit(builders.job("r", counts=(1, 0)), now)
+    piece = pieces.Piece(
+        "r", 0, 0, now + 1.0, "k", origin=pieces.Origin("", regions)
+    )
+    running = asyncio.create_task(batcher.run_pieces(admitted, [piece], 10))
+    await asyncio.sleep(0.05)
+    running.cancel()
+    assert bool(client.sent) == (regions is None)
--- a/sycamoreshed/staging/tests/test_queueing.py
+++ b/sycamoreshed/staging/tests/test_queueing.py
@@ -5,7 +5,7 @@
 from sycamoreshed.staging.tests import builders
 
 
-def always(_piece):
+def always(_piece, _endpoint):
     """Let all pieces start."""
     return True
 
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -200,6 +200,7 @@
         return batching.Batcher(
             service=service,
             endpoints=endpoints,
+            allows=lambda _regions, _zone: True,
             find_endpoint=self._listed.get,
             scheduler=scheduler,
             client=self,
--- a/tests/integration/test_places.py
+++ b/tests/integration/test_places.py
@@ -1,4 +1,4 @@
-"""Evacuated zones and cold endpoints, with real instances."""
+"""Allowed regions, evacuated zones and cold endpoints, with real instances."""
 
 import asyncio
 import collections
@@ -75,6 +75,7 @@
         team = {
             "name": "team-a",
             "api_keys": [wiredata.KEY],
+            "allowed_regions": route.pop("team_regions", []),
         }
         service = wiredata.service(cold_start_s=0.0, cold_per_s=2.0)
         self.store.put(
@@ -152,6 +153,52 @@
         await each.stop()
 
 
+@pytest.mark.parametrize(
+    "regions",
+    [
+        {"allowed_regions": ["south"]},
+        {"team_regions": ["south"]},
+        {"allowed_regions": ["south", "north"], "team_regions": ["south"]},
+    ],
+)
+async def test_requests_and_their_pieces_stay_in_allowed_regions(
+    store, tmp_path, regions
+):
+    """Requests of a route that only one region may serve went to all."""
+    stages = [{"service": "first", "after": [], "size_bytes": 8000}]
+    async with deployment(
+        store, tmp_path, stage=True, stages=stages, **regions
+    ) as running:
+        answers = await running.load(2.0, pieces="2", piece_key="k")
+    assert {status for status, *_ in answers} == {200}
+    assert running.zones_since(0.0).keys() == {"south-a"}
+
+
+async def test_a_change_of_allowed_regions_holds_in_time(store, tmp_path):
+    """An instance went by the regions that were allowed before."""
+    async with deployment(
+        store, tmp_path, allowed_regions=["south"]
+    ) as running:
+        running.configure(3, allowed_regions=["north"])
+        changed_at = time.monotonic()
+        answers = await running.load(APPLY_S + 1.0)
+    assert {status for status, *_ in answers} == {200}
+    assert "south-a" not in running.zones_since(changed_at + APPLY_S)
+
+
+async def test_a_request_that_no_region_may_serve_is_not_invited_again(
+    store, tmp_path
+):
+    """Its caller was told to come again, and again."""
+    async with deployment(
+        store, tmp_path, allowed_regions=["south"], team_regions=["north"]
+    ) as running:
+        status, retry_after, took_s = await running.call(running.instances[0])
+    assert (status, retry_after) == (403, None)
+    assert took_s < AT_ONCE_S
+    assert not running.seen
+
+
 async def test_nothing_is_sent_to_an_evacuated_zone(store, tmp_path):
     """An instance went on to use the endpoints of an evacuated zone."""
     async with deployment(store, tmp_path) as running:
@@ -171,7 +218,7 @@
 
 @pytest.mark.parametrize(
     ("evacuated", "regions"),
-    [(REGIONS, [])],
+    [(REGIONS, []), (["south-a"], ["south"])],
 )
 async def test_requests_are_rejected_at_once_if_their_zones_are_evacuated(
     store, tmp_path, evacuated, regions
@@ -186,7 +233,7 @@
         await asyncio.sleep(APPLY_S)
         answers = await running.load(1.0, pieces="2", piece_key="k")
     assert {status for status, *_ in answers} == {503}
-    assert all(float(after) > 0 for _, after, _ in answers)
+    assert all(float(after) >= AT_ONCE_S for _, after, _ in answers)
     assert max(took_s for *_, took_s in answers) < AT_ONCE_S
     assert not running.seen
 
