--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -144,7 +144,7 @@
             return []
         avoid = set()
         started_at = self._clock()
-        original = job
+        failure = None
         for _ in range(MAX_ATTEMPTS):
             now = self._clock()
             zone = self.choose_zone(
@@ -156,15 +156,12 @@
                     "no endpoint for a stage",
                     retry_after=_NO_ENDPOINT_RETRY_S,
                 )
-            elapsed_s = now - started_at
-            job = original._replace(
-                target_s=original.target_s - elapsed_s,
-                soft_limit_s=original.soft_limit_s - elapsed_s,
-                hard_limit_s=original.hard_limit_s - elapsed_s,
-            )
-            if job.hard_limit_s <= 0:
-                break
-            outcome = await self._run_in_zone(job, zone, origin)
+            if _is_rejection(failure) and zone in avoid:
+                return failure
+            remaining = _after(job, now - started_at)
+            if remaining.hard_limit_s <= 0:
+                return kinds.Failure(kinds.Kind.HOPELESS, "no time for stages")
+            outcome = await self._run_in_zone(remaining, zone, origin)
             if not isinstance(outcome, kinds.Failure):
                 self._backlog_reports[zone] = _BacklogReport(
                     outcome.backlog_s, self._clock()
@@ -173,19 +170,11 @@
                     return self._record_results(
                         job, zone, outcome.results, handles
                     )
-                if outcome.is_late:
-                    return kinds.Failure(
-                        kinds.Kind.HOPELESS,
-                        outcome.reason,
-                        False,
-                        outcome.retry_s,
-                    )
                 avoid.add(zone)
-                failure = kinds.Failure(
-                    kinds.Kind.STAGE_FAILED, outcome.reason
-                )
-            else:
-                failure = outcome._replace(sent=False)
+            failure = _earlier_return(failure, _failure(outcome))
+            if failure.kind is kinds.Kind.HOPELESS:
+                if not _is_rejection(failure):
+                    return failure
             self._journal.write(
                 "retry",
                 request=job.request,
@@ -193,8 +182,6 @@
                 why=f"stages in {zone}: {failure.reason}",
                 budget=None,
             )
-        if job.hard_limit_s <= 0:
-            return kinds.Failure(kinds.Kind.HOPELESS, "no time for stages")
         return failure
 
     async def run_locally(self, job, zone, origin=pieces.NO_ORIGIN):
@@ -369,6 +356,39 @@
         return self._coordinators[zone]
 
 
+def _after(job, elapsed_s):
+    """Return a job with the times that are left of it."""
+    return job._replace(
+        target_s=job.target_s - elapsed_s,
+        soft_limit_s=job.soft_limit_s - elapsed_s,
+        hard_limit_s=job.hard_limit_s - elapsed_s,
+    )
+
+
+def _failure(outcome):
+    """Return the `Failure` of a job that failed in a zone."""
+    if isinstance(outcome, kinds.Failure):
+        return outcome._replace(sent=False)
+    kind = kinds.Kind.STAGE_FAILED
+    if outcome.is_late:
+        kind = kinds.Kind.HOPELESS
+    return kinds.Failure(kind, outcome.reason, False, outcome.retry_s)
+
+
+def _earlier_return(previous, failure):
+    """Return a failure, with the earlier `Retry-After` of two rejections."""
+    if not _is_rejection(previous) or not _is_rejection(failure):
+        return failure
+    return failure._replace(
+        retry_after=min(previous.retry_after, failure.retry_after)
+    )
+
+
+def _is_rejection(failure):
+    """Return whether a zone rejected a job, which another one may take."""
+    return failure is not None and failure.retry_after is not None
+
+
 def encode_origin(zone, origin):
     """Return the query of a call that delegates a job to another instance."""
     query = {"zone": zone, "fingerprint": origin.fingerprint}
--- a/sycamoreshed/staging/tests/test_delegation.py
+++ b/sycamoreshed/staging/tests/test_delegation.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sycamoreshed.catalog import types
+from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import health
 from sycamoreshed.forwarding import placement
 from sycamoreshed.residency import residency
@@ -38,7 +39,38 @@
         ]
 
 
-def build_runner(catalog, zone="north-a"):
+class Peers:
+    """No other instance: the one under test coordinates everything."""
+
+    def eligible(self, _zone, _now):
+        """Return no instance."""
+        return {}
+
+
+class Coordinator:
+    """Ends jobs with an outcome.
+
+    Parameters
+    ----------
+    outcome : JobOutcome
+    """
+
+    def __init__(self, outcome):
+        self._outcome = outcome
+        self.jobs = []
+
+    async def run(self, job, _origin):
+        """Record a job and return the outcome."""
+        self.jobs.append(job)
+        return self._outcome
+
+
+REJECTED = pieces.JobOutcome(None, "busy", True, {}, retry_s=2.5)
+LATE = pieces.JobOutcome(None, "results are late", True, {})
+DONE = pieces.JobOutcome([pieces.ResultRef("h", "e")] * 4, None, False, {})
+
+
+def build_runner(catalog, zone="north-a", coordinators=None):
     """Return the runner of an instance in a zone."""
     known = health.Health(journal=journals.Journal())
     return delegation.StageRunner(
@@ -46,11 +78,11 @@
         zone=zone,
         catalog=catalog,
         residency=residency.Residency(catalog=catalog, regions=REGIONS),
-        peers=None,
+        peers=Peers(),
         placer=placement.Placer(zone=zone, regions=REGIONS, health=known),
         health=known,
         session=None,
-        make_coordinator=None,
+        make_coordinator=coordinators and coordinators.__getitem__,
         journal=journals.Journal(),
         clock=lambda: 0.0,
         spawn=None,
@@ -87,3 +119,62 @@
     query = delegation.encode_origin("north-a", origin)
     parsed = dict(urllib.parse.parse_qsl(query, True))
     assert delegation.decode_origin(parsed) == origin
+
+
+async def test_a_job_that_one_zone_rejects_runs_in_another():
+    """Callers were rejected in a cluster of requests while others had time."""
+    coordinators = {
+        "north-a": Coordinator(REJECTED),
+        "north-b": Coordinator(REJECTED),
+        "south-a": Coordinator(DONE),
+    }
+    runner = build_runner(everywhere(), coordinators=coordinators)
+    handles = []
+    results = await runner.run(builders.job(), handles, engine_zone="north-a")
+    assert results == handles == ["h"] * 4
+
+
+async def test_a_job_that_all_zones_reject_is_rejected_once_by_each():
+    """A rejected job was tried in the same zone again."""
+    coordinators = {
+        "north-a": Coordinator(REJECTED),
+        "north-b": Coordinator(REJECTED),
+        "south-a": Coordinator(REJECTED._replace(retry_s=1.5)),
+    }
+    runner = build_runner(everywhere(), coordinators=coordinators)
+    failure = await runner.run(builders.job(), [], engine_zone="north-a")
+    assert failure.kind is kinds.Kind.HOPELESS
+    assert not failure.sent
+    assert failure.retry_after == 1.5
+    assert [len(each.jobs) for each in coordinators.values()] == [1, 1, 1]
+
+
+async def test_a_rejected_job_stays_in_its_allowed_regions():
+    """A job went to a region that its request may not use."""
+    coordinators = {
+        "north-a": Coordinator(DONE),
+        "north-b": Coordinator(DONE),
+        "south-a": Coordinator(REJECTED),
+    }
+    runner = build_runner(everywhere(), coordinators=coordinators)
+    failure = await runner.run(
+        builders.job(),
+        [],
+        engine_zone="north-a",
+        origin=pieces.Origin("", SOUTH),
+    )
+    assert failure.kind is kinds.Kind.HOPELESS
+    assert not coordinators["north-a"].jobs
+
+
+async def test_a_job_whose_time_passed_is_not_tried_elsewhere():
+    """Endpoints worked for a caller who had waited for too long already."""
+    coordinators = {
+        "north-a": Coordinator(LATE),
+        "north-b": Coordinator(DONE),
+        "south-a": Coordinator(DONE),
+    }
+    runner = build_runner(everywhere(), coordinators=coordinators)
+    failure = await runner.run(builders.job(), [], engine_zone="north-a")
+    assert failure.kind is kinds.Kind.HOPELESS
+    assert not coordinators["north-b"].jobs
