--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -31,7 +31,7 @@
 
 RUN_PATH = "/control/stages"
 FREE_PATH = "/control/results/free"
-# Added to a job's hard limit for the timeout of a call to another instance.
+# Added to a job's time limit for the timeout of a call to another instance.
 CALL_EXTRA_S = 0.3
 FREE_TIMEOUT_S = 0.5
 # Time to live of a zone's reported backlog.
@@ -327,7 +327,7 @@
             # Not in the body, which another version of the program could not
             # decode with one more item.
             f"{RUN_PATH}?{encode_origin(zone, origin)}",
-            timeout=job.hard_limit_s + CALL_EXTRA_S,
+            timeout=self._time_limit_s(job) + CALL_EXTRA_S,
             body=job,
         )
         if isinstance(reply, kinds.Failure):
@@ -340,6 +340,25 @@
         self._peers.record_success(control)
         return msgspec.convert(reply.body, pieces.JobOutcome)
 
+    def _time_limit_s(self, job):
+        """Return the seconds after which a coordinator abandons a job.
+
+        One that has not answered by then does not answer at all, and there
+        may be time left to run the job elsewhere.
+        """
+        services = self._catalog.configuration.services
+        specs = {
+            stage.service: services[stage.service].pieces
+            for stage in job.stages
+            if stage.count and stage.service in services
+        }
+        if not all(specs.values()):
+            # Such a job is rejected at once.
+            return job.hard_limit_s
+        return pieces.time_limit_s(
+            job, pieces.min_job_s(job.stages, specs.get)
+        )
+
     async def _free_remotely(self, zone, control, freed):
         await web.fetch(
             self._session,
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -13,9 +13,16 @@
     "ResultRef",
     "StageWork",
     "final_stages",
+    "min_job_s",
     "min_remaining_s",
+    "time_limit_s",
 ]
 
+# The time limit of a job is at least this multiple of the shortest time its
+# stages take: otherwise idle stages would reject requests of a route with a
+# tight target.
+MIN_LIMIT_FACTOR = 2.0
+
 
 class StageWork(typing.NamedTuple):
     """The pieces of one stage of a request.
@@ -202,3 +209,35 @@
             path_s = own_s + min_remaining_s(stages, later, specs)
             longest_s = max(longest_s, path_s)
     return longest_s
+
+
+def min_job_s(stages, find_spec):
+    """Return the seconds that stages take if nothing is ahead of them.
+
+    Parameters
+    ----------
+    stages : list of StageWork
+    find_spec : callable
+        Takes the name of a service, returns its `PieceSpec`.
+    """
+    specs = {stage.service: find_spec(stage.service) for stage in stages}
+    paths_s = [
+        stage_s(stage, specs[stage.service])
+        + min_remaining_s(stages, index, specs)
+        for index, stage in enumerate(stages)
+        if stage.count and not stage.after
+    ]
+    return max(paths_s, default=0.0)
+
+
+def time_limit_s(job, min_s):
+    """Return the seconds after which a job is abandoned.
+
+    Parameters
+    ----------
+    job : Job
+    min_s : float
+        See `min_job_s`.
+    """
+    limit_s = max(job.soft_limit_s, MIN_LIMIT_FACTOR * min_s)
+    return min(job.hard_limit_s, limit_s)
--- a/sycamoreshed/staging/scheduling.py
+++ b/sycamoreshed/staging/scheduling.py
@@ -60,12 +60,6 @@
 LATE_FACTOR = 1.6
 
 
-# The time limit of a job is at least this multiple of the shortest time its
-# stages take: otherwise idle stages would reject requests of a route with a
-# tight target.
-MIN_LIMIT_FACTOR = 2.0
-
-
 class AdmittedJob(typing.NamedTuple):
     """A job in the queue, with its times and its position.
 
@@ -177,11 +171,10 @@
         if self._usage.is_heavy(job.team, now):
             slack_s += TEAM_SLACK_S
         min_s = self._min_job_s(job)
-        limit_s = max(job.soft_limit_s, MIN_LIMIT_FACTOR * min_s)
         admitted = AdmittedJob(
             job=job,
             target_at=now + job.target_s,
-            deadline=now + min(job.hard_limit_s, limit_s),
+            deadline=now + pieces.time_limit_s(job, min_s),
             priority=priority,
             will_miss_target=False,
             sequence=self._sequence,
@@ -397,14 +390,7 @@
 
     def _min_job_s(self, job):
         """Return the seconds a job takes if nothing is ahead of it."""
-        specs = {s.service: self._find_spec(s.service) for s in job.stages}
-        paths_s = [
-            pieces.stage_s(stage, specs[stage.service])
-            + pieces.min_remaining_s(job.stages, index, specs)
-            for index, stage in enumerate(job.stages)
-            if stage.count and not stage.after
-        ]
-        return max(paths_s, default=0.0)
+        return pieces.min_job_s(job.stages, self._find_spec)
 
     def backlog(self):
         """Return the seconds until each service could do its queued work."""
