--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -9,22 +9,13 @@
 """
 
 import math
-import typing
 
 from sycamoreshed.errors import kinds
-from sycamoreshed.forwarding import client
+from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import placement
-from sycamoreshed.kernel import kernel
-
-__all__ = [
-    "MAX_WAIT_SHARE",
-    "Answered",
-    "Attempts",
-    "Opened",
-    "limit_failure",
-    "no_endpoint_failure",
-    "rejection",
-]
+from sycamoreshed.forwarding import rejections
+
+__all__ = ["Attempts"]
 
 # Time limit for the head of an answer, and again for its body, as a multiple
 # of the route's target, for requests that may run again and streams that may
@@ -32,107 +23,6 @@
 # one may still answer before the deadline.
 TIMEOUT_TARGET_FACTOR = 2.0
 MIN_TIMEOUT_S = 0.5
-# Share of the remaining time that a request may wait for an endpoint whose
-# limit is used up; the rest is for the answer.
-MAX_WAIT_SHARE = 0.5
-
-
-class Opened(typing.NamedTuple):
-    """The head of an endpoint's answer, whose body is still to be read.
-
-    ``response`` must be closed and `Attempts.close` called.
-    """
-
-    endpoint: typing.Any
-    response: typing.Any
-
-
-class Answered(typing.NamedTuple):
-    """A `FullAnswer` of an endpoint and its classification.
-
-    Parameters
-    ----------
-    endpoint : Endpoint
-    answer : FullAnswer
-    failure : Failure or None
-        None if the endpoint processed the request, also with a 4xx status.
-    is_passed_on : bool
-        Whether the answer is passed on to the caller unchanged; otherwise
-        the caller gets the failure.
-    """
-
-    endpoint: typing.Any
-    answer: typing.Any
-    failure: typing.Any = None
-    is_passed_on: bool = True
-
-
-def rejection(request, parts, now, *, sent=False):
-    """Return the `Failure` of a request that no endpoint may get, or None.
-
-    It crashes endpoints, or may be served in no region.
-
-    Parameters
-    ----------
-    request : Request
-    parts : Parts
-    now : float
-    sent : bool
-        Whether an attempt of this request may have run.
-    """
-    if not parts.crashes.is_rejected(request.fingerprint, now):
-        return parts.residency.rejection(request, sent=sent)
-    return kinds.Failure(
-        kinds.Kind.CRASHES_ENDPOINTS,
-        "endpoints crashed under this request",
-        sent=sent,
-        retry_after=parts.crashes.retry_after_s(request.fingerprint, now),
-    )
-
-
-def limit_failure(endpoints, parts, now, *, sent=False):
-    """Return the `Failure` of a request that the limits leave no time for.
-
-    Parameters
-    ----------
-    endpoints : iterable of Endpoint
-        Those that could serve it.
-    parts : Parts
-    now : float
-    sent : bool
-        Whether an attempt of this request may have run.
-    """
-    return kinds.Failure(
-        kinds.Kind.OVER_LIMIT,
-        "the limits of all endpoints are used up",
-        sent=sent,
-        retry_after=parts.limiter.wait_s(endpoints, now),
-    )
-
-
-def no_endpoint_failure(request, parts, now, *, sent=False):
-    """Return the `Failure` of a request for which there is no endpoint.
-
-    Parameters
-    ----------
-    request : Request
-    parts : Parts
-    now : float
-    sent : bool
-        Whether an attempt of this request may have run.
-    """
-    reason = f"no endpoint of {request.service}"
-    if parts.residency.regions(request) is not None:
-        reason += " in its allowed regions"
-    evacuated = parts.catalog.evacuations.ages(now)
-    if evacuated:
-        reason += f"; evacuated: {', '.join(sorted(evacuated))}"
-    return kinds.Failure(
-        kinds.Kind.NO_ENDPOINT,
-        reason,
-        sent=sent,
-        retry_after=kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after,
-    )
 
 
 class Attempts:
@@ -217,7 +107,9 @@
                 remaining_s = request.answer_start_deadline - now
             if remaining_s <= 0:
                 return self._fail(kinds.Kind.LATE, "no time left")
-            rejected = rejection(request, parts, now, sent=self._may_have_run)
+            rejected = rejections.of_request(
+                request, parts, now, sent=self._may_have_run
+            )
             if rejected is not None:
                 return rejected
             choice = self._choose(now)
@@ -226,7 +118,7 @@
                 # for lack of further endpoints.
                 return last
             if choice is None:
-                return no_endpoint_failure(
+                return rejections.no_endpoint(
                     request, parts, now, sent=self._may_have_run
                 )
             if self._needs_inputs(now):
@@ -252,10 +144,10 @@
                 last_event_id,
                 self._timeout(remaining_s, choice),
             )
-            if isinstance(result, Opened):
+            if isinstance(result, exchanges.Opened):
                 return result
             failure = result
-            if isinstance(result, Answered):
+            if isinstance(result, exchanges.Answered):
                 failure = result.failure
                 if failure is None:
                     return result
@@ -410,12 +302,12 @@
         ]
         if not endpoints:
             return self._fail(kinds.Kind.NO_ENDPOINT, "all endpoints left")
-        max_wait_s = MAX_WAIT_SHARE * remaining_s
+        max_wait_s = rejections.MAX_WAIT_SHARE * remaining_s
         first = min(endpoints, key=lambda each: limiter.wait_s([each], now))
         if limiter.wait_s([first], now) <= max_wait_s:
             if await limiter.acquire(first, max_wait_s=max_wait_s):
                 return placement.Choice(first, "limit", len(endpoints))
-        return limit_failure(
+        return rejections.over_limit(
             endpoints, self._parts, now, sent=self._may_have_run
         )
 
@@ -427,7 +319,7 @@
             and each.started_at_ms == endpoint.started_at_ms
             for each in parts.residency.endpoints(request, now)
         )
-        return is_known and rejection(request, parts, now) is None
+        return is_known and rejections.of_request(request, parts, now) is None
 
     def _needs_inputs(self, now):
         """Return whether the stages must run again before an attempt.
@@ -514,8 +406,13 @@
         # have been sent.
         result = kinds.Failure(kinds.Kind.INTERNAL, "cancelled", sent=True)
         try:
-            result = await self._exchange(endpoint, headers, timeout_s)
-            is_open = isinstance(result, Opened)
+            exchanged = await exchanges.exchange(
+                endpoint, request, headers, parts, timeout_s=timeout_s
+            )
+            result = exchanged.result
+            is_open = isinstance(result, exchanges.Opened)
+            self._counted_attempts += exchanged.is_counted
+            self.inputs_missing = exchanged.inputs_missing
             return result
         finally:
             self._record(endpoint, result, started_at)
@@ -527,8 +424,12 @@
         self._parts.crashes.record_end(endpoint, self._call_number)
 
     def _record(self, endpoint, result, started_at):
-        if isinstance(result, Answered):
-            if result.failure is not None:
+        if self.inputs_missing and self._release is not None:
+            self._release.record_inputs_missing()
+        if isinstance(result, exchanges.Answered):
+            if result.failure is None:
+                self.record_served(endpoint)
+            else:
                 self.record_failure(endpoint, result.failure, started_at)
         elif isinstance(result, kinds.Failure):
             # Cancelled or raised, which is not a failure of the endpoint.
@@ -543,138 +444,5 @@
                 is_cut_off=result.sent and result.kind is kinds.Kind.REFUSED,
             )
 
-    async def _exchange(self, endpoint, headers, timeout_s):
-        parts, request = self._parts, self._request
-        sent_at = parts.clock()
-        response = await parts.client.send(
-            request.method,
-            endpoint.address,
-            request.target,
-            headers,
-            request.body,
-            timeout_s=timeout_s,
-        )
-        if isinstance(response, kinds.Failure):
-            if response.sent:
-                self._counted_attempts += 1
-            return response
-        if not parts.codec.matches_request(response.headers, request.id):
-            self._counted_attempts += 1
-            response.close()
-            return kinds.Failure(
-                kinds.Kind.STRAY_ANSWER, "answers another request", sent=True
-            )
-        verdict = parts.codec.classify_response(
-            response.status, response.headers
-        ).value
-        if verdict != "elsewhere":
-            self._counted_attempts += 1
-            self._record_limit(endpoint, response, verdict, sent_at)
-        if request.route.streaming and verdict == "done":
-            if response.status == 200:
-                return Opened(endpoint, response)
-        answer = await client.read_full(response, timeout_s=timeout_s)
-        if isinstance(answer, kinds.Failure):
-            if verdict in ("not-run", "elsewhere"):
-                return answer._replace(sent=False)
-            return answer
-        return self._classify(endpoint, answer, verdict)
-
-    def _record_limit(self, endpoint, response, verdict, sent_at):
-        """Record the limit that an endpoint names, or no longer names."""
-        rate = self._parts.codec.rate_limit(response.headers)
-        # A failure may come from what stands before the endpoint's work, and
-        # does not lift a limit.
-        if rate is not None or verdict == "done":
-            self._parts.limiter.record_answer(endpoint, rate, sent_at=sent_at)
-
-    def _classify(self, endpoint, answer, verdict):
-        if verdict == "done":
-            self.record_served(endpoint)
-            return Answered(endpoint, answer)
-        may_have_run = verdict not in ("not-run", "elsewhere")
-        # Engines report missing inputs by 409 and "not run".
-        if answer.status == 409 and not may_have_run:
-            self.inputs_missing = True
-            if self._release is not None:
-                self._release.record_inputs_missing()
-        failure = kinds.Failure(
-            kinds.Kind.REFUSED,
-            f"endpoint answered {answer.status} ({verdict})",
-            sent=may_have_run,
-        )
-        # The answer of a request that ran and failed is passed on unchanged.
-        # An answer whose status implies "not run" is replaced by the gateway's
-        # own, which carries the time to retry.  That one states "not run" only
-        # for a 421 or if the endpoint marked its answer so.
-        return Answered(endpoint, answer, failure, verdict == "failed")
-
     def _fail(self, kind, reason):
         return kinds.Failure(kind, reason, sent=self._may_have_run)
-
-
-class Parts(typing.NamedTuple):
-    """Components that the attempts at all requests share.
-
-    Parameters
-    ----------
-    catalog : Catalog
-    residency : Residency
-    placer : Placer
-    health : Health
-    crashes : CrashDetector
-    limiter : Limiter
-    budget : RetryBudget
-    peers : Peers
-    client : EndpointClient
-    codec : Platform
-    journal : Journal
-    clock : callable
-    """
-
-    catalog: typing.Any
-    residency: typing.Any
-    placer: typing.Any
-    health: typing.Any
-    crashes: typing.Any
-    limiter: typing.Any
-    budget: typing.Any
-    peers: typing.Any
-    client: typing.Any
-    codec: typing.Any
-    journal: typing.Any
-    clock: typing.Any
-
-
-@kernel.plugin(
-    "attempts",
-    needs=(
-        "catalog",
-        "residency",
-        "placer",
-        "health",
-        "crashes",
-        "limiter",
-        "budget",
-        "peers",
-        "endpoint_client",
-        "platform",
-        "journal",
-    ),
-)
-async def attempts(core):
-    """Provide the components that attempts share."""
-    yield Parts(
-        catalog=core.part("catalog"),
-        residency=core.part("residency"),
-        placer=core.part("placer"),
-        health=core.part("health"),
-        crashes=core.part("crashes"),
-        limiter=core.part("limiter"),
-        budget=core.part("budget"),
-        peers=core.part("peers"),
-        client=core.part("endpoint_client"),
-        codec=core.part("platform"),
-        journal=core.part("journal"),
-        clock=core.clock,
-    )
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -5,7 +5,9 @@
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import attempts
+from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import input_release
+from sycamoreshed.forwarding import rejections
 from sycamoreshed.forwarding import streams
 from sycamoreshed.kernel import kernel
 from sycamoreshed.staging import pieces
@@ -116,7 +118,7 @@
             Receives the events of a stream.
         """
         now = self._parts.clock()
-        rejected = attempts.rejection(request, self._parts, now)
+        rejected = rejections.of_request(request, self._parts, now)
         if rejected is None:
             rejected = self._unservable(request, now)
         if rejected is not None:
@@ -135,13 +137,13 @@
         """
         endpoints = self._parts.residency.endpoints(request, now)
         if not endpoints:
-            return attempts.no_endpoint_failure(request, self._parts, now)
-        max_wait_s = attempts.MAX_WAIT_SHARE * (
+            return rejections.no_endpoint(request, self._parts, now)
+        max_wait_s = rejections.MAX_WAIT_SHARE * (
             request.answer_start_deadline - now
         )
         if self._parts.limiter.wait_s(endpoints, now) <= max_wait_s:
             return None
-        return attempts.limit_failure(endpoints, self._parts, now)
+        return rejections.over_limit(endpoints, self._parts, now)
 
     async def _run(self, request, sink, results):
         plan = await self._plan(request)
@@ -305,7 +307,7 @@
 
     async def _attempt(self, request, tries, sink):
         result = await tries.open()
-        if isinstance(result, attempts.Opened):
+        if isinstance(result, exchanges.Opened):
             sink.on_begin = tries.record_answer_start
             result = await streams.forward_stream(
                 result, tries, request, sink, self._parts
@@ -318,7 +320,7 @@
                 first_s=result.first_s,
                 events=result.events,
             )
-        if isinstance(result, attempts.Answered):
+        if isinstance(result, exchanges.Answered):
             return self._outcome(result)
         sent = result.sent or tries.may_have_run
         return Outcome(failure=result._replace(sent=sent))
@@ -341,7 +343,7 @@
         return True
 
 
-@kernel.plugin("forwarder", needs=("attempts", "stages"))
+@kernel.plugin("forwarder", needs=("parts", "stages"))
 async def forwarder(core):
     """Provide the `Forwarder`."""
-    yield Forwarder(parts=core.part("attempts"), stages=core.part("stages"))
+    yield Forwarder(parts=core.part("parts"), stages=core.part("stages"))
--- /dev/null
+++ b/sycamoreshed/forwarding/parts.py
@@ -0,0 +1,74 @@
+"""Components that serve all requests."""
+
+import typing
+
+from sycamoreshed.kernel import kernel
+
+__all__ = ["Parts"]
+
+
+class Parts(typing.NamedTuple):
+    """Components that the attempts at all requests share.
+
+    Parameters
+    ----------
+    catalog : Catalog
+    residency : Residency
+    placer : Placer
+    health : Health
+    crashes : CrashDetector
+    limiter : Limiter
+    budget : RetryBudget
+    peers : Peers
+    client : EndpointClient
+    codec : Platform
+    journal : Journal
+    clock : callable
+    """
+
+    catalog: typing.Any
+    residency: typing.Any
+    placer: typing.Any
+    health: typing.Any
+    crashes: typing.Any
+    limiter: typing.Any
+    budget: typing.Any
+    peers: typing.Any
+    client: typing.Any
+    codec: typing.Any
+    journal: typing.Any
+    clock: typing.Any
+
+
+@kernel.plugin(
+    "parts",
+    needs=(
+        "catalog",
+        "residency",
+        "placer",
+        "health",
+        "crashes",
+        "limiter",
+        "budget",
+        "peers",
+        "endpoint_client",
+        "platform",
+        "journal",
+    ),
+)
+async def parts(core):
+    """Provide the components that attempts share."""
+    yield Parts(
+        catalog=core.part("catalog"),
+        residency=core.part("residency"),
+        placer=core.part("placer"),
+        health=core.part("health"),
+        crashes=core.part("crashes"),
+        limiter=core.part("limiter"),
+        budget=core.part("budget"),
+        peers=core.part("peers"),
+        client=core.part("endpoint_client"),
+        codec=core.part("platform"),
+        journal=core.part("journal"),
+        clock=core.clock,
+    )
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -4,8 +4,8 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
-from sycamoreshed.forwarding import attempts
 from sycamoreshed.forwarding import client
+from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import sse
 from sycamoreshed.kernel import timeouts
 
@@ -105,9 +105,9 @@
         if not request.route.resumable or not tries.try_retry(failure):
             return _end(failure, progress, opened)
         resumed = await tries.open(last_event_id=progress.last_event_id)
-        if not isinstance(resumed, attempts.Opened):
+        if not isinstance(resumed, exchanges.Opened):
             if (
-                isinstance(resumed, attempts.Answered)
+                isinstance(resumed, exchanges.Answered)
                 and not progress.has_started
             ):
                 return resumed
@@ -130,7 +130,7 @@
 def _not_resumed(failure, result):
     """Add to a failure why the stream was not resumed."""
     cause = result
-    if isinstance(result, attempts.Answered):
+    if isinstance(result, exchanges.Answered):
         cause = result.failure
     # Without a failure the engine sent a full answer instead of the rest of
     # the stream.
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -9,9 +9,9 @@
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import types
 from sycamoreshed.errors import kinds
-from sycamoreshed.forwarding import attempts
 from sycamoreshed.forwarding import budget
 from sycamoreshed.forwarding import health
+from sycamoreshed.forwarding import parts as shared
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import requests
 from sycamoreshed.platform import calls
@@ -169,7 +169,7 @@
         for n in range(endpoints)
     ]
     catalog = _Catalog(available)
-    return attempts.Parts(
+    return shared.Parts(
         catalog=catalog,
         residency=residency.Residency(catalog=catalog, regions=REGIONS),
         placer=placement.Placer(
--- a/sycamoreshed/forwarding/tests/test_attempts.py
+++ b/sycamoreshed/forwarding/tests/test_attempts.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import attempts
+from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding.tests import builders
 
 # Attempts that a route allows, and length of the scripts.  Longer scripts
@@ -70,7 +71,7 @@
             script, builders.request(idempotent=idempotent)
         )
         failure = result
-        if isinstance(result, attempts.Answered):
+        if isinstance(result, exchanges.Answered):
             failure = result.failure
         if not isinstance(failure, kinds.Failure):
             continue
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -25,13 +25,13 @@
 from sycamoreshed.findings import exchange  # noqa: E402,F401
 from sycamoreshed.findings import limits  # noqa: E402,F401
 from sycamoreshed.findings import stored  # noqa: E402,F401
-from sycamoreshed.forwarding import attempts  # noqa: E402,F401
 from sycamoreshed.forwarding import budget  # noqa: E402,F401
 from sycamoreshed.forwarding import client  # noqa: E402,F401
 from sycamoreshed.forwarding import crashes  # noqa: E402,F401
 from sycamoreshed.forwarding import forwarder  # noqa: E402,F401
 from sycamoreshed.forwarding import health  # noqa: E402,F401
 from sycamoreshed.forwarding import limiting  # noqa: E402,F401
+from sycamoreshed.forwarding import parts  # noqa: E402,F401
 from sycamoreshed.forwarding import placement  # noqa: E402,F401
 from sycamoreshed.forwarding import rates  # noqa: E402,F401
 from sycamoreshed.gateway import control  # noqa: E402,F401
