--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -43,7 +43,7 @@
 from sycamoreshed.observe import journal  # noqa: E402,F401
 from sycamoreshed.platform import platform  # noqa: E402,F401
 from sycamoreshed.residency import residency  # noqa: E402,F401
-from sycamoreshed.staging import delegation  # noqa: E402,F401
+from sycamoreshed.staging import wiring  # noqa: E402,F401
 
 __all__ = ["serve"]
 
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -1,4 +1,4 @@
-"""Selects the zone and the instance that run a request's stages.
+"""Runs the stages of requests, by the instances that coordinate zones.
 
 Endpoints that process one call at a time are best served by a single queue.
 Rendezvous hashing over the registered instances of a zone selects the one
@@ -6,7 +6,6 @@
 answer, the next one is used.
 """
 
-import functools
 import typing
 import urllib.parse
 
@@ -14,10 +13,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
-from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
-from sycamoreshed.staging import batching
-from sycamoreshed.staging import coordinator
 from sycamoreshed.staging import pieces
 
 __all__ = [
@@ -34,15 +30,6 @@
 # Added to a job's time limit for the timeout of a call to another instance.
 CALL_EXTRA_S = 0.3
 FREE_TIMEOUT_S = 0.5
-# Time to live of a zone's reported backlog.
-BACKLOG_TTL_S = 1.0
-# Among zones with usable endpoints for equally many services, one farther away
-# is selected only if its backlog is shorter by this for each step of distance.
-DISTANCE_COST_S = 0.04
-# And by this for each megabyte of results that would cross zones: this traffic
-# is paid for.
-TRANSFER_COST_S_PER_MB = 0.04
-MB = 1e6
 _NO_ENDPOINT_RETRY_S = kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after
 # Attempts at one job, in other zones or at other instances if there are any.
 MAX_ATTEMPTS = 3
@@ -55,11 +42,6 @@
     ref: pieces.ResultRef
 
 
-class _BacklogReport(typing.NamedTuple):
-    backlog_s: dict
-    reported_at: float
-
-
 class _StoredResult(typing.NamedTuple):
     """A result, the service that computed it, and the zone of its queue."""
 
@@ -76,10 +58,8 @@
     instance, zone : str
         This instance's name and zone.
     catalog : Catalog
-    residency : Residency
+    selector : ZoneSelector
     peers : PeerDirectory
-    placer : Placer
-    health : Health
     session : aiohttp.ClientSession
     make_coordinator : callable
         Takes a zone, returns its `Coordinator`.
@@ -94,10 +74,8 @@
         instance,
         zone,
         catalog,
-        residency,
+        selector,
         peers,
-        placer,
-        health,
         session,
         make_coordinator,
         journal,
@@ -107,17 +85,14 @@
         self._instance = instance
         self._zone = zone
         self._catalog = catalog
-        self._residency = residency
+        self._selector = selector
         self._peers = peers
-        self._placer = placer
-        self._health = health
         self._session = session
         self._make_coordinator = make_coordinator
         self._journal = journal
         self._clock = clock
         self._spawn = spawn
         self._coordinators = {}
-        self._backlog_reports = {}
         self._stored_results = {}
 
     async def run(self, job, handles, *, engine_zone, origin=pieces.NO_ORIGIN):
@@ -147,7 +122,7 @@
         failure = None
         for _ in range(MAX_ATTEMPTS):
             now = self._clock()
-            zone = self.choose_zone(
+            zone = self._selector.choose(
                 job, now, engine_zone, avoid, origin.regions
             )
             if zone is None:
@@ -163,8 +138,8 @@
                 return kinds.Failure(kinds.Kind.HOPELESS, "no time for stages")
             outcome = await self._run_in_zone(remaining, zone, origin)
             if not isinstance(outcome, kinds.Failure):
-                self._backlog_reports[zone] = _BacklogReport(
-                    outcome.backlog_s, self._clock()
+                self._selector.record_backlog(
+                    zone, outcome.backlog_s, self._clock()
                 )
                 if outcome.results is not None:
                     return self._record_results(
@@ -227,69 +202,6 @@
                 by_zone[zone] = by_zone.get(zone, 0) + size
         return by_zone
 
-    def choose_zone(self, job, now, engine_zone, avoid=(), regions=None):
-        """Return the zone in which a job should run, or None.
-
-        None if a service has no endpoint that the job may use.
-
-        Parameters
-        ----------
-        job : Job
-        now : float
-        engine_zone : str
-            Zone of the engine that will fetch the results.
-        avoid : collection of str
-            Zones where it failed, used only if there are no others.
-        regions : frozenset of str or None
-            Regions in which it may run; None for all.
-        """
-        names = {s.service for s in job.stages if s.count}
-        usable_by_zone = {}
-        for name in names:
-            allowed = [
-                each
-                for each in self._catalog.endpoints(name, now)
-                if self._residency.allows(regions, each.zone)
-            ]
-            if not allowed:
-                return None
-            for each in allowed:
-                usable = not self._health.is_avoided(each, now)
-                services = usable_by_zone.setdefault(each.zone, {})
-                services[name] = services.get(name, False) or usable
-        candidates = [
-            zone for zone in usable_by_zone if zone not in avoid
-        ] or list(usable_by_zone)
-        final = pieces.final_stages(job.stages)
-        size = sum(
-            job.stages[i].result_bytes * job.stages[i].count for i in final
-        )
-
-        def cost(zone):
-            usable_count = sum(usable_by_zone[zone].values())
-            distance = self._placer.distance(zone)
-            wait_s = (
-                self._backlog_s(zone, names, now) + DISTANCE_COST_S * distance
-            )
-            if zone != engine_zone:
-                wait_s += TRANSFER_COST_S_PER_MB * size / MB
-            # A zone that lacks a usable endpoint of a service comes later:
-            # its queue would use an endpoint of another zone, in competition
-            # with the queue there.
-            return -usable_count, wait_s, zone
-
-        return min(candidates, key=cost, default=None)
-
-    def _backlog_s(self, zone, names, now):
-        report = self._backlog_reports.get(zone)
-        if report is None or now - report.reported_at > BACKLOG_TTL_S:
-            return 0.0
-        # Since the report, the zone has worked on its backlog.
-        backlog_s = max(
-            (report.backlog_s.get(n, 0.0) for n in names), default=0.0
-        )
-        return max(0.0, backlog_s - (now - report.reported_at))
-
     def _record_results(self, job, zone, results, handles):
         """Record where results are stored; return their handles."""
         recorded = []
@@ -433,96 +345,3 @@
     if regions is not None:
         regions = frozenset(filter(None, regions.split(",")))
     return pieces.Origin(query.get("fingerprint", ""), regions)
-
-
-def _find_service(core, name):
-    configuration = core.part("catalog").configuration
-    service = configuration and configuration.services.get(name)
-    return service if service and service.pieces else None
-
-
-def _endpoints(core, zone, name, now):
-    """Return the endpoints that a zone's queue of a service may use."""
-    health = core.part("health")
-    listed = core.part("catalog").endpoints(name, now)
-    exhausted = core.part("limiter").exhausted(now)
-    healthy = [
-        each
-        for each in listed
-        if not health.is_avoided(each, now) and each.id not in exhausted
-    ]
-    # The health records may be wrong, while pieces that wait for endpoints
-    # to recover are certainly late.
-    usable = healthy or list(listed)
-    local = [each for each in usable if each.zone == zone]
-    regions = core.settings.zones
-    nearby = [
-        each for each in usable if regions.get(each.zone) == regions.get(zone)
-    ]
-    return local or nearby or usable
-
-
-def _coordinator(core, zone):
-    def make_batcher(service, endpoints, scheduler):
-        return batching.Batcher(
-            service=service,
-            endpoints=endpoints,
-            allows=core.part("residency").allows,
-            find_endpoint=core.part("catalog").endpoint,
-            scheduler=scheduler,
-            client=core.part("endpoint_client"),
-            codec=core.part("platform"),
-            health=core.part("health"),
-            crashes=core.part("crashes"),
-            limiter=core.part("limiter"),
-            journal=core.part("journal"),
-            clock=core.clock,
-            spawn=core.spawn,
-        )
-
-    return coordinator.Coordinator(
-        zone=zone,
-        find_service=functools.partial(_find_service, core),
-        endpoints=functools.partial(_endpoints, core, zone),
-        make_batcher=make_batcher,
-        crashes=core.part("crashes"),
-        budget=core.part("budget"),
-        instance_count=core.part("peers").count,
-        journal=core.part("journal"),
-        clock=core.clock,
-    )
-
-
-@kernel.plugin(
-    "stages",
-    needs=(
-        "budget",
-        "catalog",
-        "crashes",
-        "endpoint_client",
-        "health",
-        "journal",
-        "limiter",
-        "peers",
-        "placer",
-        "platform",
-        "residency",
-        "web",
-    ),
-)
-async def stages(core):
-    """Provide the `StageRunner`."""
-    yield StageRunner(
-        instance=core.settings.instance,
-        zone=core.settings.zone,
-        catalog=core.part("catalog"),
-        residency=core.part("residency"),
-        peers=core.part("peers"),
-        placer=core.part("placer"),
-        health=core.part("health"),
-        session=core.part("web"),
-        make_coordinator=functools.partial(_coordinator, core),
-        journal=core.part("journal"),
-        clock=core.clock,
-        spawn=core.spawn,
-    )
--- a/sycamoreshed/staging/tests/test_delegation.py
+++ b/sycamoreshed/staging/tests/test_delegation.py
@@ -11,6 +11,7 @@
 from sycamoreshed.residency import residency
 from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
+from sycamoreshed.staging import selection
 from sycamoreshed.staging.tests import builders
 from testkit import journals
 
@@ -70,17 +71,25 @@
 DONE = pieces.JobOutcome([pieces.ResultRef("h", "e")] * 4, None, False, {})
 
 
+def build_selector(catalog, zone="north-a"):
+    """Return the selector of an instance in a zone."""
+    known = health.Health(journal=journals.Journal())
+    return selection.ZoneSelector(
+        catalog=catalog,
+        residency=residency.Residency(catalog=catalog, regions=REGIONS),
+        placer=placement.Placer(zone=zone, regions=REGIONS, health=known),
+        health=known,
+    )
+
+
 def build_runner(catalog, zone="north-a", coordinators=None):
     """Return the runner of an instance in a zone."""
-    known = health.Health(journal=journals.Journal())
     return delegation.StageRunner(
         instance="edge-1",
         zone=zone,
         catalog=catalog,
-        residency=residency.Residency(catalog=catalog, regions=REGIONS),
+        selector=build_selector(catalog, zone),
         peers=Peers(),
-        placer=placement.Placer(zone=zone, regions=REGIONS, health=known),
-        health=known,
         session=None,
         make_coordinator=coordinators and coordinators.__getitem__,
         journal=journals.Journal(),
@@ -98,9 +107,9 @@
     ("regions", "zone"), [(None, "north-a"), (SOUTH, "south-a")]
 )
 def test_stages_run_in_the_nearest_allowed_zone(regions, zone):
-    runner = build_runner(everywhere())
+    selector = build_selector(everywhere())
     job = builders.job()
-    assert runner.choose_zone(job, 0.0, "north-a", (), regions) == zone
+    assert selector.choose(job, 0.0, "north-a", (), regions) == zone
 
 
 def test_no_zone_is_chosen_if_a_service_is_in_no_allowed_region():
@@ -108,9 +117,9 @@
     catalog = Catalog(
         ("first", "south-a"), ("second", "north-a"), ("first", "north-a")
     )
-    runner = build_runner(catalog)
-    assert runner.choose_zone(builders.job(), 0.0, "z", (), SOUTH) is None
-    assert runner.choose_zone(builders.job(), 0.0, "z") == "north-a"
+    selector = build_selector(catalog)
+    assert selector.choose(builders.job(), 0.0, "z", (), SOUTH) is None
+    assert selector.choose(builders.job(), 0.0, "z") == "north-a"
 
 
 @pytest.mark.parametrize("regions", [None, frozenset(), SOUTH])
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -137,9 +137,10 @@
         Number of endpoints by service.
     sizes : dict of int to int
         Bytes of a result, by the index of the stage.
+    name : str
     """
 
-    def __init__(self, *, specs, endpoints, sizes):
+    def __init__(self, *, specs, endpoints, sizes, name="north-a"):
         loop = asyncio.get_running_loop()
         self._clock = loop.time
         self._specs = specs
@@ -148,18 +149,16 @@
         self._listed = {}
         for service, count in endpoints.items():
             for number in range(count):
-                name = f"{service}-{number}"
-                self._listed[name] = types.Endpoint(
-                    name, service, name, "north-a", 1
-                )
-                self.endpoints[name] = _Endpoint(
-                    name=name,
+                key = f"{name}/{service}-{number}"
+                self._listed[key] = types.Endpoint(key, service, key, name, 1)
+                self.endpoints[key] = _Endpoint(
+                    name=key,
                     spec=specs[service],
                     sizes=sizes,
                     clock=loop.time,
                 )
         self.coordinator = coordinator.Coordinator(
-            zone="north-a",
+            zone=name,
             find_service=self._service,
             endpoints=self._endpoints_of,
             make_batcher=self._batcher,
@@ -170,6 +169,11 @@
             clock=loop.time,
         )
 
+    @property
+    def listed(self):
+        """All endpoints by id, as the catalog has them."""
+        return self._listed
+
     async def send(
         self, _method, address, _path, _headers, body, *, timeout_s
     ):
