--- a/sycamoreshed/staging/tests/test_coordinator.py
+++ b/sycamoreshed/staging/tests/test_coordinator.py
@@ -145,17 +145,22 @@
     assert not batchers["first"].calls
 
 
-async def test_results_are_freed_when_the_caller_disconnects():
+def test_results_are_freed_when_the_caller_disconnects():
     """The caller disconnects while the second stage is processed."""
-    zone_coordinator, batchers = build_coordinator(
-        first=succeed, second=succeed
-    )
-    task = asyncio.create_task(
-        zone_coordinator.run(job(("first", (), 1), ("second", (0,), 1)))
-    )
-    await asyncio.sleep(0.015)
-    task.cancel()
-    with pytest.raises(asyncio.CancelledError):
-        await task
-    await asyncio.sleep(0.05)
+
+    async def scenario():
+        zone_coordinator, batchers = build_coordinator(
+            first=succeed, second=succeed
+        )
+        task = asyncio.create_task(
+            zone_coordinator.run(job(("first", (), 1), ("second", (0,), 1)))
+        )
+        await asyncio.sleep(0.015)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.05)
+        return batchers
+
+    batchers = virtualtime.run(scenario())
     assert batchers["first"].freed == ["0/0"]
