--- a/tests/integration/test_frozen_coordinator.py
+++ b/tests/integration/test_frozen_coordinator.py
@@ -3,8 +3,8 @@
 import asyncio
 import signal
 
+from tests.integration import deployments
 from tests.integration import harness
-from tests.integration import test_places
 
 # After a disturbance; see `stable_ms` of the settings.
 STABLE_S = 4.0
@@ -26,11 +26,11 @@
     Callers of the others waited for it until their time was over, one after
     the other.
     """
-    async with test_places.deployment(
+    async with deployments.deployment(
         store, tmp_path, stages=STAGES
     ) as running:
         await start_stage(running, "north-a")
-        await asyncio.sleep(test_places.APPLY_S)
+        await asyncio.sleep(deployments.APPLY_S)
         frozen, other = running.instances[:2]
         assert (await running.call(other, **HEAD))[0] == 200
         frozen.process.send_signal(signal.SIGSTOP)
