--- a/tests/integration/test_places.py
+++ b/tests/integration/test_places.py
@@ -8,7 +8,7 @@
 from tests.integration import deployments
 
 # A rejection that does not wait for the deadline, 3 s.
-AT_ONCE_S = 1.0
+AT_ONCE_S = 0.5
 STAGES = [{"service": "first", "after": [], "size_bytes": 8000}]
 
 
