Log which instance runs stages, and which endpoints were not reached

The logs of the incident could not tell whether jobs failed because the caller's instance had lost its links to endpoints or because the one that coordinates a zone had, and an instance that lost all endpoints looked like one that lost a few.

`delegated` names the instance that a job goes to.

Requests and calls with pieces go through one `EndpointSender`, which sees all of them and, so far, sends as before. No decision changes.

--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -76,9 +76,9 @@
         Seconds until the head of the answer, and again for its body.
     """
     sent_at = parts.clock()
-    response = await parts.client.send(
+    response = await parts.sender.send(
         request.method,
-        endpoint.address,
+        endpoint,
         request.target,
         headers,
         request.body,
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -20,7 +20,7 @@
     limiter : Limiter
     budget : RetryBudget
     peers : Peers
-    client : EndpointClient
+    sender : EndpointSender
     codec : Platform
     journal : Journal
     clock : callable
@@ -34,7 +34,7 @@
     limiter: typing.Any
     budget: typing.Any
     peers: typing.Any
-    client: typing.Any
+    sender: typing.Any
     codec: typing.Any
     journal: typing.Any
     clock: typing.Any
@@ -51,7 +51,7 @@
         "limiter",
         "budget",
         "peers",
-        "endpoint_client",
+        "endpoint_sender",
         "platform",
         "journal",
     ),
@@ -67,7 +67,7 @@
         limiter=core.part("limiter"),
         budget=core.part("budget"),
         peers=core.part("peers"),
-        client=core.part("endpoint_client"),
+        sender=core.part("endpoint_sender"),
         codec=core.part("platform"),
         journal=core.part("journal"),
         clock=core.clock,
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -25,7 +25,7 @@
 __all__ = [
     "OUTCOMES",
     "Outcome",
-    "ScriptedClient",
+    "ScriptedSender",
     "parts",
     "request",
 ]
@@ -102,8 +102,8 @@
         """Do nothing."""
 
 
-class ScriptedClient:
-    """A client whose endpoints answer by a script.
+class ScriptedSender:
+    """A sender whose endpoints answer by a script.
 
     Parameters
     ----------
@@ -117,11 +117,11 @@
         self.timeouts_s = []
 
     async def send(
-        self, _method, address, _target, _headers, _body, *, timeout_s
+        self, _method, endpoint, _target, _headers, _body, *, timeout_s
     ):
         """Answer with the next outcome."""
         outcome = next(self._script, OUTCOMES["done"])
-        self.sent.append((address, outcome))
+        self.sent.append((endpoint.address, outcome))
         self.timeouts_s.append(timeout_s)
         if outcome.status is None:
             return kinds.Failure(
@@ -157,7 +157,7 @@
         return 1
 
 
-def parts(client, *, endpoints=4, permits=None):
+def parts(sender, *, endpoints=4, permits=None):
     """Return shared components, with equal endpoints in one zone.
 
     `permits` are those that limited endpoints ``e0``, ``e1`` ... grant.
@@ -180,7 +180,7 @@
         limiter=limiters.Limiter(permits=permits),
         budget=budget.RetryBudget(ratio=1.0, slack=99, window_s=10),
         peers=_Peers(),
-        client=client,
+        sender=sender,
         codec=platform.Platform(store=None),
         journal=journal,
         clock=lambda: 0.0,
--- a/sycamoreshed/forwarding/tests/test_attempts.py
+++ b/sycamoreshed/forwarding/tests/test_attempts.py
@@ -26,9 +26,9 @@
 
 async def _run_script(script, request, attempts_class=attempts.Attempts):
     """Send a request to endpoints that answer by a script."""
-    client = builders.ScriptedClient(script)
-    tries = attempts_class(request=request, parts=builders.parts(client))
-    return client, await tries.open(), tries
+    sender = builders.ScriptedSender(script)
+    tries = attempts_class(request=request, parts=builders.parts(sender))
+    return sender, await tries.open(), tries
 
 
 def _scripts():
@@ -40,12 +40,12 @@
     """Return the outcomes with which a request may have run twice."""
     violations = []
     for script in _scripts():
-        client, _, _ = await _run_script(
+        sender, _, _ = await _run_script(
             script, builders.request(), attempts_class
         )
-        runs = [each for _, each in client.sent if each.may_have_run]
+        runs = [each for _, each in sender.sent if each.may_have_run]
         if len(runs) > 1:
-            violations.append([each for _, each in client.sent])
+            violations.append([each for _, each in sender.sent])
     return violations
 
 
@@ -67,7 +67,7 @@
 async def test_reported_not_run_is_true(idempotent):
     """A caller that gets the answer "not run" retries its request."""
     for script in _scripts():
-        client, result, tries = await _run_script(
+        sender, result, tries = await _run_script(
             script, builders.request(idempotent=idempotent)
         )
         failure = result
@@ -75,9 +75,9 @@
             failure = result.failure
         if not isinstance(failure, kinds.Failure):
             continue
-        may_have_run = any(each.may_have_run for _, each in client.sent)
+        may_have_run = any(each.may_have_run for _, each in sender.sent)
         reported_run = failure.sent or tries.may_have_run
-        assert reported_run or not may_have_run, client.sent
+        assert reported_run or not may_have_run, sender.sent
 
 
 async def test_idempotent_requests_are_retried_until_attempts_are_spent():
@@ -86,23 +86,23 @@
     A 421 does not count, so that up to four endpoints are tried.
     """
     for outcome in builders.OUTCOMES.values():
-        client, _, _ = await _run_script(
+        sender, _, _ = await _run_script(
             [outcome] * 9, builders.request(idempotent=True)
         )
-        sent = [each for _, each in client.sent if each.is_sent]
+        sent = [each for _, each in sender.sent if each.is_sent]
         assert len(sent) <= 4
         if outcome.is_complete and outcome.status == 200:
             continue
-        assert len({address for address, _ in client.sent}) > 1
+        assert len({address for address, _ in sender.sent}) > 1
 
 
 async def test_an_endpoint_is_tried_once():
     """An endpoint that rejected a request would soon reject it again."""
     for script in _scripts():
-        client, _, _ = await _run_script(
+        sender, _, _ = await _run_script(
             script, builders.request(idempotent=True)
         )
-        addresses = [address for address, _ in client.sent]
+        addresses = [address for address, _ in sender.sent]
         assert len(set(addresses)) == len(addresses)
 
 
@@ -124,19 +124,19 @@
     time for another engine.  A request that may run only once has to wait.
     """
     request = builders.request(target_s=1.0, max_attempts=2, **route_options)
-    client, _, _ = await _run_script([builders.OUTCOMES["reset"]], request)
-    assert client.timeouts_s == timeouts_s
+    sender, _, _ = await _run_script([builders.OUTCOMES["reset"]], request)
+    assert sender.timeouts_s == timeouts_s
 
 
 async def test_request_that_crashes_endpoints_is_not_sent():
     """A request that was known to crash endpoints reached another one."""
-    client = builders.ScriptedClient([])
-    parts = builders.parts(client)
+    sender = builders.ScriptedSender([])
+    parts = builders.parts(sender)
     parts.crashes.rejected.add("f1")
     result = await attempts.Attempts(
         request=builders.request(idempotent=True), parts=parts
     ).open()
-    assert not client.sent
+    assert not sender.sent
     assert result.kind is kinds.Kind.CRASHES_ENDPOINTS
     assert not result.sent
     assert result.retry_after > 60.0
@@ -144,15 +144,15 @@
 
 async def test_request_that_turns_out_to_crash_endpoints_is_not_retried():
     """The retry of a request crashed a further endpoint."""
-    client = builders.ScriptedClient([builders.OUTCOMES["reset"]])
-    parts = builders.parts(client)
+    sender = builders.ScriptedSender([builders.OUTCOMES["reset"]])
+    parts = builders.parts(sender)
     parts.crashes.record_break = lambda _endpoint: parts.crashes.rejected.add(
         "f1"
     )
     result = await attempts.Attempts(
         request=builders.request(idempotent=True), parts=parts
     ).open()
-    assert len(client.sent) == 1
+    assert len(sender.sent) == 1
     assert result.sent
 
 
@@ -160,14 +160,14 @@
     """Requests with a common prefix shared endpoints in each crash."""
     endpoints = {}
     for fingerprint in ("f1", "f2", "f3", "f4"):
-        client = builders.ScriptedClient([])
-        parts = builders.parts(client, endpoints=9)
+        sender = builders.ScriptedSender([])
+        parts = builders.parts(sender, endpoints=9)
         parts.crashes.suspects.add(fingerprint)
         request = builders.request(sticky=True)._replace(
             fingerprint=fingerprint
         )
         await attempts.Attempts(request=request, parts=parts).open()
-        endpoints[fingerprint] = client.sent[0][0]
+        endpoints[fingerprint] = sender.sent[0][0]
     assert len(set(endpoints.values())) > 2
 
 
@@ -184,45 +184,45 @@
 )
 async def test_only_a_call_that_is_cut_off_points_to_a_crash(name, is_broken):
     """Requests were suspected after answers that an endpoint sent whole."""
-    parts = builders.parts(builders.ScriptedClient([builders.OUTCOMES[name]]))
+    parts = builders.parts(builders.ScriptedSender([builders.OUTCOMES[name]]))
     await attempts.Attempts(request=builders.request(), parts=parts).open()
     assert bool(parts.crashes.broken) is is_broken
 
 
 async def test_endpoint_whose_limit_is_used_up_is_passed_over():
     """An engine that had named a limit got requests beyond it."""
-    client = builders.ScriptedClient([])
-    parts = builders.parts(client, endpoints=2, permits={"e0": 1})
+    sender = builders.ScriptedSender([])
+    parts = builders.parts(sender, endpoints=2, permits={"e0": 1})
     for _ in range(5):
         await attempts.Attempts(
             request=builders.request(idempotent=True), parts=parts
         ).open()
-    sent = [address for address, _ in client.sent]
+    sent = [address for address, _ in sender.sent]
     assert sent.count("e0:80") <= 1
     assert len(sent) == 5
 
 
 async def test_request_waits_for_a_limit_if_there_is_time():
     """Requests were rejected although an engine took one in a moment."""
-    client = builders.ScriptedClient([])
-    parts = builders.parts(client, endpoints=1, permits={"e0": 0})
+    sender = builders.ScriptedSender([])
+    parts = builders.parts(sender, endpoints=1, permits={"e0": 0})
     parts.limiter.free_after_s = 1.0
     result = await attempts.Attempts(
         request=builders.request(idempotent=True), parts=parts
     ).open()
-    assert len(client.sent) == 1
+    assert len(sender.sent) == 1
     assert result.failure is None
 
 
 async def test_request_is_rejected_at_once_if_limits_leave_no_time():
     """Requests waited for their deadline before engines with limits."""
-    client = builders.ScriptedClient([])
-    parts = builders.parts(client, endpoints=1, permits={"e0": 0})
+    sender = builders.ScriptedSender([])
+    parts = builders.parts(sender, endpoints=1, permits={"e0": 0})
     parts.limiter.free_after_s = 3.5
     result = await attempts.Attempts(
         request=builders.request(idempotent=True), parts=parts
     ).open()
-    assert not client.sent
+    assert not sender.sent
     assert result.kind is kinds.Kind.OVER_LIMIT
     assert not result.sent
     assert result.retry_after == 3.5
@@ -241,7 +241,7 @@
     name, answers
 ):
     """A refusal without the limit lifted it for everybody."""
-    client = builders.ScriptedClient([builders.OUTCOMES[name]])
-    parts = builders.parts(client, endpoints=1)
+    sender = builders.ScriptedSender([builders.OUTCOMES[name]])
+    parts = builders.parts(sender, endpoints=1)
     await attempts.Attempts(request=builders.request(), parts=parts).open()
     assert parts.limiter.answers == answers
--- a/sycamoreshed/forwarding/tests/test_forwarder.py
+++ b/sycamoreshed/forwarding/tests/test_forwarder.py
@@ -45,26 +45,26 @@
     once, such as a ballot, would be counted twice, and a caller of a stream
     would get a second answer within the first.
     """
-    client = builders.ScriptedClient(
+    sender = builders.ScriptedSender(
         [INPUTS_MISSING, builders.OUTCOMES["done"]]
     )
     stage = types.Stage("first", (), 8000)
     request = builders.request(stages=(stage,), **route_options)
     request = request._replace(head=request.head._replace(pieces=(1,)))
     under_test = forwarder.Forwarder(
-        parts=builders.parts(client), stages=StageRunner()
+        parts=builders.parts(sender), stages=StageRunner()
     )
     outcome = await under_test.forward(request, sink=None)
     assert outcome.answer is not None
-    runs = [each for _, each in client.sent if each.may_have_run]
+    runs = [each for _, each in sender.sent if each.may_have_run]
     assert len(runs) == 1
 
 
 @pytest.mark.parametrize("reason", ["crashes", "limits"])
 async def test_request_that_cannot_be_served_runs_no_stages(reason):
     """Stages worked for requests that no engine would take."""
-    client = builders.ScriptedClient([])
-    parts = builders.parts(client, endpoints=1, permits={"e0": 0})
+    sender = builders.ScriptedSender([])
+    parts = builders.parts(sender, endpoints=1, permits={"e0": 0})
     if reason == "crashes":
         parts.crashes.rejected.add("f1")
     stage = types.Stage("first", (), 8000)
@@ -75,7 +75,7 @@
     outcome = await under_test.forward(request, sink=None)
     assert outcome.failure.retry_after > 0
     assert not outcome.failure.sent
-    assert (stages.runs, client.sent) == (0, [])
+    assert (stages.runs, sender.sent) == (0, [])
 
 
 @pytest.mark.parametrize("permits", [0, 1])
@@ -83,11 +83,11 @@
     permits,
 ):
     """Results crossed zones from where an engine with a limit had no turn."""
-    client = builders.ScriptedClient([])
+    sender = builders.ScriptedSender([])
     names = ["e0", "e1"]
     # Without the limit the prefix ranks this endpoint first.
     preferred = max(names, key=lambda name: rendezvous.rank("p", name))
-    parts = builders.parts(client, endpoints=2, permits={preferred: permits})
+    parts = builders.parts(sender, endpoints=2, permits={preferred: permits})
     zones = {"e0": "south-a", "e1": "north-a"}
     listed = [
         each._replace(zone=zones[each.id])
@@ -105,17 +105,17 @@
     (used,) = [name for name in names if (name == preferred) == bool(permits)]
     assert stages.engine_zones == [zones[used]]
     # The permit of the plan is used, and none asked for besides.
-    assert [address for address, _ in client.sent] == [f"{used}:80"]
+    assert [address for address, _ in sender.sent] == [f"{used}:80"]
 
 
 async def test_permit_is_used_for_one_attempt():
     """An engine that missed its inputs got the request again, without one."""
-    client = builders.ScriptedClient([INPUTS_MISSING])
-    parts = builders.parts(client, endpoints=1, permits={"e0": 1})
+    sender = builders.ScriptedSender([INPUTS_MISSING])
+    parts = builders.parts(sender, endpoints=1, permits={"e0": 1})
     parts.limiter.free_after_s = 3.5
     request = builders.request(stages=(types.Stage("first", (), 8000),))
     request = request._replace(head=request.head._replace(pieces=(1,)))
     under_test = forwarder.Forwarder(parts=parts, stages=StageRunner())
     outcome = await under_test.forward(request, sink=None)
-    assert len(client.sent) == 1
+    assert len(sender.sent) == 1
     assert outcome.failure.kind is kinds.Kind.OVER_LIMIT
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -145,6 +145,10 @@
             ),
         )
     metrics.export_cold_endpoints(lambda: catalog.count_cold(core.clock()))
+    reachability = core.part("reachability")
+    metrics.export_unreached_endpoints(
+        lambda: len(reachability.unreached(core.clock()))
+    )
     dropped = core.part("journal").dropped
     metrics.export_dropped(lambda: sum(dropped.values()))
 
@@ -161,6 +165,7 @@
         "journal",
         "limiter",
         "peers",
+        "reachability",
         "reading",
         "registering",
         "relay",
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -42,6 +42,8 @@
 from sycamoreshed.kernel import kernel  # noqa: E402
 from sycamoreshed.observe import journal  # noqa: E402,F401
 from sycamoreshed.platform import platform  # noqa: E402,F401
+from sycamoreshed.relaying import reachability  # noqa: E402,F401
+from sycamoreshed.relaying import sending  # noqa: E402,F401
 from sycamoreshed.residency import residency  # noqa: E402,F401
 from sycamoreshed.staging import wiring  # noqa: E402,F401
 
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -66,6 +66,11 @@
             "Endpoints that have not warmed up yet.",
             registry=registry,
         )
+        self._unreached_endpoints = prometheus_client.Gauge(
+            "sycamoreshed_gateway_unreached_endpoints",
+            "Endpoints to which the latest connection was not established.",
+            registry=registry,
+        )
         self._dropped = prometheus_client.Gauge(
             "sycamoreshed_gateway_log_lines_dropped",
             "Log lines left out since the start.",
@@ -98,6 +103,10 @@
         """Export the number of cold endpoints, which `read` returns."""
         self._cold_endpoints.set_function(read)
 
+    def export_unreached_endpoints(self, read):
+        """Export the number of endpoints that were not reached."""
+        self._unreached_endpoints.set_function(read)
+
     def export_dropped(self, read):
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -113,6 +113,12 @@
         "an endpoint broke off a request and has not crashed, or it cannot be "
         "told",
     ),
+    "endpoint_unreached": Event(
+        EventClass.DECISION,
+        "endpoint, why, unreached",
+        "a connection to an endpoint was not established; to how many "
+        "endpoints the latest one was not",
+    ),
     "endpoint_limited": Event(
         EventClass.STATE,
         "endpoint, rate",
@@ -183,6 +189,11 @@
         "request, endpoint, attempt, of, in_flight, age_s, why",
         "an endpoint was chosen; age_s of the endpoint list",
     ),
+    "delegated": Event(
+        EventClass.DETAIL,
+        "request, zone, instance",
+        "the stages of a request go to the instance that coordinates a zone",
+    ),
     "staged": Event(
         EventClass.DETAIL,
         "request, zone, pieces, aim_s, until_s, is_late, backlog_s",
--- /dev/null
+++ b/sycamoreshed/relaying/__init__.py
@@ -0,0 +1,1 @@
+"""Ways from this instance to endpoints: its own links, or other instances."""
--- a/sycamoreshed/residency/tests/test_residency.py
+++ b/sycamoreshed/residency/tests/test_residency.py
@@ -15,9 +15,9 @@
 ANY = frozenset()
 
 
-def parts_in(zones, client):
+def parts_in(zones, sender):
     """Return shared components, with an endpoint in each of some zones."""
-    parts = builders.parts(client, endpoints=len(zones))
+    parts = builders.parts(sender, endpoints=len(zones))
     listed = [
         each._replace(zone=zone)
         for each, zone in zip(
@@ -34,9 +34,9 @@
     parts.catalog.routes = routes.RouteTable(routes=(route,))
 
 
-def sent_to(client):
+def sent_to(sender):
     """Return the addresses that requests were sent to."""
-    return [address for address, _ in client.sent]
+    return [address for address, _ in sender.sent]
 
 
 @pytest.mark.parametrize(
@@ -50,7 +50,7 @@
     ],
 )
 def test_restrictions_of_route_and_team_both_hold(by_route, by_team, allowed):
-    parts = builders.parts(builders.ScriptedClient([]))
+    parts = builders.parts(builders.ScriptedSender([]))
     request = builders.request(allowed_regions=by_route)
     request = request._replace(team=types.Team("a", None, by_team))
     assert parts.residency.regions(request) == allowed
@@ -58,7 +58,7 @@
 
 def test_team_is_that_of_the_configuration_in_force():
     """A team was restricted while its requests were in a queue."""
-    parts = builders.parts(builders.ScriptedClient([]))
+    parts = builders.parts(builders.ScriptedSender([]))
     request = builders.request()
     request = request._replace(
         team=types.Team("a"), head=request.head._replace(key="k")
@@ -73,7 +73,7 @@
 @pytest.mark.parametrize("regions", [SOUTH, frozenset(("moon",))])
 def test_only_regions_that_cannot_serve_at_all_are_final(regions):
     """Callers came again for what no region here may ever serve."""
-    parts = builders.parts(builders.ScriptedClient([]))
+    parts = builders.parts(builders.ScriptedSender([]))
     request = builders.request(allowed_regions=regions)
     rejected = parts.residency.rejection(request)
     assert (rejected is None) == (regions == SOUTH)
@@ -81,28 +81,28 @@
 
 async def test_retries_stay_in_the_allowed_regions():
     """A request that failed in its region was sent to another one."""
-    client = builders.ScriptedClient([builders.OUTCOMES["full"]] * 3)
-    parts = parts_in(["south-a", "north-a", "south-a"], client)
+    sender = builders.ScriptedSender([builders.OUTCOMES["full"]] * 3)
+    parts = parts_in(["south-a", "north-a", "south-a"], sender)
     request = builders.request(allowed_regions=SOUTH)
     await attempts.Attempts(request=request, parts=parts).open()
-    assert sorted(sent_to(client)) == ["e0:80", "e2:80"]
+    assert sorted(sent_to(sender)) == ["e0:80", "e2:80"]
 
 
 async def test_a_new_restriction_holds_for_a_retry():
     """A retry went where the configuration of its first attempt allowed it."""
-    client = builders.ScriptedClient([builders.OUTCOMES["full"]] * 3)
-    parts = parts_in(["north-a", "south-a", "south-a"], client)
+    sender = builders.ScriptedSender([builders.OUTCOMES["full"]] * 3)
+    parts = parts_in(["north-a", "south-a", "south-a"], sender)
     request = builders.request(allowed_regions=NORTH)
-    send = client.send
+    send = sender.send
 
     async def restrict_and_send(*args, **options):
         allow(parts, request, SOUTH)
         return await send(*args, **options)
 
-    client.send = restrict_and_send
+    sender.send = restrict_and_send
     await attempts.Attempts(request=request, parts=parts).open()
-    assert sorted(sent_to(client)) == ["e0:80", "e1:80", "e2:80"]
-    assert sent_to(client)[0] == "e0:80"
+    assert sorted(sent_to(sender)) == ["e0:80", "e1:80", "e2:80"]
+    assert sent_to(sender)[0] == "e0:80"
 
 
 class StageRunner:
@@ -140,8 +140,8 @@
 
     The configuration changed while the stages of the request ran.
     """
-    client = builders.ScriptedClient([])
-    parts = parts_in(["north-a", "south-a"], client)
+    sender = builders.ScriptedSender([])
+    parts = parts_in(["north-a", "south-a"], sender)
     stage = types.Stage("first", (), 8000)
     request = builders.request(stages=(stage,), allowed_regions=NORTH)
     request = request._replace(head=request.head._replace(pieces=(1,)))
@@ -150,13 +150,13 @@
     outcome = await under_test.forward(request, sink=None)
     assert outcome.answer is not None
     assert stages.regions == [NORTH, SOUTH]
-    assert sent_to(client) == ["e1:80"]
+    assert sent_to(sender) == ["e1:80"]
 
 
 async def test_a_request_without_an_allowed_endpoint_runs_no_stages():
     """Stages worked for a request that no engine of its regions could take."""
-    client = builders.ScriptedClient([])
-    parts = parts_in(["north-a"], client)
+    sender = builders.ScriptedSender([])
+    parts = parts_in(["north-a"], sender)
     stage = types.Stage("first", (), 8000)
     request = builders.request(stages=(stage,), allowed_regions=SOUTH)
     request = request._replace(head=request.head._replace(pieces=(1,)))
@@ -166,4 +166,4 @@
     assert outcome.failure.kind is kinds.Kind.NO_ENDPOINT
     assert not outcome.failure.sent
     assert outcome.failure.retry_after > 0
-    assert (stages.regions, client.sent) == ([], [])
+    assert (stages.regions, sender.sent) == ([], [])
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -46,7 +46,7 @@
     find_endpoint : callable
         Takes the id of an endpoint, returns it or None.
     scheduler : Scheduler
-    client : EndpointClient
+    sender : EndpointSender
     codec : Platform
     health : Health
     crashes : CrashDetector
@@ -64,7 +64,7 @@
         allows,
         find_endpoint,
         scheduler,
-        client,
+        sender,
         codec,
         health,
         crashes,
@@ -78,7 +78,7 @@
         self._allows = allows
         self._find_endpoint = find_endpoint
         self._scheduler = scheduler
-        self._client = client
+        self._sender = sender
         self._codec = codec
         self._health = health
         self._crashes = crashes
@@ -330,9 +330,9 @@
         """Send a call; return a `FullAnswer` or a `Failure`."""
         work_s = self._queue.call_s(len(batch.entries))
         sent_at = self._clock()
-        response = await self._client.send(
+        response = await self._sender.send(
             "POST",
-            batch.endpoint.address,
+            batch.endpoint,
             path,
             headers,
             body,
@@ -387,8 +387,8 @@
         path, headers, body = self._codec.free_call(
             handles, endpoint=endpoint_id
         )
-        answer = await self._client.post_idempotent(
-            endpoint.address, path, headers, body, timeout_s=FREE_TIMEOUT_S
+        answer = await self._sender.post_idempotent(
+            endpoint, path, headers, body, timeout_s=FREE_TIMEOUT_S
         )
         if isinstance(answer, kinds.Failure):
             status = answer.reason
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -232,6 +232,9 @@
         name, control = self._coordinating_instance(zone, self._clock())
         if name == self._instance:
             return await self.run_locally(job, zone, origin)
+        self._journal.write(
+            "delegated", request=job.request, zone=zone, instance=name
+        )
         reply = await web.fetch(
             self._session,
             "POST",
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -21,23 +21,25 @@
 NOW = 100.0
 
 
-class Client:
+class Sender:
     """Records calls and fails them."""
 
     def __init__(self):
         self.sent = []
 
-    async def send(self, _method, address, path, _headers, body, *, timeout_s):
+    async def send(
+        self, _method, endpoint, path, _headers, body, *, timeout_s
+    ):
         """Record a call."""
-        self.sent.append((address, path, body))
+        self.sent.append((endpoint.address, path, body))
         return kinds.Failure(kinds.Kind.REFUSED, "no answer", sent=True)
 
     async def post_idempotent(
-        self, address, path, headers, body, *, timeout_s
+        self, endpoint, path, headers, body, *, timeout_s
     ):
         """Record a call."""
         return await self.send(
-            "POST", address, path, headers, body, timeout_s=timeout_s
+            "POST", endpoint, path, headers, body, timeout_s=timeout_s
         )
 
 
@@ -50,13 +52,13 @@
 
 
 @pytest.fixture
-def client():
-    """Return a client that fails all calls."""
-    return Client()
+def sender():
+    """Return a sender that fails all calls."""
+    return Sender()
 
 
 def build_batcher(
-    client, *, endpoints, listed, scheduler=None, name="first", clock=None
+    sender, *, endpoints, listed, scheduler=None, name="first", clock=None
 ):
     """Return a batcher; `listed` are all endpoints of the catalog."""
     journal = journals.Journal()
@@ -67,7 +69,7 @@
         endpoints=lambda _now: endpoints,
         find_endpoint={each.id: each for each in listed}.get,
         scheduler=scheduler or builders.scheduler(),
-        client=client,
+        sender=sender,
         codec=Codec(),
         health=health.Health(journal=journal),
         crashes=crashes.Crashes(),
@@ -79,7 +81,7 @@
     )
 
 
-async def test_results_at_an_endpoint_that_is_not_in_use_are_freed(client):
+async def test_results_at_an_endpoint_that_is_not_in_use_are_freed(sender):
     """An endpoint with results is avoided, or belongs to another zone.
 
     Without the call, it stores the results until they expire, and rejects
@@ -87,22 +89,22 @@
     """
     avoided = builders.endpoint("avoided")
     batcher = build_batcher(
-        client, endpoints=[builders.endpoint("e")], listed=[avoided]
+        sender, endpoints=[builders.endpoint("e")], listed=[avoided]
     )
     batcher.free(
         [pieces.ResultRef("h1", "avoided"), pieces.ResultRef("h2", "avoided")]
     )
     await asyncio.sleep(3 * batching.FREE_DELAY_S)
-    ((address, _, body),) = client.sent
+    ((address, _, body),) = sender.sent
     assert address == "avoided:80"
     assert body == b'{"handles":["h1","h2"]}'
 
 
-async def test_no_call_frees_results_of_an_endpoint_that_is_gone(client):
-    batcher = build_batcher(client, endpoints=[], listed=[])
+async def test_no_call_frees_results_of_an_endpoint_that_is_gone(sender):
+    batcher = build_batcher(sender, endpoints=[], listed=[])
     batcher.free([pieces.ResultRef("h1", "gone")])
     await asyncio.sleep(3 * batching.FREE_DELAY_S)
-    assert not client.sent
+    assert not sender.sent
 
 
 def second_piece(request, deadline):
@@ -110,7 +112,7 @@
     return pieces.Piece(request, 1, 0, deadline=deadline, inputs=("h",))
 
 
-def second_stage(client, due_in_s):
+def second_stage(sender, due_in_s):
     """Return a second stage's batcher and two jobs.
 
     The first job's piece can be sent; the call that computes the inputs of
@@ -119,7 +121,7 @@
     endpoint = builders.endpoint("e")
     scheduler = builders.scheduler()
     batcher = build_batcher(
-        client,
+        sender,
         endpoints=[endpoint],
         listed=[endpoint],
         scheduler=scheduler,
@@ -132,13 +134,13 @@
     return batcher, ready, upcoming
 
 
-async def test_a_call_waits_for_pieces_that_are_due_soon(client):
+async def test_a_call_waits_for_pieces_that_are_due_soon(sender):
     """An endpoint is free 30 ms before the inputs of a second piece are there.
 
     If a call is sent at once with the first piece alone, it takes its fixed
     time, and the request of the second piece waits for its end.
     """
-    batcher, ready, upcoming = second_stage(client, 0.03)
+    batcher, ready, upcoming = second_stage(sender, 0.03)
     tasks = [
         asyncio.create_task(
             batcher.run_pieces(
@@ -147,7 +149,7 @@
         )
     ]
     await asyncio.sleep(0.005)
-    assert not client.sent
+    assert not sender.sent
     tasks.append(
         asyncio.create_task(
             batcher.run_pieces(
@@ -156,16 +158,16 @@
         )
     )
     await asyncio.sleep(0.005)
-    assert len(client.sent) == 1
-    _, _, body = client.sent[0]
+    assert len(sender.sent) == 1
+    _, _, body = sender.sent[0]
     assert len(msgspec.json.decode(body)["items"]) == 2
     for task in tasks:
         task.cancel()
 
 
-async def test_a_call_does_not_wait_if_that_makes_a_piece_late(client):
+async def test_a_call_does_not_wait_if_that_makes_a_piece_late(sender):
     """The queued piece has just the time that its own call takes."""
-    batcher, ready, _ = second_stage(client, 0.09)
+    batcher, ready, _ = second_stage(sender, 0.09)
     # The deadline of a job, and of its piece, is a second after the target
     # time; a call with one piece takes 0.16 s.
     deadline = ready.target_at + 0.17
@@ -173,17 +175,17 @@
         batcher.run_pieces(ready, [second_piece("here", deadline)], 1)
     )
     await asyncio.sleep(0.005)
-    assert len(client.sent) == 1
+    assert len(sender.sent) == 1
     task.cancel()
 
 
 @pytest.mark.parametrize("regions", [None, frozenset(("north-a",))])
 async def test_pieces_are_sent_only_where_their_request_allows(
-    client, regions
+    sender, regions
 ):
     """A zone without endpoints used those of a region that is not allowed."""
     remote = builders.endpoint("remote")._replace(zone="south-a")
-    batcher = build_batcher(client, endpoints=[remote], listed=[remote])
+    batcher = build_batcher(sender, endpoints=[remote], listed=[remote])
     scheduler = builders.scheduler()
     now = asyncio.get_running_loop().time()
     admitted = scheduler.admit(builders.job("r", counts=(1, 0)), now)
@@ -193,4 +195,4 @@
     running = asyncio.create_task(batcher.run_pieces(admitted, [piece], 10))
     await asyncio.sleep(0.05)
     running.cancel()
-    assert bool(client.sent) == (regions is None)
+    assert bool(sender.sent) == (regions is None)
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -175,16 +175,16 @@
         return self._listed
 
     async def send(
-        self, _method, address, _path, _headers, body, *, timeout_s
+        self, _method, endpoint, _path, _headers, body, *, timeout_s
     ):
         """Answer a call that runs pieces."""
-        return _Response(await self.endpoints[address].process(body))
+        return _Response(await self.endpoints[endpoint.id].process(body))
 
     async def post_idempotent(
-        self, address, _path, _headers, body, *, timeout_s
+        self, endpoint, _path, _headers, body, *, timeout_s
     ):
         """Answer a call that frees results."""
-        self.endpoints[address].free(body)
+        self.endpoints[endpoint.id].free(body)
         return client.FullAnswer(200, "OK", {}, b"")
 
     def _service(self, name):
@@ -207,7 +207,7 @@
             allows=lambda _regions, _zone: True,
             find_endpoint=self._listed.get,
             scheduler=scheduler,
-            client=self,
+            sender=self,
             codec=_Codec(),
             health=health.Health(journal=journal),
             crashes=crashes.Crashes(),
