--- a/testkit/gateways.py
+++ b/testkit/gateways.py
@@ -17,6 +17,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 HOST = "127.0.0.1"
+PROGRAM = (sys.executable, "-m", "sycamoreshed")
 
 
 class Gateway:
@@ -29,9 +30,11 @@
     ports : Ports
     document : dict
         Changes to the settings of `wiredata.settings`.
+    program : sequence of str, optional
+        Command that runs the daemon.
     """
 
-    def __init__(self, *, folder, ports, document):
+    def __init__(self, *, folder, ports, document, program=PROGRAM):
         addresses = {
             name: f"{HOST}:{ports.reserve(HOST)}"
             for name in ("public", "ready", "control")
@@ -40,6 +43,7 @@
         name = self.document["instance"]
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
+        self._program = program
         self.process = None
 
     @property
@@ -47,6 +51,11 @@
         """Address for callers."""
         return self.document["public"]
 
+    @property
+    def settings(self):
+        """Path of the settings file."""
+        return self._settings
+
     @property
     def control(self):
         """Address for other instances and operators."""
@@ -61,9 +70,7 @@
         self.write_settings()
         with open(self._log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "sycamoreshed",
+                *self._program,
                 "gateway",
                 str(self._settings),
                 stdout=log,
@@ -125,7 +132,7 @@
 
 
 @contextlib.asynccontextmanager
-async def gateways(folder, documents):
+async def gateways(folder, documents, *, program=PROGRAM):
     """Start gateway daemons; kill them at the end of the block.
 
     Does not wait until they are ready.
@@ -135,10 +142,12 @@
     folder : pathlib.Path
     documents : list of dict
         Changes to the settings of each daemon.
+    program : sequence of str, optional
+        Command that runs each daemon.
     """
     ports = processes.Ports()
     running = [
-        Gateway(folder=folder, ports=ports, document=document)
+        Gateway(folder=folder, ports=ports, document=document, program=program)
         for document in documents
     ]
     try:
--- a/tests/integration/deployments.py
+++ b/tests/integration/deployments.py
@@ -115,7 +115,9 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(store, folder, *, stage=False, **route):
+async def deployment(
+    store, folder, *, stage=False, program=gateways.PROGRAM, **route
+):
     """Run an instance and an endpoint in each zone."""
     documents = [
         {
@@ -128,7 +130,7 @@
         for zone, region in REGIONS.items()
     ]
     async with (
-        gateways.gateways(folder, documents) as instances,
+        gateways.gateways(folder, documents, program=program) as instances,
         aiohttp.ClientSession() as session,
     ):
         running = Deployment(store, instances, session)
