Send the calls of instances cut off from endpoints through others

Requests of all other instances failed too where a cut-off instance coordinated the stages of a zone.

Cause: an instance had no way to an endpoint but its own connections, and took each failed one as the fault of that endpoint.

A failed connection now makes an instance check a few other endpoints, of other zones and services. While it is, all that it sends to endpoints goes through another instance: requests, calls with pieces and those that free results. That instance passes bytes on and decides nothing but whether it would send such a call itself: it knows the endpoint, which is not leaving or evacuated, and the request does not crash endpoints. It sends directly or not at all, so there is no second hop and no loop. Regions, limits, attempts, retries and deadlines stay with the first instance, which asks another one only if the call has certainly not been sent. An answer that is cut off is passed on as cut off, after it is known whether the endpoint crashed.

Weighed: saying "not ready", so that callers come to other instances (those on open connections stay, and a zone that is cut off as a whole is used anyway); handing the whole request to another instance (it would decide on regions, attempts and stages by its own tables, and a broken stream could not be resumed by the first one).

--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -4,6 +4,7 @@
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
+from sycamoreshed.links import wire
 
 __all__ = ["Answered", "Exchanged", "Opened", "exchange"]
 
@@ -83,6 +84,11 @@
         headers,
         request.body,
         timeout_s=timeout_s,
+        context=wire.Context(
+            request.id,
+            (request.fingerprint,),
+            parts.residency.regions(request),
+        ),
     )
     if isinstance(response, kinds.Failure):
         return Exchanged(response, response.sent)
--- a/sycamoreshed/forwarding/health.py
+++ b/sycamoreshed/forwarding/health.py
@@ -32,6 +32,7 @@
     avoid_s: float = 0.0
     failure_share: float = 0.0
     answers: int = 0
+    is_unreachable: bool = False
 
 
 class Health:
@@ -92,12 +93,27 @@
             fails_always or fails_often or not reachable
         ) and now >= state.avoid_until:
             avoid_s = min(MAX_AVOID_S, max(MIN_AVOID_S, state.avoid_s * 2))
-            state = state._replace(avoid_until=now + avoid_s, avoid_s=avoid_s)
+            state = state._replace(
+                avoid_until=now + avoid_s,
+                avoid_s=avoid_s,
+                is_unreachable=not reachable,
+            )
             self._journal.write(
                 "endpoint_out", endpoint=endpoint.id, why=reason, for_s=avoid_s
             )
         self._store(endpoint.id, state)
 
+    def forget_unreachable(self):
+        """Use endpoints again that this instance could not reach.
+
+        They were avoided for a fault of its own links, which has ended.
+        """
+        self._states = {
+            key: state
+            for key, state in self._states.items()
+            if not state.is_unreachable
+        }
+
     def _store(self, key, state):
         # An endpoint gets a new id at each start; without a bound the states
         # of all earlier ids would accumulate.
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -117,7 +117,15 @@
         self.timeouts_s = []
 
     async def send(
-        self, _method, endpoint, _target, _headers, _body, *, timeout_s
+        self,
+        _method,
+        endpoint,
+        _target,
+        _headers,
+        _body,
+        *,
+        timeout_s,
+        context=None,
     ):
         """Answer with the next outcome."""
         outcome = next(self._script, OUTCOMES["done"])
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -10,6 +10,7 @@
 from sycamoreshed.forwarding import limiting
 from sycamoreshed.forwarding import permits
 from sycamoreshed.kernel import kernel
+from sycamoreshed.links import indirect
 from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
 
@@ -26,6 +27,7 @@
     exchange : Exchange
     limiter : Limiter
     stages : StageRunner
+    call_server : CallServer
     metrics : GatewayMetrics
     clock : callable
     status : callable
@@ -40,6 +42,7 @@
         exchange,
         limiter,
         stages,
+        call_server,
         metrics,
         clock,
         status,
@@ -49,6 +52,7 @@
         self._exchange = exchange
         self._limiter = limiter
         self._stages = stages
+        self._call_server = call_server
         self._metrics = metrics
         self._clock = clock
         self._status = status
@@ -104,6 +108,14 @@
         finally:
             self.in_flight -= 1
 
+    async def call(self, http):
+        """Send a call to an endpoint for an instance that cannot."""
+        self.in_flight += 1
+        try:
+            return await self._call_server.handle(http)
+        finally:
+            self.in_flight -= 1
+
     async def free(self, http):
         """Free results of stages in a zone."""
         freed = msgspec.json.decode(
@@ -149,6 +161,7 @@
     metrics.export_unreached_endpoints(
         lambda: len(reachability.unreached(core.clock()))
     )
+    metrics.export_cut_off(lambda: reachability.is_cut_off)
     dropped = core.part("journal").dropped
     metrics.export_dropped(lambda: sum(dropped.values()))
 
@@ -156,6 +169,7 @@
 @kernel.plugin(
     "inner",
     needs=(
+        "call_server",
         "catalog",
         "stages",
         "gateway_metrics",
@@ -164,6 +178,7 @@
         "handler",
         "journal",
         "limiter",
+        "link_checker",
         "peers",
         "reachability",
         "reading",
@@ -201,6 +216,7 @@
         exchange=core.part("findings"),
         limiter=core.part("limiter"),
         stages=core.part("stages"),
+        call_server=core.part("call_server"),
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
         status=status,
@@ -213,6 +229,7 @@
         exchanges.COMPARE_PATH, handlers.compare_findings
     )
     core.control.router.add_post(limiting.PATH, handlers.permit)
+    core.control.router.add_post(indirect.PATH, handlers.call)
     core.control.router.add_post(delegation.RUN_PATH, handlers.run)
     core.control.router.add_post(delegation.FREE_PATH, handlers.free)
     core.control.router.add_get("/metrics", handlers.metrics)
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -40,10 +40,13 @@
 from sycamoreshed.gateway import metrics  # noqa: E402,F401
 from sycamoreshed.gateway import settings as schema  # noqa: E402
 from sycamoreshed.kernel import kernel  # noqa: E402
+from sycamoreshed.links import checking  # noqa: E402,F401
+from sycamoreshed.links import indirect  # noqa: E402,F401
+from sycamoreshed.links import reachability  # noqa: E402,F401
+from sycamoreshed.links import sending  # noqa: E402,F401
+from sycamoreshed.links import serving  # noqa: E402,F401
 from sycamoreshed.observe import journal  # noqa: E402,F401
 from sycamoreshed.platform import platform  # noqa: E402,F401
-from sycamoreshed.relaying import reachability  # noqa: E402,F401
-from sycamoreshed.relaying import sending  # noqa: E402,F401
 from sycamoreshed.residency import residency  # noqa: E402,F401
 from sycamoreshed.staging import wiring  # noqa: E402,F401
 
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -71,6 +71,11 @@
             "Endpoints to which the latest connection was not established.",
             registry=registry,
         )
+        self._cut_off = prometheus_client.Gauge(
+            "sycamoreshed_gateway_cut_off",
+            "Whether this instance has lost its links to all endpoints.",
+            registry=registry,
+        )
         self._dropped = prometheus_client.Gauge(
             "sycamoreshed_gateway_log_lines_dropped",
             "Log lines left out since the start.",
@@ -107,6 +112,10 @@
         """Export the number of endpoints that were not reached."""
         self._unreached_endpoints.set_function(read)
 
+    def export_cut_off(self, read):
+        """Export whether this instance reaches no endpoint."""
+        self._cut_off.set_function(read)
+
     def export_dropped(self, read):
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
--- /dev/null
+++ b/sycamoreshed/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links to endpoints: which work, and ways through other instances."""
--- /dev/null
+++ b/sycamoreshed/links/sending.py
@@ -0,0 +1,187 @@
+"""Sends requests to endpoints, directly or through another instance."""
+
+from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import client as clients
+from sycamoreshed.kernel import kernel
+from sycamoreshed.links import wire
+
+__all__ = ["EndpointSender"]
+
+_NO_CONTEXT = wire.Context()
+
+
+class EndpointSender:
+    """Sends requests to endpoints.
+
+    Parameters
+    ----------
+    client : EndpointClient
+    indirect : IndirectSender
+    reachability : Reachability
+    codec : Platform
+    clock : callable
+    """
+
+    def __init__(self, *, client, indirect, reachability, codec, clock):
+        self._client = client
+        self._indirect = indirect
+        self._reachability = reachability
+        self._codec = codec
+        self._clock = clock
+
+    async def send(
+        self,
+        method,
+        endpoint,
+        target,
+        headers,
+        body,
+        *,
+        timeout_s,
+        context=_NO_CONTEXT,
+    ):
+        """Send a request and return once the head of the answer arrives.
+
+        Parameters
+        ----------
+        method : str
+        endpoint : Endpoint
+        target : str
+            Sent unchanged.
+        headers : CIMultiDict
+        body : bytes
+        timeout_s : float
+            Time limit for the head of the answer.
+        context : Context
+
+        Returns
+        -------
+        aiohttp.ClientResponse or Failure
+            The caller must close a response.
+        """
+        started_at = self._clock()
+        if not self._reachability.is_cut_off:
+            response = await self._send_directly(
+                method, endpoint, target, headers, body, timeout_s
+            )
+            if not _is_unsent(response) or not self._reachability.is_cut_off:
+                return response
+        elapsed_s = self._clock() - started_at
+        headers = self._codec.shorten_deadline(headers, elapsed_s)
+        response = await self._send_indirectly(
+            method,
+            endpoint,
+            target,
+            headers,
+            body,
+            timeout_s=timeout_s - elapsed_s,
+            context=context,
+        )
+        if response is not None:
+            return response
+        # The links may be back, and nobody else reaches the endpoint.
+        elapsed_s = self._clock() - started_at - elapsed_s
+        return await self._send_directly(
+            method,
+            endpoint,
+            target,
+            self._codec.shorten_deadline(headers, elapsed_s),
+            body,
+            timeout_s - (self._clock() - started_at),
+        )
+
+    async def post_idempotent(
+        self, endpoint, target, headers, body, *, timeout_s
+    ):
+        """Send a call whose answer carries no information.
+
+        Returns
+        -------
+        FullAnswer or Failure
+        """
+        if self._reachability.is_cut_off:
+            response = await self._send_indirectly(
+                "POST",
+                endpoint,
+                target,
+                headers,
+                body,
+                timeout_s=timeout_s,
+                context=_NO_CONTEXT,
+                is_cleanup=True,
+            )
+            if isinstance(response, kinds.Failure):
+                return response
+            if response is not None:
+                return await clients.read_full(response, timeout_s=timeout_s)
+        # Uses connections that were opened earlier: no evidence of the links.
+        return await self._client.post_idempotent(
+            endpoint.address, target, headers, body, timeout_s=timeout_s
+        )
+
+    async def _send_directly(
+        self, method, endpoint, target, headers, body, timeout_s
+    ):
+        sent_at = self._clock()
+        response = await self._client.send(
+            method,
+            endpoint.address,
+            target,
+            headers,
+            body,
+            timeout_s=timeout_s,
+        )
+        if not isinstance(response, kinds.Failure):
+            self._reachability.record_success(endpoint.id, sent_at=sent_at)
+        elif not response.sent:
+            self._reachability.record_failure(
+                endpoint.id, self._clock(), response.reason
+            )
+        return response
+
+    async def _send_indirectly(
+        self,
+        method,
+        endpoint,
+        target,
+        headers,
+        body,
+        *,
+        timeout_s,
+        context,
+        is_cleanup=False,
+    ):
+        call = wire.Call(
+            request=context.request,
+            fingerprints=list(context.fingerprints),
+            endpoint=endpoint.id,
+            started_at_ms=endpoint.started_at_ms,
+            method=method,
+            target=target,
+            # The names are of a subclass of str, which JSON does not know.
+            headers=[(f"{name}", value) for name, value in headers.items()],
+            timeout_s=timeout_s,
+            is_cleanup=is_cleanup,
+        )
+        return await self._indirect.send(
+            endpoint, call, body, regions=context.regions
+        )
+
+
+def _is_unsent(response):
+    return isinstance(response, kinds.Failure) and not response.sent
+
+
+@kernel.plugin(
+    "endpoint_sender",
+    needs=("endpoint_client", "indirect_sender", "platform", "reachability"),
+)
+async def endpoint_sender(core):
+    """Provide the `EndpointSender`."""
+    yield EndpointSender(
+        client=core.part("endpoint_client"),
+        indirect=core.part("indirect_sender"),
+        reachability=core.part("reachability"),
+        codec=core.part("platform"),
+        clock=core.clock,
+    )
--- /dev/null
+++ b/sycamoreshed/links/serving.py
@@ -0,0 +1,244 @@
+"""Sends calls to endpoints for instances that are cut off from them."""
+
+import asyncio
+
+from aiohttp import web
+import msgspec
+import multidict
+
+from sycamoreshed.adapters import web as adapters
+from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import client as clients
+from sycamoreshed.kernel import kernel
+from sycamoreshed.links import wire
+
+__all__ = ["CallServer"]
+
+
+class CallServer:
+    """Handles the calls that other instances want to have sent.
+
+    Sends only what this instance would send itself: to an endpoint that it
+    lists, neither leaving nor in an evacuated zone, and no request that
+    crashes endpoints.  The other instance answers for everything else, such
+    as limits, attempts and regions.
+
+    Parameters
+    ----------
+    catalog : Catalog
+    client : EndpointClient
+    codec : Platform
+    crashes : CrashDetector
+    reachability : Reachability
+    stopping : asyncio.Event
+    journal : Journal
+    clock : callable
+    """
+
+    def __init__(
+        self,
+        *,
+        catalog,
+        client,
+        codec,
+        crashes,
+        reachability,
+        stopping,
+        journal,
+        clock,
+    ):
+        self._catalog = catalog
+        self._client = client
+        self._codec = codec
+        self._crashes = crashes
+        self._reachability = reachability
+        self._stopping = stopping
+        self._journal = journal
+        self._clock = clock
+
+    async def handle(self, http):
+        """Send a call, and return the endpoint's answer or a refusal."""
+        # `http.read` has a limit, which bodies of callers may exceed.
+        call, body = wire.decode_call(await http.content.read())
+        endpoint = self._catalog.endpoint(call.endpoint)
+        refusal = self._reject(call, endpoint)
+        if refusal is not None:
+            return self._refuse(call, refusal)
+        if call.is_cleanup:
+            return await self._clean_up(call, endpoint, body)
+        calls = [
+            self._crashes.record_start(endpoint, each)
+            for each in call.fingerprints
+        ]
+        try:
+            return await self._send(http, call, endpoint, body, calls)
+        finally:
+            for number in calls:
+                self._crashes.record_end(endpoint, number)
+
+    def _reject(self, call, endpoint):
+        """Return the `Refusal` of a call that must not be sent, or None."""
+        now = self._clock()
+        if self._stopping.is_set():
+            return _not_sent("instance stops", try_others=True)
+        if self._reachability.is_cut_off:
+            return _not_sent("instance is cut off as well", try_others=True)
+        if endpoint is None or endpoint.started_at_ms != call.started_at_ms:
+            return _not_sent("unknown endpoint", try_others=True)
+        if call.is_cleanup:
+            return None
+        if endpoint not in self._catalog.endpoints(endpoint.service, now):
+            return _not_sent("endpoint takes no new work")
+        if any(
+            self._crashes.is_rejected(each, now) for each in call.fingerprints
+        ):
+            return wire.Refusal(
+                kinds.Kind.CRASHES_ENDPOINTS,
+                "endpoints crashed under this request",
+            )
+        return None
+
+    async def _clean_up(self, call, endpoint, body):
+        answer = await self._client.post_idempotent(
+            endpoint.address,
+            call.target,
+            multidict.CIMultiDict(call.headers),
+            body,
+            timeout_s=call.timeout_s,
+        )
+        if isinstance(answer, kinds.Failure):
+            return self._refuse(call, _of_failure(answer))
+        headers = self._headers(answer.headers)
+        return web.Response(
+            status=answer.status, body=answer.body, headers=headers
+        )
+
+    async def _send(self, http, call, endpoint, body, calls):
+        sent_at = self._clock()
+        response = await self._client.send(
+            call.method,
+            endpoint.address,
+            call.target,
+            multidict.CIMultiDict(call.headers),
+            body,
+            timeout_s=call.timeout_s,
+        )
+        if isinstance(response, kinds.Failure):
+            if not response.sent:
+                self._reachability.record_failure(
+                    endpoint.id, self._clock(), response.reason
+                )
+            elif response.kind is kinds.Kind.REFUSED:
+                await self._record_break(endpoint)
+            return self._refuse(call, _of_failure(response))
+        self._reachability.record_success(endpoint.id, sent_at=sent_at)
+        try:
+            return await self._pass_on(http, call, endpoint, response, calls)
+        finally:
+            response.close()
+
+    async def _pass_on(self, http, call, endpoint, response, calls):
+        """Pass an endpoint's answer on as it arrives."""
+        answer = web.StreamResponse(
+            status=response.status,
+            reason=response.reason,
+            headers=self._headers(response.headers),
+        )
+        length = response.headers.get("Content-Length")
+        if length is not None:
+            answer.content_length = int(length)
+        await answer.prepare(http)
+        why = None
+        size = 0
+        try:
+            async for data in response.content.iter_any():
+                if not size:
+                    for number in calls:
+                        self._crashes.record_begun(endpoint, number)
+                size += len(data)
+                await answer.write(data)
+        except adapters.TRANSPORT_ERRORS as err:
+            why = adapters.describe(err)
+        if why is None and clients.is_truncated(response):
+            why = "answer without length was reset"
+        self._log(call, endpoint, response.status, why, size)
+        if why is None:
+            await answer.write_eof()
+            return answer
+        await self._record_break(endpoint)
+        # Without its end the answer is seen to be truncated.
+        if http.transport is not None:
+            http.transport.abort()
+        raise asyncio.CancelledError
+
+    async def _record_break(self, endpoint):
+        """Find out whether an endpoint crashed before its answer is lost.
+
+        The other instance cannot, and decides on a retry then.
+        """
+        self._crashes.record_break(endpoint)
+        await self._crashes.settle(endpoint)
+
+    def _headers(self, headers):
+        passed_on = self._codec.response_headers(headers)
+        passed_on[wire.OUTCOME_HEADER] = wire.Outcome.ANSWERED
+        return passed_on
+
+    def _log(self, call, endpoint, status, why, size):
+        self._journal.write(
+            "sent_for_other",
+            request=call.request,
+            endpoint=endpoint.id,
+            status=status,
+            why=why,
+            bytes=size,
+        )
+
+    def _refuse(self, call, refusal):
+        self._journal.write(
+            "not_sent_for_other",
+            request=call.request,
+            endpoint=call.endpoint,
+            why=refusal.reason,
+            sent=refusal.sent,
+        )
+        return web.Response(
+            body=msgspec.json.encode(refusal),
+            headers={wire.OUTCOME_HEADER: wire.Outcome.FAILED},
+            content_type="application/json",
+        )
+
+
+def _not_sent(reason, *, try_others=False):
+    return wire.Refusal(
+        kinds.Kind.REFUSED, reason, sent=False, try_others=try_others
+    )
+
+
+def _of_failure(failure):
+    return wire.Refusal(failure.kind, failure.reason, sent=failure.sent)
+
+
+@kernel.plugin(
+    "call_server",
+    needs=(
+        "catalog",
+        "crashes",
+        "endpoint_client",
+        "journal",
+        "platform",
+        "reachability",
+    ),
+)
+async def call_server(core):
+    """Provide the `CallServer`."""
+    yield CallServer(
+        catalog=core.part("catalog"),
+        client=core.part("endpoint_client"),
+        codec=core.part("platform"),
+        crashes=core.part("crashes"),
+        reachability=core.part("reachability"),
+        stopping=core.stopping,
+        journal=core.part("journal"),
+        clock=core.clock,
+    )
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -119,6 +119,37 @@
         "a connection to an endpoint was not established; to how many "
         "endpoints the latest one was not",
     ),
+    "links_lost": Event(
+        EventClass.STATE,
+        "unreached, why",
+        "no connection to any of several endpoints was established; other "
+        "instances send this one's calls until links_back",
+    ),
+    "links_back": Event(
+        EventClass.STATE, "for_s", "a connection to an endpoint works again"
+    ),
+    "sent_indirectly": Event(
+        EventClass.DETAIL,
+        "request, endpoint, instance",
+        "another instance was asked to send a call",
+    ),
+    "indirect_lost": Event(
+        EventClass.DECISION,
+        "request, instance, why",
+        "that instance cannot send the call, or did not answer; the call has "
+        "not reached the endpoint",
+    ),
+    "sent_for_other": Event(
+        EventClass.DETAIL,
+        "request, endpoint, status, why, bytes",
+        "an endpoint's answer was passed on to another instance; why if it "
+        "was cut off",
+    ),
+    "not_sent_for_other": Event(
+        EventClass.DECISION,
+        "request, endpoint, why, sent",
+        "the call of another instance got no endpoint's answer",
+    ),
     "endpoint_limited": Event(
         EventClass.STATE,
         "endpoint, rate",
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -22,6 +22,7 @@
     "piece_call",
     "rate_limit",
     "response_headers",
+    "shorten_deadline",
 ]
 
 _JSON = {"Content-Type": "application/json"}
@@ -176,6 +177,25 @@
     return result
 
 
+def shorten_deadline(headers, elapsed_s):
+    """Return headers to forward, with a deadline that is some time nearer.
+
+    Examples
+    --------
+    >>> headers = {"X-Sycamoreshed-Deadline-Ms": "900"}
+    >>> shorten_deadline(headers, 0.5)["X-Sycamoreshed-Deadline-Ms"]
+    '400'
+    """
+    deadline = _parse_numbers(headers.get(names.DEADLINE_MS, ""))
+    if not deadline:
+        return headers
+    result = multidict.CIMultiDict(headers)
+    result[names.DEADLINE_MS] = str(
+        max(1, deadline[0] - int(elapsed_s * 1000))
+    )
+    return result
+
+
 def response_headers(headers, *, signed=True):
     """Return the headers of an endpoint's response to forward to a caller.
 
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -30,6 +30,7 @@
     evacuated_zone = staticmethod(records.evacuated_zone)
     parse_head = staticmethod(calls.parse_head)
     forwarded_headers = staticmethod(calls.forwarded_headers)
+    shorten_deadline = staticmethod(calls.shorten_deadline)
     response_headers = staticmethod(calls.response_headers)
     classify_response = staticmethod(calls.classify_response)
     matches_request = staticmethod(calls.matches_request)
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -6,6 +6,8 @@
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
+from sycamoreshed.links import wire
+from sycamoreshed.residency import residency
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import queueing
 
@@ -303,10 +305,7 @@
         )
         calls = [
             self._crashes.record_start(endpoint, fingerprint)
-            for fingerprint in {
-                e.piece.origin.fingerprint for e in batch.entries
-            }
-            if fingerprint
+            for fingerprint in _context(batch).fingerprints
         ]
         try:
             answer = await self._send(batch, path, headers, body)
@@ -337,6 +336,7 @@
             headers,
             body,
             timeout_s=work_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_S,
+            context=_context(batch),
         )
         if isinstance(response, kinds.Failure):
             return response
@@ -411,6 +411,17 @@
     return pieces.PieceOutcome(ref, received.reason, sent=True)
 
 
+def _context(batch):
+    """Return the `Context` of a call with the pieces of several requests."""
+    origins = [each.piece.origin for each in batch.entries]
+    restricted = [each.regions for each in origins if each.regions is not None]
+    return wire.Context(
+        batch.entries[0].piece.request,
+        tuple({each.fingerprint for each in origins if each.fingerprint}),
+        residency.common_regions(*restricted),
+    )
+
+
 def _no_results(batch, reason, sent):
     return [pieces.PieceOutcome(None, reason, sent)] * len(batch.entries)
 
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -28,7 +28,15 @@
         self.sent = []
 
     async def send(
-        self, _method, endpoint, path, _headers, body, *, timeout_s
+        self,
+        _method,
+        endpoint,
+        path,
+        _headers,
+        body,
+        *,
+        timeout_s,
+        context=None,
     ):
         """Record a call."""
         self.sent.append((endpoint.address, path, body))
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -175,7 +175,15 @@
         return self._listed
 
     async def send(
-        self, _method, endpoint, _path, _headers, body, *, timeout_s
+        self,
+        _method,
+        endpoint,
+        _path,
+        _headers,
+        body,
+        *,
+        timeout_s,
+        context=None,
     ):
         """Answer a call that runs pieces."""
         return _Response(await self.endpoints[endpoint.id].process(body))
