Count no crash that a cut of this instance's links explains

Requests in flight as the links of an instance to its endpoints were reset were blamed for crashes of all these endpoints, and after three of them rejected on all instances.

Cause: an endpoint that breaks off a request and then refuses a connection counted as crashed. A cut that resets connections and refuses new ones looks the same from the instance that is cut off.

A refused connection now counts only if this instance reaches another endpoint.

The new test got an `endpoint_crashed` for each endpoint before.

--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -42,6 +42,9 @@
     probe : callable
         Coroutine function of an address and a timeout in seconds; returns a
         `Probe`.
+    reaches_others : callable
+        Coroutine function of an endpoint; returns whether this instance
+        reaches other endpoints.
     spawn : callable
     journal : Journal
     clock, unix_ms : callable
@@ -55,6 +58,7 @@
         publish,
         find_endpoint,
         probe,
+        reaches_others,
         spawn,
         journal,
         clock,
@@ -64,6 +68,7 @@
         self._publish = publish
         self._find_endpoint = find_endpoint
         self._send_probe = probe
+        self._reaches_others = reaches_others
         self._spawn = spawn
         self._journal = journal
         self._clock = clock
@@ -146,6 +151,9 @@
     async def _probe(self, endpoint, suspects):
         try:
             result = await self._send_probe(endpoint.address, PROBE_TIMEOUT_S)
+            # A cut may refuse connections as well as a crash.
+            if result.is_refused and not await self._reaches_others(endpoint):
+                result = Probe(False, "no other endpoint is reached")
             if result.is_refused:
                 self._record_crash(endpoint, suspects)
             else:
@@ -190,7 +198,8 @@
 
 
 @kernel.plugin(
-    "crashes", needs=("catalog", "crash_records", "findings", "journal")
+    "crashes",
+    needs=("catalog", "crash_records", "findings", "journal", "link_checker"),
 )
 async def crashes(core):
     """Provide the `CrashDetector`."""
@@ -199,6 +208,7 @@
         publish=core.part("findings").publish,
         find_endpoint=core.part("catalog").endpoint,
         probe=probe,
+        reaches_others=core.part("link_checker").reaches_others,
         spawn=core.spawn,
         journal=core.part("journal"),
         clock=core.clock,
--- a/sycamoreshed/forwarding/tests/test_crashes.py
+++ b/sycamoreshed/forwarding/tests/test_crashes.py
@@ -14,9 +14,10 @@
 class Detector:
     """A detector, and the findings that it published."""
 
-    def __init__(self, *, listed=ENDPOINT, refuses=True):
+    def __init__(self, *, listed=ENDPOINT, refuses=True, reaches_others=True):
         self.published = []
         self._refuses = refuses
+        self._is_linked = reaches_others
         self.records = crash_records.CrashRecords(
             board=board.Board(), instance="i", journal=journals.Journal()
         )
@@ -25,6 +26,7 @@
             publish=self.published.append,
             find_endpoint=lambda _id: listed,
             probe=self._probe,
+            reaches_others=self._reaches_others,
             spawn=lambda call, name: asyncio.create_task(call, name=name),
             journal=journals.Journal(),
             clock=lambda: 5.0,
@@ -35,6 +37,9 @@
         await asyncio.sleep(0)
         return crashes.Probe(self._refuses, "as the test says")
 
+    async def _reaches_others(self, _endpoint):
+        return self._is_linked
+
     async def break_off(self, *fingerprints):
         """Break off calls, of which the first one notices it first."""
         numbers = [
@@ -62,12 +67,13 @@
     "played",
     [
         {"refuses": False},
+        {"reaches_others": False},
         {"listed": None},
         {"listed": ENDPOINT._replace(is_draining=True)},
     ],
 )
 async def test_endpoint_that_did_not_crash_has_no_suspects(played):
-    """Requests were suspected because an answer was lost, or of a stop."""
+    """Requests were suspected because of a lost answer, a stop or a cut."""
     made = Detector(**played)
     await made.break_off("a")
     assert not made.published
--- a/tests/integration/deployments.py
+++ b/tests/integration/deployments.py
@@ -87,12 +87,13 @@
             ),
         )
 
-    async def call(self, instance, **head):
+    async def call(self, instance, *, method="GET", **head):
         """Send a request; return status, `Retry-After` and seconds."""
         started_at = time.monotonic()
         status, headers, _ = await harness.call(
             self._session,
             instance,
+            method,
             headers=wiredata.head(f"r-{next(_request_ids)}", **head),
         )
         took_s = time.monotonic() - started_at
