Limit what overloaded endpoints get that fail under rejections

Nothing read that header.

A rejection for lack of room by such an endpoint is now a finding, and until ten seconds after the last one all instances keep to a rate for it, by the permits that exist: 0.6 of what it got, a little more with each second without a rejection.

--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -120,7 +120,12 @@
 
 
 def _record_limit(endpoint, response, verdict, parts, sent_at):
-    """Record the limit that an endpoint names, or no longer names."""
+    """Record what an answer tells of the load that an endpoint takes."""
+    tolerated = parts.codec.tolerated_rejections(
+        response.status, response.headers
+    )
+    if tolerated is not None:
+        parts.limiter.record_rejection(endpoint, tolerated)
     rate = parts.codec.rate_limit(response.headers)
     # A failure may come from what stands before the endpoint's work, and
     # does not lift a limit.
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -12,6 +12,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import avoidance
 from sycamoreshed.forwarding import permits
+from sycamoreshed.forwarding import sendcounts
 from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
 
@@ -40,6 +41,7 @@
     Parameters
     ----------
     records : LimitRecords
+    overloads : OverloadRecords
     rates : EndpointRates
     publish : callable
         Tells other instances findings, which may be None.
@@ -59,6 +61,7 @@
         self,
         *,
         records,
+        overloads,
         rates,
         publish,
         peers,
@@ -70,6 +73,7 @@
         rng=None,
     ):
         self._records = records
+        self._overloads = overloads
         self._rates = rates
         self._publish = publish
         self._peers = peers
@@ -82,6 +86,7 @@
         # Used when no instance that issues permits can be reached.
         self._own_share = permits.Issuer(rng=rng or random.Random())
         self._refusals = {}
+        self._sent = sendcounts.SendCounts()
         self._avoidance = avoidance.Avoidance()
         self._answer_count_at_failure = None
 
@@ -96,6 +101,19 @@
         )
         self._publish(finding)
 
+    def record_rejection(self, endpoint, tolerated):
+        """Record that an endpoint had no room; see `OverloadRecords`."""
+        now = self._clock()
+        own_rate = self._sent.rate(endpoint.id, now)
+        finding = self._overloads.record_rejection(
+            endpoint,
+            tolerated,
+            arrival_rate=own_rate * self._peers.count(),
+            now=now,
+            unix_ms=self._unix_ms(),
+        )
+        self._publish(finding)
+
     def is_limited(self, endpoint, now):
         """Return whether an endpoint takes a limited rate."""
         return self._rates.find(endpoint, now) is not None
@@ -138,9 +156,11 @@
             Whether the request may be sent now; at once if the endpoint has
             no limit.
         """
-        rate = self._rates.find(endpoint, self._clock())
+        now = self._clock()
+        rate = self._rates.find(endpoint, now)
         if rate is None:
             self._refusals.pop(endpoint.id, None)
+            self._sent.record(endpoint.id, now)
             return True
         request = permits.PermitRequest(
             f"{endpoint.id}@{endpoint.started_at_ms}",
@@ -151,6 +171,7 @@
         permit = await self._ask(endpoint, request)
         if permit.is_granted:
             self._refusals.pop(endpoint.id, None)
+            self._sent.record(endpoint.id, now)
             if permit.wait_s > 0:
                 await asyncio.sleep(permit.wait_s)
             return True
@@ -236,12 +257,21 @@
 
 @kernel.plugin(
     "limiter",
-    needs=("findings", "journal", "limit_records", "peers", "rates", "web"),
+    needs=(
+        "findings",
+        "journal",
+        "limit_records",
+        "overload_records",
+        "peers",
+        "rates",
+        "web",
+    ),
 )
 async def limiter(core):
     """Provide the `Limiter`."""
     yield Limiter(
         records=core.part("limit_records"),
+        overloads=core.part("overload_records"),
         rates=core.part("rates"),
         publish=core.part("findings").publish,
         peers=core.part("peers"),
--- a/sycamoreshed/forwarding/rates.py
+++ b/sycamoreshed/forwarding/rates.py
@@ -35,24 +35,29 @@
     Parameters
     ----------
     records : LimitRecords
+    overloads : OverloadRecords
     catalog : Catalog
     cold_overrun, cold_tolerance : float
         See `cold_rate`.
     """
 
-    def __init__(self, *, records, catalog, cold_overrun, cold_tolerance):
+    def __init__(
+        self, *, records, overloads, catalog, cold_overrun, cold_tolerance
+    ):
         self._records = records
+        self._overloads = overloads
         self._catalog = catalog
         self._cold_overrun = cold_overrun
         self._cold_tolerance = cold_tolerance
 
     def find(self, endpoint, now):
         """Return an endpoint's rate in requests per second, or None."""
-        named = self._records.rate(endpoint, now)
-        cold = self._cold_rate(endpoint, now)
-        if named is None or cold is None:
-            return cold if named is None else named
-        return min(named, cold)
+        rates = (
+            self._records.rate(endpoint, now),
+            self._overloads.rate(endpoint, now),
+            self._cold_rate(endpoint, now),
+        )
+        return min((each for each in rates if each is not None), default=None)
 
     def _cold_rate(self, endpoint, now):
         configuration = self._catalog.configuration
@@ -70,12 +75,13 @@
         )
 
 
-@kernel.plugin("rates", needs=("catalog", "limit_records"))
+@kernel.plugin("rates", needs=("catalog", "limit_records", "overload_records"))
 async def rates(core):
     """Provide the `EndpointRates`."""
     settings = core.settings
     yield EndpointRates(
         records=core.part("limit_records"),
+        overloads=core.part("overload_records"),
         catalog=core.part("catalog"),
         cold_overrun=settings.cold_overrun,
         cold_tolerance=settings.cold_tolerance,
--- a/sycamoreshed/forwarding/tests/limitedzone.py
+++ b/sycamoreshed/forwarding/tests/limitedzone.py
@@ -13,6 +13,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import board
 from sycamoreshed.findings import limits
+from sycamoreshed.findings import overloads
 from sycamoreshed.forwarding import limiting
 from sycamoreshed.forwarding import permits
 from sycamoreshed.forwarding import rates
@@ -76,7 +77,11 @@
     def restart(self, name, *, rate):
         """Start an instance that has issued no permits yet."""
         journal = journals.Journal()
-        records = limits.LimitRecords(board=board.Board(), journal=journal)
+        findings = board.Board()
+        records = limits.LimitRecords(board=findings, journal=journal)
+        overload_records = overloads.OverloadRecords(
+            board=findings, journal=journal
+        )
         self.peers[name] = peers.PeerDirectory(
             catalog=self._catalog,
             own=name,
@@ -87,8 +92,10 @@
         )
         self._limiters[name] = limiting.Limiter(
             records=records,
+            overloads=overload_records,
             rates=rates.EndpointRates(
                 records=records,
+                overloads=overload_records,
                 catalog=self._catalog,
                 cold_overrun=1.0,
                 cold_tolerance=0.0,
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -24,6 +24,7 @@
 from sycamoreshed.findings import crashes as crash_records  # noqa: E402,F401
 from sycamoreshed.findings import exchange  # noqa: E402,F401
 from sycamoreshed.findings import limits  # noqa: E402,F401
+from sycamoreshed.findings import overloads  # noqa: E402,F401
 from sycamoreshed.findings import stored  # noqa: E402,F401
 from sycamoreshed.forwarding import budget  # noqa: E402,F401
 from sycamoreshed.forwarding import client  # noqa: E402,F401
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -156,6 +156,12 @@
         "an answer named another limit than before: requests a second from "
         "all instances together, or none",
     ),
+    "endpoint_overloaded": Event(
+        EventClass.STATE,
+        "endpoint, tolerated, rate",
+        "an endpoint rejected a request for lack of room, and fails if it "
+        "has to reject more a second than tolerated; the rate that it got",
+    ),
     "permit_lost": Event(
         EventClass.DECISION,
         "endpoint, peer, why",
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -23,12 +23,15 @@
     "rate_limit",
     "response_headers",
     "shorten_deadline",
+    "tolerated_rejections",
 ]
 
 _JSON = {"Content-Type": "application/json"}
 # Statuses that guarantee "not run" to callers, by the platform's protocol.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _MISDIRECTED_STATUS = 421
+# Statuses of an endpoint without room.
+_FULL_STATUSES = (429, 503)
 _MIN_FAILED_STATUS = 500
 
 
@@ -245,8 +248,33 @@
     >>> rate_limit({"Server-Limit": "few"}), rate_limit({})
     (None, None)
     """
+    return _parse_rate(headers.get(names.RATE_LIMIT, ""))
+
+
+def tolerated_rejections(status, headers):
+    """Return how many rejections a second a full endpoint survives, or None.
+
+    None if the response does not reject a request for lack of room, or the
+    endpoint survives any number.
+
+    Examples
+    --------
+    >>> full = {"X-Sycamoreshed-Not-Executed": "1", "Server-Brittle": "4"}
+    >>> tolerated_rejections(503, full)
+    4.0
+    >>> tolerated_rejections(421, full), tolerated_rejections(503, {})
+    (None, None)
+    """
+    if classify_response(status, headers) is not Verdict.NOT_RUN:
+        return None
+    if status not in _FULL_STATUSES:
+        return None
+    return _parse_rate(headers.get(names.MAX_REJECTIONS, ""))
+
+
+def _parse_rate(text):
     try:
-        rate = float(headers.get(names.RATE_LIMIT, ""))
+        rate = float(text)
     except ValueError:
         return None
     return rate if 0 <= rate < math.inf else None
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -20,6 +20,8 @@
 NOT_RUN = "X-Sycamoreshed-Not-Executed"
 # Requests per second that an endpoint takes from all instances together.
 RATE_LIMIT = "Server-Limit"
+# Rejections per second for lack of room above which an endpoint fails.
+MAX_REJECTIONS = "Server-Brittle"
 # Tokens of the prompt, and the maximum number to generate.
 TOKENS = "X-Sycamoreshed-Token-Usage"
 PRIORITY = "X-Sycamoreshed-Priority-Class"
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -35,6 +35,7 @@
     classify_response = staticmethod(calls.classify_response)
     matches_request = staticmethod(calls.matches_request)
     rate_limit = staticmethod(calls.rate_limit)
+    tolerated_rejections = staticmethod(calls.tolerated_rejections)
     piece_call = staticmethod(calls.piece_call)
     decode_piece_results = staticmethod(calls.decode_piece_results)
     free_call = staticmethod(calls.free_call)
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -340,6 +340,11 @@
         )
         if isinstance(response, kinds.Failure):
             return response
+        tolerated = self._codec.tolerated_rejections(
+            response.status, response.headers
+        )
+        if tolerated is not None:
+            self._limiter.record_rejection(batch.endpoint, tolerated)
         rate = self._codec.rate_limit(response.headers)
         if rate is not None or response.status == 200:
             self._limiter.record_answer(batch.endpoint, rate, sent_at=sent_at)
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -56,6 +56,7 @@
 
     piece_call = staticmethod(calls.piece_call)
     rate_limit = staticmethod(calls.rate_limit)
+    tolerated_rejections = staticmethod(calls.tolerated_rejections)
     free_call = staticmethod(calls.free_call)
 
 
--- a/testkit/limiters.py
+++ b/testkit/limiters.py
@@ -17,6 +17,8 @@
     ----------
     answers : list of (str, float or None)
         Endpoints that answered, and the limits that they named.
+    rejections : list of (str, float)
+        Endpoints without room, and the rejections that they survive.
     free_after_s : float
         Seconds until an endpoint without permits takes a request.
     """
@@ -24,12 +26,17 @@
     def __init__(self, *, permits=None):
         self._permits = permits or {}
         self.answers = []
+        self.rejections = []
         self.free_after_s = 60.0
 
     def record_answer(self, endpoint, rate, *, sent_at):
         """Record what an answer names."""
         self.answers.append((endpoint.id, rate))
 
+    def record_rejection(self, endpoint, tolerated):
+        """Record what a rejection names."""
+        self.rejections.append((endpoint.id, tolerated))
+
     def is_limited(self, endpoint, _now):
         """Return whether the test limits an endpoint."""
         return endpoint.id in self._permits
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -68,6 +68,11 @@
         """Return None: no endpoint names a limit."""
         return None
 
+    @staticmethod
+    def tolerated_rejections(_status, _headers):
+        """Return None: endpoints survive any number of rejections."""
+        return None
+
     @staticmethod
     def piece_call(items, *, endpoint, now):
         """Return path, headers and body of a call."""
