Ask further instances when one cannot send many calls at once

A cut-off instance stopped asking others for half a second when a single one, which was about to end, refused six of its calls at the same moment: 503 for requests that the others could have sent. Found by the new test in which an instance that sends calls of another one is stopped; its log had six and more refusals by one instance.

Calls that were under way together now count once.

Tests of what holds for calls that others send: regions, evacuations, endpoints that leave or start again, requests that crash endpoints, deadlines, at most once, answers that are cut off, streams, callers that leave, stops, no second hop.

--- a/sycamoreshed/links/indirect.py
+++ b/sycamoreshed/links/indirect.py
@@ -21,8 +21,8 @@
 PATH = "/control/calls"
 # Instances that are asked in turn to send a call.
 MAX_ATTEMPTS = 3
-# If so many instances in a row cannot send a call, none is asked for a while:
-# all may be cut off, or all endpoints down.
+# If so many different instances in a row cannot send a call, none is asked for
+# a while: all may be cut off, or all endpoints down.
 MAX_REFUSALS = 6
 PAUSE_S = 0.5
 # Seconds for the body of a refusal, which follows its head at once.
@@ -172,9 +172,11 @@
 
     def _record_lost(self, zone, name, control, result, call):
         now = self._clock()
+        # Calls that were under way at the same time tell nothing new.
+        is_new = bool(self._avoidance.available({name: control}, now))
         self._avoidance.add(control, now)
         self._zone_failures[zone] = now
-        self._refusals += 1
+        self._refusals += is_new
         if self._refusals >= MAX_REFUSALS:
             self._refusals = 0
             self._paused_until = now + PAUSE_S
--- /dev/null
+++ b/sycamoreshed/links/tests/builders.py
@@ -0,0 +1,201 @@
+"""An instance that is cut off from an endpoint, and others that are not."""
+
+import asyncio
+import contextlib
+import typing
+
+from aiohttp import web
+import multidict
+
+from standins import scripted
+from sycamoreshed.catalog import types
+from sycamoreshed.forwarding import client as clients
+from sycamoreshed.links import indirect
+from sycamoreshed.links import reachability
+from sycamoreshed.links import sending
+from sycamoreshed.links import serving
+from sycamoreshed.platform import names
+from sycamoreshed.platform import platform
+from testkit import crashes
+from testkit import journals
+
+__all__ = [
+    "REGIONS",
+    "Helper",
+    "Peers",
+    "cut_off_links",
+    "running",
+    "send",
+]
+
+REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+ZONE = "north-a"
+
+
+class Peers:
+    """Instances by zone, which all count as available.
+
+    Parameters
+    ----------
+    members : dict of str to dict of str to str
+        Control addresses by zone and name.
+    """
+
+    def __init__(self, members):
+        self.members = members
+
+    def zones(self):
+        """Return all zones."""
+        return set(self.members)
+
+    def of_zone(self, zone, _now):
+        """Return the instances of a zone."""
+        return dict(self.members.get(zone, {}))
+
+
+class Catalog:
+    """Endpoints, of which some take no new work."""
+
+    def __init__(self, *endpoints):
+        self.known = {each.id: each for each in endpoints}
+        self.usable = tuple(endpoints)
+
+    def endpoint(self, key):
+        """Return the endpoint with an id, or None."""
+        return self.known.get(key)
+
+    def endpoints(self, _service, _now):
+        """Return the endpoints that take new work."""
+        return self.usable
+
+
+class Helper:
+    """An instance that sends calls for others.
+
+    Attributes
+    ----------
+    links : Reachability
+    catalog : Catalog
+    crashes : Crashes
+    stopping : asyncio.Event
+    journal : Journal
+    """
+
+    def __init__(self, client, endpoint):
+        self.journal = journals.Journal()
+        self.links = reachability.Reachability(journal=self.journal)
+        self.catalog = Catalog(endpoint)
+        self.crashes = crashes.Crashes()
+        self.stopping = asyncio.Event()
+        self.server = serving.CallServer(
+            catalog=self.catalog,
+            client=client,
+            codec=platform.Platform(store=None),
+            crashes=self.crashes,
+            reachability=self.links,
+            stopping=self.stopping,
+            journal=self.journal,
+            clock=asyncio.get_running_loop().time,
+        )
+        self._runner = None
+        self.control = None
+
+    async def start(self):
+        """Listen on a free port."""
+        app = web.Application()
+        app.router.add_post(indirect.PATH, self.server.handle)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, access_log=None
+        )
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = site._server.sockets[0].getsockname()[:2]
+        self.control = f"{host}:{port}"
+
+    async def stop(self):
+        """Stop listening."""
+        await self._runner.cleanup()
+
+
+class System(typing.NamedTuple):
+    """A sender that is cut off, its helpers, and the endpoint.
+
+    Parameters
+    ----------
+    sender : EndpointSender
+    helpers : list of Helper
+        One in each zone of `REGIONS`.
+    server : scripted.Endpoint
+    endpoint : Endpoint
+    journal : Journal
+        Of the sender.
+    """
+
+    sender: typing.Any
+    helpers: list
+    server: typing.Any
+    endpoint: typing.Any
+    journal: typing.Any
+
+
+def cut_off_links(journal):
+    """Return the `Reachability` of an instance that is cut off."""
+    links = reachability.Reachability(journal=journal)
+    links.record_failure("e1", 0.0, "refused")
+    checked = [reachability.CheckResult("e2", False, "refused")]
+    links.record_check(checked, started_at=0.0, now=0.0)
+    return links
+
+
+@contextlib.asynccontextmanager
+async def running(script):
+    """Run an endpoint with a script, and helpers of a cut-off sender."""
+    clock = asyncio.get_running_loop().time
+    journal = journals.Journal()
+    server = scripted.Endpoint(script)
+    await server.start()
+    endpoint = types.Endpoint("e1", "desk", server.address, "south-a", 4)
+    async with clients.open_client() as client:
+        helpers = [Helper(client, endpoint) for _ in REGIONS]
+        for each in helpers:
+            await each.start()
+        members = {
+            zone: {f"edge-{zone}": helper.control}
+            for zone, helper in zip(REGIONS, helpers, strict=True)
+        }
+        sender = sending.EndpointSender(
+            client=client,
+            indirect=indirect.IndirectSender(
+                own="edge-cut",
+                zone=ZONE,
+                regions=REGIONS,
+                peers=Peers(members),
+                client=client,
+                journal=journal,
+                clock=clock,
+            ),
+            reachability=cut_off_links(journal),
+            codec=platform.Platform(store=None),
+            clock=clock,
+        )
+        yield System(sender, helpers, server, endpoint, journal)
+        for each in helpers:
+            await each.stop()
+    await server.stop()
+
+
+async def send(system, *, body=b"body", timeout_s=5.0, **options):
+    """Send a request through another instance; return the response."""
+    headers = multidict.CIMultiDict(
+        {names.REQUEST_ID: "r1", names.DEADLINE_MS: "3000", "Host": "h"}
+    )
+    return await system.sender.send(
+        "POST",
+        system.endpoint,
+        "/a%2Fb?q=1",
+        headers,
+        body,
+        timeout_s=timeout_s,
+        **options,
+    )
--- /dev/null
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -0,0 +1,234 @@
+"""Tests of calls to endpoints that another instance sends."""
+
+import asyncio
+
+import pytest
+
+from standins import scripted
+from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import client as clients
+from sycamoreshed.links import indirect
+from sycamoreshed.links.tests import builders
+from sycamoreshed.links import wire
+from sycamoreshed.platform import names
+
+SEAL = names.SIGNATURE
+SOUTH = frozenset(("south",))
+LONG_S = 30.0
+MANY = indirect.MAX_REFUSALS
+
+
+def answer(_received):
+    """Answer with a body."""
+    yield scripted.answer(200, b"whole", **{SEAL: "proof"})
+
+
+def names_of(system, event="sent_indirectly"):
+    """Return the instances that were asked, in order."""
+    lines = [f for name, f in system.journal.lines if name == event]
+    return [each["instance"] for each in lines]
+
+
+async def test_request_and_answer_pass_unchanged():
+    body = bytes(range(256)) * 8000
+    async with builders.running(answer) as system:
+        response = await builders.send(system, body=body)
+        whole = await clients.read_full(response, timeout_s=5.0)
+        (received,) = system.server.seen
+    assert (whole.status, whole.body) == (200, b"whole")
+    assert whole.headers[SEAL] == "proof"
+    assert (received.method, received.target) == ("POST", "/a%2Fb?q=1")
+    assert received.body == body
+    sent = {key.lower(): value for key, value in received.headers.items()}
+    assert sent[names.REQUEST_ID.lower()] == "r1"
+    assert sent["host"] == "h"
+    assert int(sent[names.DEADLINE_MS.lower()]) <= 3000
+
+
+async def test_only_instances_of_allowed_regions_get_a_request():
+    """The body of a request went through a region that must not have it."""
+    context = wire.Context("r1", (), SOUTH)
+    async with builders.running(answer) as system:
+        for _ in range(5):
+            response = await builders.send(system, context=context)
+            response.close()
+    assert set(names_of(system)) == {"edge-south-a"}
+
+
+@pytest.mark.parametrize("why", ["leaving", "unknown", "restarted"])
+async def test_instances_send_nothing_that_they_would_not_send_themselves(why):
+    """An endpoint that leaves or is evacuated got requests of others."""
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            if why == "leaving":
+                each.catalog.usable = ()
+            elif why == "unknown":
+                each.catalog.known = {}
+            else:
+                restarted = system.endpoint._replace(started_at_ms=7)
+                each.catalog.known = {"e1": restarted}
+        await builders.send(system)
+    events = [name for h in system.helpers for name in h.journal.names()]
+    assert set(events) == {"not_sent_for_other"}
+
+
+async def test_a_request_that_crashes_endpoints_is_not_sent_for_others():
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            each.crashes.rejected.add("f1")
+        context = wire.Context("r1", ("f1",), None)
+        result = await builders.send(system, context=context)
+        assert result.kind is kinds.Kind.CRASHES_ENDPOINTS
+        assert not result.sent
+        assert not system.server.seen
+
+
+async def test_cut_off_and_stopping_instances_are_passed_over():
+    """A request was lost with an instance that was about to end."""
+    async with builders.running(answer) as system:
+        first, second, third = system.helpers
+        first.stopping.set()
+        second.links = second.server._reachability = builders.cut_off_links(
+            second.journal
+        )
+        for _ in range(3):
+            response = await builders.send(system)
+            response.close()
+    assert len(system.server.seen) == 3
+    assert names_of(system)[-1] == "edge-south-a"
+    # No instance passes a call on to a third one.
+    assert not any(
+        name == "sent_indirectly"
+        for each in system.helpers
+        for name, _ in each.journal.lines
+    )
+
+
+async def test_a_call_that_may_have_arrived_is_not_sent_again():
+    """A request that may run once only ran at two endpoints."""
+
+    def reset(_received):
+        yield scripted.RESET
+
+    async with builders.running(reset) as system:
+        result = await builders.send(system)
+        assert isinstance(result, kinds.Failure)
+        assert result.sent
+        assert len(system.server.seen) == 1
+        assert len(names_of(system)) == 1
+
+
+async def test_an_instance_that_ends_with_a_call_may_have_sent_it():
+    """A caller was told that its request had not run, but it had."""
+
+    def wait(_received):
+        yield LONG_S
+
+    async with builders.running(wait) as system:
+        call = asyncio.create_task(builders.send(system))
+        while not system.server.seen:
+            await asyncio.sleep(0.01)
+        await asyncio.gather(*(each.stop() for each in system.helpers))
+        result = await call
+    assert result.sent
+    assert len(names_of(system)) == 1
+
+
+@pytest.mark.parametrize("is_framed", [True, False])
+async def test_an_answer_that_is_cut_off_is_not_whole(is_framed):
+    """A part of an answer passed for all of it."""
+
+    def break_off(_received):
+        if is_framed:
+            yield scripted.answer(200, b"x" * 100)[:-50]
+        else:
+            yield scripted.stream_head() + b"data: 1\n\n"
+        yield 0.1
+        yield scripted.RESET
+
+    async with builders.running(break_off) as system:
+        response = await builders.send(system)
+        whole = await clients.read_full(response, timeout_s=5.0)
+        broken = [each.crashes.broken for each in system.helpers]
+    assert isinstance(whole, kinds.Failure)
+    assert whole.sent
+    assert ["e1"] in broken
+
+
+async def test_events_of_a_stream_pass_as_they_arrive():
+    """A stream was held back until its end."""
+
+    def stream(_received):
+        yield scripted.stream_head() + b"id: 0\n\n"
+        yield LONG_S
+
+    async with builders.running(stream) as system:
+        response = await builders.send(system)
+        async with asyncio.timeout(5.0):
+            assert await response.content.readany() == b"id: 0\n\n"
+        response.close()
+        async with asyncio.timeout(5.0):
+            while not system.server.left:
+                await asyncio.sleep(0.01)
+
+
+async def test_an_endpoint_stops_when_the_caller_has_left():
+    """Endpoints worked on requests that nobody waited for."""
+
+    def wait(_received):
+        yield LONG_S
+
+    async with builders.running(wait) as system:
+        call = asyncio.create_task(builders.send(system))
+        while not system.server.seen:
+            await asyncio.sleep(0.01)
+        call.cancel()
+        async with asyncio.timeout(5.0):
+            while not system.server.left:
+                await asyncio.sleep(0.01)
+
+
+async def test_without_helpers_a_call_is_sent_directly():
+    """An instance alone did not notice that its links were back."""
+    async with builders.running(answer) as system:
+        system.sender._indirect._peers.members.clear()
+        response = await builders.send(system)
+        response.close()
+    assert len(system.server.seen) == 1
+
+
+async def test_helpers_are_not_asked_without_end():
+    """Each request asked all instances while all endpoints were down."""
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            each.server._reachability = builders.cut_off_links(each.journal)
+        for _ in range(20):
+            response = await builders.send(system)
+            if not isinstance(response, kinds.Failure):
+                response.close()
+    assert len(names_of(system)) <= indirect.MAX_REFUSALS
+
+
+async def test_calls_that_one_instance_loses_do_not_end_the_search():
+    """Requests failed while other instances could have sent them."""
+    async with builders.running(answer) as system:
+        system.helpers[0].stopping.set()
+        calls = [builders.send(system) for _ in range(3 * MANY)]
+        results = await asyncio.gather(*calls)
+        for each in results:
+            each.close()
+    events = [name for h in system.helpers for name in h.journal.names()]
+    assert events.count("sent_for_other") == 3 * MANY
+
+
+async def test_results_are_freed_through_another_instance():
+    """Results stayed at their endpoints until they expired."""
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            # Those that leave still store results.
+            each.catalog.usable = ()
+        freed = await system.sender.post_idempotent(
+            system.endpoint, "/free", {}, b"x", timeout_s=5.0
+        )
+    assert freed.status == 200
+    assert len(system.server.seen) == 1
--- a/tests/integration/test_cut_off.py
+++ b/tests/integration/test_cut_off.py
@@ -1,6 +1,8 @@
 """Instances whose links to all endpoints are cut."""
 
 import asyncio
+import signal
+import time
 
 import pytest
 
@@ -90,3 +92,73 @@
         status, *_ = await running.call(running.instances[2], method="POST")
     assert not instance.events("endpoint_crashed")
     assert status == 200
+
+
+async def test_a_cut_off_instance_keeps_to_regions_and_evacuations(
+    store, tmp_path
+):
+    """Requests that others send went where their own would not have gone."""
+    route = {"allowed_regions": ["north"], "target_latency_ms": 2000}
+    async with deployments.deployment(
+        store, tmp_path, program=partitioned.PROGRAM, **route
+    ) as running:
+        cut_off(running, ["north-a"], "hang")
+        await running.load(STABLE_S)
+        store.put("op", "evacuate/north-a", {})
+        evacuated_at = time.monotonic()
+        await running.load(deployments.APPLY_S)
+        answers = await running.load(1.0)
+        zones = running.zones_since(evacuated_at + deployments.APPLY_S)
+        south = running.instances[2]
+    assert {status for status, *_ in answers} == {200}
+    assert zones.keys() == {"north-b"}
+    assert not south.events("sent_for_other")
+    assert not south.events("not_sent_for_other")
+
+
+async def test_an_instance_stops_after_it_has_sent_the_calls_of_others(
+    store, tmp_path
+):
+    """A request was lost with the instance that sent it for another one."""
+    async with deployments.deployment(
+        store, tmp_path, program=partitioned.PROGRAM, route_kind="unsafe"
+    ) as running:
+        for zone in deployments.REGIONS:
+            await running.start_endpoint(zone, "desk", answer_slowly)
+        await asyncio.sleep(deployments.APPLY_S)
+        cut_off(running, ["north-a"], "live")
+        await running.load(STABLE_S)
+        cut, *helpers = running.instances
+        calls = [
+            asyncio.create_task(running.call(cut, method="POST"))
+            for _ in range(20)
+        ]
+        await asyncio.sleep(SLOW_S / 2)
+        helpers[0].process.send_signal(signal.SIGTERM)
+        calls += [
+            asyncio.create_task(running.call(cut, method="POST"))
+            for _ in range(20)
+        ]
+        answers = await asyncio.gather(*calls)
+        code = await helpers[0].stop()
+    assert {status for status, *_ in answers} == {200}
+    assert code == 0
+    assert helpers[0].events("sent_for_other")
+
+
+async def test_direct_links_are_used_again_after_a_cut(store, tmp_path):
+    """An instance went on to use others, or to avoid endpoints."""
+    async with deployments.deployment(
+        store, tmp_path, program=partitioned.PROGRAM
+    ) as running:
+        cut_off(running, ["north-a"], "refuse")
+        await running.load(STABLE_S)
+        instance = running.instances[0]
+        partitioned.Partition(instance.settings).heal()
+        await asyncio.sleep(1.0)
+        before = len(instance.events("sent_indirectly"))
+        answers = await running.load(2.0)
+        after = len(instance.events("sent_indirectly"))
+    assert {status for status, *_ in answers} == {200}
+    assert before > 0
+    assert after == before
