Let checks of links allow for pauses of the process

After a pause all timers of a check expire before what arrived meanwhile is read: an instance that had been frozen took itself for cut off, and asked others for half a second. The project's own time limit allows for that.

--- a/sycamoreshed/links/checking.py
+++ b/sycamoreshed/links/checking.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.kernel import kernel
+from sycamoreshed.kernel import timeouts
 from sycamoreshed.links import reachability as decisions
 
 __all__ = ["LinkChecker"]
@@ -134,7 +135,7 @@
         If it is not established in time.
     """
     host, _, port = address.rpartition(":")
-    async with asyncio.timeout(timeout_s):
+    async with timeouts.time_limit(timeout_s):
         _, writer = await asyncio.open_connection(host, int(port))
     writer.close()
 
