--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -60,35 +60,27 @@
             The caller must close a response.
         """
         started_at = self._clock()
+
+        def remaining():
+            """Return headers and time limit, less the time that has passed."""
+            elapsed_s = self._clock() - started_at
+            return {
+                "headers": self._codec.shorten_deadline(headers, elapsed_s),
+                "timeout_s": timeout_s - elapsed_s,
+            }
+
+        call = method, endpoint, target, body
         if not self._reachability.is_cut_off:
-            response = await self._send_directly(
-                method, endpoint, target, headers, body, timeout_s
-            )
+            response = await self._send_directly(*call, **remaining())
             if not _is_unsent(response) or not self._reachability.is_cut_off:
                 return response
-        elapsed_s = self._clock() - started_at
-        headers = self._codec.shorten_deadline(headers, elapsed_s)
         response = await self._send_indirectly(
-            method,
-            endpoint,
-            target,
-            headers,
-            body,
-            timeout_s=timeout_s - elapsed_s,
-            context=context,
+            *call, **remaining(), context=context
         )
         if response is not None:
             return response
-        # The links may be back, and nobody else reaches the endpoint.
-        elapsed_s = self._clock() - started_at - elapsed_s
-        return await self._send_directly(
-            method,
-            endpoint,
-            target,
-            self._codec.shorten_deadline(headers, elapsed_s),
-            body,
-            timeout_s - (self._clock() - started_at),
-        )
+        # The links may be back, and nobody else can send the call.
+        return await self._send_directly(*call, **remaining())
 
     async def post_idempotent(
         self, endpoint, target, headers, body, *, timeout_s
@@ -104,8 +96,8 @@
                 "POST",
                 endpoint,
                 target,
-                headers,
                 body,
+                headers=headers,
                 timeout_s=timeout_s,
                 context=_NO_CONTEXT,
                 is_cleanup=True,
@@ -120,7 +112,7 @@
         )
 
     async def _send_directly(
-        self, method, endpoint, target, headers, body, timeout_s
+        self, method, endpoint, target, body, *, headers, timeout_s
     ):
         sent_at = self._clock()
         response = await self._client.send(
@@ -144,9 +136,9 @@
         method,
         endpoint,
         target,
-        headers,
         body,
         *,
+        headers,
         timeout_s,
         context,
         is_cleanup=False,
