Blame no request for a crash of an overloaded endpoint

An endpoint that fails because it had to reject too many requests took all requests that it ran with it, and these were blamed: three such failures would have had them rejected everywhere for an hour, though they did nothing.

A crash of an endpoint that rejected requests for lack of room lately, and names how many it survives, is logged without suspects and blames none. The new case of the test of endpoints without suspects is red without the check. A request that crashes an endpoint while it is full as well is found at the next endpoint that is not.

--- a/sycamoreshed/findings/overloads.py
+++ b/sycamoreshed/findings/overloads.py
@@ -59,6 +59,12 @@
         increase = INCREASE_SHARE * overload.tolerated
         return overload.rate + increase * (now - entry.at)
 
+    def is_overloaded(self, endpoint, now):
+        """Return whether an endpoint rejected requests lately."""
+        return (
+            self._board.find(OVERLOADS.name, _key(endpoint), now) is not None
+        )
+
     def record_rejection(
         self, endpoint, tolerated, *, arrival_rate, now, unix_ms
     ):
--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -45,6 +45,9 @@
     reaches_others : callable
         Coroutine function of an endpoint; returns whether this instance
         reaches other endpoints.
+    is_overloaded : callable
+        Takes an endpoint and the time; returns whether it may have failed
+        under the requests that it had to reject.
     spawn : callable
     journal : Journal
     clock, unix_ms : callable
@@ -59,6 +62,7 @@
         find_endpoint,
         probe,
         reaches_others,
+        is_overloaded,
         spawn,
         journal,
         clock,
@@ -69,6 +73,7 @@
         self._find_endpoint = find_endpoint
         self._send_probe = probe
         self._reaches_others = reaches_others
+        self._is_overloaded = is_overloaded
         self._spawn = spawn
         self._journal = journal
         self._clock = clock
@@ -168,11 +173,16 @@
         if listed is None or listed.is_draining:
             # It was to end; what it ended under is no cause.
             return
+        if self._is_overloaded(endpoint, self._clock()):
+            # Of the requests that it ran, none is the cause.
+            suspects = []
         self._journal.write(
             "endpoint_crashed",
             endpoint=endpoint.id,
             suspects=[each.fingerprint for each in suspects],
         )
+        if not suspects:
+            return
         self._publish(
             self._records.record_crash(
                 endpoint,
@@ -199,7 +209,14 @@
 
 @kernel.plugin(
     "crashes",
-    needs=("catalog", "crash_records", "findings", "journal", "link_checker"),
+    needs=(
+        "catalog",
+        "crash_records",
+        "findings",
+        "journal",
+        "link_checker",
+        "overload_records",
+    ),
 )
 async def crashes(core):
     """Provide the `CrashDetector`."""
@@ -209,6 +226,7 @@
         find_endpoint=core.part("catalog").endpoint,
         probe=probe,
         reaches_others=core.part("link_checker").reaches_others,
+        is_overloaded=core.part("overload_records").is_overloaded,
         spawn=core.spawn,
         journal=core.part("journal"),
         clock=core.clock,
--- a/sycamoreshed/forwarding/tests/test_crashes.py
+++ b/sycamoreshed/forwarding/tests/test_crashes.py
@@ -14,7 +14,14 @@
 class Detector:
     """A detector, and the findings that it published."""
 
-    def __init__(self, *, listed=ENDPOINT, refuses=True, reaches_others=True):
+    def __init__(
+        self,
+        *,
+        listed=ENDPOINT,
+        refuses=True,
+        reaches_others=True,
+        is_overloaded=False,
+    ):
         self.published = []
         self._refuses = refuses
         self._is_linked = reaches_others
@@ -27,6 +34,7 @@
             find_endpoint=lambda _id: listed,
             probe=self._probe,
             reaches_others=self._reaches_others,
+            is_overloaded=lambda _endpoint, _now: is_overloaded,
             spawn=lambda call, name: asyncio.create_task(call, name=name),
             journal=journals.Journal(),
             clock=lambda: 5.0,
@@ -68,12 +76,13 @@
     [
         {"refuses": False},
         {"reaches_others": False},
+        {"is_overloaded": True},
         {"listed": None},
         {"listed": ENDPOINT._replace(is_draining=True)},
     ],
 )
 async def test_endpoint_that_did_not_crash_has_no_suspects(played):
-    """Requests were suspected because of a lost answer, a stop or a cut."""
+    """Requests were suspected because of a lost answer, stop, cut or load."""
     made = Detector(**played)
     await made.break_off("a")
     assert not made.published
