Give a call to another instance than the one that did not answer

A cut-off instance could give request after request to an instance that was frozen: it took the call and never answered, which costs an idempotent request an attempt and others their answer.

--- a/sycamoreshed/links/indirect.py
+++ b/sycamoreshed/links/indirect.py
@@ -61,7 +61,10 @@
         self._journal = journal
         self._clock = clock
         self._rng = rng or random.Random()
+        # Instances that cannot send calls, and those that gave no answer: the
+        # latter may merely wait for a slow endpoint, and are the last choice.
         self._avoidance = avoidance.Avoidance()
+        self._silent = avoidance.Avoidance()
         # Zones of which an instance could not send a call, and when.
         self._zone_failures = {}
         self._refusals = 0
@@ -104,6 +107,9 @@
             if not _is_lost(result):
                 self._refusals = 0
                 self._zone_failures.pop(zone, None)
+                if isinstance(result, kinds.Failure):
+                    self._silent.add(control, self._clock())
+                    self._zone_failures[zone] = self._clock()
                 return _as_failure(result)
             self._record_lost(zone, name, control, result, call)
         return None
@@ -129,6 +135,7 @@
             members = self._peers.of_zone(zone, now)
             members.pop(self._own, None)
             members = self._avoidance.available(members, now)
+            members = self._silent.available(members, now) or members
             if members:
                 name = self._rng.choice(sorted(members))
                 return zone, name, members[name]
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -23,6 +23,14 @@
     yield scripted.answer(200, b"whole", **{SEAL: "proof"})
 
 
+class FrozenClient:
+    """The client of an instance that takes calls and does nothing."""
+
+    async def send(self, *_args, **_options):
+        """Wait."""
+        await asyncio.sleep(LONG_S)
+
+
 def names_of(system, event="sent_indirectly"):
     """Return the instances that were asked, in order."""
     lines = [f for name, f in system.journal.lines if name == event]
@@ -221,6 +229,19 @@
     assert events.count("sent_for_other") == 3 * MANY
 
 
+async def test_an_instance_that_is_frozen_gets_no_second_call():
+    """Each request waited for an instance that did not answer."""
+    async with builders.running(answer) as system:
+        frozen = system.helpers[0]
+        frozen.server._client = FrozenClient()
+        late = await builders.send(system, timeout_s=0.2)
+        response = await builders.send(system)
+        response.close()
+    assert late.kind is kinds.Kind.LATE
+    assert late.sent
+    assert len(set(names_of(system))) == 2
+
+
 async def test_results_are_freed_through_another_instance():
     """Results stayed at their endpoints until they expired."""
     async with builders.running(answer) as system:
