Reject at once what no instance can send to an endpoint

While all instances were cut off from all endpoints, each request tried one connection after the other that was known to hang, and was held for 1.5 s and longer (new test; until the deadline with more endpoints). An instance that is cut off and finds no other to send a call now fails it at once, unsent, so that the caller gets 503 with the time to come back. Its links are checked every half second, so that is how long a call can be rejected after they are back.

--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -79,8 +79,11 @@
         )
         if response is not None:
             return response
-        # The links may be back, and nobody else can send the call.
-        return await self._send_directly(*call, **remaining())
+        # Connections that hang would hold the caller until its deadline; the
+        # next check tells within half a second whether the links are back.
+        return kinds.Failure(
+            kinds.Kind.REFUSED, "no instance reaches endpoints", sent=False
+        )
 
     async def post_idempotent(
         self, endpoint, target, headers, body, *, timeout_s
--- a/tests/integration/test_cut_off.py
+++ b/tests/integration/test_cut_off.py
@@ -20,6 +20,8 @@
 MAX_FAILED_PART = 1 / 50
 # Of an endpoint whose requests are in flight as links are cut.
 SLOW_S = 0.5
+# A rejection that does not wait for the deadline, 3 s.
+AT_ONCE_S = 0.5
 STAGES = [{"service": "first", "after": [], "size_bytes": 8000}]
 KINDS = {
     "safe": {"route_kind": "safe"},
@@ -162,3 +164,23 @@
     assert {status for status, *_ in answers} == {200}
     assert before > 0
     assert after == before
+
+
+async def test_requests_are_rejected_at_once_if_all_instances_are_cut_off(
+    store, tmp_path
+):
+    """Callers waited until their deadline while no endpoint was reached."""
+    async with deployments.deployment(
+        store, tmp_path, stage=True, program=partitioned.PROGRAM
+    ) as running:
+        cut_off(running, deployments.REGIONS, "hang")
+        await running.load(STABLE_S)
+        answers = await running.load(2.0)
+        for instance in running.instances:
+            partitioned.Partition(instance.settings).heal()
+        await asyncio.sleep(1.0)
+        afterwards = await running.load(1.0)
+    assert {status for status, *_ in answers} == {503}
+    assert all(float(retry_after) > 0 for _, retry_after, _ in answers)
+    assert max(took_s for *_, took_s in answers) < AT_ONCE_S
+    assert {status for status, *_ in afterwards} == {200}
