--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -189,13 +189,12 @@
     >>> shorten_deadline(headers, 0.5)["X-Sycamoreshed-Deadline-Ms"]
     '400'
     """
+    elapsed_ms = int(elapsed_s * 1000)
     deadline = _parse_numbers(headers.get(names.DEADLINE_MS, ""))
-    if not deadline:
+    if not deadline or not elapsed_ms:
         return headers
     result = multidict.CIMultiDict(headers)
-    result[names.DEADLINE_MS] = str(
-        max(1, deadline[0] - int(elapsed_s * 1000))
-    )
+    result[names.DEADLINE_MS] = str(max(1, deadline[0] - elapsed_ms))
     return result
 
 
