--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -23,7 +23,6 @@
     "REGIONS",
     "Helper",
     "Peers",
-    "cut_off_links",
     "running",
     "send",
 ]
@@ -69,12 +68,17 @@
         return self.usable
 
 
+class _FrozenClient:
+    async def send(self, *_args, **_options):
+        """Wait."""
+        await asyncio.Event().wait()
+
+
 class Helper:
     """An instance that sends calls for others.
 
     Attributes
     ----------
-    links : Reachability
     catalog : Catalog
     crashes : Crashes
     stopping : asyncio.Event
@@ -83,7 +87,6 @@
 
     def __init__(self, client, endpoint):
         self.journal = journals.Journal()
-        self.links = reachability.Reachability(journal=self.journal)
         self.catalog = Catalog(endpoint)
         self.crashes = crashes.Crashes()
         self.stopping = asyncio.Event()
@@ -92,7 +95,7 @@
             client=client,
             codec=platform.Platform(store=None),
             crashes=self.crashes,
-            reachability=self.links,
+            reachability=reachability.Reachability(journal=self.journal),
             stopping=self.stopping,
             journal=self.journal,
             clock=asyncio.get_running_loop().time,
@@ -100,6 +103,14 @@
         self._runner = None
         self.control = None
 
+    def cut_off(self):
+        """Cut the instance off from all endpoints."""
+        self.server._reachability = cut_off_links(self.journal)
+
+    def freeze(self):
+        """Make the instance take calls and do nothing."""
+        self.server._client = _FrozenClient()
+
     async def start(self):
         """Listen on a free port."""
         app = web.Application()
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -24,14 +24,6 @@
     yield scripted.answer(200, b"whole", **{SEAL: "proof"})
 
 
-class FrozenClient:
-    """The client of an instance that takes calls and does nothing."""
-
-    async def send(self, *_args, **_options):
-        """Wait."""
-        await asyncio.sleep(LONG_S)
-
-
 def names_of(system, event="sent_indirectly"):
     """Return the instances that were asked, in order."""
     lines = [f for name, f in system.journal.lines if name == event]
@@ -95,11 +87,9 @@
 async def test_cut_off_and_stopping_instances_are_passed_over():
     """A request was lost with an instance that was about to end."""
     async with builders.running(answer) as system:
-        first, second, third = system.helpers
+        first, second, _ = system.helpers
         first.stopping.set()
-        second.links = second.server._reachability = builders.cut_off_links(
-            second.journal
-        )
+        second.cut_off()
         for _ in range(3):
             response = await builders.send(system)
             response.close()
@@ -211,7 +201,7 @@
     """Each request asked all instances while all endpoints were down."""
     async with builders.running(answer) as system:
         for each in system.helpers:
-            each.server._reachability = builders.cut_off_links(each.journal)
+            each.cut_off()
         for _ in range(20):
             response = await builders.send(system)
             if not isinstance(response, kinds.Failure):
@@ -234,8 +224,7 @@
 async def test_an_instance_that_is_frozen_gets_no_second_call():
     """Each request waited for an instance that did not answer."""
     async with builders.running(answer) as system:
-        frozen = system.helpers[0]
-        frozen.server._client = FrozenClient()
+        system.helpers[0].freeze()
         late = await builders.send(system, timeout_s=0.2)
         response = await builders.send(system)
         response.close()
--- a/sycamoreshed/links/wire.py
+++ b/sycamoreshed/links/wire.py
@@ -1,5 +1,6 @@
 """Messages between instances of which one sends a call for the other."""
 
+import enum
 import typing
 
 import msgspec
@@ -22,7 +23,7 @@
 _SEPARATOR = b"\n"
 
 
-class Outcome:
+class Outcome(enum.StrEnum):
     """Values of `OUTCOME_HEADER`."""
 
     ANSWERED = "answered"
