--- a/sycamoreshed/forwarding/tests/test_client.py
+++ b/sycamoreshed/forwarding/tests/test_client.py
@@ -106,11 +106,7 @@
 
 @pytest.mark.parametrize("method", ["GET", "PUT", "DELETE", "POST"])
 async def test_a_request_that_is_broken_off_is_sent_once(method):
-    """The HTTP library sent requests of some methods a second time.
-
-    One that may run only once ran twice, and one that had run was reported as
-    not sent if the second connection was refused.
-    """
+    """The HTTP library sent a request that may run only once a second time."""
     received = []
 
     async def break_off(reader, writer):
