Run the event loop of all programs in one place

Both daemons, the bench and the host of stand-ins chose the event loop and its variable on their own. One module does now, so that what the loop needs is said once.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,19 +2,16 @@
 
 import itertools
 import json
-import os
 import pathlib
 import typing
 
-os.environ["UV_USE_IO_URING"] = "0"
+import cyclopts
+import xxhash
 
-import cyclopts  # noqa: E402
-import uvloop  # noqa: E402
-import xxhash  # noqa: E402
-
-from bench import decisions  # noqa: E402
-from bench import plots  # noqa: E402
-from bench import runs  # noqa: E402
+from bench import decisions
+from bench import plots
+from bench import runs
+from sycamoreshed.kernel import loops
 
 __all__ = ["app"]
 
@@ -53,7 +50,7 @@
             changes["routing"] = policy_name
         if fairness_name:
             changes["fairness"] = fairness_name
-        result = uvloop.run(
+        result = loops.run(
             runs.run(
                 scenario,
                 deployment=deployment,
--- a/standins/host.py
+++ b/standins/host.py
@@ -7,23 +7,20 @@
 
 import asyncio
 import json
-import os
 import signal
 import sys
 
-os.environ["UV_USE_IO_URING"] = "0"
+from aiohttp import web
 
-from aiohttp import web  # noqa: E402
-import uvloop  # noqa: E402
-
-from standins import engine  # noqa: E402,F401
-from standins import faults  # noqa: E402
-from standins import instances  # noqa: E402,F401
-from standins import objects  # noqa: E402,F401
-from standins import registry  # noqa: E402
-from standins import services  # noqa: E402,F401
-from standins import table  # noqa: E402,F401
-from standins import weights  # noqa: E402,F401
+from standins import engine  # noqa: F401
+from standins import faults
+from standins import instances  # noqa: F401
+from standins import objects  # noqa: F401
+from standins import registry
+from standins import services  # noqa: F401
+from standins import table  # noqa: F401
+from standins import weights  # noqa: F401
+from sycamoreshed.kernel import loops
 
 __all__ = ["main", "start"]
 
@@ -79,7 +76,7 @@
 
 def main():
     """Run the host."""
-    uvloop.run(_main())
+    loops.run(_main())
 
 
 if __name__ == "__main__":
--- a/sycamoreshed/entry/daemon.py
+++ b/sycamoreshed/entry/daemon.py
@@ -1,43 +1,37 @@
 """The daemon: one kernel that runs all its plug-ins, on uvloop."""
 
 import asyncio
-import os
 import signal
 
-# Without this uvloop opens an io_uring, which the platform forbids.
-# uvloop reads the variable when the first loop is created.
-os.environ["UV_USE_IO_URING"] = "0"
-
-import uvloop  # noqa: E402
-
-from sycamoreshed.adapters import endpoints  # noqa: E402,F401
-from sycamoreshed.adapters import instancelist  # noqa: E402,F401
-from sycamoreshed.adapters import objects  # noqa: E402,F401
-from sycamoreshed.adapters import table  # noqa: E402,F401
-from sycamoreshed.adapters import web  # noqa: E402,F401
-from sycamoreshed.admission import admission  # noqa: E402,F401
-from sycamoreshed.entry import callers  # noqa: E402,F401
-from sycamoreshed.entry import guard  # noqa: E402,F401
-from sycamoreshed.entry import noteroutes  # noqa: E402,F401
-from sycamoreshed.entry import operators  # noqa: E402,F401
-from sycamoreshed.entry import servers  # noqa: E402
-from sycamoreshed.entry import sockets  # noqa: E402,F401
-from sycamoreshed import exceptions  # noqa: E402
-from sycamoreshed.idempotency import once  # noqa: E402,F401
-from sycamoreshed.idempotency import records  # noqa: E402,F401
-from sycamoreshed.kernel import kernel  # noqa: E402
-from sycamoreshed.membership import gossip  # noqa: E402,F401
-from sycamoreshed.membership import membership  # noqa: E402,F401
-from sycamoreshed.notes import acceptance  # noqa: E402,F401
-from sycamoreshed.notes import history  # noqa: E402,F401
-from sycamoreshed.notes import snapshots  # noqa: E402,F401
-from sycamoreshed.notes import sync  # noqa: E402,F401
-from sycamoreshed.observe import logs  # noqa: E402
-from sycamoreshed.observe import metrics  # noqa: E402,F401
-from sycamoreshed.orders import orders  # noqa: E402,F401
-from sycamoreshed.pipeline import runner  # noqa: E402,F401
-from sycamoreshed.routing import policies  # noqa: E402
-from sycamoreshed.routing import router  # noqa: E402,F401
+from sycamoreshed.adapters import endpoints  # noqa: F401
+from sycamoreshed.adapters import instancelist  # noqa: F401
+from sycamoreshed.adapters import objects  # noqa: F401
+from sycamoreshed.adapters import table  # noqa: F401
+from sycamoreshed.adapters import web  # noqa: F401
+from sycamoreshed.admission import admission  # noqa: F401
+from sycamoreshed.entry import callers  # noqa: F401
+from sycamoreshed.entry import guard  # noqa: F401
+from sycamoreshed.entry import noteroutes  # noqa: F401
+from sycamoreshed.entry import operators  # noqa: F401
+from sycamoreshed.entry import servers
+from sycamoreshed.entry import sockets  # noqa: F401
+from sycamoreshed import exceptions
+from sycamoreshed.idempotency import once  # noqa: F401
+from sycamoreshed.idempotency import records  # noqa: F401
+from sycamoreshed.kernel import kernel
+from sycamoreshed.kernel import loops
+from sycamoreshed.membership import gossip  # noqa: F401
+from sycamoreshed.membership import membership  # noqa: F401
+from sycamoreshed.notes import acceptance  # noqa: F401
+from sycamoreshed.notes import history  # noqa: F401
+from sycamoreshed.notes import snapshots  # noqa: F401
+from sycamoreshed.notes import sync  # noqa: F401
+from sycamoreshed.observe import logs
+from sycamoreshed.observe import metrics  # noqa: F401
+from sycamoreshed.orders import orders  # noqa: F401
+from sycamoreshed.pipeline import runner  # noqa: F401
+from sycamoreshed.routing import policies
+from sycamoreshed.routing import router  # noqa: F401
 
 __all__ = ["check", "serve"]
 
@@ -74,7 +68,7 @@
     settings : Settings
     """
     logs.set_up(settings.log_level)
-    uvloop.run(_serve(settings))
+    loops.run(_serve(settings))
 
 
 async def _serve(settings):
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -7,49 +7,44 @@
 import sys
 import time
 
-# Without this uvloop opens an io_uring, which the platform forbids; it
-# reads the variable when the first loop is created.
-os.environ["UV_USE_IO_URING"] = "0"
-
-import uvloop  # noqa: E402
-
-from sycamoreshed.adapters import web  # noqa: E402,F401
-from sycamoreshed.catalog import catalog  # noqa: E402,F401
-from sycamoreshed.catalog import following  # noqa: E402,F401
-from sycamoreshed.catalog import peers  # noqa: E402,F401
-from sycamoreshed.catalog import registering  # noqa: E402,F401
-from sycamoreshed.catalog import relay  # noqa: E402,F401
-from sycamoreshed.entry import sockets  # noqa: E402,F401
-from sycamoreshed import exceptions  # noqa: E402
-from sycamoreshed.findings import crashes as crash_records  # noqa: E402,F401
-from sycamoreshed.findings import exchange  # noqa: E402,F401
-from sycamoreshed.findings import limits  # noqa: E402,F401
-from sycamoreshed.findings import overloads  # noqa: E402,F401
-from sycamoreshed.findings import stored  # noqa: E402,F401
-from sycamoreshed.forwarding import budget  # noqa: E402,F401
-from sycamoreshed.forwarding import client  # noqa: E402,F401
-from sycamoreshed.forwarding import crashes  # noqa: E402,F401
-from sycamoreshed.forwarding import forwarder  # noqa: E402,F401
-from sycamoreshed.forwarding import health  # noqa: E402,F401
-from sycamoreshed.forwarding import limiting  # noqa: E402,F401
-from sycamoreshed.forwarding import parts  # noqa: E402,F401
-from sycamoreshed.forwarding import placement  # noqa: E402,F401
-from sycamoreshed.forwarding import rates  # noqa: E402,F401
-from sycamoreshed.gateway import control  # noqa: E402,F401
-from sycamoreshed.gateway import handler  # noqa: E402,F401
-from sycamoreshed.gateway import listeners  # noqa: E402
-from sycamoreshed.gateway import metrics  # noqa: E402,F401
-from sycamoreshed.gateway import settings as schema  # noqa: E402
-from sycamoreshed.kernel import kernel  # noqa: E402
-from sycamoreshed.links import checking  # noqa: E402,F401
-from sycamoreshed.links import indirect  # noqa: E402,F401
-from sycamoreshed.links import reachability  # noqa: E402,F401
-from sycamoreshed.links import sending  # noqa: E402,F401
-from sycamoreshed.links import serving  # noqa: E402,F401
-from sycamoreshed.observe import journal  # noqa: E402,F401
-from sycamoreshed.platform import platform  # noqa: E402,F401
-from sycamoreshed.residency import residency  # noqa: E402,F401
-from sycamoreshed.staging import wiring  # noqa: E402,F401
+from sycamoreshed.adapters import web  # noqa: F401
+from sycamoreshed.catalog import catalog  # noqa: F401
+from sycamoreshed.catalog import following  # noqa: F401
+from sycamoreshed.catalog import peers  # noqa: F401
+from sycamoreshed.catalog import registering  # noqa: F401
+from sycamoreshed.catalog import relay  # noqa: F401
+from sycamoreshed.entry import sockets  # noqa: F401
+from sycamoreshed import exceptions
+from sycamoreshed.findings import crashes as crash_records  # noqa: F401
+from sycamoreshed.findings import exchange  # noqa: F401
+from sycamoreshed.findings import limits  # noqa: F401
+from sycamoreshed.findings import overloads  # noqa: F401
+from sycamoreshed.findings import stored  # noqa: F401
+from sycamoreshed.forwarding import budget  # noqa: F401
+from sycamoreshed.forwarding import client  # noqa: F401
+from sycamoreshed.forwarding import crashes  # noqa: F401
+from sycamoreshed.forwarding import forwarder  # noqa: F401
+from sycamoreshed.forwarding import health  # noqa: F401
+from sycamoreshed.forwarding import limiting  # noqa: F401
+from sycamoreshed.forwarding import parts  # noqa: F401
+from sycamoreshed.forwarding import placement  # noqa: F401
+from sycamoreshed.forwarding import rates  # noqa: F401
+from sycamoreshed.gateway import control  # noqa: F401
+from sycamoreshed.gateway import handler  # noqa: F401
+from sycamoreshed.gateway import listeners
+from sycamoreshed.gateway import metrics  # noqa: F401
+from sycamoreshed.gateway import settings as schema
+from sycamoreshed.kernel import kernel
+from sycamoreshed.kernel import loops
+from sycamoreshed.links import checking  # noqa: F401
+from sycamoreshed.links import indirect  # noqa: F401
+from sycamoreshed.links import reachability  # noqa: F401
+from sycamoreshed.links import sending  # noqa: F401
+from sycamoreshed.links import serving  # noqa: F401
+from sycamoreshed.observe import journal  # noqa: F401
+from sycamoreshed.platform import platform  # noqa: F401
+from sycamoreshed.residency import residency  # noqa: F401
+from sycamoreshed.staging import wiring  # noqa: F401
 
 __all__ = ["serve"]
 
@@ -69,7 +64,7 @@
         Settings file.
     """
     settings = schema.load(path)
-    uvloop.run(_serve(settings, path))
+    loops.run(_serve(settings, path))
 
 
 async def _serve(settings, path):
