Report background tasks that fail, and copies that stay old

An instance that stopped following the configuration left one line on standard error. Now the log has task_failed and the metrics count it; table_stale and table_current tell when no copy of a table was confirmed for longer than any working follower takes, and whether the store answers.

The tasks of the kernel move to a module of their own. Nothing that decides changes.

--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -184,6 +184,7 @@
         "reading",
         "registering",
         "relay",
+        "staleness",
     ),
 )
 async def control(core):
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -13,6 +13,7 @@
 from sycamoreshed.catalog import peers  # noqa: F401
 from sycamoreshed.catalog import registering  # noqa: F401
 from sycamoreshed.catalog import relay  # noqa: F401
+from sycamoreshed.catalog import staleness  # noqa: F401
 from sycamoreshed.entry import sockets  # noqa: F401
 from sycamoreshed import exceptions
 from sycamoreshed.findings import crashes as crash_records  # noqa: F401
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -76,6 +76,12 @@
             "Whether this instance has lost its links to all endpoints.",
             registry=registry,
         )
+        self._task_failures = prometheus_client.Counter(
+            "sycamoreshed_gateway_task_failures",
+            "Background tasks that ended by an error, by name.",
+            ["task"],
+            registry=registry,
+        )
         self._dropped = prometheus_client.Gauge(
             "sycamoreshed_gateway_log_lines_dropped",
             "Log lines left out since the start.",
@@ -120,6 +126,10 @@
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
 
+    def record_task_failure(self, name, _error):
+        """Count a background task that ended by an error."""
+        self._task_failures.labels(name).inc()
+
     def render(self):
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
@@ -135,6 +145,8 @@
 
 
 @kernel.plugin("gateway_metrics")
-async def gateway_metrics(_core):
+async def gateway_metrics(core):
     """Provide the daemon's metrics."""
-    yield GatewayMetrics()
+    part = GatewayMetrics()
+    core.tasks.on_failure(part.record_task_failure)
+    yield part
--- a/sycamoreshed/kernel/kernel.py
+++ b/sycamoreshed/kernel/kernel.py
@@ -11,9 +11,9 @@
 import typing
 
 from aiohttp import web
-from loguru import logger
 
 from sycamoreshed import exceptions
+from sycamoreshed.kernel import tasks
 
 __all__ = ["Kernel", "Plugin", "plugin", "start_order"]
 
@@ -114,11 +114,11 @@
 
     def __init__(self, *, settings, clock=time.monotonic, unix_ms=_unix_ms):
         self._parts = {}
-        self._tasks = set()
         self._stopping = asyncio.Event()
         self.settings = settings
         self.clock = clock
         self.unix_ms = unix_ms
+        self.tasks = tasks.BackgroundTasks()
         self.public = web.Application(client_max_size=settings.max_body_bytes)
         self.control = web.Application(
             client_max_size=settings.max_control_bytes
@@ -139,17 +139,8 @@
         self.control.middlewares.append(middleware)
 
     def spawn(self, coro, *, name):
-        """Run a coroutine as a task, cancelled after plug-ins have stopped.
-
-        Notes
-        -----
-        An exception that ends the task is logged; otherwise it would go
-        unnoticed until the effect of the missing work shows.
-        """
-        task = asyncio.create_task(coro, name=name)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-        return task
+        """Run a coroutine as a task, cancelled after plug-ins have stopped."""
+        return self.tasks.spawn(coro, name=name)
 
     async def run(self, *, main, plugin_names=None):
         """Start plug-ins, run `main`, then stop them.
@@ -162,24 +153,8 @@
             Plug-ins to start, with all they need; default all.
         """
         async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(self._cancel_tasks)
+            stack.push_async_callback(self.tasks.cancel)
             for entry in start_order(_plugins, plugin_names):
                 part = await stack.enter_async_context(entry.start(self))
                 self._parts[entry.name] = part
             await main(self)
-
-    def _on_task_done(self, task):
-        self._tasks.discard(task)
-        if task.cancelled():
-            return
-        error = task.exception()
-        if error is not None:
-            logger.opt(exception=error).error(
-                "background task {} failed", task.get_name()
-            )
-
-    async def _cancel_tasks(self):
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -289,6 +289,22 @@
         "request, route, took_s",
         "the caller closed its connection",
     ),
+    "table_stale": Event(
+        EventClass.STATE,
+        "table, age_s, version, store_fails",
+        "no copy of a table was confirmed current for long; whether the store "
+        "does not answer",
+    ),
+    "table_current": Event(
+        EventClass.STATE,
+        "table, version, for_s",
+        "the copy of such a table is confirmed again",
+    ),
+    "task_failed": Event(
+        EventClass.STATE,
+        "task, why",
+        "a background task ended by an error that it does not handle",
+    ),
     "internal": Event(
         EventClass.STATE, "where, why", "a fault of the program"
     ),
--- a/sycamoreshed/observe/journal.py
+++ b/sycamoreshed/observe/journal.py
@@ -164,6 +164,11 @@
     """Provide the journal of a daemon, on standard output."""
     os.set_blocking(1, False)
     log = Journal(instance=core.settings.instance, fd=1)
+    core.tasks.on_failure(
+        lambda name, error: log.write(
+            "task_failed", task=name, why=f"{type(error).__name__}: {error}"
+        )
+    )
     core.spawn(_report_dropped(log), name="journal dropped lines")
     yield log
     log.flush()
