Reproduce instances that stop following the configuration

- A pause in the middle of a connection attempt ends the attempt; the event loop closes the descriptor, the socket's object does so again once it is collected, and by then the number belongs to another connection.
- A call of an instance or to an endpoint raises what the event loop raises, where it promises a Failure.
- The task that follows a table, and the one that probes an endpoint, end by an error that nobody foresaw, and stay so.
- A copy whose use failed once is not used when it is read again.
- An answer of the store that cannot be read ends the task that follows the table.

--- a/sycamoreshed/adapters/tests/test_web.py
+++ b/sycamoreshed/adapters/tests/test_web.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from sycamoreshed.adapters import web
+from sycamoreshed.errors import kinds
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b"
 
@@ -74,3 +75,23 @@
             assert reply.body == number
     assert len(opened) == 1
     server.close()
+
+
+class FailingConnector(web.Connector):
+    """Fails like an event loop that lost track of a descriptor."""
+
+    async def connect(self, req, traces, timeout):
+        """Raise an error that is none of the transport."""
+        raise RuntimeError("file descriptor 9 is used by another transport")
+
+
+async def test_error_of_the_event_loop_is_a_failure():
+    """An unforeseen error ends the task that sent the call.
+
+    The task that follows the configuration ended so, and its instance went
+    on serving by an old one.
+    """
+    async with aiohttp.ClientSession(connector=FailingConnector()) as session:
+        reply = await web.fetch(session, "GET", "127.0.0.1:1", "/", timeout=20)
+    assert isinstance(reply, kinds.Failure)
+    assert reply.sent
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -156,3 +156,28 @@
     )
     assert ids(catalog, 21.9) == {"a", "b"}
     assert ids(catalog, 22.1) == {"b"}
+
+
+def test_copy_is_derived_again_after_an_unforeseen_error():
+    """An error while a new configuration is applied leaves the old one.
+
+    The copy has the new version, so that reading it again changed nothing.
+    """
+    faults = [RuntimeError("no such thing")]
+
+    def decode(raw):
+        if faults:
+            raise faults.pop()
+        return records.decode_configuration(raw)
+
+    copies = catalogs.Catalog(
+        decode_configuration=decode,
+        decode_endpoint=records.decode_endpoint,
+        configuration_key="config",
+        evacuated_zone=records.evacuated_zone,
+        journal=journals.Journal(),
+    )
+    with pytest.raises(RuntimeError):
+        copies.replace("settings", settings(8), 20, 0.0, source="store")
+    copies.replace("settings", settings(8), 20, 0.1, source="store")
+    assert copies.configuration.version == 8
--- a/sycamoreshed/catalog/tests/test_following.py
+++ b/sycamoreshed/catalog/tests/test_following.py
@@ -1,6 +1,8 @@
 """Tests of how often the store is called, and of the delay of changes."""
 
 import asyncio
+import contextlib
+import types
 
 import pytest
 
@@ -9,6 +11,7 @@
 from sycamoreshed.catalog import debounce
 from sycamoreshed.catalog import following
 from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
 from sycamoreshed.platform import store as stores
 from testkit import journals
 from testkit import virtualtime
@@ -91,19 +94,24 @@
         return []
 
 
+def make_catalog():
+    """Return an empty catalog that decodes no rows."""
+    return catalog.Catalog(
+        decode_configuration=None,
+        decode_endpoint=None,
+        configuration_key="none",
+        evacuated_zone=lambda _key: None,
+        journal=journals.Journal(),
+    )
+
+
 def run_follower(times, *, seconds, kind=Store, wait=3.0):
     """Follow a table; return the calls, maximum delay and changes seen."""
 
     async def run():
         store = kind(times)
         clock = asyncio.get_running_loop().time
-        copy = catalog.Catalog(
-            decode_configuration=None,
-            decode_endpoint=None,
-            configuration_key="none",
-            evacuated_zone=lambda _key: None,
-            journal=journals.Journal(),
-        )
+        copy = make_catalog()
         follower = following.Follower(
             table=catalog.SETTINGS,
             store_table="remote",
@@ -169,3 +177,61 @@
     )
     assert seen == 1
     assert at + latest <= kind.at + stable_s
+
+
+class FaultyStore(Store):
+    """Raises an error that no caller expects, once, at `at`."""
+
+    at = 2.0
+    has_failed = False
+
+    async def wait_for_changes(self, table, after, *, wait_s, slack_s):
+        """Wait for rows that changed."""
+        now = asyncio.get_running_loop().time()
+        if now >= self.at and not self.has_failed:
+            self.has_failed = True
+            raise RuntimeError("file descriptor 9 is used by a transport")
+        return await super().wait_for_changes(
+            table, after, wait_s=wait_s, slack_s=slack_s
+        )
+
+
+def make_core(store, copy):
+    """Return a kernel with the parts that followers need."""
+    core = kernel.Kernel(
+        settings=types.SimpleNamespace(
+            max_body_bytes=1, max_control_bytes=1, stable_ms=4000, update_s=2.5
+        ),
+        clock=asyncio.get_running_loop().time,
+    )
+    selector = types.SimpleNamespace(wait_s=lambda _now: 3.0)
+    core._parts.update(
+        platform=types.SimpleNamespace(
+            tables={catalog.SETTINGS: "remote"}, store=store
+        ),
+        reading=selector,
+        catalog=copy,
+        peers=NoPeers(),
+        web=None,
+        journal=journals.Journal(),
+    )
+    return core
+
+
+def test_changes_arrive_after_an_unforeseen_error():
+    """The task that follows the configuration ends by an error.
+
+    The instance would go on serving by the configuration that it has.
+    """
+
+    async def run():
+        copy = make_catalog()
+        core = make_core(FaultyStore([1.0, 3.0, 8.0]), copy)
+        follow = contextlib.asynccontextmanager(following.following)
+        async with follow(core):
+            await asyncio.sleep(10.0)
+            version = copy.replica(catalog.SETTINGS).version
+        await core.tasks.cancel()
+        return version
+
+    assert virtualtime.run(run()) == 3
--- a/sycamoreshed/forwarding/tests/test_client.py
+++ b/sycamoreshed/forwarding/tests/test_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import aiohttp
 import pytest
 
 from sycamoreshed.errors import kinds
@@ -123,3 +124,31 @@
     assert isinstance(response, kinds.Failure)
     assert response.sent
     assert len(received) == 1
+
+
+class FailingConnector(client.Connector):
+    """Fails like an event loop that lost track of a descriptor."""
+
+    async def connect(self, req, traces, timeout):
+        """Raise an error that is none of the transport."""
+        raise RuntimeError("file descriptor 9 is used by another transport")
+
+
+async def test_error_of_the_event_loop_is_a_failure():
+    """An unforeseen error ends the task that sent the call.
+
+    The results that the call was to free counted as stored from then on.
+    """
+    connector = FailingConnector()
+    async with aiohttp.ClientSession(connector=connector) as session:
+        sender = client.EndpointClient(session=session, pooled=session)
+        answers = [
+            await sender.send(
+                "POST", "127.0.0.1:1", "/", {}, b"", timeout_s=20
+            ),
+            await sender.post_idempotent(
+                "127.0.0.1:1", "/", {}, b"", timeout_s=20
+            ),
+        ]
+    assert all(isinstance(each, kinds.Failure) for each in answers)
+    assert all(each.sent for each in answers)
--- a/sycamoreshed/platform/tests/test_store.py
+++ b/sycamoreshed/platform/tests/test_store.py
@@ -1,9 +1,12 @@
 """Reading tables of more than one page from the table store."""
 
 import aiohttp
+from aiohttp import web
 import msgspec
+import pytest
 
 from standins import platformstore
+from sycamoreshed.errors import kinds
 from sycamoreshed.platform import names
 from sycamoreshed.platform import store as stores
 
@@ -44,3 +47,37 @@
     assert len({row.key for row in full.rows}) == PAGE + 100
     (row,) = changes.rows
     assert (row.key, msgspec.json.decode(row.value)) == ("i-000", "draining")
+
+
+MALFORMED = [
+    {"rows": 7, "ver": 3},
+    {"rows": [{"value": "e30="}], "ver": 3},
+    {"rows": [], "ver": "new"},
+    {"rows": []},
+    {},
+]
+
+
+class MalformedStore(platformstore.PlatformStore):
+    """Answers reads with a document that is none of the protocol."""
+
+    document = None
+
+    def _answer(self, **_more):
+        return web.json_response(self.document)
+
+
+@pytest.mark.parametrize("document", MALFORMED)
+async def test_malformed_answer_is_a_failure(document):
+    """An answer that cannot be read ends the task that follows the table."""
+    store = MalformedStore()
+    store.document = document
+    await store.start()
+    async with aiohttp.ClientSession() as session:
+        client = stores.TableStore(session=session, address=store.address)
+        answers = [
+            await client.read(TABLE, timeout=5.0),
+            await client.wait_for_changes(TABLE, 1, wait_s=0.0, slack_s=5.0),
+        ]
+    await store.stop()
+    assert all(isinstance(each, kinds.Failure) for each in answers)
