Return a failure for what the event loop raises in a call

`web.fetch` and the client for endpoints promise an answer or a `Failure`, and their callers rely on it: tasks that follow a table, call with pieces or free results ended by a RuntimeError of the event loop. All places that send a call share one list of errors, which lacked it. Such a call counts as perhaps sent.

Two tests failed before; unit tests pass.

--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -28,7 +28,8 @@
     aiohttp.ConnectionTimeoutError,
     aiohttp.InvalidURL,
 )
-TRANSPORT_ERRORS = (aiohttp.ClientError, OSError)
+# The event loop raises `RuntimeError` for a socket that it cannot use.
+TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, RuntimeError)
 # A connection that takes longer to open counts as a network partition;
 # nothing was sent, so the remaining time can be spent on another endpoint.
 CONNECT_TIMEOUT_S = 1.0
