Start background tasks again that fail

Callers got 404 and 401 for what the configuration allows, or were served as an older one says, from an instance that looked well. Cause: the task that follows the configuration ended by an error that nobody foresaw, and nothing started it again; the instance stayed ready. Where that task was the one that probes the store for all tables, the others never asked the store again either. Class: work that a process cannot do without has no owner who notices its end.

Ruled out: a task that waits for what does not come (in the traces the error line of the task comes first, and the other tables of the instance go on), and a copy replaced by an older one (copies only ever advance).

Tasks are of two kinds now. While one fails again and again the instance is not ready, so that callers get others. One whose loss costs a single call stays as it was. What a restart finds half done was looked through: findings that wait for the store are saved again.

--- a/sycamoreshed/admission/limits.py
+++ b/sycamoreshed/admission/limits.py
@@ -1,6 +1,7 @@
 """Rate limits of teams: a token bucket for each active team."""
 
 import asyncio
+import functools
 import time
 
 from sycamoreshed.admission import shares
@@ -262,7 +263,8 @@
         publish=publish,
     )
     gossip.on_record(shares.TOPIC, part.receive_demand)
-    core.spawn(_run_steps(part, core.clock), name="limits")
+    run_steps = functools.partial(_run_steps, part, core.clock)
+    core.keep_running(run_steps, name="limits")
     yield part
 
 
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -312,7 +312,7 @@
             journal=core.part("journal"),
             clock=core.clock,
         )
-        core.spawn(follower.run(), name=f"follow {table}")
+        core.keep_running(follower.run, name=f"follow {table}")
     yield access
 
 
--- a/sycamoreshed/catalog/registering.py
+++ b/sycamoreshed/catalog/registering.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 
@@ -25,7 +26,8 @@
 )
 async def registering(core):
     """Keep this instance registered while the daemon runs."""
-    yield core.spawn(_register(core), name="register")
+    register = functools.partial(_register, core)
+    yield core.keep_running(register, name="register")
 
 
 async def _register(core):
--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -270,5 +270,5 @@
         hold_s=max_hold(apply_s),
         stale_s=selector.max_wait_s + STALE_SLACK_S,
     )
-    core.spawn(client.run(), name="watch the reader")
+    core.keep_running(client.run, name="watch the reader")
     yield WatchServer(**shared, max_hold_s=max_hold(apply_s))
--- a/sycamoreshed/catalog/staleness.py
+++ b/sycamoreshed/catalog/staleness.py
@@ -104,5 +104,5 @@
             relay.max_hold(core.settings.update_s),
         ),
     )
-    core.spawn(monitor.run(), name="watch ages")
+    core.keep_running(monitor.run, name="watch ages")
     yield monitor
--- a/sycamoreshed/findings/exchange.py
+++ b/sycamoreshed/findings/exchange.py
@@ -272,6 +272,6 @@
         journal=core.part("journal"),
         clock=core.clock,
     )
-    core.spawn(exchange.run_sending(), name="send findings")
-    core.spawn(exchange.run_comparing(), name="compare findings")
+    core.keep_running(exchange.run_sending, name="gather findings")
+    core.keep_running(exchange.run_comparing, name="compare findings")
     yield exchange
--- a/sycamoreshed/findings/stored.py
+++ b/sycamoreshed/findings/stored.py
@@ -110,6 +110,8 @@
 
     async def run_saving(self):
         """Write findings until cancelled."""
+        if self._unsaved:
+            self._wake.set()
         while True:
             await self._wake.wait()
             self._wake.clear()
@@ -229,7 +231,7 @@
         clock=core.clock,
         unix_ms=core.unix_ms,
     )
-    core.spawn(stored.run_loading(), name="load findings")
-    core.spawn(stored.run_saving(), name="save findings")
-    core.spawn(stored.run_checking(), name="check stored findings")
+    core.keep_running(stored.run_loading, name="load findings")
+    core.keep_running(stored.run_saving, name="save findings")
+    core.keep_running(stored.run_checking, name="check stored findings")
     yield stored
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -197,7 +197,10 @@
         return {
             "instance": core.settings.instance,
             "version": configuration.version if configuration else None,
-            "ready": catalog.is_ready and not core.stopping.is_set(),
+            "ready": catalog.is_ready
+            and not core.tasks.failing(now)
+            and not core.stopping.is_set(),
+            "failing_tasks": sorted(core.tasks.failing(now)),
             "in_flight": core.part("handler").in_flight,
             "peers": sorted(catalog.peers),
             "evacuated_s": {
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -86,7 +86,8 @@
     core.part("journal").write(
         "start", boot=time.time_ns() // 1_000_000, pid=os.getpid()
     )
-    core.spawn(_watch_settings(core, path), name="watch settings")
+    watch = functools.partial(_watch_settings, core, path)
+    core.keep_running(watch, name="watch settings")
     await listeners.drain(core)
 
 
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -59,7 +59,8 @@
     catalog = core.part("catalog")
 
     async def check_readiness(_http):
-        if catalog.is_ready and not core.stopping.is_set():
+        is_ready = catalog.is_ready and not core.tasks.failing(core.clock())
+        if is_ready and not core.stopping.is_set():
             return web.Response(text="ready\n")
         return web.Response(status=503, text="not ready\n")
 
--- a/sycamoreshed/idempotency/sweep.py
+++ b/sycamoreshed/idempotency/sweep.py
@@ -167,6 +167,6 @@
         store=core.part("records").store,
         ttl_s=core.settings.record_ttl_s + keys.DOUBLE_CLOCK_SKEW_S,
     )
-    task = core.spawn(part.run(), name="sweep records")
+    task = core.keep_running(part.run, name="sweep records")
     yield part
     task.cancel()
--- a/sycamoreshed/kernel/kernel.py
+++ b/sycamoreshed/kernel/kernel.py
@@ -118,7 +118,7 @@
         self.settings = settings
         self.clock = clock
         self.unix_ms = unix_ms
-        self.tasks = tasks.BackgroundTasks()
+        self.tasks = tasks.BackgroundTasks(clock=clock)
         self.public = web.Application(client_max_size=settings.max_body_bytes)
         self.control = web.Application(
             client_max_size=settings.max_control_bytes
@@ -142,6 +142,10 @@
         """Run a coroutine as a task, cancelled after plug-ins have stopped."""
         return self.tasks.spawn(coro, name=name)
 
+    def keep_running(self, start, *, name):
+        """Run a coroutine function as a task, again after each failure."""
+        return self.tasks.keep_running(start, name=name)
+
     async def run(self, *, main, plugin_names=None):
         """Start plug-ins, run `main`, then stop them.
 
--- a/sycamoreshed/links/checking.py
+++ b/sycamoreshed/links/checking.py
@@ -161,5 +161,5 @@
         on_links_back=core.part("health").forget_unreachable,
         clock=core.clock,
     )
-    core.spawn(checker.run(), name="check links to endpoints")
+    core.keep_running(checker.run, name="check links to endpoints")
     yield checker
--- a/sycamoreshed/membership/gossip.py
+++ b/sycamoreshed/membership/gossip.py
@@ -353,7 +353,7 @@
         boot=int(time.time() * 1000),
     )
     core.control.add_routes([web.post(messages.PATH, part.receive)])
-    core.spawn(part.run(), name="gossip")
+    core.keep_running(part.run, name="gossip")
     core.spawn(_leave_on_stop(core, part), name="leave")
     yield part
     await part.stop()
--- a/sycamoreshed/membership/membership.py
+++ b/sycamoreshed/membership/membership.py
@@ -206,8 +206,8 @@
         metrics=core.part("metrics"),
         clock=core.clock,
     )
-    core.spawn(poller.run(), name="instance list")
-    core.spawn(prober.run(), name="watching")
+    core.keep_running(poller.run, name="instance list")
+    core.keep_running(prober.run, name="watching")
     yield Membership(
         notes=notes,
         gossip=gossip,
--- a/sycamoreshed/notes/sync.py
+++ b/sycamoreshed/notes/sync.py
@@ -204,6 +204,6 @@
         spawn=core.spawn,
     )
     await current_notes.load()
-    core.spawn(config_sync.poll(), name="notes")
+    core.keep_running(config_sync.poll, name="notes")
     core.spawn(config_sync.wait_for_peer(), name="settle notes")
     yield current_notes
--- a/sycamoreshed/observe/journal.py
+++ b/sycamoreshed/observe/journal.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import functools
 import os
 import time
 
@@ -169,7 +170,8 @@
             "task_failed", task=name, why=f"{type(error).__name__}: {error}"
         )
     )
-    core.spawn(_report_dropped(log), name="journal dropped lines")
+    report = functools.partial(_report_dropped, log)
+    core.keep_running(report, name="journal dropped lines")
     yield log
     log.flush()
 
--- a/sycamoreshed/orders/orders.py
+++ b/sycamoreshed/orders/orders.py
@@ -33,8 +33,8 @@
     zone_leadership = _leadership(core, lease)
     part = _reconciler(core, lease, zone_leadership, unavailable_engines)
     core.control.router.add_get("/control/orders", part.status)
-    core.spawn(zone_leadership.run(), name="lease on orders")
-    core.spawn(part.run(), name="orders")
+    core.keep_running(zone_leadership.run, name="lease on orders")
+    core.keep_running(part.run, name="orders")
     core.spawn(_stop_on_shutdown(core, part), name="end of orders")
     yield part
     await part.stop()
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -55,7 +55,7 @@
     limiter : Limiter
     journal : Journal
     clock : callable
-    spawn : callable
+    tasks : BackgroundTasks
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         limiter,
         journal,
         clock,
-        spawn,
+        tasks,
     ):
         self.service = service
         self._endpoints = endpoints
@@ -87,7 +87,7 @@
         self._limiter = limiter
         self._journal = journal
         self._clock = clock
-        self._spawn = spawn
+        self._tasks = tasks
         self._queue = queueing.ServiceQueue(spec=service.pieces)
         # Admitted jobs, by request and stage in progress; a request may have
         # two such stages.
@@ -162,7 +162,7 @@
         for ref in refs:
             if ref.endpoint not in self._pending_frees:
                 self._pending_frees[ref.endpoint] = []
-                self._spawn(
+                self._tasks.spawn(
                     self._send_frees(ref.endpoint), name="free stage results"
                 )
             self._pending_frees[ref.endpoint].append(ref.handle)
@@ -174,7 +174,9 @@
     def _ensure_worker(self):
         self._wake.set()
         if self._task is None or self._task.done():
-            self._task = self._spawn(self._work(), name="batch pieces")
+            self._task = self._tasks.keep_running(
+                self._work, name="batch pieces"
+            )
 
     async def _work(self):
         while True:
@@ -245,7 +247,9 @@
                 self._scheduler.record_sent(
                     admitted, piece.stage, 1, expected_end
                 )
-        self._spawn(self._call(batch, expected_end), name="call with pieces")
+        self._tasks.spawn(
+            self._call(batch, expected_end), name="call with pieces"
+        )
         return True
 
     async def _call(self, batch, expected_end):
--- a/sycamoreshed/staging/tests/test_batching.py
+++ b/sycamoreshed/staging/tests/test_batching.py
@@ -8,6 +8,7 @@
 from sycamoreshed.catalog import types
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import health
+from sycamoreshed.kernel import tasks
 from sycamoreshed.platform import calls
 from sycamoreshed.staging import batching
 from sycamoreshed.staging import pieces
@@ -86,7 +87,7 @@
         limiter=limiters.Limiter(),
         journal=journal,
         clock=clock or loop.time,
-        spawn=lambda call, name: asyncio.create_task(call, name=name),
+        tasks=tasks.BackgroundTasks(clock=clock or loop.time),
     )
 
 
--- a/sycamoreshed/staging/wiring.py
+++ b/sycamoreshed/staging/wiring.py
@@ -53,7 +53,7 @@
             limiter=core.part("limiter"),
             journal=core.part("journal"),
             clock=core.clock,
-            spawn=core.spawn,
+            tasks=core.tasks,
         )
 
     return coordinator.Coordinator(
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -12,6 +12,7 @@
 from sycamoreshed.forwarding import budget
 from sycamoreshed.forwarding import client
 from sycamoreshed.forwarding import health
+from sycamoreshed.kernel import tasks
 from sycamoreshed.staging import batching
 from sycamoreshed.staging import coordinator
 from sycamoreshed.staging import pieces
@@ -149,7 +150,7 @@
         loop = asyncio.get_running_loop()
         self._clock = loop.time
         self._specs = specs
-        self._tasks = set()
+        self._tasks = tasks.BackgroundTasks(clock=loop.time)
         self.endpoints = {}
         self._listed = {}
         for service, count in endpoints.items():
@@ -206,12 +207,6 @@
     def _endpoints_of(self, name, _now):
         return [e for e in self._listed.values() if e.service == name]
 
-    def _spawn(self, call, name):
-        task = asyncio.get_running_loop().create_task(call, name=name)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _batcher(self, service, endpoints, scheduler):
         journal = journals.Journal()
         return batching.Batcher(
@@ -227,7 +222,7 @@
             limiter=limiters.Limiter(),
             journal=journal,
             clock=self._clock,
-            spawn=self._spawn,
+            tasks=self._tasks,
         )
 
 
