--- a/sycamoreshed/membership/probing.py
+++ b/sycamoreshed/membership/probing.py
@@ -10,6 +10,8 @@
 import random
 import time
 
+from loguru import logger
+
 from sycamoreshed.errors import kinds
 from sycamoreshed.membership import rendezvous
 from sycamoreshed.membership import topics
@@ -86,9 +88,12 @@
         """Keep one task for each assigned endpoint."""
         while True:
             assigned = self._assign(self._clock())
-            for name in list(self._tasks):
-                if assigned.get(name) != self._tasks[name][0]:
-                    self._tasks.pop(name)[1].cancel()
+            for name, (assignment, task) in list(self._tasks.items()):
+                if task.done():
+                    self._log_end(name, task)
+                if task.done() or assigned.get(name) != assignment:
+                    task.cancel()
+                    del self._tasks[name]
             for name, (endpoint, is_publisher) in assigned.items():
                 if name not in self._tasks:
                     task = asyncio.create_task(
@@ -105,6 +110,13 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    @staticmethod
+    def _log_end(name, task):
+        if not task.cancelled():
+            logger.opt(exception=task.exception()).error(
+                "probes of {} failed", name
+            )
+
     def _assign(self, now):
         """Return the endpoints to probe, and whether to publish each load."""
         zone = self._settings.zone
