Decode a copy again whose use failed before

An instance could stay on an old configuration although it had a copy of the new one: an error between the installing of the rows and the end of their decoding left the copy with the new version, and reading the same version again changed nothing. Started again after such an error, the task that follows the table would have gone on with what the last decoding left. The rows are decoded again with the next answer until that succeeds.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -94,6 +94,8 @@
         self._grace_ends_at = 0.0
         self._changed = signals.Signal()
         self._confirmed = dict.fromkeys(self._replicas, float("-inf"))
+        # Tables whose rows were installed, but not decoded to the end.
+        self._underived = set()
 
     @property
     def tables(self):
@@ -204,20 +206,20 @@
 
     def replace(self, table, rows, version, now, *, source):
         """Install a full copy of a table; return whether it was newer."""
-        if not self._replicas[table].replace(rows, version):
-            return False
-        self._derive(table, now, source)
-        return True
+        is_newer = self._replicas[table].replace(rows, version)
+        if is_newer or table in self._underived:
+            self._derive(table, now, source)
+        return is_newer
 
     def apply(self, table, rows, since, version, now, *, source):
         """Apply changes of a table; return whether it advanced."""
-        if not self._replicas[table].apply(rows, since, version):
-            return False
-        if rows:
+        is_newer = self._replicas[table].apply(rows, since, version)
+        if (is_newer and rows) or table in self._underived:
             self._derive(table, now, source)
-        return True
+        return is_newer
 
     def _derive(self, table, now, source):
+        self._underived.add(table)
         if table == SETTINGS:
             self._derive_configuration(source)
             self._derive_evacuations(now, source)
@@ -225,6 +227,7 @@
             self._derive_endpoints(now, source)
         else:
             self._derive_peers()
+        self._underived.discard(table)
         self._changed.fire()
 
     def _derive_configuration(self, source):
