Return a failure for answers of the store that cannot be read

A 200 of the platform's store with another document than a page of rows raised KeyError or TypeError in the task that follows a table, which then ended; a version that is no number would have been installed. Answers are decoded into typed messages at the edge now, and one that does not fit counts as a store that does not answer, which is retried. Values of rows stay untyped, as any writer may store them.

--- a/sycamoreshed/platform/store.py
+++ b/sycamoreshed/platform/store.py
@@ -9,6 +9,8 @@
 import typing
 import urllib.parse
 
+import msgspec
+
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.platform import names
@@ -38,6 +40,21 @@
     is_full: bool
 
 
+class _WireRow(msgspec.Struct):
+    key: str
+    ver: int
+    part: str = ""
+    # Any writer of the platform may store a value of another form.
+    value: typing.Any = None
+    tombstone: bool = False
+
+
+class _Answer(msgspec.Struct):
+    rows: list[_WireRow]
+    ver: int
+    has_more: bool = False
+
+
 class TableStore:
     """Client of the table store.
 
@@ -69,12 +86,14 @@
             if start is not None:
                 query["from"] = start
             reply = await self._get(names.ROWS_GET, query, timeout)
+            if reply is None:
+                return _unexpected_status(_HISTORY_GONE)
             if isinstance(reply, kinds.Failure):
                 return reply
             rows += _decode_rows(reply)
             if version is None:
-                version = reply["ver"]
-            if not reply.get("has_more"):
+                version = reply.ver
+            if not reply.has_more or not rows:
                 return Changes(rows, version, is_full=True)
             # The smallest key after the last one in byte order.
             start = rows[-1].key + "\0"
@@ -104,7 +123,7 @@
         reply = await self._get(names.ROWS_FEED, query, wait_s + slack_s)
         if reply is None or isinstance(reply, kinds.Failure):
             return reply
-        return Changes(_decode_rows(reply), reply["ver"], is_full=False)
+        return Changes(_decode_rows(reply), reply.ver, is_full=False)
 
     async def put(self, table, key, value, *, timeout):
         """Write a row unconditionally; return None or a `Failure`."""
@@ -146,9 +165,12 @@
             return reply
         if reply.status == _HISTORY_GONE:
             return None
-        if reply.status != _OK or not isinstance(reply.body, dict):
+        if reply.status != _OK:
             return _unexpected_status(reply.status)
-        return reply.body
+        try:
+            return msgspec.convert(reply.body, _Answer)
+        except msgspec.ValidationError as err:
+            return kinds.Failure(kinds.Kind.STORE_AWAY, str(err))
 
 
 def _unexpected_status(status):
@@ -157,17 +179,17 @@
     )
 
 
-def _decode_rows(reply):
+def _decode_rows(answer):
     """Decode rows; the change feed marks removed ones by a tombstone."""
-    rows = []
-    for wire in reply["rows"]:
-        if wire.get("part"):
-            continue
-        value = None
-        if not wire.get("tombstone"):
-            value = _decode_value(wire.get("value"))
-        rows.append(Row(wire["key"], value, wire["ver"]))
-    return rows
+    return [
+        Row(
+            wire.key,
+            None if wire.tombstone else _decode_value(wire.value),
+            wire.ver,
+        )
+        for wire in answer.rows
+        if not wire.part
+    ]
 
 
 def _decode_value(text):
