Read the store while a copy is stale

A second way for an instance to notice an old copy: the followers read the store only while the task that watches the zone's reader lets them, and if that task failed with reading disabled, nothing enabled it. Now it enables reading whenever it starts, and the monitor of ages does so while a copy is older than any working follower lets it become. The reader disables it again with its next fresh update.

The new test fails without the change of the monitor; the catalog's tests pass.

--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -158,6 +158,9 @@
 
     async def run(self):
         """Watch until cancelled."""
+        # Started again after an error, it must not leave reading disabled.
+        self._access.is_relayed = False
+        self._access.enable(True)
         while True:
             reader = self._select_reader()
             if reader is None:
--- a/sycamoreshed/catalog/staleness.py
+++ b/sycamoreshed/catalog/staleness.py
@@ -1,4 +1,9 @@
-"""Watches the age of the tables' copies."""
+"""Watches the age of the tables' copies.
+
+Followers and the reader of the zone keep the copies current.  Whatever keeps
+them from it, a copy that is not confirmed for long is noticed here, and its
+table read from the store.
+"""
 
 import asyncio
 
@@ -33,7 +38,7 @@
 
 
 class StalenessMonitor:
-    """Logs when a copy has not been confirmed current for long.
+    """Has tables read from the store whose copies stay old.
 
     Parameters
     ----------
@@ -68,7 +73,9 @@
                 continue
             if age_s <= self._max_age_s:
                 self._on_current(table, replica.version, now)
-            elif table not in self._stale_since:
+                continue
+            self._access.enable(True)
+            if table not in self._stale_since:
                 self._stale_since[table] = now
                 self._journal.write(
                     "table_stale",
--- a/sycamoreshed/catalog/tests/test_staleness.py
+++ b/sycamoreshed/catalog/tests/test_staleness.py
@@ -1,3 +1,7 @@
+import asyncio
+
+import pytest
+
 from sycamoreshed.catalog import access
 from sycamoreshed.catalog import catalog
 from sycamoreshed.catalog import staleness
@@ -14,17 +18,21 @@
     )
 
 
-def test_copy_that_nobody_confirms_is_logged_once():
-    """An instance could serve by an old configuration for hours, unnoticed."""
-    copies = make_catalog()
-    journal = journals.Journal()
-    monitor = staleness.StalenessMonitor(
+def make_monitor(copies, store_access, journal):
+    return staleness.StalenessMonitor(
         catalog=copies,
-        access=access.StoreAccess(),
+        access=store_access,
         journal=journal,
         clock=None,
         max_age_s=5.0,
     )
+
+
+def test_copy_that_nobody_confirms_is_logged_once():
+    """An instance could serve by an old configuration for hours, unnoticed."""
+    copies = make_catalog()
+    journal = journals.Journal()
+    monitor = make_monitor(copies, access.StoreAccess(), journal)
     copies.replace(catalog.SETTINGS, {}, 7, 0.0, source="store")
     copies.mark_current(catalog.SETTINGS, 0.0)
     for now in (4.0, 6.0, 7.0):
@@ -46,3 +54,20 @@
             {"table": "settings", "version": 7, "for_s": 2.5},
         ),
     ]
+
+
+async def test_stale_table_is_read_from_the_store():
+    """Nobody relays a table whose reader took over and then went silent."""
+    copies = make_catalog()
+    store_access = access.StoreAccess()
+    monitor = make_monitor(copies, store_access, journals.Journal())
+    copies.replace(catalog.SETTINGS, {}, 7, 0.0, source="store")
+    copies.mark_current(catalog.SETTINGS, 0.0)
+    store_access.enable(False)
+    monitor.check(4.0)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01):
+            await store_access.wait_enabled()
+    monitor.check(6.0)
+    async with asyncio.timeout(1.0):
+        await store_access.wait_enabled()
