Resume a stream within its answer at its own version only

Callers got a whole answer, under the proof of its first engine, that two software versions of the engines had written: parts that do not fit together. Cause: an instance that resumed a stream chose among all endpoints of the service; versions were read from nowhere.

The first event that is passed on now binds a request to the version of its engine, and every choice of an endpoint goes by one function that knows regions and versions: the attempts, the limits' waits, the check after a wait, the zone in which stages run again. Before the first event any version will do, as nothing of an earlier one was passed on. Without an engine of the version the answer is cut off, which the caller sees.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -11,6 +11,7 @@
 import math
 
 from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import candidates
 from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import rejections
@@ -39,8 +40,8 @@
     release : Release or None
         Frees the inputs; None if nothing is to be freed.
     rerun_stages : coroutine function
-        Takes the remaining seconds.  Runs the stages again and returns the
-        new inputs or a `Failure`.
+        Takes the request and the remaining seconds.  Runs the stages again
+        and returns the new inputs or a `Failure`.
     permitted : collection of str
         Ids of endpoints with a limit that allows one attempt of the request.
     refused : collection of str
@@ -122,7 +123,7 @@
                     request, parts, now, sent=self._may_have_run
                 )
             if self._needs_inputs(now):
-                inputs = await self._rerun_stages(remaining_s)
+                inputs = await self._rerun_stages(request, remaining_s)
                 if isinstance(inputs, kinds.Failure):
                     return inputs._replace(sent=self._may_have_run)
                 self._inputs = inputs
@@ -161,6 +162,16 @@
         if self._release is not None:
             self._release.free_now()
 
+    def bind_to(self, origin):
+        """Send the request only to endpoints that may go on with a stream.
+
+        Parameters
+        ----------
+        origin : Origin
+            What began the part of the stream that has been passed on.
+        """
+        self._request = self._request._replace(origin=origin)
+
     def record_first_event(self, endpoint):
         """Record that an endpoint has begun to run the request."""
         self._parts.crashes.record_begun(endpoint, self._call_number)
@@ -297,7 +308,7 @@
         # that takes the request, unless it is too late then.
         endpoints = [
             each
-            for each in self._parts.residency.endpoints(self._request, now)
+            for each in candidates.endpoints(self._request, self._parts, now)
             if each.id not in self._tried
         ]
         if not endpoints:
@@ -317,7 +328,7 @@
         is_known = any(
             each.id == endpoint.id
             and each.started_at_ms == endpoint.started_at_ms
-            for each in parts.residency.endpoints(request, now)
+            for each in candidates.endpoints(request, parts, now)
         )
         return is_known and rejections.of_request(request, parts, now) is None
 
@@ -356,7 +367,7 @@
         # again cannot be told from each other if it crashes.
         is_suspect = parts.crashes.is_suspect(request.fingerprint, now)
         return parts.placer.choose(
-            parts.residency.endpoints(request, now),
+            candidates.endpoints(request, parts, now),
             now,
             tried=self._tried.union(excluded),
             affinity=request.fingerprint if is_suspect else request.affinity,
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -1,10 +1,12 @@
 """Forwarding of a request: its stages, its attempts and its answer."""
 
+import functools
 import random
 import typing
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import attempts
+from sycamoreshed.forwarding import candidates
 from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import input_release
 from sycamoreshed.forwarding import rejections
@@ -135,7 +137,7 @@
 
         Its stages would be work for nothing.
         """
-        endpoints = self._parts.residency.endpoints(request, now)
+        endpoints = candidates.endpoints(request, self._parts, now)
         if not endpoints:
             return rejections.no_endpoint(request, self._parts, now)
         max_wait_s = rejections.MAX_WAIT_SHARE * (
@@ -164,8 +166,8 @@
                     handles, request.route.stages
                 ),
                 release=release,
-                rerun_stages=lambda remaining_s: self._rerun_stages(
-                    request, results, remaining_s
+                rerun_stages=functools.partial(
+                    self._rerun_stages, results=results
                 ),
                 permitted=plan.permitted,
                 refused=plan.refused,
@@ -212,7 +214,7 @@
     def _choose(self, request, now, excluded):
         parts = self._parts
         return parts.placer.choose(
-            parts.residency.endpoints(request, now),
+            candidates.endpoints(request, parts, now),
             now,
             tried=excluded,
             affinity=request.affinity,
@@ -223,14 +225,14 @@
     def _likely_zone(self, request, now):
         parts = self._parts
         return parts.placer.likely_zone(
-            parts.residency.endpoints(request, now),
+            candidates.endpoints(request, parts, now),
             now,
             affinity=request.affinity,
             shared_tokens=request.shared_tokens,
             body_bytes=len(request.body),
         )
 
-    async def _rerun_stages(self, request, results, remaining_s):
+    async def _rerun_stages(self, request, remaining_s, *, results):
         """Run the stages again for another engine."""
         now = self._parts.clock()
         choice = self._choose(request, now, self._parts.limiter.exhausted(now))
--- a/sycamoreshed/forwarding/rejections.py
+++ b/sycamoreshed/forwarding/rejections.py
@@ -69,6 +69,8 @@
         Whether an attempt of this request may have run.
     """
     reason = f"no endpoint of {request.service}"
+    if request.origin is not None:
+        reason += f" of version {request.origin.software_version!r}"
     if parts.residency.regions(request) is not None:
         reason += " in its allowed regions"
     evacuated = parts.catalog.evacuations.ages(now)
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -2,7 +2,7 @@
 
 import typing
 
-__all__ = ["Priority", "Request"]
+__all__ = ["Origin", "Priority", "Request"]
 
 # Engines accept ten priority levels.  Each team priority has three of them for
 # its routes; the least urgent ones share the last level.
@@ -32,6 +32,20 @@
         return min(MAX_LEVEL, self.team * ROUTE_LEVELS + self.route)
 
 
+class Origin(typing.NamedTuple):
+    """What began a stream, and must go on with it.
+
+    Parameters
+    ----------
+    service : str
+    software_version : str
+        That of the engine of its first event.
+    """
+
+    service: str
+    software_version: str
+
+
 class Request(typing.NamedTuple):
     """A request whose route and team have been determined.
 
@@ -62,6 +76,8 @@
     deadline : float
         Monotonic time of the caller's deadline or the route's timeout,
         whichever is earlier.
+    origin : Origin or None
+        Set if it goes on with a stream.
     """
 
     id: str
@@ -78,6 +94,7 @@
     started_at: float
     waited_s: float
     deadline: float
+    origin: Origin | None = None
 
     @property
     def can_rerun(self):
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -6,6 +6,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
 from sycamoreshed.forwarding import exchanges
+from sycamoreshed.forwarding import requests
 from sycamoreshed.forwarding import sse
 from sycamoreshed.kernel import timeouts
 
@@ -161,7 +162,7 @@
                 has_begun = True
                 tries.record_first_event(opened.endpoint)
             broken = await _forward_event(
-                event, response, request, sink, parts, progress
+                event, opened, tries, request, sink, parts, progress
             )
             if broken is not None:
                 return broken
@@ -175,7 +176,7 @@
     return None
 
 
-async def _forward_event(event, response, request, sink, parts, progress):
+async def _forward_event(event, opened, tries, request, sink, parts, progress):
     if event.event_id is not None and progress.last_event_id is not None:
         expected = int(progress.last_event_id) + 1
         # Skip events that have been passed on already.
@@ -188,7 +189,10 @@
     if not progress.has_started:
         progress.has_started = True
         progress.first_s = parts.clock() - request.started_at
-        await sink.begin(response)
+        tries.bind_to(
+            requests.Origin(request.service, opened.endpoint.software_version)
+        )
+        await sink.begin(opened.response)
     await sink.send(event.raw)
     progress.count += 1
     if event.event_id is not None:
