Take a stream up at the version that began it, at any instance

Callers whose stream broke go on with it by a new request, which comes to any instance. It was sent to any engine of the service, so that their streams held events of two software versions. Cause: what began a stream was known to nobody but the instance that passed on its first event, and not even that one looked.

Each instance remembers the service and version of the first event of its streams, for a minute. While a service has more than one version, or a route more than one service, it tells three others, which the id of the stream selects, in three zones where there are as many; once a second version arrives, those of the streams so far are sent as well, and an instance that stops hands over what it holds. A request that goes on with a stream is looked up here and at six of them at once, for 0.3 s at most, and bound to the service and version. If nobody knows it, it goes on only if the service has had one version in the last minute; otherwise it is rejected at once and has not run. So is one whose version, or service, no endpoint may serve.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -8,6 +8,7 @@
 from sycamoreshed.catalog import replica
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
+from sycamoreshed.catalog import software
 from sycamoreshed.catalog import warmups
 from sycamoreshed.kernel import kernel
 
@@ -86,6 +87,7 @@
         self._routes = routes.RouteTable(routes=())
         self._evacuations = evacuations.Evacuations(journal=journal)
         self._warmups = warmups.Warmups()
+        self._software = software.SoftwareVersions()
         self._endpoints = {}
         self._by_service = {}
         self._retained = {}
@@ -167,6 +169,13 @@
         """Return the `Endpoint` with an id, or None."""
         return self._endpoints.get(endpoint_id)
 
+    def software_versions(self, service, now):
+        """Return the software versions of a service's endpoints.
+
+        Including those of endpoints that leave, or left a short time ago.
+        """
+        return self._software.of_service(service, now)
+
     def is_cold(self, endpoint, now):
         """Return whether an endpoint has not warmed up yet."""
         service = self._configuration and self._configuration.services.get(
@@ -286,9 +295,9 @@
         self._warmups.update(
             previous, endpoints, now, has_previous=bool(previous)
         )
-        self._set_endpoints(endpoints, copy.version, source)
+        self._set_endpoints(endpoints, copy.version, now, source)
 
-    def _set_endpoints(self, endpoints, version, source):
+    def _set_endpoints(self, endpoints, version, now, source):
         previous = self._endpoints
         for key, each in endpoints.items():
             earlier = previous.get(key)
@@ -311,6 +320,7 @@
                 store_version=version,
                 source=source,
             )
+        self._software.update(previous.values(), endpoints.values(), now)
         self._endpoints = endpoints
         self._group_endpoints()
 
@@ -339,7 +349,7 @@
             if key not in expired
         }
         version = self._replicas[ENDPOINTS].version
-        self._set_endpoints(remaining, version, "lapse")
+        self._set_endpoints(remaining, version, now, "lapse")
 
     def _derive_peers(self):
         decoded = {}
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -119,6 +119,10 @@
         sink : Sink
             Receives the events of a stream.
         """
+        bound = await self._parts.resumption.bind(request)
+        if isinstance(bound, kinds.Failure):
+            return Outcome(failure=bound)
+        request = bound
         now = self._parts.clock()
         rejected = rejections.of_request(request, self._parts, now)
         if rejected is None:
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -20,6 +20,7 @@
     limiter : Limiter
     budget : RetryBudget
     peers : Peers
+    resumption : Resumption
     sender : EndpointSender
     codec : Platform
     journal : Journal
@@ -34,6 +35,7 @@
     limiter: typing.Any
     budget: typing.Any
     peers: typing.Any
+    resumption: typing.Any
     sender: typing.Any
     codec: typing.Any
     journal: typing.Any
@@ -51,6 +53,7 @@
         "limiter",
         "budget",
         "peers",
+        "resumption",
         "endpoint_sender",
         "platform",
         "journal",
@@ -67,6 +70,7 @@
         limiter=core.part("limiter"),
         budget=core.part("budget"),
         peers=core.part("peers"),
+        resumption=core.part("resumption"),
         sender=core.part("endpoint_sender"),
         codec=core.part("platform"),
         journal=core.part("journal"),
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -2,7 +2,7 @@
 
 import typing
 
-__all__ = ["Origin", "Priority", "Request"]
+__all__ = ["Priority", "Request"]
 
 # Engines accept ten priority levels.  Each team priority has three of them for
 # its routes; the least urgent ones share the last level.
@@ -32,20 +32,6 @@
         return min(MAX_LEVEL, self.team * ROUTE_LEVELS + self.route)
 
 
-class Origin(typing.NamedTuple):
-    """What began a stream, and must go on with it.
-
-    Parameters
-    ----------
-    service : str
-    software_version : str
-        That of the engine of its first event.
-    """
-
-    service: str
-    software_version: str
-
-
 class Request(typing.NamedTuple):
     """A request whose route and team have been determined.
 
@@ -94,7 +80,7 @@
     started_at: float
     waited_s: float
     deadline: float
-    origin: Origin | None = None
+    origin: typing.Any = None
 
     @property
     def can_rerun(self):
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -6,9 +6,9 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
 from sycamoreshed.forwarding import exchanges
-from sycamoreshed.forwarding import requests
 from sycamoreshed.forwarding import sse
 from sycamoreshed.kernel import timeouts
+from sycamoreshed.resumption import origins
 
 __all__ = ["StreamEnd", "forward_stream"]
 
@@ -189,9 +189,11 @@
     if not progress.has_started:
         progress.has_started = True
         progress.first_s = parts.clock() - request.started_at
-        tries.bind_to(
-            requests.Origin(request.service, opened.endpoint.software_version)
+        origin = origins.Origin(
+            request.service, opened.endpoint.software_version
         )
+        tries.bind_to(origin)
+        parts.resumption.record_first_event(request, origin)
         await sink.begin(opened.response)
     await sink.send(event.raw)
     progress.count += 1
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -165,6 +165,17 @@
         return 1
 
 
+class _Resumption:
+    """Binds no request, and records nothing."""
+
+    async def bind(self, request):
+        """Return the request."""
+        return request
+
+    def record_first_event(self, _request, _origin):
+        """Do nothing."""
+
+
 def parts(sender, *, endpoints=4, permits=None):
     """Return shared components, with equal endpoints in one zone.
 
@@ -188,6 +199,7 @@
         limiter=limiters.Limiter(permits=permits),
         budget=budget.RetryBudget(ratio=1.0, slack=99, window_s=10),
         peers=_Peers(),
+        resumption=_Resumption(),
         sender=sender,
         codec=platform.Platform(store=None),
         journal=journal,
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -11,6 +11,9 @@
 from sycamoreshed.forwarding import permits
 from sycamoreshed.kernel import kernel
 from sycamoreshed.links import indirect
+from sycamoreshed.resumption import lookup
+from sycamoreshed.resumption import origins
+from sycamoreshed.resumption import replication
 from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
 
@@ -28,6 +31,8 @@
     limiter : Limiter
     stages : StageRunner
     call_server : CallServer
+    finder : Finder
+    replicator : Replicator
     metrics : GatewayMetrics
     clock : callable
     status : callable
@@ -43,6 +48,8 @@
         limiter,
         stages,
         call_server,
+        finder,
+        replicator,
         metrics,
         clock,
         status,
@@ -53,6 +60,8 @@
         self._limiter = limiter
         self._stages = stages
         self._call_server = call_server
+        self._finder = finder
+        self._replicator = replicator
         self._metrics = metrics
         self._clock = clock
         self._status = status
@@ -124,6 +133,19 @@
         self._stages.free_locally(http.query["zone"], freed)
         return web.Response(status=204)
 
+    async def origins(self, http):
+        """Accept what began streams of another instance."""
+        entries = msgspec.json.decode(
+            await http.read(), type=list[origins.Entry]
+        )
+        self._replicator.receive(entries)
+        return _json(None)
+
+    async def origin(self, http):
+        """Return what began a stream, or null."""
+        stream = msgspec.json.decode(await http.read(), type=str)
+        return _json(self._finder.answer(stream))
+
     async def metrics(self, _http):
         """Return all metrics."""
         return web.Response(
@@ -184,6 +206,7 @@
         "reading",
         "registering",
         "relay",
+        "resumption",
         "staleness",
     ),
 )
@@ -221,6 +244,8 @@
         limiter=core.part("limiter"),
         stages=core.part("stages"),
         call_server=core.part("call_server"),
+        finder=core.part("resumption").finder,
+        replicator=core.part("resumption").replicator,
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
         status=status,
@@ -236,6 +261,8 @@
     core.control.router.add_post(indirect.PATH, handlers.call)
     core.control.router.add_post(delegation.RUN_PATH, handlers.run)
     core.control.router.add_post(delegation.FREE_PATH, handlers.free)
+    core.control.router.add_post(replication.PATH, handlers.origins)
+    core.control.router.add_post(lookup.PATH, handlers.origin)
     core.control.router.add_get("/metrics", handlers.metrics)
     core.control.router.add_get("/control/status", handlers.status)
     yield handlers
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -45,6 +45,7 @@
 from sycamoreshed.observe import journal  # noqa: F401
 from sycamoreshed.platform import platform  # noqa: F401
 from sycamoreshed.residency import residency  # noqa: F401
+from sycamoreshed.resumption import resumption  # noqa: F401
 from sycamoreshed.staging import wiring  # noqa: F401
 
 __all__ = ["serve"]
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -188,13 +188,6 @@
             priority=priority,
             left_s=round(deadline - started_at, 3),
         )
-        if head.last_event_id is not None:
-            self._journal.write(
-                "taken_up",
-                request=head.request_id,
-                resumes=head.resumes,
-                after=head.last_event_id,
-            )
         return requests.Request(
             id=head.request_id,
             route=route,
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -223,9 +223,20 @@
     ),
     "taken_up": Event(
         EventClass.DECISION,
-        "request, resumes, after",
+        "request, resumes, after, service, software_version, source",
         "a caller goes on with the stream of an earlier request, after its "
-        "last event",
+        "last event; what began the stream and which instance knew it, or "
+        "why that is not known",
+    ),
+    "origins_lost": Event(
+        EventClass.DECISION,
+        "peer, count, why",
+        "an instance did not take what began some streams",
+    ),
+    "origin_lost": Event(
+        EventClass.DECISION,
+        "peer, why",
+        "an instance did not tell what began a stream",
     ),
     "chosen": Event(
         EventClass.DETAIL,
--- /dev/null
+++ b/sycamoreshed/resumption/resumption.py
@@ -0,0 +1,172 @@
+"""Decides which engines may go on with a stream that a caller takes up."""
+
+import functools
+
+from sycamoreshed.adapters import web
+from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
+from sycamoreshed.resumption import holders
+from sycamoreshed.resumption import lookup
+from sycamoreshed.resumption import origins
+from sycamoreshed.resumption import replication
+
+__all__ = ["Resumption"]
+
+# Reported as the source of an origin that follows from the catalog.
+ONLY_VERSION = "only version"
+# Age of the copy of the endpoints above which it may lack a version.
+MAX_AGE_S = 10.0
+
+
+class Resumption:
+    """Binds requests that go on with a stream to what began it.
+
+    Parameters
+    ----------
+    catalog : Catalog
+    finder : Finder
+    replicator : Replicator
+    journal : Journal
+    clock : callable
+    """
+
+    def __init__(self, *, catalog, finder, replicator, journal, clock):
+        self._catalog = catalog
+        self.finder = finder
+        self.replicator = replicator
+        self._journal = journal
+        self._clock = clock
+
+    def record_first_event(self, request, origin):
+        """Record what began the stream that a request passes on."""
+        stream = request.id
+        if request.head.last_event_id is not None:
+            if request.head.resumes is None:
+                return
+            stream = request.head.resumes
+        self.replicator.record(
+            stream, origin, is_ambiguous=len(request.route.services) > 1
+        )
+
+    async def bind(self, request):
+        """Return a request that only the right engines get, or a `Failure`.
+
+        Parameters
+        ----------
+        request : Request
+
+        Returns
+        -------
+        Request or Failure
+            The same request if it begins a stream or is none.  A failure if
+            nobody knows what began the stream, and more than one version or
+            service could have: a guess could join what two versions wrote.
+        """
+        head, route = request.head, request.route
+        if not route.streaming or head.last_event_id is None:
+            return request
+        found = kinds.Failure(kinds.Kind.NO_ENDPOINT, "no request is named")
+        if head.resumes is not None:
+            found = await self.finder.find(head.resumes)
+        if isinstance(found, kinds.Failure):
+            found = self._only_origin(request, found)
+        self._log(request, found)
+        if isinstance(found, kinds.Failure):
+            return _rejected(
+                f"what began the stream is not known: {found.reason}"
+            )
+        origin = found.origin
+        if origin.service not in {name for name, _ in self._services(route)}:
+            return _rejected(f"the route left the service {origin.service}")
+        return request._replace(service=origin.service, origin=origin)
+
+    def _services(self, route):
+        """Return services and weights by the configuration in force."""
+        current = self._catalog.routes.named(route.name)
+        return (current or route).services
+
+    def _only_origin(self, request, failure):
+        """Return the only origin that a stream can have, or the failure."""
+        now = self._clock()
+        # Others may know of a version that an old copy lacks.
+        if (
+            failure.kind is kinds.Kind.REFUSED
+            and self._catalog.age(catalogs.ENDPOINTS, now) > MAX_AGE_S
+        ):
+            return failure
+        versions = self._catalog.software_versions(request.service, now)
+        if len(request.route.services) > 1 or len(versions) != 1:
+            return failure
+        (version,) = versions
+        return lookup.Found(
+            origins.Origin(request.service, version), ONLY_VERSION
+        )
+
+    def _log(self, request, found):
+        is_known = isinstance(found, lookup.Found)
+        self._journal.write(
+            "taken_up",
+            request=request.id,
+            resumes=request.head.resumes,
+            after=request.head.last_event_id,
+            service=found.origin.service if is_known else None,
+            software_version=found.origin.software_version
+            if is_known
+            else None,
+            source=found.source if is_known else found.reason,
+        )
+
+
+def _rejected(reason):
+    return kinds.Failure(
+        kinds.Kind.NO_ENDPOINT,
+        reason,
+        sent=False,
+        retry_after=kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after,
+    )
+
+
+async def _send(core, control, path, body, timeout):
+    reply = await web.fetch(
+        core.part("web"), "POST", control, path, timeout=timeout, body=body
+    )
+    if isinstance(reply, kinds.Failure) or reply.status == 200:
+        return reply
+    return kinds.Failure(
+        kinds.Kind.REFUSED, f"instance answered {reply.status}"
+    )
+
+
+async def _hand_over_on_stop(core, replicator):
+    await core.stopping.wait()
+    await replicator.hand_over()
+
+
+@kernel.plugin(
+    "resumption", needs=("catalog", "following", "journal", "peers", "web")
+)
+async def resumption(core):
+    """Provide the `Resumption` of streams."""
+    table = origins.OriginTable()
+    own = core.settings.instance
+    catalog = core.part("catalog")
+    shared = {
+        "table": table,
+        "holders": holders.Holders(own=own, catalog=catalog),
+        "send": functools.partial(_send, core),
+        "journal": core.part("journal"),
+        "clock": core.clock,
+    }
+    replicator = replication.Replicator(
+        **shared, catalog=catalog, peers=core.part("peers"), tasks=core.tasks
+    )
+    core.keep_running(replicator.run, name="copy origins of streams")
+    core.spawn(_hand_over_on_stop(core, replicator), name="hand over origins")
+    yield Resumption(
+        catalog=catalog,
+        finder=lookup.Finder(**shared, own=own),
+        replicator=replicator,
+        journal=core.part("journal"),
+        clock=core.clock,
+    )
--- /dev/null
+++ b/sycamoreshed/resumption/tests/test_resumption.py
@@ -0,0 +1,204 @@
+"""Which engines may go on with a stream that a caller takes up."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.errors import kinds
+from sycamoreshed.resumption import holders
+from sycamoreshed.resumption import lookup
+from sycamoreshed.resumption import origins
+from sycamoreshed.resumption import replication
+from sycamoreshed.resumption.tests import builders
+from testkit import virtualtime
+
+STREAMS = [f"s-{number}" for number in range(100)]
+# Within which copies of an origin arrive.
+COPY_S = 0.1
+
+
+def run(scenario, **network):
+    """Run a scenario with a network in simulated time."""
+
+    async def start():
+        return await scenario(builders.Network(**network))
+
+    return virtualtime.run(start())
+
+
+async def bind(network, name, stream, **changes):
+    """Bind a request at an instance that goes on with a stream."""
+    return await network.instances[name].bind(
+        builders.request(f"again-{stream}", resumes=stream, **changes)
+    )
+
+
+@pytest.mark.parametrize(
+    "lost", [["i-0"], ["i-0", "i-3", "i-6"], ["i-1", "i-4", "i-7"]]
+)
+def test_origin_is_known_after_the_loss_of_an_instance_or_a_zone(lost):
+    """Callers of all its streams come to the other instances at once."""
+
+    async def scenario(network):
+        network.record("i-0", STREAMS, "v2")
+        await asyncio.sleep(COPY_S)
+        network.lost.update(lost)
+        others = itertools.cycle(
+            name for name in network.instances if name not in lost
+        )
+        return [
+            await bind(network, name, stream)
+            for name, stream in zip(others, STREAMS, strict=False)
+        ]
+
+    bound = run(scenario)
+    assert {each.origin.software_version for each in bound} == {"v2"}
+
+
+def test_origin_is_known_after_the_list_of_instances_has_changed():
+    """Instances join and leave between the first event and the caller."""
+
+    async def scenario(network):
+        network.record("i-0", STREAMS)
+        await asyncio.sleep(COPY_S)
+        peers = dict(network.catalog.peers)
+        del peers["i-8"]
+        peers["i-9"] = catalogs.Peer("i-9", "north-a", "i-9")
+        network.instances["i-9"] = network._make("i-9")
+        network.catalog.peers = peers
+        return [await bind(network, "i-9", stream) for stream in STREAMS]
+
+    assert all(each.origin for each in run(scenario))
+
+
+def test_instances_that_stop_one_after_the_other_hand_origins_over():
+    """A rolling restart leaves no instance that was there before."""
+
+    async def scenario(network):
+        network.record("i-0", STREAMS)
+        await asyncio.sleep(COPY_S)
+        for name in sorted(network.instances)[:-1]:
+            network.catalog.peers = {
+                **network.catalog.peers,
+                name: network.catalog.peers[name]._replace(is_draining=True),
+            }
+            await network.instances[name].replicator.hand_over()
+            network.lost.add(name)
+        return [await bind(network, "i-8", stream) for stream in STREAMS]
+
+    assert all(each.origin for each in run(scenario))
+
+
+def test_service_with_one_version_costs_nothing():
+    """Nearly all streams are of such services."""
+
+    async def scenario(network):
+        network.record("i-0", STREAMS)
+        await asyncio.sleep(COPY_S)
+        return network.calls, await bind(network, "i-1", STREAMS[0])
+
+    calls, bound = run(scenario, versions={"v1"})
+    assert calls == [lookup.PATH] * lookup.MAX_ASKED
+    assert bound.origin == origins.Origin(builders.SERVICE, "v1")
+
+
+def test_origins_are_copied_when_a_version_arrives():
+    """A stream that began before a release is taken up during it."""
+
+    async def scenario(network):
+        task = asyncio.create_task(network.instances["i-0"].replicator.run())
+        network.record("i-0", STREAMS)
+        await asyncio.sleep(COPY_S)
+        network.catalog.versions = {"v1", "v2"}
+        network.catalog.changed.fire()
+        await asyncio.sleep(COPY_S)
+        task.cancel()
+        network.lost.add("i-0")
+        return [await bind(network, "i-1", stream) for stream in STREAMS]
+
+    bound = run(scenario, versions={"v1"})
+    assert {each.origin.software_version for each in bound} == {"v1"}
+
+
+def test_copies_that_wait_share_calls():
+    """Each call costs more than what it carries."""
+
+    async def scenario(network):
+        network.record("i-0", STREAMS)
+        await asyncio.sleep(COPY_S)
+        return network.calls
+
+    calls = run(scenario)
+    assert calls.count(replication.PATH) < 3 * 9
+
+
+@pytest.mark.parametrize("versions", [{"v1", "v2"}, set()])
+def test_unknown_origin_is_rejected_if_it_is_not_the_only_one(versions):
+    """A guess could join what two versions wrote."""
+
+    async def scenario(network):
+        return await bind(network, "i-1", "nobody's")
+
+    failure = run(scenario, versions=versions)
+    assert failure.kind is kinds.Kind.NO_ENDPOINT
+    assert not failure.sent
+
+
+def test_unknown_origin_on_a_split_route_is_rejected():
+    """Another service of the route may have begun the stream."""
+
+    async def scenario(network):
+        services = ((builders.SERVICE, 1.0), ("other", 1.0))
+        return await bind(network, "i-1", "nobody's", services=services)
+
+    assert isinstance(run(scenario, versions={"v1"}), kinds.Failure)
+
+
+def test_stream_of_a_service_that_the_route_left_is_rejected():
+    """The configuration in force does not allow that service any more."""
+
+    async def scenario(network):
+        network.record("i-1", ["s-1"])
+        return await bind(network, "i-1", "s-1", services=(("other", 1.0),))
+
+    assert isinstance(run(scenario), kinds.Failure)
+
+
+@pytest.mark.parametrize("age_s, is_bound", [(1.0, True), (60.0, False)])
+def test_old_copy_does_not_tell_the_only_version(age_s, is_bound):
+    """An instance cut off from store and instances misses a release."""
+
+    async def scenario(network):
+        network.catalog.age_s = age_s
+        network.lost.update(network.instances)
+        return await bind(network, "i-1", "nobody's")
+
+    result = run(scenario, versions={"v1"})
+    assert isinstance(result, kinds.Failure) is not is_bound
+
+
+def test_streams_are_spread_over_instances():
+    """One instance that holds too much would be slow for its callers."""
+    peers = {
+        f"i-{number}": catalogs.Peer(
+            f"i-{number}", f"z-{number % 7}", f"i-{number}"
+        )
+        for number in range(58)
+    }
+    first = [
+        holders.order(bucket, peers)[0] for bucket in range(holders.BUCKETS)
+    ]
+    assert max(map(first.count, set(first))) <= 5 * holders.BUCKETS / 58
+
+
+def test_table_is_bounded(monkeypatch):
+    """An instance that holds for others must not run out of memory."""
+    monkeypatch.setattr(origins, "MAX_ENTRIES", 10)
+    table = origins.OriginTable()
+    for number in range(25):
+        table.add(f"s-{number}", origins.Origin("s", "v1"), float(number))
+    assert len(table) == 10
+    assert table.find("s-24", 25.0)
+    assert table.find("s-0", 25.0) is None
