--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -76,6 +76,12 @@
             "Whether this instance has lost its links to all endpoints.",
             registry=registry,
         )
+        self._taken_up = prometheus_client.Counter(
+            "sycamoreshed_gateway_streams_taken_up",
+            "Requests that go on with a stream, by what knew its origin.",
+            ["origin"],
+            registry=registry,
+        )
         self._task_failures = prometheus_client.Counter(
             "sycamoreshed_gateway_task_failures",
             "Background tasks that ended by an error, by name.",
@@ -126,6 +132,16 @@
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
 
+    def record_taken_up(self, origin):
+        """Count a request that goes on with a stream.
+
+        Parameters
+        ----------
+        origin : str
+            What knew its origin.
+        """
+        self._taken_up.labels(origin).inc()
+
     def record_task_failure(self, name, _error):
         """Count a background task that ended by an error."""
         self._task_failures.labels(name).inc()
--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -13,8 +13,12 @@
 
 __all__ = ["Resumption"]
 
-# Reported as the source of an origin that follows from the catalog.
+# Labels of what knew an origin: this instance, another one, the catalog, or
+# nobody.
+OWN = "own"
+PEER = "peer"
 ONLY_VERSION = "only version"
+UNKNOWN = "unknown"
 # Age of the copy of the endpoints above which it may lack a version.
 MAX_AGE_S = 10.0
 
@@ -24,15 +28,22 @@
 
     Parameters
     ----------
+    own : str
+        Name of this instance.
     catalog : Catalog
     finder : Finder
     replicator : Replicator
+    metrics : GatewayMetrics
     journal : Journal
     clock : callable
     """
 
-    def __init__(self, *, catalog, finder, replicator, journal, clock):
+    def __init__(
+        self, *, own, catalog, finder, replicator, metrics, journal, clock
+    ):
+        self._own = own
         self._catalog = catalog
+        self._metrics = metrics
         self.finder = finder
         self.replicator = replicator
         self._journal = journal
@@ -71,7 +82,7 @@
             found = await self.finder.find(head.resumes)
         if isinstance(found, kinds.Failure):
             found = self._only_origin(request, found)
-        self._log(request, found)
+        self._record(request, found)
         if isinstance(found, kinds.Failure):
             return _rejected(
                 f"what began the stream is not known: {found.reason}"
@@ -103,7 +114,8 @@
             origins.Origin(request.service, version), ONLY_VERSION
         )
 
-    def _log(self, request, found):
+    def _record(self, request, found):
+        self._metrics.record_taken_up(self._label(found))
         is_known = isinstance(found, lookup.Found)
         self._journal.write(
             "taken_up",
@@ -117,6 +129,13 @@
             source=found.source if is_known else found.reason,
         )
 
+    def _label(self, found):
+        if isinstance(found, kinds.Failure):
+            return UNKNOWN
+        if found.source in (self._own, ONLY_VERSION):
+            return OWN if found.source == self._own else ONLY_VERSION
+        return PEER
+
 
 def _rejected(reason):
     return kinds.Failure(
@@ -144,7 +163,15 @@
 
 
 @kernel.plugin(
-    "resumption", needs=("catalog", "following", "journal", "peers", "web")
+    "resumption",
+    needs=(
+        "catalog",
+        "following",
+        "gateway_metrics",
+        "journal",
+        "peers",
+        "web",
+    ),
 )
 async def resumption(core):
     """Provide the `Resumption` of streams."""
@@ -164,9 +191,11 @@
     core.keep_running(replicator.run, name="copy origins of streams")
     core.spawn(_hand_over_on_stop(core, replicator), name="hand over origins")
     yield Resumption(
+        own=own,
         catalog=catalog,
         finder=lookup.Finder(**shared, own=own),
         replicator=replicator,
+        metrics=core.part("gateway_metrics"),
         journal=core.part("journal"),
         clock=core.clock,
     )
--- a/sycamoreshed/resumption/tests/builders.py
+++ b/sycamoreshed/resumption/tests/builders.py
@@ -9,6 +9,7 @@
 from sycamoreshed.catalog import signals
 from sycamoreshed.catalog import types as records
 from sycamoreshed.errors import kinds
+from sycamoreshed.gateway import metrics
 from sycamoreshed.kernel import tasks
 from sycamoreshed.resumption import holders
 from sycamoreshed.resumption import lookup
@@ -101,6 +102,7 @@
             "clock": clock,
         }
         return resumption.Resumption(
+            own=name,
             catalog=self.catalog,
             finder=lookup.Finder(**shared, own=name),
             replicator=replication.Replicator(
@@ -109,6 +111,7 @@
                 peers=_Peers(),
                 tasks=tasks.BackgroundTasks(clock=clock),
             ),
+            metrics=metrics.GatewayMetrics(),
             journal=shared["journal"],
             clock=clock,
         )
