--- a/sycamoreshed/resumption/replication.py
+++ b/sycamoreshed/resumption/replication.py
@@ -130,16 +130,15 @@
             while entries := self._outboxes.pop(control, None):
                 reply = await self._send(control, PATH, entries, TIMEOUT_S)
                 if isinstance(reply, kinds.Failure):
-                    self._peers.record_failure(
-                        control, self._clock(), reply.reason
-                    )
-                    self._journal.write(
-                        "origins_lost",
-                        peer=control,
-                        count=len(entries),
-                        why=reply.reason,
-                    )
+                    waiting = self._outboxes.pop(control, [])
+                    self._on_lost(control, len(entries + waiting), reply)
                     return
         finally:
-            self._outboxes.pop(control, None)
             self._sending.discard(control)
+
+    def _on_lost(self, control, count, failure):
+        """Avoid an instance that did not answer; others have copies."""
+        self._peers.record_failure(control, self._clock(), failure.reason)
+        self._journal.write(
+            "origins_lost", peer=control, count=count, why=failure.reason
+        )
