--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -36,6 +36,12 @@
     metrics : GatewayMetrics
     journal : Journal
     clock : callable
+
+    Attributes
+    ----------
+    finder : Finder
+    replicator : Replicator
+        Answer and accept what other instances ask for and tell.
     """
 
     def __init__(
@@ -50,7 +56,9 @@
         self._clock = clock
 
     def record_first_event(self, request, origin):
-        """Record what began the stream that a request passes on."""
+        """Record what began a stream, if its caller may take it up."""
+        if not request.route.resumable:
+            return
         stream = request.id
         if request.head.last_event_id is not None:
             if request.head.resumes is None:
