--- a/sycamoreshed/platform/store.py
+++ b/sycamoreshed/platform/store.py
@@ -43,16 +43,16 @@
 class _WireRow(msgspec.Struct):
     key: str
     ver: int
-    part: str = ""
+    part: str | None = ""
     # Any writer of the platform may store a value of another form.
     value: typing.Any = None
-    tombstone: bool = False
+    tombstone: typing.Any = False
 
 
 class _Answer(msgspec.Struct):
     rows: list[_WireRow]
     ver: int
-    has_more: bool = False
+    has_more: typing.Any = False
 
 
 class TableStore:
--- a/sycamoreshed/platform/tests/test_store.py
+++ b/sycamoreshed/platform/tests/test_store.py
@@ -81,3 +81,22 @@
         ]
     await store.stop()
     assert all(isinstance(each, kinds.Failure) for each in answers)
+
+
+async def test_optional_fields_of_other_forms_are_read():
+    """One row that differs must not keep an instance from all others."""
+    store = MalformedStore()
+    store.document = {
+        "rows": [
+            {"key": "a", "ver": 2, "part": None, "value": 7},
+            {"key": "b", "ver": 3, "tombstone": 1},
+        ],
+        "ver": 3,
+        "has_more": 0,
+    }
+    await store.start()
+    async with aiohttp.ClientSession() as session:
+        client = stores.TableStore(session=session, address=store.address)
+        changes = await client.read(TABLE, timeout=5.0)
+    await store.stop()
+    assert changes.rows == [stores.Row("a", b"", 2), stores.Row("b", None, 3)]
