Send origins once more that an instance did not take

An instance that is cut off from the others as its streams begin, and lost later, took what began them with it: copies that did not arrive were dropped. They are sent again every half second, to the next instances in the order while one is avoided, for as long as a caller may take the stream up. Two cases of a new test failed before.

--- a/sycamoreshed/resumption/replication.py
+++ b/sycamoreshed/resumption/replication.py
@@ -19,6 +19,8 @@
 # Instances besides the own one that get each origin.
 COPIES = 3
 TIMEOUT_S = 1.0
+# Until origins that an instance did not take are sent to the next ones.
+RETRY_S = 0.5
 
 
 class Replicator:
@@ -50,7 +52,7 @@
         self._tasks = tasks
         self._journal = journal
         self._clock = clock
-        # Streams of this instance that no other one knows of.
+        # Streams of this instance that too few others know of.
         self._uncopied = origins.OriginTable()
         self._outboxes = collections.defaultdict(list)
         self._sending = set()
@@ -79,9 +81,9 @@
             self._table.add(each.stream, each.origin, now)
 
     async def run(self):
-        """Send older origins when a second version arrives."""
+        """Send origins when a second version arrives, or once more."""
         while True:
-            await self._catalog.changed.wait(None)
+            await self._catalog.changed.wait(RETRY_S)
             self.copy_older()
 
     def copy_older(self):
@@ -94,7 +96,9 @@
             if self._has_versions(service, now)
         }
         for each in entries:
-            if each.origin.service in services:
+            if self._table.find(each.stream, now) is None:
+                self._uncopied.remove(each.stream)
+            elif each.origin.service in services:
                 self._uncopied.remove(each.stream)
                 self._copy(each, now)
 
@@ -102,7 +106,8 @@
         """Send all copies to those that hold them without this instance."""
         now = self._clock()
         for each in self._table.entries(now):
-            if self._uncopied.find(each.stream, now) is None:
+            is_copied = self._uncopied.find(each.stream, now) is None
+            if is_copied or self._has_versions(each.origin.service, now):
                 self._copy(each, now)
         while self._sending:
             await asyncio.sleep(0.01)
@@ -116,6 +121,8 @@
             for _, control in self._holders.of(entry.stream)
             if not self._peers.is_avoided(control, now)
         ]
+        if not controls:
+            self._uncopied.add(entry.stream, entry.origin, now)
         for control in controls[:COPIES]:
             self._outboxes[control].append(entry)
             if control not in self._sending:
@@ -130,15 +137,21 @@
             while entries := self._outboxes.pop(control, None):
                 reply = await self._send(control, PATH, entries, TIMEOUT_S)
                 if isinstance(reply, kinds.Failure):
-                    waiting = self._outboxes.pop(control, [])
-                    self._on_lost(control, len(entries + waiting), reply)
+                    entries += self._outboxes.pop(control, [])
+                    self._on_lost(control, entries, reply)
                     return
         finally:
             self._sending.discard(control)
 
-    def _on_lost(self, control, count, failure):
-        """Avoid an instance that did not answer; others have copies."""
-        self._peers.record_failure(control, self._clock(), failure.reason)
+    def _on_lost(self, control, entries, failure):
+        """Avoid an instance that did not answer, and send to others."""
+        now = self._clock()
+        self._peers.record_failure(control, now, failure.reason)
+        for each in entries:
+            self._uncopied.add(each.stream, each.origin, now)
         self._journal.write(
-            "origins_lost", peer=control, count=count, why=failure.reason
+            "origins_lost",
+            peer=control,
+            count=len(entries),
+            why=failure.reason,
         )
--- a/sycamoreshed/resumption/tests/builders.py
+++ b/sycamoreshed/resumption/tests/builders.py
@@ -51,12 +51,18 @@
 
 
 class _Peers:
-    def is_avoided(self, _control, _now):
-        """Return False: no instance is avoided."""
-        return False
+    """Avoids each instance that failed for two seconds."""
 
-    def record_failure(self, _control, _now, _why):
-        """Do nothing."""
+    def __init__(self):
+        self._retry_at = {}
+
+    def is_avoided(self, control, now):
+        """Return whether an instance failed a moment ago."""
+        return now < self._retry_at.get(control, 0.0)
+
+    def record_failure(self, control, now, _why):
+        """Avoid an instance for some time."""
+        self._retry_at[control] = now + 2.0
 
 
 class Network:
--- a/sycamoreshed/resumption/tests/test_resumption.py
+++ b/sycamoreshed/resumption/tests/test_resumption.py
@@ -122,6 +122,27 @@
     assert {each.origin.software_version for each in bound} == {"v1"}
 
 
+@pytest.mark.parametrize("after_s", [5.0, 12.0])
+def test_origins_are_sent_again_after_a_cut(after_s):
+    """An instance is cut off from the others as its streams begin.
+
+    Later it is lost, and their callers go to the others.
+    """
+
+    async def scenario(network):
+        task = asyncio.create_task(network.instances["i-0"].replicator.run())
+        network.lost.update(set(network.instances) - {"i-0"})
+        network.record("i-0", STREAMS)
+        await asyncio.sleep(after_s)
+        network.lost.clear()
+        await asyncio.sleep(5.0)
+        task.cancel()
+        network.lost.add("i-0")
+        return [await bind(network, "i-1", stream) for stream in STREAMS]
+
+    assert all(each.origin for each in run(scenario))
+
+
 def test_copies_that_wait_share_calls():
     """Each call costs more than what it carries."""
 
