Log the parts of a request's prompt when it is admitted

An on-call engineer could not tell from the logs what the requests have in common under which engines crash: all lines name fingerprints of whole requests, and each request came once. `admitted` now names the parts of the prompt, at most 16 of them, so that the suspects of `endpoint_crashed` can be compared.

--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -21,6 +21,8 @@
 MIN_RETRY_AFTER_S = 0.3
 # While this instance stops, another one can serve the retry at once.
 DRAINING_RETRY_AFTER_S = 0.0
+# Bounds the length of a log line; parts at the end are the most specific ones.
+MAX_LOGGED_PARTS = 16
 # For requests without a deadline of their own.
 DEFAULT_DEADLINE_S = 60.0
 
@@ -181,6 +183,7 @@
             "admitted",
             request=head.request_id,
             fingerprint=fingerprint,
+            parts=[part for part, _ in head.prefix[-MAX_LOGGED_PARTS:]],
             route=route.name,
             version=configuration.version,
             team=team.name if team else None,
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -217,9 +217,10 @@
     ),
     "admitted": Event(
         EventClass.DETAIL,
-        "request, fingerprint, route, version, team, regions, priority, "
-        "left_s",
-        "a request was taken; the fingerprint is that of all its repetitions",
+        "request, fingerprint, parts, route, version, team, regions, "
+        "priority, left_s",
+        "a request was taken; the fingerprint is that of all its repetitions, "
+        "the parts are those of its prompt",
     ),
     "taken_up": Event(
         EventClass.DECISION,
