Let a stand-in that crashed run none of its other scripts

With several requests at a scripted endpoint, a second one could crash it again, or write to a connection that was gone, and the test ended with an unhandled exception.

--- a/standins/scripted.py
+++ b/standins/scripted.py
@@ -72,6 +72,7 @@
         self._on_crash = on_crash
         self._server = None
         self._writers = set()
+        self._has_crashed = False
         self.seen = []
         self.left = 0
         self.address = None
@@ -87,6 +88,7 @@
         self._server.close()
 
     def _crash(self):
+        self._has_crashed = True
         self._server.close()
         for writer in self._writers:
             _reset(writer)
@@ -99,6 +101,8 @@
             seen = await _read(reader)
             self.seen.append(seen)
             for step in self._script(seen):
+                if self._has_crashed:
+                    return
                 if step is RESET:
                     _reset(writer)
                     return
