Reject prompts with a part that crashes engines

Callers saw: ballot notes of one team ended engine after engine, and with them the dossiers, notes and questions of others that were there.

Cause: what instances tell each other of crashes was by whole request, and none of these requests came twice. Class of fault: blame for one kind of cause, where endpoints can fail by another one.

Change: a fingerprint now carries the ids of the parts of the prompt that other requests may have (never the last). A part is suspected of the crashes since an endpoint last answered a request that has it; crashes at one moment count once, and requests that had been answered for a while before the crash are no suspects. Instances tell of answers after a random delay whose distribution keeps the number of messages small. Crashes that a rejected part explains are taken off whole requests. A begun answer counts only after it has gone on for 0.5 s, as engines may end while they write it, and calls that notice a crash later no longer replace the suspects known before.

Ruled out by the failing test, whose requests differ in body and last part: repetitions of a few requests.

--- a/sycamoreshed/findings/blame.py
+++ b/sycamoreshed/findings/blame.py
@@ -29,8 +29,8 @@
     age_s : float
         Seconds since it was sent there.
     has_begun : bool
-        Whether a part of its answer had arrived: the endpoint had begun to
-        run it without a crash.
+        Whether a part of its answer had arrived, and more of it some time
+        later: the endpoint had begun to run it without a crash.
     """
 
     fingerprint: str
--- a/sycamoreshed/findings/board.py
+++ b/sycamoreshed/findings/board.py
@@ -83,7 +83,7 @@
             return None
         return entry
 
-    def add(self, topic, key, value, *, now, unix_ms):
+    def add(self, topic, key, value, *, now, unix_ms, age_s=0.0):
         """Add a finding of this instance, and return it.
 
         Parameters
@@ -95,10 +95,12 @@
         unix_ms : int
             Becomes its stamp, unless what is known of this key has a higher
             one: clocks differ, and what is found later has to hold.
+        age_s : float
+            Seconds since what it tells happened.
         """
         known = self._entries.get(topic, {}).get(key)
         stamp = unix_ms if known is None else max(unix_ms, known.stamp + 1)
-        finding = Finding(topic, key, value, stamp, 0.0)
+        finding = Finding(topic, key, value, stamp, round(age_s, 3))
         self.merge([finding], now)
         return finding
 
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -24,6 +24,8 @@
 # one may still answer before the deadline.
 TIMEOUT_TARGET_FACTOR = 2.0
 MIN_TIMEOUT_S = 0.5
+# Lowest status that tells of an error.
+_ERROR_STATUS = 400
 
 
 class Attempts:
@@ -172,9 +174,9 @@
         """
         self._request = self._request._replace(origin=origin)
 
-    def record_first_event(self, endpoint):
-        """Record that an endpoint has begun to run the request."""
-        self._parts.crashes.record_begun(endpoint, self._call_number)
+    def record_data(self, endpoint):
+        """Record that an endpoint has sent a part of its answer."""
+        self._parts.crashes.record_data(endpoint, self._call_number)
 
     def close(self, opened):
         """Close an answer whose body has been read or abandoned."""
@@ -185,10 +187,19 @@
         """Wait until it is known whether an endpoint crashed."""
         await self._parts.crashes.settle(endpoint)
 
-    def record_served(self, endpoint):
-        """Record that an endpoint has run the request to its end."""
+    def record_served(self, endpoint, *, is_success=True):
+        """Record that an endpoint has run the request to its end.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        is_success : bool
+            Whether it has not rejected the content of the request.
+        """
         self._parts.health.record_success(endpoint, self._parts.clock())
-        self._parts.crashes.record_served(self._request.fingerprint)
+        self._parts.crashes.record_served(
+            self._request.fingerprint, is_success=is_success
+        )
 
     def record_failure(
         self,
@@ -440,7 +451,8 @@
             self._release.record_inputs_missing()
         if isinstance(result, exchanges.Answered):
             if result.failure is None:
-                self.record_served(endpoint)
+                is_success = result.answer.status < _ERROR_STATUS
+                self.record_served(endpoint, is_success=is_success)
             else:
                 self.record_failure(endpoint, result.failure, started_at)
         elif isinstance(result, kinds.Failure):
--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -10,6 +10,9 @@
 
 __all__ = ["CrashDetector", "Probe", "probe"]
 
+# An endpoint that crashes under a request does so as it begins to answer it.
+# Once it has sent data for this long, the request is not the cause.
+BEGIN_S = 0.5
 # A crashed endpoint's host refuses connections at once; one that does not
 # answer within this time is cut off instead.
 PROBE_TIMEOUT_S = 0.2
@@ -26,6 +29,7 @@
     def __init__(self, *, fingerprint, sent_at):
         self.fingerprint = fingerprint
         self.sent_at = sent_at
+        self.first_data_at = None
         self.has_begun = False
 
 
@@ -36,7 +40,8 @@
     ----------
     records : CrashRecords
     publish : callable
-        Tells other instances findings, which may be None.
+        Tells other instances findings.
+    clearing : Clearing
     find_endpoint : callable
         Takes the id of an endpoint, returns it or None.
     probe : callable
@@ -59,6 +64,7 @@
         *,
         records,
         publish,
+        clearing,
         find_endpoint,
         probe,
         reaches_others,
@@ -70,6 +76,7 @@
     ):
         self._records = records
         self._publish = publish
+        self._clearing = clearing
         self._find_endpoint = find_endpoint
         self._send_probe = probe
         self._reaches_others = reaches_others
@@ -90,9 +97,17 @@
         self._in_flight.setdefault(endpoint.id, {})[number] = call
         return number
 
-    def record_begun(self, endpoint, number):
+    def record_data(self, endpoint, number):
         """Record that a part of the answer to a call has arrived."""
-        self._in_flight[endpoint.id][number].has_begun = True
+        call = self._in_flight[endpoint.id][number]
+        if call.has_begun:
+            return
+        now = self._clock()
+        if call.first_data_at is None:
+            call.first_data_at = now
+        elif now - call.first_data_at >= BEGIN_S:
+            call.has_begun = True
+            self._record_sound(call.fingerprint)
 
     def record_end(self, endpoint, number):
         """Record the end of a call; of an unknown number, do nothing."""
@@ -125,18 +140,38 @@
         if probe is not None:
             await asyncio.wait([probe])
 
-    def record_served(self, fingerprint):
-        """Record that an endpoint has served a request."""
+    def record_served(self, fingerprint, *, is_success):
+        """Record that an endpoint has answered a request to its end.
+
+        Parameters
+        ----------
+        fingerprint : str
+        is_success : bool
+            Whether the endpoint has run it, and not rejected its content.
+        """
         self._publish(
-            self._records.record_served(
+            *self._records.record_served(
                 fingerprint, now=self._clock(), unix_ms=self._unix_ms()
             )
         )
+        if is_success:
+            self._record_sound(fingerprint)
 
     def is_rejected(self, fingerprint, now):
         """Return whether a request must not be sent to any endpoint."""
         return self._records.is_rejected(fingerprint, now)
 
+    def try_probe(self, fingerprint, now):
+        """Return whether to send a request with a rejected part as a probe."""
+        probes = self._records.record_probe(
+            fingerprint,
+            now=now,
+            unix_ms=self._unix_ms(),
+            delay_s=self._clearing.delay_s(fingerprint),
+        )
+        self._publish(*probes)
+        return bool(probes)
+
     def is_suspect(self, fingerprint, now):
         """Return whether a request may have crashed an endpoint."""
         return self._records.blamed(fingerprint, now) > 0
@@ -147,12 +182,18 @@
         Makes the rejection known to all instances, for that time.
         """
         self._publish(
-            self._records.record_rejection(
+            *self._records.record_rejection(
                 fingerprint, now=now, unix_ms=self._unix_ms()
             )
         )
         return self._records.retry_after_s(fingerprint, now)
 
+    def _record_sound(self, fingerprint):
+        now = self._clock()
+        self._records.record_sound(fingerprint, now)
+        if self._records.has_rejection(fingerprint, now):
+            self._clearing.wake()
+
     async def _probe(self, endpoint, suspects):
         try:
             result = await self._send_probe(endpoint.address, PROBE_TIMEOUT_S)
@@ -211,6 +252,7 @@
     "crashes",
     needs=(
         "catalog",
+        "clearing",
         "crash_records",
         "findings",
         "journal",
@@ -223,6 +265,7 @@
     yield CrashDetector(
         records=core.part("crash_records"),
         publish=core.part("findings").publish,
+        clearing=core.part("clearing"),
         find_endpoint=core.part("catalog").endpoint,
         probe=probe,
         reaches_others=core.part("link_checker").reaches_others,
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -124,6 +124,8 @@
             return Outcome(failure=bound)
         request = bound
         now = self._parts.clock()
+        if self._parts.crashes.try_probe(request.fingerprint, now):
+            request = request._replace(is_probe=True)
         rejected = rejections.of_request(request, self._parts, now)
         if rejected is None:
             rejected = self._unservable(request, now)
--- a/sycamoreshed/forwarding/rejections.py
+++ b/sycamoreshed/forwarding/rejections.py
@@ -27,7 +27,8 @@
     sent : bool
         Whether an attempt of this request may have run.
     """
-    if not parts.crashes.is_rejected(request.fingerprint, now):
+    is_allowed = request.is_probe and not sent
+    if is_allowed or not parts.crashes.is_rejected(request.fingerprint, now):
         return parts.residency.rejection(request, sent=sent)
     return kinds.Failure(
         kinds.Kind.CRASHES_ENDPOINTS,
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -64,6 +64,8 @@
         whichever is earlier.
     origin : Origin or None
         Set if it goes on with a stream.
+    is_probe : bool
+        Whether it is sent once although a part of its prompt is rejected.
     """
 
     id: str
@@ -81,6 +83,7 @@
     waited_s: float
     deadline: float
     origin: typing.Any = None
+    is_probe: bool = False
 
     @property
     def can_rerun(self):
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -146,7 +146,6 @@
     """Pass on one engine's part of a stream; return a `_Break` or None."""
     response = opened.response
     buffer = sse.EventBuffer()
-    has_begun = False
     while True:
         try:
             async with timeouts.time_limit(_timeout(request, parts, progress)):
@@ -157,10 +156,8 @@
             return _broken(web.describe(err), is_cut_off=True)
         if not data:
             break
+        tries.record_data(opened.endpoint)
         for event in buffer.feed(data):
-            if not has_begun:
-                has_begun = True
-                tries.record_first_event(opened.endpoint)
             broken = await _forward_event(
                 event, opened, tries, request, sink, parts, progress
             )
--- a/sycamoreshed/forwarding/tests/test_crashes.py
+++ b/sycamoreshed/forwarding/tests/test_crashes.py
@@ -30,7 +30,8 @@
         )
         self.detector = crashes.CrashDetector(
             records=self.records,
-            publish=self.published.append,
+            publish=lambda *findings: self.published.extend(findings),
+            clearing=None,
             find_endpoint=lambda _id: listed,
             probe=self._probe,
             reaches_others=self._reaches_others,
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -16,6 +16,7 @@
 from sycamoreshed.catalog import staleness  # noqa: F401
 from sycamoreshed.entry import sockets  # noqa: F401
 from sycamoreshed import exceptions
+from sycamoreshed.findings import clearing  # noqa: F401
 from sycamoreshed.findings import crashes as crash_records  # noqa: F401
 from sycamoreshed.findings import exchange  # noqa: F401
 from sycamoreshed.findings import limits  # noqa: F401
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -178,6 +178,7 @@
             target=target,
             team=team.name if team else None,
             body=body,
+            parts=[part for part, _ in head.prefix[:-1]],
         )
         self._journal.write(
             "admitted",
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -152,9 +152,8 @@
         size = 0
         try:
             async for data in response.content.iter_any():
-                if not size:
-                    for number in calls:
-                        self._crashes.record_begun(endpoint, number)
+                for number in calls:
+                    self._crashes.record_data(endpoint, number)
                 size += len(data)
                 await answer.write(data)
         except adapters.TRANSPORT_ERRORS as err:
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -170,7 +170,25 @@
     "request_rejected": Event(
         EventClass.STATE,
         "fingerprint",
-        "a request has crashed several endpoints and is rejected from now on",
+        "a request, or what has a part in its prompt, has crashed several "
+        "endpoints and is rejected from now on",
+    ),
+    "rejection_withdrawn": Event(
+        EventClass.STATE,
+        "fingerprint",
+        "an endpoint has answered what was rejected: it no longer is",
+    ),
+    "part_probed": Event(
+        EventClass.STATE,
+        "part, count",
+        "a request with a rejected part of a prompt is sent once, to find out "
+        "whether endpoints still crash; the how manieth time",
+    ),
+    "part_cleared": Event(
+        EventClass.DECISION,
+        "part, age_s",
+        "an endpoint has answered a request with a part of its prompt that is "
+        "suspected of crashes, and how long ago",
     ),
     "findings_received": Event(
         EventClass.DECISION,
--- a/testkit/crashes.py
+++ b/testkit/crashes.py
@@ -26,7 +26,7 @@
         """Return a number for the call."""
         return 0
 
-    def record_begun(self, _endpoint, _number):
+    def record_data(self, _endpoint, _number):
         """Do nothing."""
 
     def record_end(self, _endpoint, _number):
@@ -36,13 +36,17 @@
         """Record that an endpoint broke off a call."""
         self.broken.append(endpoint.id)
 
-    def record_served(self, fingerprint):
+    def record_served(self, fingerprint, *, is_success):
         """Record that a request was served."""
         self.served.append(fingerprint)
 
     async def settle(self, _endpoint):
         """Do nothing: nothing has to be found out."""
 
+    def try_probe(self, _fingerprint, _now):
+        """Return that none is sent."""
+        return False
+
     def is_suspect(self, fingerprint, _now):
         """Return whether the test named it as a suspect."""
         return fingerprint in self.suspects
