Give up answers that do not end

Callers of an engine that sends bytes without end waited for their deadline, and four such answers took all the memory of an instance, which the platform then kills with all the requests that it has.

Cause: bodies of answers were read without a limit, wherever they came from. Class of fault: input from another process that is bounded by time only. Looked for elsewhere: all reads of whole bodies (endpoints, stage results, the store, objects, lists of instances, messages and calls of other instances), and events of streams.

Change: all of them read by `adapters.bodies`: 16 MiB for a body, 64 MiB for all that are read at a time, beyond which those of more than 256 KiB are given up; 1 MiB for an event. Such an answer counts as broken off.

--- /dev/null
+++ b/sycamoreshed/adapters/bodies.py
@@ -0,0 +1,56 @@
+"""Reads bodies of HTTP messages, whose size has a limit.
+
+A server in trouble may send bytes without end.  Limits apply to each body and
+to all those that are read at the same time.
+"""
+
+import aiohttp
+
+__all__ = ["BodyTooLargeError", "read"]
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Of all bodies together; beyond it, those above their share are given up.
+MAX_TOTAL_BYTES = 64 * 1024 * 1024
+SHARE_BYTES = 256 * 1024
+
+
+class BodyTooLargeError(aiohttp.ClientPayloadError):
+    """The peer sends more than is accepted."""
+
+
+class _Total:
+    """Bytes of all bodies that are being read."""
+
+    size = 0
+
+
+async def read(message):
+    """Return the body of a message.
+
+    Parameters
+    ----------
+    message : aiohttp.ClientResponse or aiohttp.web.BaseRequest
+
+    Raises
+    ------
+    BodyTooLargeError
+    """
+    length = message.content_length
+    if length is not None and length > MAX_BODY_BYTES:
+        raise BodyTooLargeError(f"body of {length} bytes is too large")
+    chunks = []
+    size = 0
+    try:
+        async for chunk in message.content.iter_any():
+            chunks.append(chunk)
+            size += len(chunk)
+            _Total.size += len(chunk)
+            if size > MAX_BODY_BYTES or (
+                _Total.size > MAX_TOTAL_BYTES and size > SHARE_BYTES
+            ):
+                raise BodyTooLargeError(
+                    f"body is too large after {size} bytes"
+                )
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
+    finally:
+        _Total.size -= size
--- a/sycamoreshed/adapters/engines.py
+++ b/sycamoreshed/adapters/engines.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -140,7 +141,7 @@
                     allow_redirects=False,
                 ) as response,
             ):
-                raw = await response.read()
+                raw = await bodies.read(response)
         except web.NOT_SENT_ERRORS as err:
             return kinds.Failure(kinds.Kind.REFUSED, web.describe(err))
         except TimeoutError:
--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -7,6 +7,7 @@
 import msgspec
 import yarl
 
+from sycamoreshed.adapters import bodies
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.kernel import timeouts
@@ -118,7 +119,7 @@
                 allow_redirects=False,
             ) as response,
         ):
-            raw = await response.read()
+            raw = await bodies.read(response)
             decoded = msgspec.json.decode(raw) if raw else None
             return Reply(response.status, decoded, len(raw), len(data))
     except NOT_SENT_ERRORS as err:
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -9,6 +9,7 @@
 from aiohttp import client_proto
 import yarl
 
+from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -197,7 +198,7 @@
     """Read a response; return a `FullAnswer` or a `Failure`."""
     try:
         async with timeouts.time_limit(max(timeout_s, 0.001)):
-            body = await response.read()
+            body = await bodies.read(response)
     except TimeoutError:
         return kinds.Failure(kinds.Kind.LATE, "answer not whole", sent=True)
     except web.TRANSPORT_ERRORS as err:
--- a/sycamoreshed/forwarding/sse.py
+++ b/sycamoreshed/forwarding/sse.py
@@ -3,7 +3,9 @@
 import re
 import typing
 
-__all__ = ["EventBuffer", "StreamEvent"]
+__all__ = ["EventBuffer", "EventTooLargeError", "StreamEvent"]
+
+MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
@@ -16,6 +18,10 @@
     event_id: int | None
 
 
+class EventTooLargeError(ValueError):
+    """An event does not end in time."""
+
+
 class EventBuffer:
     r"""Buffers received bytes and returns complete events.
 
@@ -41,7 +47,13 @@
         return self._rest
 
     def feed(self, data):
-        """Add received bytes; return the events that they complete."""
+        """Add received bytes; return the events that they complete.
+
+        Raises
+        ------
+        EventTooLargeError
+            If an event has more than `MAX_EVENT_BYTES`.
+        """
         data = self._rest + data
         events = []
         start = 0
@@ -52,4 +64,6 @@
             events.append(StreamEvent(raw, event_id))
             start = end.end()
         self._rest = data[start:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f"event of over {MAX_EVENT_BYTES} bytes")
         return events
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -157,7 +157,11 @@
         if not data:
             break
         tries.record_data(opened.endpoint)
-        for event in buffer.feed(data):
+        try:
+            events = buffer.feed(data)
+        except sse.EventTooLargeError as err:
+            return _broken(str(err))
+        for event in events:
             broken = await _forward_event(
                 event, opened, tries, request, sink, parts, progress
             )
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -85,18 +85,20 @@
 
     reason = ""
     protocol = _Protocol()
+    content_length = 2
 
     def __init__(self, outcome):
+        self.content = self
         self._is_complete = outcome.is_complete
         self.status = outcome.status
         self.headers = multidict.CIMultiDict(outcome.headers)
         self.headers["Content-Length"] = "2"
 
-    async def read(self):
-        """Return the body, or raise if it is incomplete."""
+    async def iter_any(self):
+        """Yield the body, or raise if it is incomplete."""
         if not self._is_complete:
             raise aiohttp.ClientPayloadError("cut")
-        return b"{}"
+        yield b"{}"
 
     def close(self):
         """Do nothing."""
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -6,6 +6,7 @@
 import msgspec
 import multidict
 
+from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web as adapters
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client as clients
@@ -59,7 +60,7 @@
     async def handle(self, http):
         """Send a call, and return the endpoint's answer or a refusal."""
         # `http.read` has a limit, which bodies of callers may exceed.
-        call, body = wire.decode_call(await http.content.read())
+        call, body = wire.decode_call(await bodies.read(http))
         endpoint = self._catalog.endpoint(call.endpoint)
         refusal = self._reject(call, endpoint)
         if refusal is not None:
--- a/sycamoreshed/membership/messages.py
+++ b/sycamoreshed/membership/messages.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import timeouts
@@ -74,7 +75,7 @@
                 timeout=aiohttp.ClientTimeout(total=None),
             ) as response,
         ):
-            body = await response.read()
+            body = await bodies.read(response)
             if response.status != 200:
                 return kinds.Failure(
                     kinds.Kind.REFUSED, f"status {response.status}"
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -49,13 +49,15 @@
     status = 200
     headers: typing.ClassVar = {"Content-Length": "1"}
     reason = "OK"
+    content_length = 1
 
     def __init__(self, body):
         self._body = body
+        self.content = self
 
-    async def read(self):
-        """Return the body."""
-        return self._body
+    async def iter_any(self):
+        """Yield the body."""
+        yield self._body
 
     def close(self):
         """Do nothing."""
