--- a/sycamoreshed/findings/clearing.py
+++ b/sycamoreshed/findings/clearing.py
@@ -75,7 +75,7 @@
         self._changed = asyncio.Event()
 
     def delay_s(self, text):
-        """Return a delay that depends on this instance and on a text."""
+        """Return a random delay, each time the same for a text."""
         rng = random.Random(f"{self._own} {text}")
         return feedback_delay_s(self._instance_count(), rng)
 
--- a/sycamoreshed/findings/crashes.py
+++ b/sycamoreshed/findings/crashes.py
@@ -165,8 +165,9 @@
         fingerprint : str
         now : float
         unix_ms : int
-        delay_s : float
-            How much later than at the earliest this instance sends a probe.
+        delay_s : callable
+            Takes the key of a part; returns how much later than at the
+            earliest this instance sends a probe.
 
         Returns
         -------
@@ -185,7 +186,7 @@
                 not fingerprints.is_part(key)
                 or since is None
                 or count >= len(PROBE_INTERVALS_S)
-                or now < since.at + PROBE_INTERVALS_S[count] + delay_s
+                or now < since.at + PROBE_INTERVALS_S[count] + delay_s(key)
             ):
                 return []
             made.append((key, count + 1))
--- a/sycamoreshed/findings/tests/partworld.py
+++ b/sycamoreshed/findings/tests/partworld.py
@@ -130,7 +130,7 @@
         name = "/".join([f"r{next(self._numbers)}", *parts])
         for _ in range(ATTEMPTS):
             is_probe = self.records.record_probe(
-                name, **self._times(), delay_s=0.3
+                name, **self._times(), delay_s=lambda _part: 0.3
             )
             is_rejected = not is_probe and self._is_rejected(name)
             if is_rejected or not self._engines:
--- a/sycamoreshed/findings/tests/test_partblame.py
+++ b/sycamoreshed/findings/tests/test_partblame.py
@@ -180,7 +180,7 @@
     made = Records()
     made.reject("a")
     assert made.records.is_rejected("new/a", made.now)
-    probe = {"fingerprint": "new/a", "delay_s": 0.0}
+    probe = {"fingerprint": "new/a", "delay_s": lambda _part: 0.0}
     assert not made.records.record_probe(**probe, **made.times)
     made.now += crash_records.PROBE_INTERVALS_S[0]
     assert made.records.record_probe(**probe, **made.times)
@@ -216,9 +216,10 @@
     sent = 0
     for _ in range(3000):
         made.now += 1.0
-        sent += bool(
-            made.records.record_probe("new/a", delay_s=0.0, **made.times)
+        probes = made.records.record_probe(
+            "new/a", delay_s=lambda _part: 0.0, **made.times
         )
+        sent += bool(probes)
     assert sent == len(crash_records.PROBE_INTERVALS_S) <= MAX_LATE_SENDS
 
 
--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -167,7 +167,7 @@
             fingerprint,
             now=now,
             unix_ms=self._unix_ms(),
-            delay_s=self._clearing.delay_s(fingerprint),
+            delay_s=self._clearing.delay_s,
         )
         self._publish(*probes)
         return bool(probes)
