Find a part that crashes engines while they are overloaded

Of an endpoint that had rejected requests within the last minute, no request counted as the cause of its crash. A part that crashes engines would not have been found as long as its own crashes kept the others overloaded. Parts are now suspected there too: those that endpoints answer are cleared by that, in an overload as at other times. Requests as a whole are still spared, and older instances see no suspects in such a finding. The new test failed before.

--- a/sycamoreshed/findings/blame.py
+++ b/sycamoreshed/findings/blame.py
@@ -39,10 +39,15 @@
 
 
 class Crash(typing.NamedTuple):
-    """A crash of an endpoint, at a time."""
+    """A crash of an endpoint, at a time.
+
+    ``is_overload`` tells whether it may have failed under the requests that
+    it had to reject.
+    """
 
     at: float
     suspects: tuple
+    is_overload: bool = False
 
 
 class Verdict(typing.NamedTuple):
--- a/sycamoreshed/findings/crashes.py
+++ b/sycamoreshed/findings/crashes.py
@@ -42,11 +42,14 @@
     """Value of a finding of topic "crash", of one instance.
 
     ``endpoint`` names the endpoint and its start; ``suspects`` are the
-    requests that the instance had in flight there.
+    requests that the instance had in flight there.  If the endpoint may have
+    failed for overload, they are ``overload_suspects`` instead: parts of
+    their prompts may be the cause, but no request that was merely there.
     """
 
     endpoint: str
     suspects: list[blame.Suspect]
+    overload_suspects: typing.NotRequired[list[blame.Suspect]]
 
 
 class CrashRecords:
@@ -73,7 +76,9 @@
         for topic in (CRASHES, SERVED, SOUND, REJECTIONS):
             board.listen(topic.name, self._mark_outdated)
 
-    def record_crash(self, endpoint, suspects, *, now, unix_ms):
+    def record_crash(
+        self, endpoint, suspects, *, now, unix_ms, is_overload=False
+    ):
         """Record the crash of an endpoint; return the new `Finding`.
 
         Parameters
@@ -84,19 +89,19 @@
             they were sent.
         now : float
         unix_ms : int
+        is_overload : bool
+            Whether the endpoint may have failed for overload.
         """
         name = f"{endpoint.id}@{endpoint.started_at_ms}"
         key = f"{name}/{self._instance}"
         # Calls may notice one crash a while after each other.
         known = self._board.find(CRASHES.name, key, now)
-        earlier, age_s = [], 0.0
+        value, age_s = CrashValue(endpoint=name, suspects=[]), 0.0
         if known is not None:
-            earlier = known.value["suspects"]
-            age_s = now - known.at
-        value = CrashValue(
-            endpoint=name,
-            suspects=[*earlier, *suspects][-MAX_SUSPECTS:],
-        )
+            value, age_s = dict(known.value), now - known.at
+        field = "overload_suspects" if is_overload else "suspects"
+        earlier = value.get(field, [])
+        value[field] = [*earlier, *suspects][-MAX_SUSPECTS:]
         return self._board.add(
             CRASHES.name, key, value, now=now, unix_ms=unix_ms, age_s=age_s
         )
@@ -348,7 +353,7 @@
         cleared = _requests(explained) - _requests(others)
         served = self._board.entries(SERVED.name, now)
         self._verdict = blame.judge(
-            [_of_requests(each) for each in others],
+            [_of_requests(each) for each in others if not each.is_overload],
             {key: entry.at for key, entry in served.items()},
             known - cleared,
         )
@@ -369,6 +374,7 @@
         """Return a `Crash` for each endpoint, with all its suspects."""
         crashed_at = {}
         suspects = {}
+        overloaded = set()
         entries = self._board.entries(CRASHES.name, now)
         self._decoded = {
             key: self._decode(key, entry) for key, entry in entries.items()
@@ -380,8 +386,11 @@
             name = value["endpoint"]
             crashed_at[name] = min(entry.at, crashed_at.get(name, entry.at))
             suspects.setdefault(name, []).extend(value["suspects"])
+            if "overload_suspects" in value:
+                suspects[name] += value["overload_suspects"]
+                overloaded.add(name)
         return [
-            blame.Crash(crashed_at[name], tuple(each))
+            blame.Crash(crashed_at[name], tuple(each), name in overloaded)
             for name, each in suspects.items()
         ]
 
--- a/sycamoreshed/findings/tests/test_partblame.py
+++ b/sycamoreshed/findings/tests/test_partblame.py
@@ -249,6 +249,25 @@
     assert not made.records.is_rejected("other/b/c", made.now)
 
 
+def test_part_is_found_while_endpoints_are_overloaded():
+    """A part crashed overloaded endpoints without end; requests are spared."""
+    made = Records()
+    for number in range(CRASHES + 1):
+        made.now += 1.0
+        endpoint = types.Endpoint(f"e{number}", "s", "", "north-a", 4)
+        suspects = [
+            blame.Suspect("sound/b", 0.1),
+            blame.Suspect(f"r{number}/a", 0.1),
+        ]
+        made.records.record_crash(
+            endpoint, suspects, is_overload=True, **made.times
+        )
+    made.now += 2.0
+    assert made.records.is_rejected("new/a", made.now)
+    assert not made.records.is_rejected("sound/b", made.now)
+    assert not made.records.blamed("sound/b", made.now)
+
+
 def test_suspects_of_one_crash_are_added_up():
     """A call that noticed a crash late replaced the suspects known before."""
     made = Records()
--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.findings import blame
+from sycamoreshed.findings import fingerprints
 from sycamoreshed.kernel import kernel
 
 __all__ = ["CrashDetector", "Probe", "probe"]
@@ -214,9 +215,14 @@
         if listed is None or listed.is_draining:
             # It was to end; what it ended under is no cause.
             return
-        if self._is_overloaded(endpoint, self._clock()):
-            # Of the requests that it ran, none is the cause.
-            suspects = []
+        is_overload = self._is_overloaded(endpoint, self._clock())
+        if is_overload:
+            # Of the requests that it ran, none as a whole is the cause.
+            suspects = [
+                each
+                for each in suspects
+                if fingerprints.parts_of(each.fingerprint)
+            ]
         self._journal.write(
             "endpoint_crashed",
             endpoint=endpoint.id,
@@ -230,6 +236,7 @@
                 suspects,
                 now=self._clock(),
                 unix_ms=self._unix_ms(),
+                is_overload=is_overload,
             )
         )
 
