--- a/tests/integration/test_crashing_parts.py
+++ b/tests/integration/test_crashing_parts.py
@@ -181,3 +181,105 @@
     late = [each for each in play.sound if each.at > fifth + 2 * STABLE_S]
     served = sum(each.is_served for each in late)
     assert served >= MIN_SERVED_SHARE * len(late) > 0
+
+
+class Deployment(typing.NamedTuple):
+    """Instances before engines that crash under the part "bad"."""
+
+    instances: list
+    session: aiohttp.ClientSession
+    fleet: crashing.Fleet
+
+    async def send(self, instance, parts=("common", "bad")):
+        """Send a request that was never sent before; return the answer."""
+        number = next(_numbers)
+        named = [each.encode().hex() for each in (*parts, f"own{number}")]
+        return await harness.call(
+            self.session,
+            instance,
+            "POST",
+            headers=wiredata.head(
+                f"r-{number}",
+                prefix_hash=",".join(f"{each}:9" for each in named),
+            ),
+            data=f"body {number}".encode(),
+        )
+
+    async def send_bad(self, count):
+        """Send bad requests in turn; return the last status and headers."""
+        for number in range(count):
+            instance = self.instances[number % len(self.instances)]
+            status, headers, _ = await self.send(instance)
+            await self.send(instance, ("common", "middle"))
+            await asyncio.sleep(0.3)
+        return status, headers
+
+    def sends(self):
+        """Return how often engines received a bad request."""
+        return sum(is_bad(each, Case()) for each in self.fleet.seen)
+
+
+@contextlib.asynccontextmanager
+async def deployment(store, folder):
+    """Run instances and engines until the part is rejected."""
+
+    def script(received):
+        yield RUN_S
+        if is_bad(received, Case()):
+            yield scripted.CRASH
+            return
+        yield HEAD + harness.event(0)
+
+    route = {"resumable": True, "max_attempts": 2, "sticky": True}
+    store.put("op", "config", harness.stream_route(**route))
+    fleet = crashing.Fleet(
+        store=store,
+        zones=[harness.ZONES[n % len(harness.ZONES)] for n in range(ENGINES)],
+        script=script,
+        entry=lambda address, zone: wiredata.beat(address, zone=zone),
+    )
+    await fleet.start()
+    async with harness.serving_in_zones(store, folder, retry_slack=1000.0) as (
+        instances,
+        session,
+    ):
+        running = Deployment(instances, session, fleet)
+        status, headers = await running.send_bad(16)
+        assert status == 503
+        assert float(headers["Retry-After"]) > 60
+        yield running
+    await fleet.stop()
+
+
+async def test_rejected_part_is_known_after_all_instances_restart(
+    store, tmp_path
+):
+    """Instances that started again had engines crash by a rejected part."""
+    async with deployment(store, tmp_path) as running:
+        before = running.sends()
+        for each in running.instances:
+            await each.kill()
+        for each in running.instances:
+            await each.start()
+        for each in running.instances:
+            await each.wait_ready()
+        status, _ = await running.send_bad(9)
+        assert status == 503
+        assert running.sends() - before <= MAX_LATE_SENDS
+        for each in running.instances:
+            answered = await running.send(each, ("common", "middle"))
+            assert answered[0] == 200
+
+
+async def test_operator_takes_back_the_rejection_of_a_part(store, tmp_path):
+    """A part stayed rejected although operators had withdrawn it."""
+    async with deployment(store, tmp_path) as running:
+        key = f"finding/rejection/part:{b'bad'.hex()}"
+        before = running.sends()
+        unix_ms = int(time.time() * 1000)
+        row = ["withdrawn", unix_ms, unix_ms]
+        store.put("sycamoreshed-instances", key, row)
+        await asyncio.sleep(1.0)
+        status, _, _ = await running.send(running.instances[0])
+        assert status == 502
+        assert running.sends() > before
