Keep a withdrawn request from being rejected for the same crashes

An operator who withdraws the rejection of a whole request had it back with the next verdict, as long as the crashes were remembered: a withdrawal now counts as an answer for requests as it did for parts. The new test failed before.

--- a/sycamoreshed/findings/crashes.py
+++ b/sycamoreshed/findings/crashes.py
@@ -345,30 +345,32 @@
             if self._rejection(key, now) is not None
         }
         self._part_verdict = partblame.judge(
-            crashes, self._all_sound_at(now), known, now
+            crashes, self._answered_at(SOUND, now), known, now
         )
         explained, others = _split(crashes, self._part_verdict.rejected)
         # A request beside one with a rejected part may have been blamed
         # before the part was.
         cleared = _requests(explained) - _requests(others)
-        served = self._board.entries(SERVED.name, now)
         self._verdict = blame.judge(
             [_of_requests(each) for each in others if not each.is_overload],
-            {key: entry.at for key, entry in served.items()},
+            self._answered_at(SERVED, now),
             known - cleared,
         )
 
-    def _all_sound_at(self, now):
-        """Return when endpoints last answered what has a part, by part."""
-        sound_at = {
+    def _answered_at(self, topic, now):
+        """Return when what has a key was last answered, by key."""
+        answered_at = {
             key: entry.at
-            for key, entry in self._board.entries(SOUND.name, now).items()
+            for key, entry in self._board.entries(topic.name, now).items()
         }
-        # The store may tell of a withdrawal before an instance tells why.
+        # Operators withdraw rejections too, and the store may tell of a
+        # withdrawal before an instance tells of the answer.
         for key, entry in self._board.entries(REJECTIONS.name, now).items():
             if entry.value == WITHDRAWN:
-                sound_at[key] = max(entry.at, sound_at.get(key, entry.at))
-        return sound_at
+                answered_at[key] = max(
+                    entry.at, answered_at.get(key, entry.at)
+                )
+        return answered_at
 
     def _crashes(self, now):
         """Return a `Crash` for each endpoint, with all its suspects."""
--- a/sycamoreshed/findings/partblame.py
+++ b/sycamoreshed/findings/partblame.py
@@ -21,16 +21,17 @@
 # have been suspects of them: what one request repeats is not due to a part.
 REJECT_AFTER = 5
 MIN_REQUESTS = 2
-# Without these, it takes so many crashes: while the suspects have a part in
-# common, and some of them another part, either may be the cause.
+# It takes so many crashes while a rarer part, which only some of the requests
+# have, is a suspect of several of them: either may be the cause.
 REJECT_AFTER_IF_UNCLEAR = 10
 MIN_RIVAL_CRASHES = 2
 # It also takes so many if a part is a suspect of less than this share of the
 # crashes since the first one: it may have been there by chance.
 MIN_SHARE = 0.4
-# Crashes that no other rejected part explains.
+# Of the crashes, so many must not be explained by another rejected part.
 MIN_UNEXPLAINED = 3
-# After that crash, instances have this long to tell of answered requests.
+# After the last of the crashes that it takes, instances have this long to tell
+# that endpoints answer requests with the part.
 DEFENCE_S = 1.2
 
 
--- a/sycamoreshed/findings/tests/test_partblame.py
+++ b/sycamoreshed/findings/tests/test_partblame.py
@@ -209,6 +209,23 @@
     assert not made.records.is_rejected("r/a", made.now)
 
 
+def test_operator_withdraws_the_rejection_of_a_request():
+    """A request was rejected again for the crashes that operators forgave."""
+    made = Records()
+    for number in range(3):
+        made.now += 1.0
+        made.crash(number, "bad")
+    assert made.records.record_rejection("bad", **made.times)
+    made.now += 1.0
+    made.board.add(
+        crash_records.REJECTIONS.name,
+        "bad",
+        crash_records.WITHDRAWN,
+        **made.times,
+    )
+    assert not made.records.is_rejected("bad", made.now)
+
+
 def test_probes_of_a_part_are_few():
     """Probes crashed endpoints as long as a part was rejected."""
     made = Records()
