Take back a rejected part while another one is suspected

An answered probe withdrew a rejection only when no part was under suspicion any more: the task that tells of answers looked at rejected parts once, and then at suspected ones until there were none, for up to ten minutes. It now looks at both each time. The new test failed before.

--- a/sycamoreshed/findings/clearing.py
+++ b/sycamoreshed/findings/clearing.py
@@ -88,18 +88,21 @@
         while True:
             await self._changed.wait()
             self._changed.clear()
-            self._clear(self._records.rejected_parts(self._clock()))
+            self._clear()
             while self._records.suspected_parts(self._clock()):
                 await asyncio.sleep(
                     feedback_delay_s(self._instance_count(), self._rng)
                 )
-                now = self._clock()
-                self._clear(self._records.suspected_parts(now))
+                self._clear(self._records.suspected_parts(self._clock()))
 
-    def _clear(self, parts):
+    def _clear(self, suspected=frozenset()):
+        """Clear suspected parts, and rejected ones that are answered."""
+        now = self._clock()
         self._publish(
             *self._records.clear_parts(
-                parts, now=self._clock(), unix_ms=self._unix_ms()
+                suspected | self._records.rejected_parts(now),
+                now=now,
+                unix_ms=self._unix_ms(),
             )
         )
 
--- a/sycamoreshed/findings/tests/test_clearing.py
+++ b/sycamoreshed/findings/tests/test_clearing.py
@@ -20,7 +20,7 @@
     """Instances that all know of answers to requests with one part."""
 
     def __init__(self, *, seed):
-        self._clock = asyncio.get_running_loop().time
+        self.clock = asyncio.get_running_loop().time
         self._tasks = set()
         self.told = []
         self.boards = [board.Board() for _ in range(INSTANCES)]
@@ -36,8 +36,8 @@
                 own=f"i{number}",
                 publish=self._publish,
                 instance_count=lambda: INSTANCES,
-                clock=self._clock,
-                unix_ms=lambda: int(self._clock() * 1000),
+                clock=self.clock,
+                unix_ms=lambda: int(self.clock() * 1000),
                 rng=random.Random(f"{seed} {number}"),
             )
             for number, each in enumerate(self.records)
@@ -47,7 +47,7 @@
         """Have all instances learn of a crash; wake their clearing."""
         endpoint = types.Endpoint(f"e{number}", "s", "", "north-a", 4)
         suspect = blame.Suspect(f"r{number}/common", 0.1)
-        now = self._clock()
+        now = self.clock()
         finding = self.records[0].record_crash(
             endpoint, [suspect], now=now, unix_ms=int(now * 1000)
         )
@@ -59,22 +59,22 @@
     def answer(self):
         """Have an endpoint answer a request of each instance."""
         for each in self.records:
-            each.record_sound("sound/common", self._clock())
+            each.record_sound("sound/common", self.clock())
 
     def is_rejected(self):
         """Return whether any instance rejects requests with the part."""
-        now = self._clock()
+        now = self.clock()
         return any(e.is_rejected("new/common", now) for e in self.records)
 
     def _publish(self, *findings):
         if findings:
-            self.told.append(self._clock())
+            self.told.append(self.clock())
             self._tasks.add(asyncio.create_task(self._deliver(findings)))
 
     async def _deliver(self, findings):
         await asyncio.sleep(REACH_S)
         for each in self.boards:
-            each.merge(findings, self._clock())
+            each.merge(findings, self.clock())
 
 
 def test_few_instances_tell_of_a_part_that_all_know():
@@ -97,3 +97,39 @@
 
     told = [virtualtime.run(scenario(seed)) for seed in range(3)]
     assert max(told) <= MAX_TELLERS * 3 * partblame.REJECT_AFTER
+
+
+def test_rejected_part_is_cleared_while_another_one_is_suspected():
+    """A part stayed rejected as long as another one was suspected."""
+
+    async def scenario():
+        fleet = Fleet(seed=1)
+        records, clearer = fleet.records[0], fleet.clearings[0]
+        task = asyncio.create_task(clearer.run())
+        for number in range(partblame.REJECT_AFTER):
+            fleet.crash(number)
+            await asyncio.sleep(1.0)
+        for number in range(2):
+            suspects = [blame.Suspect(f"s{number}/rare", 0.1)]
+            endpoint = types.Endpoint(f"s{number}", "s", "", "north-a", 4)
+            now = fleet.clock()
+            records.record_crash(
+                endpoint, suspects, now=now, unix_ms=int(now * 1000)
+            )
+            await asyncio.sleep(1.0)
+        now = fleet.clock()
+        assert records.is_rejected("new/common", now)
+        records.record_rejection(
+            "new/common", now=now, unix_ms=int(now * 1000)
+        )
+        assert records.suspected_parts(now) == {"part:rare"}
+        clearer.wake()
+        await asyncio.sleep(2.0)
+        records.record_sound("probe/common", fleet.clock())
+        clearer.wake()
+        await asyncio.sleep(2.0)
+        assert not records.is_rejected("new/common", fleet.clock())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    virtualtime.run(scenario())
