Export the open connections of each listener and the limit of descriptors

An instance that runs out of descriptors could be told from one that lost the store only by the text of its connection errors; how many connections callers hold was not known at all. Two gauges show both. No logic is changed.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -1,6 +1,8 @@
 """The listening sockets of a forwarding daemon, and its graceful stop."""
 
 import asyncio
+import functools
+import resource
 
 from aiohttp import web
 
@@ -22,22 +24,40 @@
 POLL_S = 0.02
 
 
-@kernel.plugin("listeners", needs=("handler", "inner", "sockets", "journal"))
+@kernel.plugin(
+    "listeners",
+    needs=("gateway_metrics", "handler", "inner", "sockets", "journal"),
+)
 async def listeners(core):
     """Provide the servers on the listening sockets."""
     sockets = core.part("sockets")
-    runners = [
-        await servers.listen(
+    runners = {
+        "control": await servers.listen(
             core.control, sockets["control"], shutdown_timeout=0
         ),
-        await _start_server(core.part("handler"), sockets["public"]),
-        await _start_server(_readiness(core), sockets["ready"]),
-    ]
+        "public": await _start_server(core.part("handler"), sockets["public"]),
+        "ready": await _start_server(_readiness(core), sockets["ready"]),
+    }
+    metrics = core.part("gateway_metrics")
+    metrics.export_max_descriptors(_max_descriptors)
+    for name, runner in runners.items():
+        metrics.export_connections(
+            name, functools.partial(_connection_count, runner.server)
+        )
     yield runners
-    for runner in runners:
+    for runner in runners.values():
         await runner.cleanup()
 
 
+def _max_descriptors():
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit
+
+
+def _connection_count(server):
+    return len(server.connections)
+
+
 async def _start_server(handler, bound_socket):
     server = web.Server(
         handler,
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -76,6 +76,17 @@
             "Whether this instance has lost its links to all endpoints.",
             registry=registry,
         )
+        self._connections = prometheus_client.Gauge(
+            "sycamoreshed_gateway_connections",
+            "Open connections that were accepted, by listener.",
+            ["listener"],
+            registry=registry,
+        )
+        self._max_descriptors = prometheus_client.Gauge(
+            "sycamoreshed_gateway_max_descriptors",
+            "Descriptors that the process may have open.",
+            registry=registry,
+        )
         self._taken_up = prometheus_client.Counter(
             "sycamoreshed_gateway_streams_taken_up",
             "Requests that go on with a stream, by what knew its origin.",
@@ -128,6 +139,14 @@
         """Export whether this instance reaches no endpoint."""
         self._cut_off.set_function(read)
 
+    def export_connections(self, listener, read):
+        """Export a listener's open connections, which `read` returns."""
+        self._connections.labels(listener).set_function(read)
+
+    def export_max_descriptors(self, read):
+        """Export the limit of open descriptors, which `read` returns."""
+        self._max_descriptors.set_function(read)
+
     def export_dropped(self, read):
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
