--- a/testkit/proxy.py
+++ b/testkit/proxy.py
@@ -77,6 +77,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def reset(self):
+        """Close all open connections; new ones are accepted."""
+        for task in list(self._tasks):
+            task.cancel()
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
