Bound the connections that an instance accepts

Callers saw 404 for a route that had been confirmed 2.5 s before, 503 on open connections, and new connections that were refused: an instance without a free descriptor can connect neither to the store, its reader and peers, nor to endpoints, and goes on answering as its old configuration says. Nothing bounded the connections that it accepts, or the time for which they may be idle; of the configuration's limits only the size of bodies was in use.

Each listener now has a share of the descriptors (setting max_descriptors, or the limit of the process): half of what files, the store and other instances leave is for callers, as each of their requests needs a connection to an endpoint, too. A connection beyond that replaces one that waits for a request, so that idle ones cost nobody a request; if all are busy it is closed unread, which callers may repeat elsewhere. Idle connections and heads without end are closed after the configured times.

Ruled out: a larger limit (the platform's is fixed), and refusing new connections while idle ones are kept (a crowd of silent connections would keep callers out).

--- a/sycamoreshed/catalog/types.py
+++ b/sycamoreshed/catalog/types.py
@@ -176,11 +176,16 @@
 
 
 class Limits(typing.NamedTuple):
-    """Maximum sizes of a request, and idle timeout of a connection."""
+    """Maximum sizes of a request, and timeouts of a connection.
+
+    ``idle_s`` counts without a byte of a request, ``head_s`` from its first
+    byte to the end of its head.
+    """
 
     header_bytes: int = 16384
     body_bytes: int = 4 << 20
     idle_s: float = 15.0
+    head_s: float = 5.0
 
 
 class Configuration(typing.NamedTuple):
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -6,7 +6,9 @@
 
 from aiohttp import web
 
-from sycamoreshed.entry import servers
+from sycamoreshed.catalog import types
+from sycamoreshed.entry import connections
+from sycamoreshed.entry import limitedserver
 from sycamoreshed.kernel import kernel
 
 __all__ = ["drain"]
@@ -14,6 +16,10 @@
 # Must exceed the idle limit of every configuration: callers reuse connections
 # up to that limit, and a request can be lost on one that is closed earlier.
 KEEPALIVE_S = 120.0
+# For the head of a request of another instance.
+PEER_HEAD_S = 5.0
+# The load balancer has one connection open at a time.
+MAX_READINESS_CONNECTIONS = 16
 # Of the request line, and of each header field.
 MAX_HEADER_BYTES = 32768
 # The load balancer checks readiness once a second and reacts to two failed
@@ -26,53 +32,90 @@
 
 @kernel.plugin(
     "listeners",
-    needs=("gateway_metrics", "handler", "inner", "sockets", "journal"),
+    needs=(
+        "catalog",
+        "gateway_metrics",
+        "handler",
+        "inner",
+        "sockets",
+        "journal",
+    ),
 )
 async def listeners(core):
     """Provide the servers on the listening sockets."""
     sockets = core.part("sockets")
+    max_descriptors = _max_descriptors(core.settings)
+    shares = connections.descriptor_shares(max_descriptors)
+
+    def make_server(name, max_connections, limits):
+        return functools.partial(
+            limitedserver.LimitedServer,
+            name=name,
+            max_connections=max_connections,
+            limits=limits,
+            journal=core.part("journal"),
+            clock=core.clock,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+            auto_decompress=False,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        )
+
+    of_callers = functools.partial(_caller_limits, core.part("catalog"))
     runners = {
-        "control": await servers.listen(
-            core.control, sockets["control"], shutdown_timeout=0
+        "control": limitedserver.LimitedAppRunner(
+            core.control,
+            make_server=make_server("control", shares.instances, _peer_limits),
+            shutdown_timeout=0,
+        ),
+        "public": web.ServerRunner(
+            make_server("public", shares.callers, of_callers)(
+                core.part("handler")
+            ),
+            shutdown_timeout=0,
+        ),
+        "ready": web.ServerRunner(
+            make_server("ready", MAX_READINESS_CONNECTIONS, of_callers)(
+                _readiness(core)
+            ),
+            shutdown_timeout=0,
         ),
-        "public": await _start_server(core.part("handler"), sockets["public"]),
-        "ready": await _start_server(_readiness(core), sockets["ready"]),
     }
     metrics = core.part("gateway_metrics")
-    metrics.export_max_descriptors(_max_descriptors)
+    metrics.export_max_descriptors(lambda: max_descriptors)
     for name, runner in runners.items():
+        await runner.setup()
+        server = runner.server
+        await web.SockSite(
+            runner, sockets[name], backlog=shares.backlog
+        ).start()
+        core.keep_running(
+            server.run_sweeping, name=f"close idle {name} connections"
+        )
         metrics.export_connections(
-            name, functools.partial(_connection_count, runner.server)
+            name, functools.partial(getattr, server, "open_count")
         )
     yield runners
     for runner in runners.values():
         await runner.cleanup()
 
 
-def _max_descriptors():
+def _max_descriptors(settings):
     limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return limit
+    return min(limit, settings.max_descriptors or limit)
 
 
-def _connection_count(server):
-    return len(server.connections)
+def _caller_limits(catalog):
+    """Return the seconds that callers may be idle, and send a head."""
+    configuration = catalog.configuration
+    limits = configuration.limits if configuration else types.Limits()
+    return limits.idle_s, limits.head_s
 
 
-async def _start_server(handler, bound_socket):
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=KEEPALIVE_S,
-        auto_decompress=False,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
-    )
-    runner = web.ServerRunner(server, shutdown_timeout=0)
-    await runner.setup()
-    # Sized for connections that arrive at once after many instances failed.
-    await web.SockSite(runner, bound_socket, backlog=1024).start()
-    return runner
+def _peer_limits():
+    return KEEPALIVE_S, PEER_HEAD_S
 
 
 def _readiness(core):
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -35,6 +35,7 @@
     core_speed: typing.NotRequired[schema.NonNegative]
     max_body_bytes: typing.NotRequired[schema.PositiveInt]
     max_control_bytes: typing.NotRequired[schema.PositiveInt]
+    max_descriptors: typing.NotRequired[schema.PositiveInt]
 
 
 class Settings(typing.NamedTuple):
@@ -105,6 +106,7 @@
     core_speed: float = 1.0
     max_body_bytes: int = 4 << 20
     max_control_bytes: int = 1 << 26
+    max_descriptors: int | None = None
 
     @property
     def update_s(self):
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -44,6 +44,12 @@
     "stopped": Event(
         EventClass.STATE, "in_flight, took_s", "the process ends"
     ),
+    "connections_full": Event(
+        EventClass.STATE,
+        "listener, open, closed",
+        "a listener has as many connections as it may; how many were closed "
+        "for new ones, or as they came, since the last such line",
+    ),
     "reload": Event(
         EventClass.STATE,
         "taken, after_restart",
--- a/sycamoreshed/platform/records.py
+++ b/sycamoreshed/platform/records.py
@@ -89,6 +89,7 @@
     max_header_bytes: int = 16384
     max_body_bytes: int = 4 << 20
     idle_timeout_ms: float = 15000.0
+    header_timeout_ms: float = 5000.0
 
 
 class _Tenant(msgspec.Struct):
@@ -154,6 +155,7 @@
             header_bytes=wire.limits.max_header_bytes,
             body_bytes=wire.limits.max_body_bytes,
             idle_s=wire.limits.idle_timeout_ms / 1000,
+            head_s=wire.limits.header_timeout_ms / 1000,
         ),
     )
 
