Add a failing test: each silent pooled connection costs a time limit

Connections may go silent for good without a reset, all of a server at once. The test fails: the second call times out too.

--- a/sycamoreshed/adapters/tests/test_web.py
+++ b/sycamoreshed/adapters/tests/test_web.py
@@ -99,6 +99,43 @@
     assert reply.sent
 
 
+async def test_one_silent_connection_costs_one_time_limit():
+    """Each pooled connection to a server had to time out by itself.
+
+    An instance whose connections to the store went silent learned of a new
+    configuration only after as many time limits as it had connections.
+    """
+    is_silent = False
+
+    async def answer(reader, writer):
+        was_silent = is_silent
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                await asyncio.sleep(0.05)
+                if is_silent and not was_silent:
+                    await asyncio.Event().wait()
+                writer.write(ANSWER % (1, b"1"))
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    async with aiohttp.ClientSession(connector=web.Connector()) as session:
+
+        async def fetch():
+            return await web.fetch(
+                session, "GET", f"{host}:{port}", "/", timeout=0.5
+            )
+
+        replies = await asyncio.gather(*[fetch() for _ in range(3)])
+        assert [each.status for each in replies] == [200, 200, 200]
+        is_silent = True
+        lost = await fetch()
+        assert lost.kind is kinds.Kind.LATE
+        assert (await fetch()) == web.Reply(200, 1, 1)
+    server.close()
+
+
 MAX_MEMORY_BYTES = 64 * 1024 * 1024
 
 
