Close a server's idle connections once a call to it timed out

Callers could see an older configuration in force for longer than allowed after all open connections of an instance went silent: a call that timed out closed its own connection only, and the next one took another silent one from the pool. Each pooled connection to the store, a reader or a peer cost a time limit of its own.

The connector of the shared session now closes the idle connections to an address when a call to it times out; the next call opens a new one. Calls in flight end by their own limits. Ruled out: keepalive probes and user timeouts of TCP alone, which do not see a connection that acknowledges and carries nothing.

test_one_silent_connection_costs_one_time_limit failed before and passes.

--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -42,16 +42,20 @@
 
 
 class Connector(aiohttp.TCPConnector):
-    """Connector that reuses a connection only if no data came while idle.
+    """Connector that reuses only connections that are likely to work.
 
     Notes
     -----
-    If an answer is sent twice, and the second copy arrives after the
-    connection was returned to the pool, it would be read as the answer to
-    the next request on that connection, and each later answer as that of
-    the request after it.  Answers to stage calls carry the ids of their
-    call, so they would all be dropped as stray; for other requests the
-    error would go unnoticed.
+    Connections may stop carrying data without an end.  Once a call timed out,
+    the idle connections to its server are closed: they may have the same
+    fault, and each would cost a call until its own time limit.
+
+    A connection is not reused if data came while it was idle.  If an answer
+    is sent twice, and the second copy arrives after the connection was
+    returned to the pool, it would be read as the answer to the next request
+    on that connection, and each later answer as that of the request after
+    it.  Answers to stage calls carry the ids of their call, so they would all
+    be dropped as stray; for other requests the error would go unnoticed.
     """
 
     async def _get(self, key, traces):
@@ -61,6 +65,15 @@
             connection = await super()._get(key, traces)
         return connection
 
+    def close_idle(self, address):
+        """Close the idle connections to an ``IP:port`` address."""
+        url = url_of(address, "/")
+        # The HTTP library has no public way to the idle connections.
+        for key in list(self._conns):
+            if (key.host, key.port) == (url.host, url.port):
+                for protocol, _ in self._conns.pop(key):
+                    protocol.close()
+
 
 class Reply(typing.NamedTuple):
     """A full HTTP answer.
@@ -125,6 +138,8 @@
     except NOT_SENT_ERRORS as err:
         return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=False)
     except TimeoutError:
+        if isinstance(session.connector, Connector):
+            session.connector.close_idle(address)
         return kinds.Failure(kinds.Kind.LATE, "no answer in time", sent=True)
     except TRANSPORT_ERRORS as err:
         return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=True)
