--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -40,6 +40,7 @@
 from sycamoreshed.kernel import loops
 from sycamoreshed.links import checking  # noqa: F401
 from sycamoreshed.links import indirect  # noqa: F401
+from sycamoreshed.links import notices  # noqa: F401
 from sycamoreshed.links import reachability  # noqa: F401
 from sycamoreshed.links import sending  # noqa: F401
 from sycamoreshed.links import serving  # noqa: F401
--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -18,14 +18,18 @@
     client : EndpointClient
     indirect : IndirectSender
     reachability : Reachability
+    notices : Notices
     codec : Platform
     clock : callable
     """
 
-    def __init__(self, *, client, indirect, reachability, codec, clock):
+    def __init__(
+        self, *, client, indirect, reachability, notices, codec, clock
+    ):
         self._client = client
         self._indirect = indirect
         self._reachability = reachability
+        self._notices = notices
         self._codec = codec
         self._clock = clock
 
@@ -59,6 +63,22 @@
         aiohttp.ClientResponse or Failure
             The caller must close a response.
         """
+        response = await self._send(
+            method,
+            endpoint,
+            target,
+            headers,
+            body,
+            timeout_s=timeout_s,
+            context=context,
+        )
+        if not isinstance(response, kinds.Failure):
+            self._notices.record(endpoint, response)
+        return response
+
+    async def _send(
+        self, method, endpoint, target, headers, body, *, timeout_s, context
+    ):
         started_at = self._clock()
 
         def remaining():
@@ -94,6 +114,16 @@
         -------
         FullAnswer or Failure
         """
+        answer = await self._post_idempotent(
+            endpoint, target, headers, body, timeout_s=timeout_s
+        )
+        if not isinstance(answer, kinds.Failure):
+            self._notices.record(endpoint, answer)
+        return answer
+
+    async def _post_idempotent(
+        self, endpoint, target, headers, body, *, timeout_s
+    ):
         if self._reachability.is_cut_off:
             response = await self._send_indirectly(
                 "POST",
@@ -169,7 +199,13 @@
 
 @kernel.plugin(
     "endpoint_sender",
-    needs=("endpoint_client", "indirect_sender", "platform", "reachability"),
+    needs=(
+        "endpoint_client",
+        "indirect_sender",
+        "notices",
+        "platform",
+        "reachability",
+    ),
 )
 async def endpoint_sender(core):
     """Provide the `EndpointSender`."""
@@ -177,6 +213,7 @@
         client=core.part("endpoint_client"),
         indirect=core.part("indirect_sender"),
         reachability=core.part("reachability"),
+        notices=core.part("notices"),
         codec=core.part("platform"),
         clock=core.clock,
     )
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -31,6 +31,7 @@
     codec : Platform
     crashes : CrashDetector
     reachability : Reachability
+    notices : Notices
     stopping : asyncio.Event
     journal : Journal
     clock : callable
@@ -44,6 +45,7 @@
         codec,
         crashes,
         reachability,
+        notices,
         stopping,
         journal,
         clock,
@@ -53,6 +55,7 @@
         self._codec = codec
         self._crashes = crashes
         self._reachability = reachability
+        self._notices = notices
         self._stopping = stopping
         self._journal = journal
         self._clock = clock
@@ -109,6 +112,7 @@
         )
         if isinstance(answer, kinds.Failure):
             return self._refuse(call, _of_failure(answer))
+        self._notices.record(endpoint, answer)
         headers = self._headers(answer.headers)
         return web.Response(
             status=answer.status, body=answer.body, headers=headers
@@ -133,6 +137,7 @@
                 await self._record_break(endpoint)
             return self._refuse(call, _of_failure(response))
         self._reachability.record_success(endpoint.id, sent_at=sent_at)
+        self._notices.record(endpoint, response)
         try:
             return await self._pass_on(http, call, endpoint, response, calls)
         finally:
@@ -226,6 +231,7 @@
         "crashes",
         "endpoint_client",
         "journal",
+        "notices",
         "platform",
         "reachability",
     ),
@@ -238,6 +244,7 @@
         codec=core.part("platform"),
         crashes=core.part("crashes"),
         reachability=core.part("reachability"),
+        notices=core.part("notices"),
         stopping=core.stopping,
         journal=core.part("journal"),
         clock=core.clock,
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -11,6 +11,7 @@
 from sycamoreshed.catalog import types
 from sycamoreshed.forwarding import client as clients
 from sycamoreshed.links import indirect
+from sycamoreshed.links import notices
 from sycamoreshed.links import reachability
 from sycamoreshed.links import sending
 from sycamoreshed.links import serving
@@ -90,12 +91,14 @@
         self.catalog = Catalog(endpoint)
         self.crashes = crashes.Crashes()
         self.stopping = asyncio.Event()
+        codec = platform.Platform(store=None)
         self.server = serving.CallServer(
             catalog=self.catalog,
             client=client,
-            codec=platform.Platform(store=None),
+            codec=codec,
             crashes=self.crashes,
             reachability=reachability.Reachability(journal=self.journal),
+            notices=notices.Notices(codec=codec, journal=self.journal),
             stopping=self.stopping,
             journal=self.journal,
             clock=asyncio.get_running_loop().time,
@@ -167,6 +170,7 @@
     server = scripted.Endpoint(script)
     await server.start()
     endpoint = types.Endpoint("e1", "desk", server.address, "south-a", 4)
+    codec = platform.Platform(store=None)
     async with clients.open_client() as client:
         helpers = [Helper(client, endpoint) for _ in REGIONS]
         for each in helpers:
@@ -187,7 +191,8 @@
                 clock=clock,
             ),
             reachability=cut_off_links(journal),
-            codec=platform.Platform(store=None),
+            notices=notices.Notices(codec=codec, journal=journal),
+            codec=codec,
             clock=clock,
         )
         yield System(sender, helpers, server, endpoint, journal)
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -89,6 +89,12 @@
         "endpoint, service, address, software_version, store_version, source",
         "an endpoint wants no new requests",
     ),
+    "endpoint_leaves": Event(
+        EventClass.STATE,
+        "endpoint, status",
+        "an endpoint said in an answer that it leaves, for the first time "
+        "since its start",
+    ),
     "endpoint_gone": Event(
         EventClass.STATE,
         "endpoint, store_version, source",
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -17,6 +17,7 @@
     "decode_piece_results",
     "forwarded_headers",
     "free_call",
+    "is_leaving",
     "matches_request",
     "parse_head",
     "piece_call",
@@ -242,6 +243,17 @@
     return Verdict.DONE
 
 
+def is_leaving(headers):
+    """Return whether an endpoint says that it leaves.
+
+    Examples
+    --------
+    >>> is_leaving({"Server-Leaving": "1"}), is_leaving({})
+    (True, False)
+    """
+    return headers.get(names.LEAVING, "").strip() == "1"
+
+
 def rate_limit(headers):
     """Return the requests per second that an endpoint takes, or None.
 
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -24,6 +24,8 @@
 RATE_LIMIT = "Server-Limit"
 # Rejections per second for lack of room above which an endpoint fails.
 MAX_REJECTIONS = "Server-Brittle"
+# In all answers of an endpoint that leaves.
+LEAVING = "Server-Leaving"
 # Tokens of the prompt, and the maximum number to generate.
 TOKENS = "X-Sycamoreshed-Token-Usage"
 PRIORITY = "X-Sycamoreshed-Priority-Class"
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -34,6 +34,7 @@
     response_headers = staticmethod(calls.response_headers)
     classify_response = staticmethod(calls.classify_response)
     matches_request = staticmethod(calls.matches_request)
+    is_leaving = staticmethod(calls.is_leaving)
     rate_limit = staticmethod(calls.rate_limit)
     tolerated_rejections = staticmethod(calls.tolerated_rejections)
     piece_call = staticmethod(calls.piece_call)
