Send nothing to endpoints that say in their answers that they leave

What an answer says is a finding now, which all instances are told; the catalog takes the endpoint from those that get new work, and EndpointSender, through which requests, retries, streams, stage calls and calls for other instances go, asks it again when it sends. So calls with pieces that waited for a permit are no longer sent to an endpoint that leaves, was evacuated or ended meanwhile, either.

Ruled out: a record of each instance alone (each would send once more, and a restart forgets), and a mark in the copy of the list (the next list says ready).

Endpoint.boot replaces four copies of the same key.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -88,6 +88,7 @@
         self._evacuations = evacuations.Evacuations(journal=journal)
         self._warmups = warmups.Warmups()
         self._software = software.SoftwareVersions()
+        self._departures = frozenset()
         self._endpoints = {}
         self._by_service = {}
         self._retained = {}
@@ -158,13 +159,44 @@
     def endpoints(self, service, now):
         """Return the endpoints of a service that may get new work.
 
-        Without those that are draining or in an evacuated zone, and with
+        Without those that leave or are in an evacuated zone, and with
         retained ones that have no entry.
         """
         if self._retained:
             self._expire(now)
         return self._by_service.get(service, ())
 
+    def takes_work(self, endpoint, now):
+        """Return whether an endpoint may get new work.
+
+        False as well if it started again since `endpoint` was listed.
+        """
+        if self._retained:
+            self._expire(now)
+        current = self._endpoints.get(endpoint.id)
+        if current is None or current.boot != endpoint.boot:
+            return False
+        return self._is_available(current)
+
+    def count_leaving(self, service):
+        """Return how many listed endpoints of a service leave."""
+        return sum(
+            each.service == service and self._is_leaving(each)
+            for each in self._endpoints.values()
+        )
+
+    def set_departures(self, boots):
+        """Replace the endpoints that leave by their answers.
+
+        Parameters
+        ----------
+        boots : frozenset of str
+            See `Endpoint.boot`.
+        """
+        if boots != self._departures:
+            self._departures = boots
+            self._group_endpoints()
+
     def endpoint(self, endpoint_id):
         """Return the `Endpoint` with an id, or None."""
         return self._endpoints.get(endpoint_id)
@@ -327,12 +359,19 @@
     def _group_endpoints(self):
         grouped = {}
         for each in self._endpoints.values():
-            if not each.is_draining and each.zone not in self._evacuations:
+            if self._is_available(each):
                 grouped.setdefault(each.service, []).append(each)
         self._by_service = {
             name: tuple(each) for name, each in grouped.items()
         }
 
+    def _is_leaving(self, endpoint):
+        return endpoint.is_draining or endpoint.boot in self._departures
+
+    def _is_available(self, endpoint):
+        is_evacuated = endpoint.zone in self._evacuations
+        return not is_evacuated and not self._is_leaving(endpoint)
+
     def _expire(self, now):
         expired = {
             key
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -181,3 +181,47 @@
         copies.replace("settings", settings(8), 20, 0.0, source="store")
     copies.replace("settings", settings(8), 20, 0.1, source="store")
     assert copies.configuration.version == 8
+
+
+def list_endpoints(catalog, version, **changes):
+    """Install a list of two endpoints; return the first one."""
+    rows = endpoint_rows("a", "b", **changes)
+    catalog.replace("endpoints", rows, version, 0.0, source="store")
+    return catalog.endpoint("a")
+
+
+def test_endpoint_that_leaves_by_its_answers_takes_no_work(catalog):
+    """The list of endpoints alone decided, and was older than the answer."""
+    endpoint = list_endpoints(catalog, 1)
+    assert catalog.takes_work(endpoint, 0.0)
+    catalog.set_departures(frozenset((endpoint.boot,)))
+    assert not catalog.takes_work(endpoint, 0.0)
+    assert ids(catalog, 0.0) == {"b"}
+    assert catalog.count_leaving("desk") == 1
+    list_endpoints(catalog, 2, sequence=2)
+    assert ids(catalog, 0.0) == {"b"}
+
+
+def test_next_process_of_an_endpoint_that_left_takes_work(catalog):
+    """A departure was held against all processes with the id."""
+    endpoint = list_endpoints(catalog, 1)
+    catalog.set_departures(frozenset((endpoint.boot,)))
+    restarted = list_endpoints(catalog, 2, born=1700000009000)
+    assert ids(catalog, 0.0) == {"a", "b"}
+    assert catalog.takes_work(restarted, 0.0)
+    # Chosen before the restart.
+    assert not catalog.takes_work(endpoint, 0.0)
+
+
+@pytest.mark.parametrize("why", ["draining", "gone", "evacuated"])
+def test_endpoint_that_was_chosen_before_takes_no_work(catalog, why):
+    """What waited between choice and sending was sent all the same."""
+    endpoint = list_endpoints(catalog, 1)
+    if why == "draining":
+        list_endpoints(catalog, 2, state="draining")
+    elif why == "gone":
+        catalog.replace("endpoints", {}, 2, 0.0, source="store")
+    else:
+        rows = {**settings(7), f"evacuate/{endpoint.zone}": b"{}"}
+        catalog.replace("settings", rows, 2, 0.0, source="store")
+    assert not catalog.takes_work(endpoint, 0.0)
--- a/sycamoreshed/catalog/types.py
+++ b/sycamoreshed/catalog/types.py
@@ -241,3 +241,8 @@
     started_at_ms: int = 0
     cold_s: float = 0.0
     software_version: str = ""
+
+    @property
+    def boot(self):
+        """Name of this process, other than that of a next one with its id."""
+        return f"{self.id}@{self.started_at_ms}"
--- a/sycamoreshed/findings/crashes.py
+++ b/sycamoreshed/findings/crashes.py
@@ -92,7 +92,7 @@
         is_overload : bool
             Whether the endpoint may have failed for overload.
         """
-        name = f"{endpoint.id}@{endpoint.started_at_ms}"
+        name = endpoint.boot
         key = f"{name}/{self._instance}"
         # Calls may notice one crash a while after each other.
         known = self._board.find(CRASHES.name, key, now)
--- a/sycamoreshed/findings/limits.py
+++ b/sycamoreshed/findings/limits.py
@@ -28,7 +28,7 @@
 
     def rate(self, endpoint, now):
         """Return an endpoint's limit in requests per second, or None."""
-        entry = self._board.find(LIMITS.name, _key(endpoint), now)
+        entry = self._board.find(LIMITS.name, endpoint.boot, now)
         return None if entry is None else self._decode(entry.value)
 
     def record_answer(self, endpoint, rate, *, sent_at, now, unix_ms):
@@ -50,7 +50,7 @@
         Finding or None
             None if nothing has changed.
         """
-        entry = self._board.find(LIMITS.name, _key(endpoint), now)
+        entry = self._board.find(LIMITS.name, endpoint.boot, now)
         known = None if entry is None else self._decode(entry.value)
         if rate is None and (known is None or sent_at <= entry.at):
             return None
@@ -61,7 +61,7 @@
                 "endpoint_limited", endpoint=endpoint.id, rate=rate
             )
         return self._board.add(
-            LIMITS.name, _key(endpoint), rate, now=now, unix_ms=unix_ms
+            LIMITS.name, endpoint.boot, rate, now=now, unix_ms=unix_ms
         )
 
     def _decode(self, value):
@@ -73,10 +73,6 @@
             return None
 
 
-def _key(endpoint):
-    return f"{endpoint.id}@{endpoint.started_at_ms}"
-
-
 @kernel.plugin("limit_records", needs=("board", "journal"))
 async def limit_records(core):
     """Provide the limits that endpoints named."""
--- a/sycamoreshed/findings/overloads.py
+++ b/sycamoreshed/findings/overloads.py
@@ -56,7 +56,7 @@
 
     def rate(self, endpoint, now):
         """Return how many requests a second an endpoint may get, or None."""
-        entry = self._board.find(OVERLOADS.name, _key(endpoint), now)
+        entry = self._board.find(OVERLOADS.name, endpoint.boot, now)
         overload = None if entry is None else self._decode(entry.value)
         if overload is None:
             return None
@@ -69,9 +69,7 @@
 
     def is_overloaded(self, endpoint, now):
         """Return whether an endpoint rejected requests lately."""
-        return (
-            self._board.find(OVERLOADS.name, _key(endpoint), now) is not None
-        )
+        return self._board.find(OVERLOADS.name, endpoint.boot, now) is not None
 
     def record_rejection(
         self, endpoint, tolerated, *, arrival_rate, now, unix_ms
@@ -94,7 +92,7 @@
         Finding or None
             None if the same was found a moment ago.
         """
-        entry = self._board.find(OVERLOADS.name, _key(endpoint), now)
+        entry = self._board.find(OVERLOADS.name, endpoint.boot, now)
         rate = arrival_rate
         if entry is None:
             self._journal.write(
@@ -109,7 +107,7 @@
             rate = self.rate(endpoint, now) or rate
         return self._board.add(
             OVERLOADS.name,
-            _key(endpoint),
+            endpoint.boot,
             _Overload(
                 tolerated, max(INCREASE_SHARE * tolerated, DECREASE * rate)
             ),
@@ -128,10 +126,6 @@
             return None
 
 
-def _key(endpoint):
-    return f"{endpoint.id}@{endpoint.started_at_ms}"
-
-
 @kernel.plugin("overload_records", needs=("board", "journal"))
 async def overload_records(core):
     """Provide the records of overloaded endpoints."""
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -460,6 +460,9 @@
             if result.kind is kinds.Kind.INTERNAL:
                 self._may_have_run = True
                 return
+            # It takes no new work since it was chosen.
+            if result.kind is kinds.Kind.NO_ENDPOINT:
+                return
             self.record_failure(
                 endpoint,
                 result,
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -163,7 +163,7 @@
             self._sent.record(endpoint.id, now)
             return True
         request = permits.PermitRequest(
-            f"{endpoint.id}@{endpoint.started_at_ms}",
+            endpoint.boot,
             rate,
             max_wait_s,
             self._own,
--- a/sycamoreshed/forwarding/rejections.py
+++ b/sycamoreshed/forwarding/rejections.py
@@ -74,6 +74,9 @@
         reason += f" of version {request.origin.software_version!r}"
     if parts.residency.regions(request) is not None:
         reason += " in its allowed regions"
+    leaving = parts.catalog.count_leaving(request.service)
+    if leaving:
+        reason += f"; leaving: {leaving}"
     evacuated = parts.catalog.evacuations.ages(now)
     if evacuated:
         reason += f"; evacuated: {', '.join(sorted(evacuated))}"
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -156,6 +156,10 @@
         """Return all endpoints."""
         return self._endpoints
 
+    def count_leaving(self, _service):
+        """Return 0: none leaves."""
+        return 0
+
     def age(self, _table, _now):
         """Return 0, as if just updated."""
         return 0.0
--- a/sycamoreshed/links/notices.py
+++ b/sycamoreshed/links/notices.py
@@ -4,9 +4,6 @@
 
 __all__ = ["Notices"]
 
-# Endpoints whose leaving is remembered; the oldest one is forgotten first.
-MAX_LEAVING = 1024
-
 
 class Notices:
     """Records what endpoints tell of themselves.
@@ -14,13 +11,18 @@
     Parameters
     ----------
     codec : Platform
-    journal : Journal
+    departures : DepartureRecords
+    publish : callable
+        Tells other instances findings, which may be None.
+    clock, unix_ms : callable
     """
 
-    def __init__(self, *, codec, journal):
+    def __init__(self, *, codec, departures, publish, clock, unix_ms):
         self._codec = codec
-        self._journal = journal
-        self._leaving = {}
+        self._departures = departures
+        self._publish = publish
+        self._clock = clock
+        self._unix_ms = unix_ms
 
     def record(self, endpoint, response):
         """Record what an answer tells of the endpoint that gave it.
@@ -36,20 +38,23 @@
         if verdict.value == "elsewhere":
             # Of another endpoint at its address.
             return
-        key = endpoint.id, endpoint.started_at_ms
         if self._codec.is_leaving(response.headers):
-            if key not in self._leaving:
-                self._journal.write(
-                    "endpoint_leaves",
-                    endpoint=endpoint.id,
-                    status=response.status,
-                )
-            self._leaving[key] = True
-            while len(self._leaving) > MAX_LEAVING:
-                del self._leaving[next(iter(self._leaving))]
-
-
-@kernel.plugin("notices", needs=("journal", "platform"))
+            finding = self._departures.record_answer(
+                endpoint,
+                response.status,
+                now=self._clock(),
+                unix_ms=self._unix_ms(),
+            )
+            self._publish(finding)
+
+
+@kernel.plugin("notices", needs=("departure_records", "findings", "platform"))
 async def notices(core):
     """Provide the `Notices`."""
-    yield Notices(codec=core.part("platform"), journal=core.part("journal"))
+    yield Notices(
+        codec=core.part("platform"),
+        departures=core.part("departure_records"),
+        publish=core.part("findings").publish,
+        clock=core.clock,
+        unix_ms=core.unix_ms,
+    )
--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -15,6 +15,7 @@
 
     Parameters
     ----------
+    catalog : Catalog
     client : EndpointClient
     indirect : IndirectSender
     reachability : Reachability
@@ -24,8 +25,17 @@
     """
 
     def __init__(
-        self, *, client, indirect, reachability, notices, codec, clock
+        self,
+        *,
+        catalog,
+        client,
+        indirect,
+        reachability,
+        notices,
+        codec,
+        clock,
     ):
+        self._catalog = catalog
         self._client = client
         self._indirect = indirect
         self._reachability = reachability
@@ -61,8 +71,13 @@
         Returns
         -------
         aiohttp.ClientResponse or Failure
-            The caller must close a response.
+            The caller must close a response.  A failure of kind
+            ``no-endpoint`` means that the endpoint takes no new work.
         """
+        if not self._catalog.takes_work(endpoint, self._clock()):
+            return kinds.Failure(
+                kinds.Kind.NO_ENDPOINT, "endpoint takes no new work"
+            )
         response = await self._send(
             method,
             endpoint,
@@ -200,6 +215,7 @@
 @kernel.plugin(
     "endpoint_sender",
     needs=(
+        "catalog",
         "endpoint_client",
         "indirect_sender",
         "notices",
@@ -210,6 +226,7 @@
 async def endpoint_sender(core):
     """Provide the `EndpointSender`."""
     yield EndpointSender(
+        catalog=core.part("catalog"),
         client=core.part("endpoint_client"),
         indirect=core.part("indirect_sender"),
         reachability=core.part("reachability"),
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -20,9 +20,9 @@
     """Handles the calls that other instances want to have sent.
 
     Sends only what this instance would send itself: to an endpoint that it
-    lists, neither leaving nor in an evacuated zone, and no request that
-    crashes endpoints.  The other instance answers for everything else, such
-    as limits, attempts and regions.
+    lists and that takes new work, and no request that crashes endpoints.  The
+    other instance answers for everything else, such as limits, attempts and
+    regions.
 
     Parameters
     ----------
@@ -91,8 +91,13 @@
             return _not_sent("unknown endpoint", try_others=True)
         if call.is_cleanup:
             return None
-        if endpoint not in self._catalog.endpoints(endpoint.service, now):
-            return _not_sent("endpoint takes no new work")
+        if not self._catalog.takes_work(endpoint, now):
+            return wire.Refusal(
+                kinds.Kind.NO_ENDPOINT,
+                "endpoint takes no new work",
+                sent=False,
+                try_others=False,
+            )
         if any(
             self._crashes.is_rejected(each, now) for each in call.fingerprints
         ):
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -9,6 +9,8 @@
 
 from standins import scripted
 from sycamoreshed.catalog import types
+from sycamoreshed.findings import board
+from sycamoreshed.findings import departures
 from sycamoreshed.forwarding import client as clients
 from sycamoreshed.links import indirect
 from sycamoreshed.links import notices
@@ -64,9 +66,9 @@
         """Return the endpoint with an id, or None."""
         return self.known.get(key)
 
-    def endpoints(self, _service, _now):
-        """Return the endpoints that take new work."""
-        return self.usable
+    def takes_work(self, endpoint, _now):
+        """Return whether an endpoint takes new work."""
+        return endpoint in self.usable
 
 
 class _FrozenClient:
@@ -98,7 +100,7 @@
             codec=codec,
             crashes=self.crashes,
             reachability=reachability.Reachability(journal=self.journal),
-            notices=notices.Notices(codec=codec, journal=self.journal),
+            notices=make_notices(codec, self.journal),
             stopping=self.stopping,
             journal=self.journal,
             clock=asyncio.get_running_loop().time,
@@ -153,6 +155,19 @@
     journal: typing.Any
 
 
+def make_notices(codec, journal):
+    """Return `Notices` that nobody else is told."""
+    return notices.Notices(
+        codec=codec,
+        departures=departures.DepartureRecords(
+            board=board.Board(), journal=journal
+        ),
+        publish=lambda _finding: None,
+        clock=asyncio.get_running_loop().time,
+        unix_ms=lambda: 0,
+    )
+
+
 def cut_off_links(journal):
     """Return the `Reachability` of an instance that is cut off."""
     links = reachability.Reachability(journal=journal)
@@ -180,6 +195,7 @@
             for zone, helper in zip(REGIONS, helpers, strict=True)
         }
         sender = sending.EndpointSender(
+            catalog=Catalog(endpoint),
             client=client,
             indirect=indirect.IndirectSender(
                 own="edge-cut",
@@ -191,7 +207,7 @@
                 clock=clock,
             ),
             reachability=cut_off_links(journal),
-            notices=notices.Notices(codec=codec, journal=journal),
+            notices=make_notices(codec, journal),
             codec=codec,
             clock=clock,
         )
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -244,3 +244,42 @@
         )
     assert freed.status == 200
     assert len(system.server.seen) == 1
+
+
+@pytest.mark.parametrize("status, is_told", [(200, True), (421, False)])
+async def test_instance_that_sends_for_others_learns_of_a_departure(
+    status, is_told
+):
+    """An endpoint went on getting the calls of instances that are cut off.
+
+    An answer that was meant for another endpoint tells nothing of it.
+    """
+
+    def leave(_received):
+        yield scripted.answer(status, b"", **{names.LEAVING: "1"})
+
+    async with builders.running(leave) as system:
+        response = await builders.send(system)
+        response.close()
+    told = [
+        each
+        for journal in (
+            system.journal,
+            *(each.journal for each in system.helpers),
+        )
+        for each in journal.names()
+        if each == "endpoint_leaves"
+    ]
+    # The sender and the instance that it asked.
+    assert len(told) == (2 if is_told else 0)
+
+
+async def test_nothing_is_sent_to_an_endpoint_that_takes_no_work():
+    """A call that had waited was sent by an older choice."""
+    async with builders.running(answer) as system:
+        system.sender._catalog.usable = ()
+        result = await builders.send(system)
+        assert result.kind is kinds.Kind.NO_ENDPOINT
+        assert not result.sent
+        assert not names_of(system)
+        assert not system.server.seen
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -320,6 +320,8 @@
             for number in calls:
                 self._crashes.record_end(endpoint, number)
         if isinstance(answer, kinds.Failure):
+            if answer.kind is kinds.Kind.NO_ENDPOINT:
+                return _no_results(batch, "full", sent=False), answer.reason
             self._health.record_failure(
                 endpoint, self._clock(), answer.reason, reachable=False
             )
