Log that an endpoint which rejects a request asks for rest

The time may be a number of seconds or a date; what is neither, negative or infinite counts as none. Nothing is decided by it yet.

--- a/sycamoreshed/links/notices.py
+++ b/sycamoreshed/links/notices.py
@@ -14,13 +14,15 @@
     departures : DepartureRecords
     publish : callable
         Tells other instances findings, which may be None.
+    journal : Journal
     clock, unix_ms : callable
     """
 
-    def __init__(self, *, codec, departures, publish, clock, unix_ms):
+    def __init__(self, *, codec, departures, publish, journal, clock, unix_ms):
         self._codec = codec
         self._departures = departures
         self._publish = publish
+        self._journal = journal
         self._clock = clock
         self._unix_ms = unix_ms
 
@@ -46,15 +48,29 @@
                 unix_ms=self._unix_ms(),
             )
             self._publish(finding)
+        rest_s = self._codec.rest_s(
+            response.status, response.headers, self._unix_ms() / 1000
+        )
+        if rest_s is not None:
+            self._journal.write(
+                "endpoint_rests",
+                endpoint=endpoint.id,
+                status=response.status,
+                for_s=round(rest_s, 3),
+            )
 
 
-@kernel.plugin("notices", needs=("departure_records", "findings", "platform"))
+@kernel.plugin(
+    "notices",
+    needs=("departure_records", "findings", "journal", "platform"),
+)
 async def notices(core):
     """Provide the `Notices`."""
     yield Notices(
         codec=core.part("platform"),
         departures=core.part("departure_records"),
         publish=core.part("findings").publish,
+        journal=core.part("journal"),
         clock=core.clock,
         unix_ms=core.unix_ms,
     )
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -163,6 +163,7 @@
             board=board.Board(), journal=journal
         ),
         publish=lambda _finding: None,
+        journal=journal,
         clock=asyncio.get_running_loop().time,
         unix_ms=lambda: 0,
     )
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -95,6 +95,12 @@
         "an endpoint said in an answer that it leaves, for the first time "
         "since its start",
     ),
+    "endpoint_rests": Event(
+        EventClass.DECISION,
+        "endpoint, status, for_s",
+        "an endpoint rejected a request and wants no others from this "
+        "instance for so long",
+    ),
     "endpoint_gone": Event(
         EventClass.STATE,
         "endpoint, store_version, source",
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -1,5 +1,6 @@
 """Wire format of request and response headers and of endpoint calls."""
 
+import email.utils
 import enum
 import math
 import typing
@@ -22,6 +23,7 @@
     "parse_head",
     "piece_call",
     "rate_limit",
+    "rest_s",
     "response_headers",
     "shorten_deadline",
     "tolerated_rejections",
@@ -267,6 +269,50 @@
     return _parse_rate(headers.get(names.RATE_LIMIT, ""))
 
 
+def rest_s(status, headers, unix_s):
+    """Return the seconds for which an endpoint wants no requests, or None.
+
+    Parameters
+    ----------
+    status : int
+    headers : CIMultiDict
+    unix_s : float
+        Unix time, for a time that is given as a date.
+
+    Returns
+    -------
+    float or None
+        Positive; None if the response asks for none, or names no time.
+
+    Examples
+    --------
+    >>> rest_s(503, {"Retry-After": "1.5"}, 0.0)
+    1.5
+    >>> rest_s(503, {"Retry-After": "Thu, 01 Jan 1970 00:01:00 GMT"}, 50.0)
+    10.0
+    >>> rest_s(503, {"Retry-After": "soon"}, 0.0) is None
+    True
+    >>> rest_s(500, {"Retry-After": "3"}, 0.0) is None
+    True
+    """
+    text = headers.get(names.RETRY_AFTER, "").strip()
+    if status not in _FULL_STATUSES or not text:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = _parse_date(text) - unix_s
+    return seconds if 0 < seconds < math.inf else None
+
+
+def _parse_date(text):
+    """Return the Unix time of a date in an HTTP header, or minus infinity."""
+    try:
+        return email.utils.parsedate_to_datetime(text).timestamp()
+    except (ValueError, OverflowError):
+        return -math.inf
+
+
 def tolerated_rejections(status, headers):
     """Return how many rejections a second a full endpoint survives, or None.
 
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -26,6 +26,9 @@
 MAX_REJECTIONS = "Server-Brittle"
 # In all answers of an endpoint that leaves.
 LEAVING = "Server-Leaving"
+# Seconds for which an endpoint that rejected a request wants no other one from
+# the same instance.
+RETRY_AFTER = "Retry-After"
 # Tokens of the prompt, and the maximum number to generate.
 TOKENS = "X-Sycamoreshed-Token-Usage"
 PRIORITY = "X-Sycamoreshed-Priority-Class"
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -36,6 +36,7 @@
     matches_request = staticmethod(calls.matches_request)
     is_leaving = staticmethod(calls.is_leaving)
     rate_limit = staticmethod(calls.rate_limit)
+    rest_s = staticmethod(calls.rest_s)
     tolerated_rejections = staticmethod(calls.tolerated_rejections)
     piece_call = staticmethod(calls.piece_call)
     decode_piece_results = staticmethod(calls.decode_piece_results)
