Send nothing to endpoints that asked this instance for rest

Callers' requests were sent, and rejected again, to engines that had asked the instance for 3 s of rest with their 503: nothing read the time. 3 to 5 of them in that time break the rule BUDGET, and each costs its caller an attempt. If all engines rest, callers were told to come back after 0.3 s.

The catalog keeps until when an endpoint wants nothing of this instance; what gets new work, and what is sent, leaves it out until then: requests, retries, streams, pieces, freed results, and calls for other instances, whose senders may ask the next instance. If all that may serve a request rest, it is rejected at once, as not run, with the time until the first one takes requests.

Ruled out: telling other instances (an endpoint asks one instance), waiting for the end of a rest (all who waited arrive at once), and health records (a guess that is overruled as the last resort).

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.catalog import evacuations
 from sycamoreshed.catalog import replica
+from sycamoreshed.catalog import rests
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
 from sycamoreshed.catalog import software
@@ -89,6 +90,7 @@
         self._warmups = warmups.Warmups()
         self._software = software.SoftwareVersions()
         self._departures = frozenset()
+        self._rests = rests.Rests()
         self._endpoints = {}
         self._by_service = {}
         self._retained = {}
@@ -159,12 +161,39 @@
     def endpoints(self, service, now):
         """Return the endpoints of a service that may get new work.
 
-        Without those that leave or are in an evacuated zone, and with
+        Without those that leave, rest or are in an evacuated zone, and with
         retained ones that have no entry.
         """
-        if self._retained:
-            self._expire(now)
-        return self._by_service.get(service, ())
+        listed = self._listed(service, now)
+        if not self._rests:
+            return listed
+        return tuple(
+            each for each in listed if not self._rests.remaining_s(each, now)
+        )
+
+    def resting(self, service, now):
+        """Return the endpoints that get no new work because they rest.
+
+        Returns
+        -------
+        list of (Endpoint, float)
+            With the remaining seconds of each.
+        """
+        if not self._rests:
+            return []
+        remaining = [
+            (each, self._rests.remaining_s(each, now))
+            for each in self._listed(service, now)
+        ]
+        return [each for each in remaining if each[1]]
+
+    def rest_s(self, endpoint, now):
+        """Return the seconds for which an endpoint still rests."""
+        return self._rests.remaining_s(endpoint, now)
+
+    def record_rest(self, endpoint, seconds, now):
+        """Record that an endpoint wants no requests for some seconds."""
+        self._rests.record(endpoint, seconds, now)
 
     def takes_work(self, endpoint, now):
         """Return whether an endpoint may get new work.
@@ -176,6 +205,8 @@
         current = self._endpoints.get(endpoint.id)
         if current is None or current.boot != endpoint.boot:
             return False
+        if self._rests.remaining_s(endpoint, now):
+            return False
         return self._is_available(current)
 
     def count_leaving(self, service):
@@ -365,6 +396,11 @@
             name: tuple(each) for name, each in grouped.items()
         }
 
+    def _listed(self, service, now):
+        if self._retained:
+            self._expire(now)
+        return self._by_service.get(service, ())
+
     def _is_leaving(self, endpoint):
         return endpoint.is_draining or endpoint.boot in self._departures
 
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -119,7 +119,7 @@
             if choice is None and last is not None:
                 # The answer of an endpoint is more informative than a failure
                 # for lack of further endpoints.
-                return last
+                return self._with_rest(last, now)
             if choice is None:
                 return rejections.no_endpoint(
                     request, parts, now, sent=self._may_have_run
@@ -333,6 +333,14 @@
             endpoints, self._parts, now, sent=self._may_have_run
         )
 
+    def _with_rest(self, answered, now):
+        """Add the time after which an endpoint rests no more, if all rest."""
+        if candidates.endpoints(self._request, self._parts, now):
+            return answered
+        rest_s = candidates.rest_s(self._request, self._parts, now)
+        failure = answered.failure._replace(retry_after=rest_s)
+        return answered._replace(failure=failure)
+
     def _is_available(self, endpoint, now):
         """Return whether an endpoint is there after a wait for a permit."""
         parts, request = self._parts, self._request
--- a/sycamoreshed/forwarding/candidates.py
+++ b/sycamoreshed/forwarding/candidates.py
@@ -1,6 +1,6 @@
 """The endpoints that may get a request."""
 
-__all__ = ["endpoints"]
+__all__ = ["endpoints", "rest_s"]
 
 
 def endpoints(request, parts, now):
@@ -19,11 +19,37 @@
     -------
     tuple of Endpoint
     """
-    allowed = parts.residency.endpoints(request, now)
+    available = parts.catalog.endpoints(request.service, now)
+    return _allowed(request, parts, available)
+
+
+def rest_s(request, parts, now):
+    """Return the seconds until an endpoint that rests may get a request.
+
+    Parameters
+    ----------
+    request : Request
+    parts : Parts
+    now : float
+
+    Returns
+    -------
+    float or None
+        None if no endpoint that may get it rests.
+    """
+    resting = dict(parts.catalog.resting(request.service, now))
+    return min(
+        (resting[each] for each in _allowed(request, parts, tuple(resting))),
+        default=None,
+    )
+
+
+def _allowed(request, parts, available):
+    in_region = parts.residency.select(request, available)
     if request.origin is None:
-        return allowed
+        return in_region
     return tuple(
         each
-        for each in allowed
+        for each in in_region
         if each.software_version == request.origin.software_version
     )
--- a/sycamoreshed/forwarding/rejections.py
+++ b/sycamoreshed/forwarding/rejections.py
@@ -1,6 +1,7 @@
 """Failures of requests that no endpoint may get, or none can take in time."""
 
 from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import candidates
 
 __all__ = [
     "MAX_WAIT_SHARE",
@@ -80,9 +81,11 @@
     evacuated = parts.catalog.evacuations.ages(now)
     if evacuated:
         reason += f"; evacuated: {', '.join(sorted(evacuated))}"
+    retry_after = candidates.rest_s(request, parts, now)
+    if retry_after is None:
+        retry_after = kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after
+    else:
+        reason += "; those that could serve it rest"
     return kinds.Failure(
-        kinds.Kind.NO_ENDPOINT,
-        reason,
-        sent=sent,
-        retry_after=kinds.ANSWERS[kinds.Kind.NO_ENDPOINT].retry_after,
+        kinds.Kind.NO_ENDPOINT, reason, sent=sent, retry_after=retry_after
     )
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -141,10 +141,11 @@
 
 
 class _Catalog:
-    """A configuration and endpoints that never change."""
+    """A configuration and endpoints that never change, but may rest."""
 
     def __init__(self, endpoints):
         self._endpoints = endpoints
+        self.rests = {}
         self.routes = routes.RouteTable(routes=())
         self.evacuations = evacuations.Evacuations(journal=journals.Journal())
         service = types.Service(SERVICE, "/healthz", 100)
@@ -153,8 +154,12 @@
         )
 
     def endpoints(self, _service, _now):
-        """Return all endpoints."""
-        return self._endpoints
+        """Return all endpoints, without those that rest."""
+        return [each for each in self._endpoints if each not in self.rests]
+
+    def resting(self, _service, _now):
+        """Return the endpoints that rest, with the seconds left."""
+        return list(self.rests.items())
 
     def count_leaving(self, _service):
         """Return 0: none leaves."""
--- a/sycamoreshed/forwarding/tests/test_attempts.py
+++ b/sycamoreshed/forwarding/tests/test_attempts.py
@@ -245,3 +245,43 @@
     parts = builders.parts(sender, endpoints=1)
     await attempts.Attempts(request=builders.request(), parts=parts).open()
     assert parts.limiter.answers == answers
+
+
+async def test_caller_is_told_when_an_endpoint_rests_no_more():
+    """A request came back at once to endpoints that all wanted rest."""
+    sender = builders.ScriptedSender([builders.OUTCOMES["full"]])
+    parts = builders.parts(sender, endpoints=2)
+    first, second = parts.catalog.endpoints(None, 0.0)
+    parts.catalog.rests[second] = 4.0
+    tries = attempts.Attempts(request=builders.request(), parts=parts)
+
+    async def reject(*args, **options):
+        parts.catalog.rests[first] = 2.5
+        return await send(*args, **options)
+
+    send, sender.send = sender.send, reject
+    result = await tries.open()
+    assert result.failure.retry_after == 2.5
+    assert not result.failure.sent
+    assert len(sender.sent) == 1
+
+
+async def test_request_that_became_unsendable_costs_no_attempt():
+    """An endpoint was blamed, and an attempt spent, for what was not sent."""
+    sender = builders.ScriptedSender([])
+    parts = builders.parts(sender, endpoints=2)
+    refused = []
+
+    async def send(method, endpoint, *args, **options):
+        if not refused:
+            refused.append(endpoint)
+            return kinds.Failure(
+                kinds.Kind.NO_ENDPOINT, "endpoint takes no new work"
+            )
+        return await original(method, endpoint, *args, **options)
+
+    original, sender.send = sender.send, send
+    request = builders.request(max_attempts=1)
+    result = await attempts.Attempts(request=request, parts=parts).open()
+    assert result.failure is None
+    assert not parts.health.is_avoided(refused[0], 0.0)
--- a/sycamoreshed/links/notices.py
+++ b/sycamoreshed/links/notices.py
@@ -10,6 +10,7 @@
 
     Parameters
     ----------
+    catalog : Catalog
     codec : Platform
     departures : DepartureRecords
     publish : callable
@@ -18,7 +19,18 @@
     clock, unix_ms : callable
     """
 
-    def __init__(self, *, codec, departures, publish, journal, clock, unix_ms):
+    def __init__(
+        self,
+        *,
+        catalog,
+        codec,
+        departures,
+        publish,
+        journal,
+        clock,
+        unix_ms,
+    ):
+        self._catalog = catalog
         self._codec = codec
         self._departures = departures
         self._publish = publish
@@ -52,6 +64,7 @@
             response.status, response.headers, self._unix_ms() / 1000
         )
         if rest_s is not None:
+            self._catalog.record_rest(endpoint, rest_s, self._clock())
             self._journal.write(
                 "endpoint_rests",
                 endpoint=endpoint.id,
@@ -62,11 +75,12 @@
 
 @kernel.plugin(
     "notices",
-    needs=("departure_records", "findings", "journal", "platform"),
+    needs=("catalog", "departure_records", "findings", "journal", "platform"),
 )
 async def notices(core):
     """Provide the `Notices`."""
     yield Notices(
+        catalog=core.part("catalog"),
         codec=core.part("platform"),
         departures=core.part("departure_records"),
         publish=core.part("findings").publish,
--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -128,7 +128,12 @@
         Returns
         -------
         FullAnswer or Failure
+            Also those that leave get such calls, but none that rests.
         """
+        if self._catalog.rest_s(endpoint, self._clock()):
+            return kinds.Failure(
+                kinds.Kind.NO_ENDPOINT, "endpoint asked for rest"
+            )
         answer = await self._post_idempotent(
             endpoint, target, headers, body, timeout_s=timeout_s
         )
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -90,13 +90,16 @@
         if endpoint is None or endpoint.started_at_ms != call.started_at_ms:
             return _not_sent("unknown endpoint", try_others=True)
         if call.is_cleanup:
-            return None
+            if not self._catalog.rest_s(endpoint, now):
+                return None
+            return _not_sent("endpoint asked for rest", try_others=True)
         if not self._catalog.takes_work(endpoint, now):
             return wire.Refusal(
                 kinds.Kind.NO_ENDPOINT,
                 "endpoint takes no new work",
                 sent=False,
-                try_others=False,
+                # Another instance may not have been asked for rest.
+                try_others=self._catalog.rest_s(endpoint, now) > 0,
             )
         if any(
             self._crashes.is_rejected(each, now) for each in call.fingerprints
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -8,6 +8,7 @@
 import multidict
 
 from standins import scripted
+from sycamoreshed.catalog import rests
 from sycamoreshed.catalog import types
 from sycamoreshed.findings import board
 from sycamoreshed.findings import departures
@@ -56,19 +57,28 @@
 
 
 class Catalog:
-    """Endpoints, of which some take no new work."""
+    """Endpoints, of which some take no new work, or rest."""
 
     def __init__(self, *endpoints):
         self.known = {each.id: each for each in endpoints}
         self.usable = tuple(endpoints)
+        self.rests = rests.Rests()
 
     def endpoint(self, key):
         """Return the endpoint with an id, or None."""
         return self.known.get(key)
 
-    def takes_work(self, endpoint, _now):
+    def takes_work(self, endpoint, now):
         """Return whether an endpoint takes new work."""
-        return endpoint in self.usable
+        return endpoint in self.usable and not self.rest_s(endpoint, now)
+
+    def rest_s(self, endpoint, now):
+        """Return the seconds for which an endpoint rests."""
+        return self.rests.remaining_s(endpoint, now)
+
+    def record_rest(self, endpoint, seconds, now):
+        """Record that an endpoint asks for rest."""
+        self.rests.record(endpoint, seconds, now)
 
 
 class _FrozenClient:
@@ -100,7 +110,7 @@
             codec=codec,
             crashes=self.crashes,
             reachability=reachability.Reachability(journal=self.journal),
-            notices=make_notices(codec, self.journal),
+            notices=make_notices(codec, self.journal, self.catalog),
             stopping=self.stopping,
             journal=self.journal,
             clock=asyncio.get_running_loop().time,
@@ -155,9 +165,10 @@
     journal: typing.Any
 
 
-def make_notices(codec, journal):
+def make_notices(codec, journal, catalog):
     """Return `Notices` that nobody else is told."""
     return notices.Notices(
+        catalog=catalog,
         codec=codec,
         departures=departures.DepartureRecords(
             board=board.Board(), journal=journal
@@ -195,8 +206,9 @@
             zone: {f"edge-{zone}": helper.control}
             for zone, helper in zip(REGIONS, helpers, strict=True)
         }
+        catalog = Catalog(endpoint)
         sender = sending.EndpointSender(
-            catalog=Catalog(endpoint),
+            catalog=catalog,
             client=client,
             indirect=indirect.IndirectSender(
                 own="edge-cut",
@@ -208,7 +220,7 @@
                 clock=clock,
             ),
             reachability=cut_off_links(journal),
-            notices=make_notices(codec, journal),
+            notices=make_notices(codec, journal, catalog),
             codec=codec,
             clock=clock,
         )
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -5,6 +5,7 @@
 import pytest
 
 from standins import scripted
+from sycamoreshed.catalog import rests
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client as clients
 from sycamoreshed.links import indirect
@@ -283,3 +284,43 @@
         assert not result.sent
         assert not names_of(system)
         assert not system.server.seen
+
+
+async def test_instance_that_was_asked_for_rest_sends_nothing_for_others():
+    """Calls of instances that are cut off went on to a resting endpoint."""
+    rest = {names.NOT_RUN: "1", names.RETRY_AFTER: "30"}
+
+    def reject(_received):
+        yield scripted.answer(503, b"", **rest)
+
+    async with builders.running(reject) as system:
+        response = await builders.send(system)
+        response.close()
+        # The sender knows it as well, unless it forgets.
+        system.sender._catalog.rests = rests.Rests()
+        response = await builders.send(system)
+        response.close()
+    asked = names_of(system)
+    # The first one refuses, and another one was not asked for rest yet.
+    assert asked[0] in asked[1:]
+    assert len(system.server.seen) == 2
+    refused = [
+        fields["why"]
+        for each in system.helpers
+        for name, fields in each.journal.lines
+        if name == "not_sent_for_other"
+    ]
+    assert refused == ["endpoint takes no new work"]
+
+
+async def test_resting_endpoint_gets_no_calls_that_free_results():
+    """An endpoint that wants no requests got those that free results."""
+    async with builders.running(answer) as system:
+        system.sender._catalog.record_rest(
+            system.endpoint, 30.0, system.sender._clock()
+        )
+        result = await system.sender.post_idempotent(
+            system.endpoint, "/free", {}, b"", timeout_s=1.0
+        )
+        assert result.kind is kinds.Kind.NO_ENDPOINT
+        assert not system.server.seen
--- a/sycamoreshed/platform/tests/test_calls.py
+++ b/sycamoreshed/platform/tests/test_calls.py
@@ -103,3 +103,36 @@
         b'"key":"k"},{"id":"r","phase":1,"segment":0,"remaining_ms":1000,'
         b'"inputs":["h"]}]}'
     )
+
+
+@pytest.mark.parametrize(
+    "text, seconds",
+    [
+        ("3", 3.0),
+        ("0.25", 0.25),
+        (" 3 ", 3.0),
+        ("Thu, 01 Jan 1970 00:01:03 GMT", 3.0),
+        ("Thu, 01 Jan 1970 00:00:03 GMT", None),
+        ("0", None),
+        ("-3", None),
+        ("inf", None),
+        ("nan", None),
+        ("soon", None),
+        ("Thu, 99 Jan 1970", None),
+        ("", None),
+    ],
+)
+def test_time_for_which_an_endpoint_wants_no_requests(text, seconds):
+    """A value that is no time ended the task that read it."""
+    headers = multidict.CIMultiDict({"Retry-After": text})
+    assert calls.rest_s(503, headers, 60.0) == seconds
+
+
+@pytest.mark.parametrize(
+    "status, is_rest",
+    [(503, True), (429, True), (200, False), (421, False), (500, False)],
+)
+def test_only_rejections_ask_for_rest(status, is_rest):
+    """Any answer with the header took an endpoint out of use."""
+    headers = multidict.CIMultiDict({"Retry-After": "3"})
+    assert (calls.rest_s(status, headers, 0.0) is not None) == is_rest
--- a/sycamoreshed/residency/residency.py
+++ b/sycamoreshed/residency/residency.py
@@ -83,9 +83,8 @@
         """
         return regions is None or self._regions.get(zone) in regions
 
-    def endpoints(self, request, now):
-        """Return the endpoints that may get a request."""
-        endpoints = self._catalog.endpoints(request.service, now)
+    def select(self, request, endpoints):
+        """Return those of some endpoints that are in an allowed region."""
         regions = self.regions(request)
         if regions is None:
             return endpoints
--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -392,7 +392,8 @@
         # This also finds endpoints that are leaving, avoided or in another
         # zone: they store the results until this call, or until they expire.
         endpoint = self._find_endpoint(endpoint_id)
-        # Over its limit, an endpoint frees the results when they expire.
+        # Over its limit, or while it rests, an endpoint frees the results when
+        # they expire.
         if endpoint is None or not await self._limiter.acquire(endpoint):
             return
         path, headers, body = self._codec.free_call(
@@ -403,6 +404,8 @@
         )
         if isinstance(answer, kinds.Failure):
             status = answer.reason
+            if answer.kind is kinds.Kind.NO_ENDPOINT:
+                return
         else:
             status = f"status {answer.status}"
         self._journal.write(
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -129,7 +129,8 @@
                 return kinds.Failure(
                     kinds.Kind.NO_ENDPOINT,
                     "no endpoint for a stage",
-                    retry_after=_NO_ENDPOINT_RETRY_S,
+                    retry_after=self._selector.rest_s(job, now)
+                    or _NO_ENDPOINT_RETRY_S,
                 )
             if _is_rejection(failure) and zone in avoid:
                 return failure
--- a/sycamoreshed/staging/selection.py
+++ b/sycamoreshed/staging/selection.py
@@ -97,6 +97,21 @@
 
         return min(candidates, key=cost, default=None)
 
+    def rest_s(self, job, now):
+        """Return the seconds until a service of a job rests no more, or 0.
+
+        Parameters
+        ----------
+        job : Job
+        now : float
+        """
+        waits_s = [0.0]
+        for name in {s.service for s in job.stages if s.count}:
+            resting = self._catalog.resting(name, now)
+            if resting and not self._catalog.endpoints(name, now):
+                waits_s.append(min(rest_s for _, rest_s in resting))
+        return max(waits_s)
+
     def record_backlog(self, zone, backlog_s, now):
         """Record the backlog that a zone reported.
 
