Reject requests that would last beyond the end of a stopping instance

An instance remembers the latest durations of each route. Once it stops, a request that would not end in time by the longest of them is rejected at once, as not run and to be repeated at once, so that another instance serves it; the same is asked again before it is passed on, as stages may have taken longer.

Ruled out: accepting for a shorter time (the load balancer sends new connections for up to 3 s, and short requests end in time), and the deadline of the request in place of its duration (all would be rejected).

--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import input_release
 from sycamoreshed.forwarding import rejections
+from sycamoreshed.forwarding import stops
 from sycamoreshed.forwarding import streams
 from sycamoreshed.kernel import kernel
 from sycamoreshed.staging import pieces
@@ -178,10 +179,25 @@
                 permitted=plan.permitted,
                 refused=plan.refused,
             )
+            now = self._parts.clock()
+            if not self._parts.stop_deadline.allows(
+                request.route.name, stops.Phase.ATTEMPTS, now
+            ):
+                return Outcome(
+                    failure=kinds.Failure(
+                        kinds.Kind.DRAINING, "this instance stops too soon"
+                    )
+                )
             try:
                 outcome = await self._attempt(request, tries, sink)
             finally:
                 release.cancel()
+            if outcome.failure is None:
+                self._parts.stop_deadline.record(
+                    request.route.name,
+                    stops.Phase.ATTEMPTS,
+                    self._parts.clock() - now,
+                )
             if outcome.failure is None or outcome.has_started:
                 return outcome
             if not tries.inputs_missing or tries.may_have_run:
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -21,6 +21,7 @@
     budget : RetryBudget
     peers : Peers
     resumption : Resumption
+    stop_deadline : StopDeadline
     sender : EndpointSender
     codec : Platform
     journal : Journal
@@ -36,6 +37,7 @@
     budget: typing.Any
     peers: typing.Any
     resumption: typing.Any
+    stop_deadline: typing.Any
     sender: typing.Any
     codec: typing.Any
     journal: typing.Any
@@ -54,6 +56,7 @@
         "budget",
         "peers",
         "resumption",
+        "stop_deadline",
         "endpoint_sender",
         "platform",
         "journal",
@@ -71,6 +74,7 @@
         budget=core.part("budget"),
         peers=core.part("peers"),
         resumption=core.part("resumption"),
+        stop_deadline=core.part("stop_deadline"),
         sender=core.part("endpoint_sender"),
         codec=core.part("platform"),
         journal=core.part("journal"),
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -14,6 +14,7 @@
 from sycamoreshed.forwarding import parts as shared
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import requests
+from sycamoreshed.forwarding import stops
 from sycamoreshed.platform import calls
 from sycamoreshed.platform import names
 from sycamoreshed.platform import platform
@@ -211,6 +212,7 @@
         budget=budget.RetryBudget(ratio=1.0, slack=99, window_s=10),
         peers=_Peers(),
         resumption=_Resumption(),
+        stop_deadline=stops.StopDeadline(),
         sender=sender,
         codec=platform.Platform(store=None),
         journal=journal,
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -32,6 +32,7 @@
 from sycamoreshed.forwarding import parts  # noqa: F401
 from sycamoreshed.forwarding import placement  # noqa: F401
 from sycamoreshed.forwarding import rates  # noqa: F401
+from sycamoreshed.forwarding import stops  # noqa: F401
 from sycamoreshed.gateway import control  # noqa: F401
 from sycamoreshed.gateway import handler  # noqa: F401
 from sycamoreshed.gateway import listeners
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -9,6 +9,7 @@
 from sycamoreshed.findings import fingerprints
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding import requests
+from sycamoreshed.forwarding import stops
 from sycamoreshed.gateway import deadline_history
 from sycamoreshed.gateway import error_responses
 from sycamoreshed.kernel import kernel
@@ -76,18 +77,29 @@
     forwarder : Forwarder
     journal : Journal
     metrics : GatewayMetrics
+    stop_deadline : StopDeadline
     clock : callable
     stopping : asyncio.Event
     """
 
     def __init__(
-        self, *, catalog, codec, forwarder, journal, metrics, clock, stopping
+        self,
+        *,
+        catalog,
+        codec,
+        forwarder,
+        journal,
+        metrics,
+        stop_deadline,
+        clock,
+        stopping,
     ):
         self._catalog = catalog
         self._codec = codec
         self._forwarder = forwarder
         self._journal = journal
         self._metrics = metrics
+        self._stop_deadline = stop_deadline
         self._clock = clock
         self._stopping = stopping
         self._deadline_history = deadline_history.DeadlineHistory()
@@ -166,6 +178,12 @@
             return body
         if not self.is_accepting:
             return kinds.Failure(kinds.Kind.DRAINING, "this instance stops")
+        if not self._stop_deadline.allows(
+            route.name, stops.Phase.REQUEST, self._clock()
+        ):
+            return kinds.Failure(
+                kinds.Kind.DRAINING, "this instance stops too soon"
+            )
         regions = residency.common_regions(
             route.allowed_regions, team.allowed_regions if team else ()
         )
@@ -273,6 +291,9 @@
             events=outcome.events,
         )
         self._metrics.record_answered(request.route, outcome, now - started_at)
+        self._stop_deadline.record(
+            request.route.name, stops.Phase.REQUEST, now - started_at
+        )
         return response
 
     def _buffered_response(self, answer):
@@ -345,7 +366,14 @@
 
 @kernel.plugin(
     "handler",
-    needs=("catalog", "platform", "forwarder", "journal", "gateway_metrics"),
+    needs=(
+        "catalog",
+        "platform",
+        "forwarder",
+        "journal",
+        "gateway_metrics",
+        "stop_deadline",
+    ),
 )
 async def handler(core):
     """Provide the handler of callers' requests."""
@@ -355,6 +383,7 @@
         forwarder=core.part("forwarder"),
         journal=core.part("journal"),
         metrics=core.part("gateway_metrics"),
+        stop_deadline=core.part("stop_deadline"),
         clock=core.clock,
         stopping=core.stopping,
     )
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -135,19 +135,21 @@
 
     Notes
     -----
-    Requests are accepted until the load balancer has noticed the stop;
-    each response closes its connection.  The process exits within the
-    grace period: SIGKILL would cut off what is still in flight anyway.
+    Requests that likely end in time are accepted until the load balancer has
+    noticed the stop; each response closes its connection.  The process exits
+    within the grace period: SIGKILL would cut off what is still in flight
+    anyway.
     """
     await core.stopping.wait()
     started_at = core.clock()
     handler = core.part("handler")
     journal = core.part("journal")
     journal.write("stop", in_flight=handler.in_flight)
+    deadline = started_at + core.settings.grace_s - WRITE_MARGIN_S
+    core.part("stop_deadline").set(deadline)
     await asyncio.sleep(min(ACCEPT_S, core.settings.grace_s / 2))
     await handler.wait_until_read()
     handler.is_accepting = False
-    deadline = started_at + core.settings.grace_s - WRITE_MARGIN_S
     control = core.part("inner")
     while handler.in_flight + control.in_flight and core.clock() < deadline:
         await asyncio.sleep(POLL_S)
