Move what keeps endpoints from new work to a module of its own

Departures, rests and evacuated zones were three members of the catalog with their own methods; Availability holds them. No behaviour changes.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -4,9 +4,8 @@
 
 import msgspec
 
-from sycamoreshed.catalog import evacuations
+from sycamoreshed.catalog import availability
 from sycamoreshed.catalog import replica
-from sycamoreshed.catalog import rests
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
 from sycamoreshed.catalog import software
@@ -86,11 +85,9 @@
         }
         self._configuration = None
         self._routes = routes.RouteTable(routes=())
-        self._evacuations = evacuations.Evacuations(journal=journal)
+        self._availability = availability.Availability(journal=journal)
         self._warmups = warmups.Warmups()
         self._software = software.SoftwareVersions()
-        self._departures = frozenset()
-        self._rests = rests.Rests()
         self._endpoints = {}
         self._by_service = {}
         self._retained = {}
@@ -125,7 +122,12 @@
     @property
     def evacuations(self):
         """The `Evacuations` in force."""
-        return self._evacuations
+        return self._availability.evacuations
+
+    @property
+    def rests(self):
+        """The `Rests` that endpoints asked for."""
+        return self._availability.rests
 
     @property
     def findings(self):
@@ -165,10 +167,10 @@
         retained ones that have no entry.
         """
         listed = self._listed(service, now)
-        if not self._rests:
+        if not self.rests:
             return listed
         return tuple(
-            each for each in listed if not self._rests.remaining_s(each, now)
+            each for each in listed if not self.rests.remaining_s(each, now)
         )
 
     def resting(self, service, now):
@@ -179,22 +181,14 @@
         list of (Endpoint, float)
             With the remaining seconds of each.
         """
-        if not self._rests:
+        if not self.rests:
             return []
         remaining = [
-            (each, self._rests.remaining_s(each, now))
+            (each, self.rests.remaining_s(each, now))
             for each in self._listed(service, now)
         ]
         return [each for each in remaining if each[1]]
 
-    def rest_s(self, endpoint, now):
-        """Return the seconds for which an endpoint still rests."""
-        return self._rests.remaining_s(endpoint, now)
-
-    def record_rest(self, endpoint, seconds, now):
-        """Record that an endpoint wants no requests for some seconds."""
-        self._rests.record(endpoint, seconds, now)
-
     def takes_work(self, endpoint, now):
         """Return whether an endpoint may get new work.
 
@@ -205,14 +199,12 @@
         current = self._endpoints.get(endpoint.id)
         if current is None or current.boot != endpoint.boot:
             return False
-        if self._rests.remaining_s(endpoint, now):
-            return False
-        return self._is_available(current)
+        return self._availability.takes_work(current, now)
 
     def count_leaving(self, service):
         """Return how many listed endpoints of a service leave."""
         return sum(
-            each.service == service and self._is_leaving(each)
+            each.service == service and self._availability.is_leaving(each)
             for each in self._endpoints.values()
         )
 
@@ -224,8 +216,7 @@
         boots : frozenset of str
             See `Endpoint.boot`.
         """
-        if boots != self._departures:
-            self._departures = boots
+        if self._availability.set_departures(boots):
             self._group_endpoints()
 
     def endpoint(self, endpoint_id):
@@ -331,7 +322,7 @@
     def _derive_evacuations(self, now, source):
         rows = self._replicas[SETTINGS].rows
         zones = {self._evacuated_zone(key) for key in rows} - {None}
-        if self._evacuations.update(zones, now, source):
+        if self.evacuations.update(zones, now, source):
             self._group_endpoints()
 
     def _derive_endpoints(self, now, source):
@@ -390,7 +381,7 @@
     def _group_endpoints(self):
         grouped = {}
         for each in self._endpoints.values():
-            if self._is_available(each):
+            if self._availability.is_open(each):
                 grouped.setdefault(each.service, []).append(each)
         self._by_service = {
             name: tuple(each) for name, each in grouped.items()
@@ -401,13 +392,6 @@
             self._expire(now)
         return self._by_service.get(service, ())
 
-    def _is_leaving(self, endpoint):
-        return endpoint.is_draining or endpoint.boot in self._departures
-
-    def _is_available(self, endpoint):
-        is_evacuated = endpoint.zone in self._evacuations
-        return not is_evacuated and not self._is_leaving(endpoint)
-
     def _expire(self, now):
         expired = {
             key
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -230,7 +230,7 @@
 def test_endpoint_that_asks_for_rest_takes_no_work_until_its_end(catalog):
     """Nothing kept the time that an endpoint had named."""
     endpoint = list_endpoints(catalog, 1)
-    catalog.record_rest(endpoint, 3.0, 10.0)
+    catalog.rests.record(endpoint, 3.0, 10.0)
     assert ids(catalog, 12.9) == {"b"}
     assert not catalog.takes_work(endpoint, 12.9)
     assert [each.id for each, _ in catalog.resting("desk", 12.9)] == ["a"]
@@ -241,7 +241,7 @@
 def test_next_process_of_an_endpoint_that_rests_takes_work(catalog):
     """A rest was held against all processes with the id."""
     endpoint = list_endpoints(catalog, 1)
-    catalog.record_rest(endpoint, 30.0, 10.0)
+    catalog.rests.record(endpoint, 30.0, 10.0)
     list_endpoints(catalog, 2, born=1700000009000)
     assert ids(catalog, 11.0) == {"a", "b"}
 
@@ -249,6 +249,6 @@
 def test_endpoint_that_leaves_is_not_waited_for_while_it_rests(catalog):
     """Callers were told to return when an endpoint was gone."""
     endpoint = list_endpoints(catalog, 1)
-    catalog.record_rest(endpoint, 30.0, 10.0)
+    catalog.rests.record(endpoint, 30.0, 10.0)
     catalog.set_departures(frozenset((endpoint.boot,)))
     assert not catalog.resting("desk", 11.0)
--- a/sycamoreshed/links/notices.py
+++ b/sycamoreshed/links/notices.py
@@ -64,7 +64,7 @@
             response.status, response.headers, self._unix_ms() / 1000
         )
         if rest_s is not None:
-            self._catalog.record_rest(endpoint, rest_s, self._clock())
+            self._catalog.rests.record(endpoint, rest_s, self._clock())
             self._journal.write(
                 "endpoint_rests",
                 endpoint=endpoint.id,
--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -130,7 +130,7 @@
         FullAnswer or Failure
             Also those that leave get such calls, but none that rests.
         """
-        if self._catalog.rest_s(endpoint, self._clock()):
+        if self._catalog.rests.remaining_s(endpoint, self._clock()):
             return kinds.Failure(
                 kinds.Kind.NO_ENDPOINT, "endpoint asked for rest"
             )
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -89,8 +89,9 @@
             return _not_sent("instance is cut off as well", try_others=True)
         if endpoint is None or endpoint.started_at_ms != call.started_at_ms:
             return _not_sent("unknown endpoint", try_others=True)
+        is_resting = self._catalog.rests.remaining_s(endpoint, now) > 0
         if call.is_cleanup:
-            if not self._catalog.rest_s(endpoint, now):
+            if not is_resting:
                 return None
             return _not_sent("endpoint asked for rest", try_others=True)
         if not self._catalog.takes_work(endpoint, now):
@@ -99,7 +100,7 @@
                 "endpoint takes no new work",
                 sent=False,
                 # Another instance may not have been asked for rest.
-                try_others=self._catalog.rest_s(endpoint, now) > 0,
+                try_others=is_resting,
             )
         if any(
             self._crashes.is_rejected(each, now) for each in call.fingerprints
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -70,15 +70,8 @@
 
     def takes_work(self, endpoint, now):
         """Return whether an endpoint takes new work."""
-        return endpoint in self.usable and not self.rest_s(endpoint, now)
-
-    def rest_s(self, endpoint, now):
-        """Return the seconds for which an endpoint rests."""
-        return self.rests.remaining_s(endpoint, now)
-
-    def record_rest(self, endpoint, seconds, now):
-        """Record that an endpoint asks for rest."""
-        self.rests.record(endpoint, seconds, now)
+        is_resting = self.rests.remaining_s(endpoint, now) > 0
+        return endpoint in self.usable and not is_resting
 
 
 class _FrozenClient:
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -316,7 +316,7 @@
 async def test_resting_endpoint_gets_no_calls_that_free_results():
     """An endpoint that wants no requests got those that free results."""
     async with builders.running(answer) as system:
-        system.sender._catalog.record_rest(
+        system.sender._catalog.rests.record(
             system.endpoint, 30.0, system.sender._clock()
         )
         result = await system.sender.post_idempotent(
