Reject a part that crashes engines although rarer parts are there by chance

With three engines, down most of the time, a part that crashes them was rejected late: a rarer part in two of its crashes was enough to ask for ten crashes in place of five, and each further one came seconds later.

Rarer parts make it unclear only if they explain all but two of its crashes: what they do not explain is due to the part itself, as for a verdict on several parts.

--- a/sycamoreshed/findings/partblame.py
+++ b/sycamoreshed/findings/partblame.py
@@ -21,14 +21,14 @@
 # have been suspects of them: what one request repeats is not due to a part.
 REJECT_AFTER = 5
 MIN_REQUESTS = 2
-# It takes so many crashes while a rarer part, which only some of the requests
-# have, is a suspect of several of them: either may be the cause.
+# It takes so many crashes while rarer parts, which only some of the requests
+# have, are suspects of most of them: these may be the causes.
 REJECT_AFTER_IF_UNCLEAR = 10
 MIN_RIVAL_CRASHES = 2
 # It also takes so many if a part is a suspect of less than this share of the
 # crashes since the first one: it may have been there by chance.
 MIN_SHARE = 0.4
-# Of the crashes, so many must not be explained by another rejected part.
+# Of the crashes, so many must not be explained by other parts.
 MIN_UNEXPLAINED = 3
 # After the last of the crashes that it takes, instances have this long to tell
 # that endpoints answer requests with the part.
@@ -204,14 +204,23 @@
         return float("inf")
     limit = REJECT_AFTER
     share = len(numbers) / (len(times) - numbers[0])
-    has_rival = any(
-        len(rival.crashes) >= MIN_RIVAL_CRASHES
-        and len(rival.requests) >= MIN_REQUESTS
-        and rival.requests < suspicion.requests
-        for rival in suspicions.values()
-    )
-    if has_rival or share < MIN_SHARE:
+    rivalled = _rivalled_crashes(suspicion, suspicions)
+    is_unclear = rivalled and len(set(numbers) - rivalled) < MIN_UNEXPLAINED
+    if is_unclear or share < MIN_SHARE:
         limit = REJECT_AFTER_IF_UNCLEAR
     if len(numbers) < limit:
         return float("inf")
     return times[numbers[limit - 1]] + DEFENCE_S
+
+
+def _rivalled_crashes(suspicion, suspicions):
+    """Return the crashes that parts of some of its requests may explain."""
+    crashes = set()
+    for rival in suspicions.values():
+        if (
+            len(rival.crashes) >= MIN_RIVAL_CRASHES
+            and len(rival.requests) >= MIN_REQUESTS
+            and rival.requests < suspicion.requests
+        ):
+            crashes.update(rival.crashes)
+    return crashes
