--- a/tests/integration/test_descriptor_limit.py
+++ b/tests/integration/test_descriptor_limit.py
@@ -2,34 +2,21 @@
 
 import asyncio
 import contextlib
-import sys
 import time
 
 import aiohttp
 import pytest
 
+from testkit import crowds
 from testkit import gateways
 from testkit import proxy as proxies
 from testkit import wiredata
 from tests.integration import harness
 
-MAX_DESCRIPTORS = 512
-CONNECTIONS = 700
-# Starts the daemon with a lower limit of open descriptors.
-PROGRAM = (
-    "/bin/sh",
-    "-c",
-    f'ulimit -n {MAX_DESCRIPTORS} && exec "$@"',
-    "sh",
-    sys.executable,
-    "-m",
-    "sycamoreshed",
-)
 # Within which a configuration has to be in force.
 APPLY_S = 2.5
-# For callers to open their connections, one in each pause.
+# For callers to open their connections.
 CROWD_S = 3.0
-PAUSE_S = 0.002
 # For the daemon to notice that its connections to the store were closed.
 SETTLE_S = 1.0
 NEW_URL = "http://{}/added/1"
@@ -44,40 +31,6 @@
 )
 
 
-class Crowd:
-    """Connections that send nothing, or no whole request.
-
-    One that the daemon closes is opened again.
-    """
-
-    def __init__(self, address, *, sent):
-        self._host, _, self._port = address.rpartition(":")
-        self._sent = sent
-        self._open = {}
-
-    async def run(self):
-        """Keep connections open until cancelled."""
-        try:
-            while True:
-                for reader in [r for r in self._open if r.at_eof()]:
-                    self._open.pop(reader).transport.abort()
-                if len(self._open) < CONNECTIONS:
-                    with contextlib.suppress(OSError, TimeoutError):
-                        await self._connect()
-                await asyncio.sleep(PAUSE_S)
-        finally:
-            for writer in self._open.values():
-                writer.transport.abort()
-
-    async def _connect(self):
-        async with asyncio.timeout(1.0):
-            reader, writer = await asyncio.open_connection(
-                self._host, int(self._port)
-            )
-        self._open[reader] = writer
-        writer.write(self._sent)
-
-
 @contextlib.asynccontextmanager
 async def crowded(store, folder, *, sent=b""):
     """Run a daemon and open more connections to it than it may have.
@@ -90,13 +43,15 @@
     async with (
         harness.endpoints(store, harness.answer_ok),
         gateways.gateways(
-            folder, [{"table": proxy.address}], program=PROGRAM
+            folder, [{"table": proxy.address}], program=crowds.PROGRAM
         ) as (gateway,),
         aiohttp.ClientSession() as session,
     ):
         await gateway.wait_ready()
         assert (await harness.call(session, gateway))[0] == 200
-        crowd = asyncio.create_task(Crowd(gateway.public, sent=sent).run())
+        crowd = asyncio.create_task(
+            crowds.Crowd(gateway.public, sent=sent).run()
+        )
         await asyncio.sleep(CROWD_S)
         yield gateway, proxy, session
         crowd.cancel()
