Bound the connections that a pipeline daemon accepts

It uses the same server now, with the limit of the process, and closes connections after 120 s without a request and heads after 10 s. How a full listener is reported is up to the daemon: the gateway writes its event, this one a warning.

--- a/sycamoreshed/entry/connections.py
+++ b/sycamoreshed/entry/connections.py
@@ -4,9 +4,15 @@
 process needs for the store, for other instances and for endpoints.
 """
 
+import resource
 import typing
 
-__all__ = ["ConnectionTable", "DescriptorShares", "descriptor_shares"]
+__all__ = [
+    "ConnectionTable",
+    "DescriptorShares",
+    "descriptor_shares",
+    "max_descriptors",
+]
 
 # Kept for files.
 FILE_DESCRIPTORS = 200
@@ -23,6 +29,18 @@
 UNUSED_S = 0.2
 
 
+def max_descriptors(setting=None):
+    """Return how many descriptors this process may have open.
+
+    Parameters
+    ----------
+    setting : int, optional
+        Holds if it is lower than the limit of the process.
+    """
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return limit if setting is None else min(limit, setting)
+
+
 class DescriptorShares(typing.NamedTuple):
     """How many descriptors the listeners of a process may use.
 
--- a/sycamoreshed/entry/limitedserver.py
+++ b/sycamoreshed/entry/limitedserver.py
@@ -60,13 +60,13 @@
     ----------
     handler : callable
         As for `aiohttp.web.Server`, and so are further options.
-    name : str
-        Of the listener, for the journal.
     max_connections : int
     limits : callable
         Returns the seconds for which a connection may be idle, and those
         within which the head of a request has to arrive.
-    journal : Journal
+    report_full : callable
+        Called with how many connections are ``open``, and how many were
+        ``closed`` since the last call because there were too many.
     clock : callable
     """
 
@@ -74,10 +74,9 @@
         self,
         handler,
         *,
-        name,
         max_connections,
         limits,
-        journal,
+        report_full,
         clock,
         request_factory=None,
         handler_cancellation=False,
@@ -89,9 +88,8 @@
             handler_cancellation=handler_cancellation,
         )
         self._inner_handler = handler
-        self._name = name
         self._limits = limits
-        self._journal = journal
+        self._report_full = report_full
         self._clock = clock
         self._options = options
         self._table = connections.ConnectionTable(max_open=max_connections)
@@ -135,11 +133,8 @@
             for each in expired:
                 each.force_close()
             if self._surplus_count:
-                self._journal.write(
-                    "connections_full",
-                    listener=self._name,
-                    open=self.open_count,
-                    closed=self._surplus_count,
+                self._report_full(
+                    open=self.open_count, closed=self._surplus_count
                 )
                 self._surplus_count = 0
 
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -6,6 +6,8 @@
 from aiohttp import web
 from loguru import logger
 
+from sycamoreshed.entry import connections
+from sycamoreshed.entry import limitedserver
 from sycamoreshed.kernel import kernel
 
 __all__ = ["drain"]
@@ -14,23 +16,47 @@
 # Time to write the answers of requests that end at their deadline.
 DEADLINE_MARGIN_S = 1.0
 MAX_HEADER_BYTES = 16384
+# For connections without a request, and for the head of a request.
+IDLE_S = 120.0
+HEAD_S = 10.0
 
 
-async def listen(app, bound, **options):
-    """Serve an application on a bound socket and return its runner."""
-    runner = web.AppRunner(
-        app,
-        **options,
-        access_log=None,
-        handler_cancellation=True,
-        max_line_size=MAX_HEADER_BYTES,
-        max_field_size=MAX_HEADER_BYTES,
+async def listen(core, name, max_connections):
+    """Serve an application on its bound socket and return its runner.
+
+    Parameters
+    ----------
+    core : Kernel
+    name : str
+        Of the listener, and of its application in `core`.
+    max_connections : int
+    """
+    runner = limitedserver.LimitedAppRunner(
+        getattr(core, name),
+        make_server=functools.partial(
+            limitedserver.LimitedServer,
+            max_connections=max_connections,
+            limits=lambda: (IDLE_S, HEAD_S),
+            report_full=functools.partial(_report_full, name),
+            clock=core.clock,
+            handler_cancellation=True,
+            access_log=None,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+        ),
     )
     await runner.setup()
-    await web.SockSite(runner, bound).start()
+    await web.SockSite(runner, core.part("sockets")[name]).start()
+    core.keep_running(
+        runner.server.run_sweeping, name=f"close idle {name} connections"
+    )
     return runner
 
 
+def _report_full(name, **counts):
+    logger.bind(listener=name, **counts).warning("too many connections")
+
+
 @kernel.plugin(
     "servers", needs=("callers", "note_routes", "operators", "sockets")
 )
@@ -40,9 +66,9 @@
     core.public.on_response_prepare.append(
         functools.partial(_close_when_stopping, core)
     )
-    bound = core.part("sockets")
-    control = await listen(core.control, bound["control"])
-    public = await listen(core.public, bound["public"])
+    shares = connections.descriptor_shares(connections.max_descriptors())
+    control = await listen(core, "control", shares.instances)
+    public = await listen(core, "public", shares.callers)
     logger.bind(public=settings.public, control=settings.control).info(
         "serving"
     )
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import resource
 
 from aiohttp import web
 
@@ -44,16 +43,19 @@
 async def listeners(core):
     """Provide the servers on the listening sockets."""
     sockets = core.part("sockets")
-    max_descriptors = _max_descriptors(core.settings)
+    max_descriptors = connections.max_descriptors(
+        core.settings.max_descriptors
+    )
     shares = connections.descriptor_shares(max_descriptors)
 
     def make_server(name, max_connections, limits):
         return functools.partial(
             limitedserver.LimitedServer,
-            name=name,
             max_connections=max_connections,
             limits=limits,
-            journal=core.part("journal"),
+            report_full=functools.partial(
+                core.part("journal").write, "connections_full", listener=name
+            ),
             clock=core.clock,
             handler_cancellation=True,
             access_log=None,
@@ -102,11 +104,6 @@
         await runner.cleanup()
 
 
-def _max_descriptors(settings):
-    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return min(limit, settings.max_descriptors or limit)
-
-
 def _caller_limits(catalog):
     """Return the seconds that callers may be idle, and send a head."""
     configuration = catalog.configuration
