Do not count a connection again that was closed before its request began

Found by reading: a request whose connection ended between the end of its head and the call of its handler would have been counted as busy for ever. The library cancels the handler today, so that it was not seen.

--- a/sycamoreshed/entry/connections.py
+++ b/sycamoreshed/entry/connections.py
@@ -127,10 +127,20 @@
             self.remove(connection)
             self._receiving[connection] = now
 
+    def __contains__(self, connection):
+        return connection in self._busy or any(
+            connection in waiting
+            for waiting in (self._unused, self._receiving, self._idle)
+        )
+
     def record_request(self, connection):
-        """Record that the head of a request has arrived."""
-        self.remove(connection)
-        self._busy.add(connection)
+        """Record that the head of a request has arrived.
+
+        Does nothing if the connection was removed meanwhile.
+        """
+        if connection in self:
+            self.remove(connection)
+            self._busy.add(connection)
 
     def record_response(self, connection, now):
         """Record that the response to a request was written."""
--- a/sycamoreshed/entry/tests/test_connections.py
+++ b/sycamoreshed/entry/tests/test_connections.py
@@ -61,11 +61,14 @@
 
 
 def test_connection_that_was_closed_is_forgotten():
-    """The end of a response revived a connection that was closed."""
+    """What was still under way revived a connection that was closed."""
     table = make_table()
-    table.remove("busy")
+    for name in ("busy", "idle"):
+        table.remove(name)
     table.record_response("busy", 1.0)
-    assert len(table) == 2
+    table.record_request("idle")
+    table.record_data("idle", 1.0)
+    assert len(table) == 1
 
 
 @pytest.mark.parametrize("limit", [64, 256, 1024, 1638, 4100, 10250])
