--- a/tests/integration/test_leaving_in_answers.py
+++ b/tests/integration/test_leaving_in_answers.py
@@ -1,15 +1,13 @@
 """Endpoints that say in their answers that they leave."""
 
 import asyncio
-import contextlib
-import itertools
 import time
 
-import aiohttp
 import pytest
 
 from standins import scripted
 from testkit import wiredata
+from tests.integration import availability
 from tests.integration import harness
 
 LEAVING = {"Server-Leaving": "1"}
@@ -21,19 +19,6 @@
 # What a caller that cannot be served waits for its rejection at most.
 AT_ONCE_S = 0.5
 
-_request_ids = itertools.count()
-
-
-def served(**headers):
-    """Return the steps of an answer with status 200."""
-    return [0.02, scripted.answer(200, b"whole", **headers)]
-
-
-def streamed(**headers):
-    """Return the steps of a stream of three events."""
-    events = b"".join(harness.event(number) for number in range(3))
-    return [scripted.stream_head(**headers) + events]
-
 
 def failed(**headers):
     """Return the steps of an answer with status 500."""
@@ -59,7 +44,9 @@
         Return the steps of answers before and after that, for the headers.
     """
 
-    def __init__(self, *, good=served, leaving=served):
+    def __init__(
+        self, *, good=availability.served, leaving=availability.served
+    ):
         self._good = good
         self._leaving = leaving
         self.endpoint = scripted.Endpoint(self._script)
@@ -82,53 +69,17 @@
         return sum(at > self.told_at + DRAIN_S for at in self.received_at)
 
 
-@contextlib.asynccontextmanager
-async def system(store, folder, endpoints, *, configuration=None):
-    """Run instances in two zones before some endpoints."""
-    route = wiredata.route(max_attempts=3)
-    document = configuration or wiredata.configuration(2, routes=[route])
-    store.put("op", "config", document)
-    for number, each in enumerate(endpoints):
-        await each.endpoint.start()
-        store.put(
-            "servers",
-            f"i-{number}",
-            wiredata.beat(
-                each.endpoint.address,
-                zone=harness.ZONES[number % len(harness.ZONES)],
-            ),
-        )
-    async with harness.serving_in_zones(store, folder) as (instances, session):
-        yield instances, session
-    for each in endpoints:
-        await each.endpoint.stop()
-
-
-async def load(session, instances, *, seconds=LOAD_S):
-    """Send requests evenly to all instances; return statuses and seconds."""
-
-    async def send(number):
-        started_at = time.monotonic()
-        try:
-            status, headers, _ = await harness.call(
-                session,
-                instances[number % len(instances)],
-                headers=wiredata.head(f"r-{next(_request_ids)}"),
-            )
-        except aiohttp.ClientError:
-            return None, None, time.monotonic() - started_at
-        retry_after = headers.get("Retry-After")
-        return status, retry_after, time.monotonic() - started_at
-
-    tasks = []
-    for number in range(int(LOAD_PER_S * seconds)):
-        tasks.append(asyncio.create_task(send(number)))
-        await asyncio.sleep(1 / LOAD_PER_S)
-    return await asyncio.gather(*tasks)
+async def load(session, instances, *, seconds=LOAD_S, **head):
+    """Send requests evenly; see `availability.load`."""
+    return await availability.load(
+        session, instances, per_s=LOAD_PER_S, seconds=seconds, **head
+    )
 
 
 @pytest.mark.parametrize(
-    "leaving", [served, failed, rejected, limited], ids=lambda f: f.__name__
+    "leaving",
+    [availability.served, failed, rejected, limited],
+    ids=lambda f: f.__name__,
 )
 async def test_endpoint_that_says_it_leaves_gets_no_more_requests(
     store, tmp_path, leaving
@@ -136,7 +87,9 @@
     """Only the list of endpoints was asked, which still said `ready`."""
     leaver = LeavingEndpoint(leaving=leaving)
     others = [LeavingEndpoint(), LeavingEndpoint()]
-    async with system(store, tmp_path, [leaver, *others]) as deployment:
+    async with availability.serving(
+        store, tmp_path, [leaver, *others]
+    ) as deployment:
         instances, session = deployment
         await load(session, instances, seconds=1.0)
         leaver.is_leaving = True
@@ -148,9 +101,11 @@
 
 async def test_engine_that_says_so_in_a_stream_gets_no_more(store, tmp_path):
     """The head of a stream was not searched for it."""
-    leaver = LeavingEndpoint(good=streamed, leaving=streamed)
-    others = [LeavingEndpoint(good=streamed) for _ in range(2)]
-    async with system(
+    leaver = LeavingEndpoint(
+        good=availability.streamed, leaving=availability.streamed
+    )
+    others = [LeavingEndpoint(good=availability.streamed) for _ in range(2)]
+    async with availability.serving(
         store,
         tmp_path,
         [leaver, *others],
@@ -167,7 +122,9 @@
     """Instances went on by their copy of the list while the store was away."""
     leaver = LeavingEndpoint()
     others = [LeavingEndpoint(), LeavingEndpoint()]
-    async with system(store, tmp_path, [leaver, *others]) as deployment:
+    async with availability.serving(
+        store, tmp_path, [leaver, *others]
+    ) as deployment:
         instances, session = deployment
         store.mood = store.mood._replace(silent=True)
         leaver.is_leaving = True
@@ -182,7 +139,10 @@
 ):
     """Requests went on to endpoints that all were about to end."""
     leavers = [LeavingEndpoint() for _ in range(3)]
-    async with system(store, tmp_path, leavers) as (instances, session):
+    async with availability.serving(store, tmp_path, leavers) as (
+        instances,
+        session,
+    ):
         await load(session, instances, seconds=1.0)
         for each in leavers:
             each.is_leaving = True
@@ -197,7 +157,10 @@
 async def test_endpoint_that_started_again_gets_requests(store, tmp_path):
     """Its leaving was held against the next process with its id."""
     leaver = LeavingEndpoint()
-    async with system(store, tmp_path, [leaver]) as (instances, session):
+    async with availability.serving(store, tmp_path, [leaver]) as (
+        instances,
+        session,
+    ):
         leaver.is_leaving = True
         await load(session, instances, seconds=1.0)
         leaver.is_leaving = False
@@ -214,7 +177,9 @@
     """A restart forgot which endpoints had said that they leave."""
     leaver = LeavingEndpoint()
     others = [LeavingEndpoint(), LeavingEndpoint()]
-    async with system(store, tmp_path, [leaver, *others]) as deployment:
+    async with availability.serving(
+        store, tmp_path, [leaver, *others]
+    ) as deployment:
         instances, session = deployment
         leaver.is_leaving = True
         await load(session, instances, seconds=1.0)
@@ -261,8 +226,10 @@
         await each.start()
         beat = wiredata.beat(each.address, service="first")
         store.put("servers", f"s-{number}", beat)
-    engines = [LeavingEndpoint(good=streamed) for _ in range(2)]
-    async with system(store, tmp_path, engines, configuration=document) as (
+    engines = [LeavingEndpoint(good=availability.streamed) for _ in range(2)]
+    async with availability.serving(
+        store, tmp_path, engines, configuration=document
+    ) as (
         instances,
         session,
     ):
--- a/tests/integration/test_resting_endpoints.py
+++ b/tests/integration/test_resting_endpoints.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import collections
-import contextlib
-import itertools
 import json
 import time
 
-import aiohttp
 import pytest
 
 from standins import scripted
 from testkit import wiredata
+from tests.integration import availability
 from tests.integration import harness
 
 NOT_RUN = {"X-Sycamoreshed-Not-Executed": "1"}
@@ -23,19 +21,6 @@
 # What a caller that cannot be served waits for its rejection at most.
 AT_ONCE_S = 0.5
 
-_request_ids = itertools.count()
-
-
-def served(**headers):
-    """Return the steps of an answer with status 200."""
-    return [0.02, scripted.answer(200, b"whole", **headers)]
-
-
-def streamed(**headers):
-    """Return the steps of a stream of three events."""
-    events = b"".join(harness.event(number) for number in range(3))
-    return [scripted.stream_head(**headers) + events]
-
 
 class RestingEndpoint:
     """An endpoint that rejects requests at times, and asks for rest.
@@ -50,7 +35,9 @@
         Status of a rejection.
     """
 
-    def __init__(self, *, good=served, rejection=None, status=503):
+    def __init__(
+        self, *, good=availability.served, rejection=None, status=503
+    ):
         self._good = good
         self._status = status
         self._rejection = {
@@ -96,62 +83,30 @@
     return int(request_id.partition("-")[2]) % len(harness.ZONES)
 
 
-@contextlib.asynccontextmanager
-async def system(store, folder, endpoints, *, configuration=None):
-    """Run instances in two zones before some endpoints."""
-    route = wiredata.route(max_attempts=4)
-    document = configuration or wiredata.configuration(2, routes=[route])
-    store.put("op", "config", document)
-    for number, each in enumerate(endpoints):
-        await each.endpoint.start()
-        store.put(
-            "servers",
-            f"i-{number}",
-            wiredata.beat(
-                each.endpoint.address,
-                zone=harness.ZONES[number % len(harness.ZONES)],
-            ),
-        )
-    async with harness.serving_in_zones(store, folder) as (instances, session):
-        yield instances, session
-    for each in endpoints:
-        await each.endpoint.stop()
-
-
 async def load(session, instances, *, seconds=LOAD_S, **head):
-    """Send requests evenly; return status, `Retry-After` and seconds."""
-
-    async def send(number):
-        started_at = time.monotonic()
-        try:
-            status, headers, _ = await harness.call(
-                session,
-                instances[number % len(instances)],
-                headers=wiredata.head(f"r-{number}", **head),
-            )
-        except aiohttp.ClientError:
-            return None, None, time.monotonic() - started_at
-        retry_after = headers.get("Retry-After")
-        return status, retry_after, time.monotonic() - started_at
-
-    tasks = []
-    for _ in range(int(LOAD_PER_S * seconds)):
-        tasks.append(asyncio.create_task(send(next(_request_ids))))
-        await asyncio.sleep(1 / LOAD_PER_S)
-    return await asyncio.gather(*tasks)
+    """Send requests evenly; see `availability.load`."""
+    return await availability.load(
+        session, instances, per_s=LOAD_PER_S, seconds=seconds, **head
+    )
 
 
 @pytest.mark.parametrize("resting", [1, 3])
-@pytest.mark.parametrize("good", [served, streamed], ids=lambda f: f.__name__)
+@pytest.mark.parametrize(
+    "good",
+    [availability.served, availability.streamed],
+    ids=lambda f: f.__name__,
+)
 async def test_endpoint_that_asks_for_rest_gets_none_meanwhile(
     store, tmp_path, resting, good
 ):
     """Rejected requests were followed by others as if nothing had happened."""
     endpoints = [RestingEndpoint(good=good) for _ in range(4)]
     document = None
-    if good is streamed:
+    if good is availability.streamed:
         document = harness.stream_route(resumable=True, max_attempts=4)
-    async with system(store, tmp_path, endpoints, configuration=document) as (
+    async with availability.serving(
+        store, tmp_path, endpoints, configuration=document
+    ) as (
         instances,
         session,
     ):
@@ -176,7 +131,10 @@
         RestingEndpoint(status=status, rejection=rejection),
         RestingEndpoint(),
     ]
-    async with system(store, tmp_path, endpoints) as (instances, session):
+    async with availability.serving(store, tmp_path, endpoints) as (
+        instances,
+        session,
+    ):
         endpoints[0].is_resting = True
         await load(session, instances)
     assert endpoints[0].rejections
@@ -188,7 +146,10 @@
 ):
     """Each request was sent to endpoints that had asked for rest."""
     endpoints = [RestingEndpoint() for _ in range(3)]
-    async with system(store, tmp_path, endpoints) as (instances, session):
+    async with availability.serving(store, tmp_path, endpoints) as (
+        instances,
+        session,
+    ):
         for each in endpoints:
             each.is_resting = True
         await load(session, instances, seconds=1.0)
@@ -245,8 +206,10 @@
         wiredata.service(),
         wiredata.piece_service("first"),
     ]
-    engines = [RestingEndpoint(good=streamed) for _ in range(2)]
-    async with system(store, tmp_path, engines, configuration=document) as (
+    engines = [RestingEndpoint(good=availability.streamed) for _ in range(2)]
+    async with availability.serving(
+        store, tmp_path, engines, configuration=document
+    ) as (
         instances,
         session,
     ):
