--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -402,15 +402,13 @@
         answer = await self._sender.post_idempotent(
             endpoint, path, headers, body, timeout_s=FREE_TIMEOUT_S
         )
-        if isinstance(answer, kinds.Failure):
-            status = answer.reason
-            if answer.kind is kinds.Kind.NO_ENDPOINT:
-                return
-        else:
-            status = f"status {answer.status}"
+        failed = isinstance(answer, kinds.Failure)
+        status = answer.reason if failed else f"status {answer.status}"
         self._journal.write(
             "freed", endpoint=endpoint_id, results=len(handles), why=status
         )
+        if failed and answer.kind is kinds.Kind.NO_ENDPOINT:
+            return
         # Recorded as free only after the call: earlier, the endpoint would
         # reject the pieces sent to it.
         for handle in handles:
