--- a/sycamoreshed/adapters/tests/test_web.py
+++ b/sycamoreshed/adapters/tests/test_web.py
@@ -100,11 +100,7 @@
 
 
 async def test_one_silent_connection_costs_one_time_limit():
-    """Each pooled connection to a server had to time out by itself.
-
-    An instance whose connections to the store went silent learned of a new
-    configuration only after as many time limits as it had connections.
-    """
+    """Each pooled connection to a server had to time out by itself."""
     is_silent = False
 
     async def answer(reader, writer):
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -251,10 +251,7 @@
 async def test_instance_that_sends_for_others_learns_of_a_departure(
     status, is_told
 ):
-    """An endpoint went on getting the calls of instances that are cut off.
-
-    An answer that was meant for another endpoint tells nothing of it.
-    """
+    """An endpoint went on getting the calls of instances that are cut off."""
 
     def leave(_received):
         yield scripted.answer(status, b"", **{names.LEAVING: "1"})
