--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -65,6 +65,8 @@
     first_s : float or None
         Seconds from the arrival to the first event of a stream.
     events : int
+    max_gap_s : float
+        Longest time between events of a stream.
     """
 
     answer: typing.Any = None
@@ -73,6 +75,7 @@
     endpoint: typing.Any = None
     first_s: float | None = None
     events: int = 0
+    max_gap_s: float = 0.0
 
 
 def pick_service(route, choose=random.random):
@@ -343,6 +346,7 @@
                 endpoint=result.endpoint,
                 first_s=result.first_s,
                 events=result.events,
+                max_gap_s=result.max_gap_s,
             )
         if isinstance(result, exchanges.Answered):
             return self._outcome(result)
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -34,12 +34,15 @@
     events : int
     endpoint : Endpoint
         The last engine that the stream came from.
+    max_gap_s : float
+        Longest time between events.
     """
 
     failure: typing.Any
     first_s: float | None
     events: int
     endpoint: typing.Any
+    max_gap_s: float = 0.0
 
 
 class _Break(typing.NamedTuple):
@@ -60,6 +63,17 @@
         self.first_s = None
         self.count = 0
         self.last_event_id = None
+        self.max_gap_s = 0.0
+        self._latest_at = None
+
+    def record_event(self, event_id, now):
+        """Record that an event has been passed on."""
+        self.count += 1
+        if self._latest_at is not None:
+            self.max_gap_s = max(self.max_gap_s, now - self._latest_at)
+        self._latest_at = now
+        if event_id is not None:
+            self.last_event_id = str(event_id)
 
 
 async def forward_stream(opened, tries, request, sink, parts):
@@ -125,7 +139,11 @@
 
 def _end(failure, progress, opened):
     return StreamEnd(
-        failure, progress.first_s, progress.count, opened.endpoint
+        failure,
+        progress.first_s,
+        progress.count,
+        opened.endpoint,
+        progress.max_gap_s,
     )
 
 
@@ -197,9 +215,7 @@
         parts.resumption.record_first_event(request, origin)
         await sink.begin(opened.response)
     await sink.send(event.raw)
-    progress.count += 1
-    if event.event_id is not None:
-        progress.last_event_id = str(event.event_id)
+    progress.record_event(event.event_id, parts.clock())
     return None
 
 
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -289,6 +289,7 @@
             first_s=outcome.first_s and round(outcome.first_s, 4),
             took_s=round(now - started_at, 4),
             events=outcome.events,
+            max_gap_s=round(outcome.max_gap_s, 4),
         )
         self._metrics.record_answered(request.route, outcome, now - started_at)
         self._stop_deadline.record(
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -326,7 +326,7 @@
     ),
     "answered": Event(
         EventClass.DETAIL,
-        "request, status, endpoint, first_s, took_s, events",
+        "request, status, endpoint, first_s, took_s, events, max_gap_s",
         "a whole answer was passed on",
     ),
     "failed": Event(
