Add one view of what all instances have at each engine

Each instance counted its own requests only. With many instances and few requests at each of them the counts are 0 or 1 nearly always, and say nothing about an engine.

The ledger counts what this instance has at each engine in requests, prompt tokens not yet read and memory held; the view adds what other sources tell, and forgets a source that has not told for 2.5 s. Both go by the process of an engine, so that one that starts anew begins at zero. Attempts record where their requests start, begin to be answered and end, for services whose configuration describes engines. Nothing decides by the view yet and nobody tells it anything: this is the interface that the parts are built against.

The caller's estimate of the answer's length is read from its header, which was passed on but not used.

--- /dev/null
+++ b/sycamoreshed/engineload/__init__.py
@@ -0,0 +1,1 @@
+"""What all instances have at each engine, and how fast engines work."""
--- /dev/null
+++ b/sycamoreshed/engineload/view.py
@@ -0,0 +1,145 @@
+"""The one view of an engine's load, which every sender asks.
+
+It adds what this instance has at an engine to what others have told.  What
+has not been told again for a while no longer counts: the instance that told it
+may have ended with requests in flight, or be cut off.
+"""
+
+import typing
+
+import msgspec
+
+from sycamoreshed.engineload import ledger as ledgers
+from sycamoreshed.engineload import work
+from sycamoreshed.kernel import kernel
+
+__all__ = ["LoadView", "Report", "TTL_S"]
+
+# Reports are repeated several times within this time while they hold.
+TTL_S = 2.5
+
+
+class Report(typing.NamedTuple):
+    """What a source has at engines, as it told.
+
+    Parameters
+    ----------
+    loads : dict of str to Load
+        By `Endpoint.boot`.
+    at : float
+        Monotonic time at which it held.
+    """
+
+    loads: dict
+    at: float
+
+
+class LoadView:
+    """What all instances have at each engine, as far as this one knows.
+
+    Parameters
+    ----------
+    ledger : Ledger
+
+    Examples
+    --------
+    >>> from sycamoreshed.catalog import types
+    >>> engine = types.Endpoint("e1", "llm", "e1:80", "north-a", 64)
+    >>> view = LoadView(ledger=ledgers.Ledger())
+    >>> view.record_report("edge-2", {engine.boot: work.Load(3, 0, 900)}, 5.0)
+    >>> view.load(engine, 6.0).requests, view.load(engine, 8.0).requests
+    (3, 0)
+    """
+
+    def __init__(self, *, ledger):
+        self.ledger = ledger
+        self._reports = {}
+
+    def load(self, endpoint, now):
+        """Return the `Load` of an engine by all instances."""
+        return self.ledger.load(endpoint.boot).plus(
+            self.others(endpoint.boot, now)
+        )
+
+    def others(self, boot, now, *, without=None):
+        """Return the `Load` of an engine by the sources that told theirs.
+
+        Parameters
+        ----------
+        boot : str
+        now : float
+        without : str, optional
+            Source that does not count.
+        """
+        return work.total(
+            report.loads.get(boot, work.NO_LOAD)
+            for source, report in self._current(now)
+            if source != without
+        )
+
+    def all_others(self, now, *, without=None):
+        """Return the `Load` of each engine by the sources that told theirs."""
+        result = {}
+        for source, report in self._current(now):
+            if source == without:
+                continue
+            for boot, load in report.loads.items():
+                result[boot] = result.get(boot, work.NO_LOAD).plus(load)
+        return result
+
+    def record_report(self, source, loads, at):
+        """Replace what a source has told.
+
+        Parameters
+        ----------
+        source : str
+        loads : dict of str to Load
+        at : float
+            Monotonic time at which it held; an older report than the one
+            that is known is ignored.
+        """
+        known = self._reports.get(source)
+        if known is None or at >= known.at:
+            self._reports[source] = Report(loads, at)
+
+    def forget(self, source):
+        """Forget what a source has told."""
+        self._reports.pop(source, None)
+
+    def age_s(self, now):
+        """Return the seconds since the newest report, or infinity."""
+        newest = max(
+            (report.at for _, report in self._current(now)),
+            default=float("-inf"),
+        )
+        return now - newest
+
+    def _current(self, now):
+        expired = [
+            source
+            for source, report in self._reports.items()
+            if now - report.at >= TTL_S
+        ]
+        for source in expired:
+            del self._reports[source]
+        return self._reports.items()
+
+
+def decode_loads(raw):
+    """Return the loads in a message of another instance.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If they have another form, or are negative.
+    """
+    loads = msgspec.convert(raw, dict[str, work.Load])
+    if any(min(each) < 0 for each in loads.values()):
+        raise msgspec.ValidationError("negative load")
+    return loads
+
+
+@kernel.plugin("engine_load")
+async def engine_load(_core):
+    """Provide the `LoadView`."""
+    yield LoadView(ledger=ledgers.Ledger())
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -10,6 +10,7 @@
 
 import math
 
+from sycamoreshed.engineload import work
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import candidates
 from sycamoreshed.forwarding import exchanges
@@ -80,6 +81,7 @@
         self._counted_attempts = 0
         self._may_have_run = False
         self._call_number = None
+        self._load_number = None
         self.inputs_missing = False
 
     @property
@@ -177,6 +179,7 @@
     def record_data(self, endpoint):
         """Record that an endpoint has sent a part of its answer."""
         self._parts.crashes.record_data(endpoint, self._call_number)
+        self._parts.engine_load.ledger.record_answer_start(self._load_number)
 
     def close(self, opened):
         """Close an answer whose body has been read or abandoned."""
@@ -374,9 +377,20 @@
             return {}
         return self._locate_inputs(self._inputs)
 
+    @property
+    def _service(self):
+        """The request's `Service` as configured, or None."""
+        services = self._parts.catalog.configuration.services
+        return services.get(self._request.service)
+
+    @property
+    def _engine_spec(self):
+        """The `EngineSpec` of the request's service, or None."""
+        return None if self._service is None else self._service.engine
+
     def _choose(self, now, excluded=()):
         parts, request = self._parts, self._request
-        service = parts.catalog.configuration.services.get(request.service)
+        service = self._service
         max_in_flight = math.inf
         if service is not None:
             max_in_flight = placement.connection_share(
@@ -430,6 +444,10 @@
         self._call_number = parts.crashes.record_start(
             endpoint, request.fingerprint
         )
+        if self._engine_spec is not None:
+            self._load_number = parts.engine_load.ledger.record_start(
+                endpoint.boot, work.of_request(request)
+            )
         if self._inputs:
             self._release.schedule(endpoint)
         is_open = False
@@ -453,6 +471,7 @@
     def _record_end(self, endpoint):
         self._parts.placer.record_end(endpoint)
         self._parts.crashes.record_end(endpoint, self._call_number)
+        self._parts.engine_load.ledger.record_end(self._load_number)
 
     def _record(self, endpoint, result, started_at):
         if self.inputs_missing and self._release is not None:
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -15,6 +15,8 @@
     catalog : Catalog
     residency : Residency
     placer : Placer
+    engine_load : LoadView
+    engine_speeds : Speeds
     health : Health
     crashes : CrashDetector
     limiter : Limiter
@@ -31,6 +33,8 @@
     catalog: typing.Any
     residency: typing.Any
     placer: typing.Any
+    engine_load: typing.Any
+    engine_speeds: typing.Any
     health: typing.Any
     crashes: typing.Any
     limiter: typing.Any
@@ -50,6 +54,8 @@
         "catalog",
         "residency",
         "placer",
+        "engine_load",
+        "engine_speeds",
         "health",
         "crashes",
         "limiter",
@@ -68,6 +74,8 @@
         catalog=core.part("catalog"),
         residency=core.part("residency"),
         placer=core.part("placer"),
+        engine_load=core.part("engine_load"),
+        engine_speeds=core.part("engine_speeds"),
         health=core.part("health"),
         crashes=core.part("crashes"),
         limiter=core.part("limiter"),
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -8,6 +8,9 @@
 from sycamoreshed.catalog import evacuations
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import types
+from sycamoreshed.engineload import ledger as ledgers
+from sycamoreshed.engineload import speeds
+from sycamoreshed.engineload import view as views
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import budget
 from sycamoreshed.forwarding import health
@@ -206,6 +209,8 @@
         placer=placement.Placer(
             zone="north-a", regions={}, health=endpoint_health
         ),
+        engine_load=views.LoadView(ledger=ledgers.Ledger()),
+        engine_speeds=speeds.Speeds(),
         health=endpoint_health,
         crashes=crashes.Crashes(),
         limiter=limiters.Limiter(permits=permits),
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -63,6 +63,9 @@
     resumes : str or None
         Id of the caller's request that brought the first event of that
         stream.
+    length_hint : int
+        The caller's estimate of the number of tokens to generate; 0 if it
+        gave none.
     """
 
     request_id: str
@@ -75,6 +78,7 @@
     piece_key: str | None
     last_event_id: str | None
     resumes: str | None = None
+    length_hint: int = 0
 
 
 class Verdict(enum.Enum):
@@ -102,6 +106,7 @@
         key = authorization[len(names.KEY_SCHEME) :].strip()
     tokens = _parse_numbers(headers.get(names.TOKENS, ""))
     deadline = _parse_numbers(headers.get(names.DEADLINE_MS, ""))
+    hint = _parse_numbers(headers.get(names.LENGTH_HINT, ""))
     return Head(
         request_id=headers.get(names.REQUEST_ID, ""),
         deadline_s=deadline[0] / 1000 if deadline else None,
@@ -113,6 +118,7 @@
         piece_key=headers.get(names.PIECE_KEY),
         last_event_id=headers.get(names.LAST_EVENT_ID),
         resumes=headers.get(names.RESUMES),
+        length_hint=hint[0] if hint else 0,
     )
 
 
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -31,6 +31,8 @@
 RETRY_AFTER = "Retry-After"
 # Tokens of the prompt, and the maximum number to generate.
 TOKENS = "X-Sycamoreshed-Token-Usage"
+# Caller's estimate of the number of tokens to generate.
+LENGTH_HINT = "X-Sycamoreshed-Length-Hint"
 PRIORITY = "X-Sycamoreshed-Priority-Class"
 PIECES = "X-Sycamoreshed-Pieces"
 PIECE_KEY = "X-Sycamoreshed-Piece-Key"
