Share what all instances have at each engine

Each instance counted its own requests only, so a service whose engines have slots and memory was sent to as if each instance were alone.

In each zone the instance that rendezvous hashing selects collects: the others report their whole counts before an engine is chosen, soon after a change and as a heartbeat, and learn what all others have. Collectors tell each other the totals of their zones, less often to other regions, where bytes are dear. All messages are absolute, so one that is lost, repeated or late leaves no wrong count; a source that is silent expires.

Ruled out while building: passing on what was told second hand, which lets counts come back to who told them and grow in a loop (only the collector's own reply is passed on, once); taking back a total at the former collector before the new one has it, which left a zone unknown for half a second each time a dead collector was tried again (the test of a collector that is gone failed by it).

--- a/sycamoreshed/engineload/view.py
+++ b/sycamoreshed/engineload/view.py
@@ -7,8 +7,6 @@
 
 import typing
 
-import msgspec
-
 from sycamoreshed.engineload import ledger as ledgers
 from sycamoreshed.engineload import work
 from sycamoreshed.kernel import kernel
@@ -77,11 +75,18 @@
             if source != without
         )
 
-    def all_others(self, now, *, without=None):
-        """Return the `Load` of each engine by the sources that told theirs."""
+    def all_others(self, now, *, without=()):
+        """Return the `Load` of each engine by the sources that told theirs.
+
+        Parameters
+        ----------
+        now : float
+        without : collection of str
+            Sources that do not count.
+        """
         result = {}
         for source, report in self._current(now):
-            if source == without:
+            if source in without:
                 continue
             for boot, load in report.loads.items():
                 result[boot] = result.get(boot, work.NO_LOAD).plus(load)
@@ -125,20 +130,6 @@
         return self._reports.items()
 
 
-def decode_loads(raw):
-    """Return the loads in a message of another instance.
-
-    Raises
-    ------
-    msgspec.ValidationError
-        If they have another form, or are negative.
-    """
-    loads = msgspec.convert(raw, dict[str, work.Load])
-    if any(min(each) < 0 for each in loads.values()):
-        raise msgspec.ValidationError("negative load")
-    return loads
-
-
 @kernel.plugin("engine_load")
 async def engine_load(_core):
     """Provide the `LoadView`."""
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -106,6 +106,8 @@
         parts, request = self._parts, self._request
         last = None
         while True:
+            if self._engine_spec is not None:
+                await parts.load_sharing.refresh(parts.clock())
             now = parts.clock()
             remaining_s = request.deadline - now
             if last_event_id is None:
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -216,9 +216,13 @@
         refused, and another engine would have to fetch them from the zone of
         the first one.
         """
-        now = self._parts.clock()
         if not request.route.stages or not request.head.pieces:
             return _Plan(zone="")
+        services = self._parts.catalog.configuration.services
+        service = services.get(request.service)
+        if service is not None and service.engine is not None:
+            await self._parts.load_sharing.refresh(self._parts.clock())
+        now = self._parts.clock()
         limiter = self._parts.limiter
         refused = limiter.exhausted(now)
         while True:
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -17,6 +17,7 @@
     placer : Placer
     engine_load : LoadView
     engine_speeds : Speeds
+    load_sharing : LoadSharing
     health : Health
     crashes : CrashDetector
     limiter : Limiter
@@ -35,6 +36,7 @@
     placer: typing.Any
     engine_load: typing.Any
     engine_speeds: typing.Any
+    load_sharing: typing.Any
     health: typing.Any
     crashes: typing.Any
     limiter: typing.Any
@@ -56,6 +58,7 @@
         "placer",
         "engine_load",
         "engine_speeds",
+        "load_sharing",
         "health",
         "crashes",
         "limiter",
@@ -76,6 +79,7 @@
         placer=core.part("placer"),
         engine_load=core.part("engine_load"),
         engine_speeds=core.part("engine_speeds"),
+        load_sharing=core.part("load_sharing"),
         health=core.part("health"),
         crashes=core.part("crashes"),
         limiter=core.part("limiter"),
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -11,6 +11,7 @@
 from sycamoreshed.engineload import ledger as ledgers
 from sycamoreshed.engineload import speeds
 from sycamoreshed.engineload import view as views
+from sycamoreshed.engineload import wiring
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import budget
 from sycamoreshed.forwarding import health
@@ -211,6 +212,7 @@
         ),
         engine_load=views.LoadView(ledger=ledgers.Ledger()),
         engine_speeds=speeds.Speeds(),
+        load_sharing=wiring.NoSharing(),
         health=endpoint_health,
         crashes=crashes.Crashes(),
         limiter=limiters.Limiter(permits=permits),
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -6,6 +6,7 @@
 from sycamoreshed.catalog import following
 from sycamoreshed.catalog import relay
 from sycamoreshed.catalog import updates
+from sycamoreshed.engineload import messages as load_messages
 from sycamoreshed.findings import exchange as exchanges
 from sycamoreshed.forwarding import limiting
 from sycamoreshed.forwarding import permits
@@ -33,6 +34,7 @@
     call_server : CallServer
     finder : Finder
     replicator : Replicator
+    load_sharing : LoadSharing
     metrics : GatewayMetrics
     clock : callable
     status : callable
@@ -50,6 +52,7 @@
         call_server,
         finder,
         replicator,
+        load_sharing,
         metrics,
         clock,
         status,
@@ -62,6 +65,7 @@
         self._call_server = call_server
         self._finder = finder
         self._replicator = replicator
+        self._load_sharing = load_sharing
         self._metrics = metrics
         self._clock = clock
         self._status = status
@@ -146,6 +150,10 @@
         stream = msgspec.json.decode(await http.read(), type=str)
         return _json(self._finder.answer(stream))
 
+    async def engine_load(self, http):
+        """Accept what another instance has at engines; return the others'."""
+        return _json(self._load_sharing.receive(await http.read()))
+
     async def metrics(self, _http):
         """Return all metrics."""
         return web.Response(
@@ -201,6 +209,7 @@
         "journal",
         "limiter",
         "link_checker",
+        "load_sharing",
         "peers",
         "reachability",
         "reading",
@@ -215,6 +224,7 @@
 
     def status():
         catalog = core.part("catalog")
+        load_sharing = core.part("load_sharing")
         configuration = catalog.configuration
         now = core.clock()
         return {
@@ -231,6 +241,8 @@
                 for zone, age_s in catalog.evacuations.ages(now).items()
             },
             "reader": core.part("reading").reader(now),
+            "engine_load_collector": load_sharing.collector(now),
+            "engine_load_age_s": round(min(1e6, load_sharing.age_s(now)), 2),
             "settings_age_s": round(min(1e6, catalog.age("settings", now)), 2),
             "endpoints_age_s": round(
                 min(1e6, catalog.age("endpoints", now)), 2
@@ -246,6 +258,7 @@
         call_server=core.part("call_server"),
         finder=core.part("resumption").finder,
         replicator=core.part("resumption").replicator,
+        load_sharing=core.part("load_sharing"),
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
         status=status,
@@ -263,6 +276,7 @@
     core.control.router.add_post(delegation.FREE_PATH, handlers.free)
     core.control.router.add_post(replication.PATH, handlers.origins)
     core.control.router.add_post(lookup.PATH, handlers.origin)
+    core.control.router.add_post(load_messages.PATH, handlers.engine_load)
     core.control.router.add_get("/metrics", handlers.metrics)
     core.control.router.add_get("/control/status", handlers.status)
     yield handlers
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -16,6 +16,7 @@
 from sycamoreshed.catalog import staleness  # noqa: F401
 from sycamoreshed.engineload import speeds  # noqa: F401
 from sycamoreshed.engineload import view  # noqa: F401
+from sycamoreshed.engineload import wiring as load_wiring  # noqa: F401
 from sycamoreshed.entry import sockets  # noqa: F401
 from sycamoreshed import exceptions
 from sycamoreshed.findings import clearing  # noqa: F401
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -99,6 +99,22 @@
             ["task"],
             registry=registry,
         )
+        self._engine_load_messages = prometheus_client.Counter(
+            "sycamoreshed_gateway_engine_load_messages",
+            "Messages about the load of engines, by what came of them.",
+            ["content", "result"],
+            registry=registry,
+        )
+        self._engine_load_age = prometheus_client.Gauge(
+            "sycamoreshed_gateway_engine_load_age_seconds",
+            "Time since the load of engines by others was last known.",
+            registry=registry,
+        )
+        self._engine_requests = prometheus_client.Gauge(
+            "sycamoreshed_gateway_engine_requests",
+            "Requests that all instances have at engines, as far as known.",
+            registry=registry,
+        )
         self._dropped = prometheus_client.Gauge(
             "sycamoreshed_gateway_log_lines_dropped",
             "Log lines left out since the start.",
@@ -165,6 +181,26 @@
         """Count a background task that ended by an error."""
         self._task_failures.labels(name).inc()
 
+    def record_engine_load_message(self, content, result):
+        """Count a message about the load of engines.
+
+        Parameters
+        ----------
+        content : str
+            ``own``, ``total`` or ``received``.
+        result : str
+            ``taken``, ``lost`` or ``ignored``.
+        """
+        self._engine_load_messages.labels(content, result).inc()
+
+    def export_engine_load_age(self, read):
+        """Export the age of the view of engines' load, in seconds."""
+        self._engine_load_age.set_function(read)
+
+    def export_engine_requests(self, read):
+        """Export the requests of all instances at engines."""
+        self._engine_requests.set_function(read)
+
     def render(self):
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -36,6 +36,7 @@
     max_body_bytes: typing.NotRequired[schema.PositiveInt]
     max_control_bytes: typing.NotRequired[schema.PositiveInt]
     max_descriptors: typing.NotRequired[schema.PositiveInt]
+    share_engine_load: typing.NotRequired[bool]
 
 
 class Settings(typing.NamedTuple):
@@ -82,6 +83,11 @@
         Maximum body sizes of the kernel's public and control
         applications.  For callers' requests to this daemon, the limit in
         the operator's configuration applies instead.
+    max_descriptors : int or None
+        Descriptors that the process may have open; the process's limit if
+        not set.
+    share_engine_load : bool
+        Whether instances tell each other what they have at engines.
     """
 
     instance: str
@@ -107,6 +113,7 @@
     max_body_bytes: int = 4 << 20
     max_control_bytes: int = 1 << 26
     max_descriptors: int | None = None
+    share_engine_load: bool = True
 
     @property
     def update_s(self):
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -208,6 +208,18 @@
         "an endpoint has answered a request with a part of its prompt that is "
         "suspected of crashes, and how long ago",
     ),
+    "engine_load_lost": Event(
+        EventClass.DECISION,
+        "peer, why, left_out",
+        "an instance did not take what this one has at engines; how many "
+        "such lines were left out before",
+    ),
+    "engine_load_bad": Event(
+        EventClass.DECISION,
+        "why, left_out",
+        "a message about the load of engines was ignored; how many such "
+        "lines were left out before",
+    ),
     "findings_received": Event(
         EventClass.DECISION,
         "topics, count",
