--- a/sycamoreshed/engineload/collecting.py
+++ b/sycamoreshed/engineload/collecting.py
@@ -94,10 +94,6 @@
             not source.counts.is_total for source in self._sources.values()
         )
 
-    def forget_member(self, name):
-        """Forget what an instance reported; it told another one."""
-        self._forget(_key(name, is_total=False))
-
     def receive(self, counts, now):
         """Accept what an instance tells.
 
--- a/sycamoreshed/engineload/sharing.py
+++ b/sycamoreshed/engineload/sharing.py
@@ -153,9 +153,6 @@
         self._totals.notify()
         if counts.is_total:
             return messages.Reply({}, True, 0.0, 0.0)
-        if self._told_to is not None and self._told_to.name == counts.sender:
-            # It told what this instance has itself.
-            self._view.forget(ZONE_SOURCE)
         is_first_hand = self._is_first_hand(now)
         # Only what a collector told first hand is passed on, once: otherwise
         # counts could come back to the instance that told them.
@@ -285,8 +282,6 @@
         self._told = loads
         self._synced_at = sent_at
         self._next_at = now + reply.pause_s
-        # What it told comes back in the reply.
-        self._collector.forget_member(found.name)
         self._view.record_report(ZONE_SOURCE, reply.loads, sent_at)
         if reply.speeds is not None:
             self._speeds_at = sent_at
--- a/sycamoreshed/engineload/tests/builders.py
+++ b/sycamoreshed/engineload/tests/builders.py
@@ -146,14 +146,6 @@
         for task in instance.tasks if instance else ():
             task.cancel()
 
-    def collector(self, zone):
-        """Return the name of the instance of a zone that collects."""
-        now = asyncio.get_running_loop().time()
-        for each in self.instances.values():
-            if each.zone == zone:
-                return each.sharing.collector(now)
-        raise LookupError(zone)
-
     def spawn(self, call):
         """Run a coroutine as a task."""
         task = asyncio.create_task(call)
--- a/sycamoreshed/engineload/tests/test_sharing.py
+++ b/sycamoreshed/engineload/tests/test_sharing.py
@@ -8,6 +8,7 @@
 from sycamoreshed.engineload.tests import builders
 from sycamoreshed.engineload import totals
 from sycamoreshed.engineload import view as views
+from sycamoreshed.membership import rendezvous
 from testkit import virtualtime
 
 SMALL = {"a": 3, "b": 3, "c": 3}
@@ -29,6 +30,12 @@
     return virtualtime.run(main())
 
 
+def ranked(zone, network):
+    """Return the instances of a zone in the order in which they collect."""
+    names = [name for name in network.instances if name.startswith(zone)]
+    return rendezvous.top(f"engine load {zone}", names, len(names))
+
+
 @pytest.mark.parametrize("sizes", [SMALL, MIDDLE, LARGE])
 def test_all_instances_know_what_all_have(sizes):
     """Each instance placed requests as if it were alone."""
@@ -54,9 +61,7 @@
     """Engines stayed full by requests of an instance that had died."""
 
     async def scenario(network):
-        collector = network.collector("a")
-        others = [name for name in SMALL_NAMES if name != collector]
-        dying = collector if place == "collector" else others[0]
+        dying = ranked("a", network)[place == "member"]
         network.instances[dying].start(5)
         network.instances["b-1"].start(1)
         await asyncio.sleep(KNOWN_S)
@@ -64,7 +69,6 @@
         await asyncio.sleep(FORGOTTEN_S)
         return await network.known()
 
-    SMALL_NAMES = [f"a-{number}" for number in range(3)]
     assert set(play(scenario).values()) == {1}
 
 
@@ -73,7 +77,7 @@
     """A zone knew of no other requests while its collector did not answer."""
 
     async def scenario(network):
-        gone = network.collector("a")
+        gone = ranked("a", network)[0]
         for each in network.instances.values():
             if each.name != gone:
                 each.start(1)
@@ -101,16 +105,13 @@
     assert set(after.values()) == {10}
 
 
-def test_single_broken_link_to_the_collector_hides_nothing():
+@pytest.mark.parametrize("turn", [1, 2])
+def test_single_broken_link_to_the_collector_hides_nothing(turn):
     """An instance that missed its collector no longer knew of the others."""
 
     async def scenario(network):
-        collector = network.collector("a")
-        (cut, _) = (
-            name
-            for name in network.instances
-            if name.startswith("a") and name != collector
-        )
+        collector, *others = ranked("a", network)
+        cut = others[turn - 1]
         network.loses = lambda *pair: set(pair) == {collector, cut}
         for each in network.instances.values():
             each.start(1)
@@ -124,12 +125,7 @@
     """Counts from before a restart stood beside those after it."""
 
     async def scenario(network):
-        collector = network.collector("a")
-        (name, *_) = (
-            name
-            for name in network.instances
-            if name.startswith("a") and name != collector
-        )
+        name = ranked("a", network)[1]
         network.instances[name].start(7)
         await asyncio.sleep(KNOWN_S)
         network.restart(name).start(2)
@@ -141,7 +137,7 @@
 
 @pytest.mark.parametrize("seed", range(4))
 def test_lost_messages_leave_no_wrong_counts(seed):
-    """A lost message left a count wrong for good, or counts grew in a loop."""
+    """A lost message left a count wrong, or counts came back and grew."""
     rng = builders.requests(seed)
 
     async def scenario(network):
@@ -288,7 +284,7 @@
     second = b'["x", "a", 1, 2, {"e1@7": [2, 0, 0]}]'
 
     async def scenario(network):
-        each = network.instances[network.collector("a")]
+        each = network.instances[ranked("a", network)[0]]
         for raw in (second, first):
             each.sharing.receive(raw)
         return (await network.known())[each.name]
