Take back what former collectors may still count

Cause: an instance whose report or total got no answer went to the next collector, and the first one, which may have received it, was not told. It counted there for 1.2 or 2.5 s more beside the new one.

Each instance that was told something since it expired there is remembered, and asked up to five times to forget it once another one has answered.

--- a/sycamoreshed/engineload/sharing.py
+++ b/sycamoreshed/engineload/sharing.py
@@ -14,6 +14,7 @@
 from sycamoreshed.engineload import collecting
 from sycamoreshed.engineload import messages
 from sycamoreshed.engineload import selection
+from sycamoreshed.engineload import telling
 from sycamoreshed.engineload import totals
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import avoidance
@@ -93,8 +94,7 @@
         self._next_at = -math.inf
         self._changed_at = math.inf
         self._told = {}
-        # Whom they were told, if another instance.
-        self._told_to = None
+        self._holders = telling.Holders(ttl_s=collecting.MEMBER_TTL_S)
         self._reply = None
         self._ledger.listen(self._on_change)
 
@@ -253,7 +253,7 @@
 
     def _record_own(self, now):
         """Take note that this instance collects: it knows what it is told."""
-        self._leave(None)
+        self._leave_others("", now)
         self._view.forget(ZONE_SOURCE)
         self._reply = None
         self._told = self._ledger.loads()
@@ -266,6 +266,7 @@
         sent_at = self._clock()
         loads = self._ledger.loads()
         self._changed_at = math.inf
+        self._holders.add(found.control, sent_at)
         speeds = None
         if sent_at - self._speeds_at >= SPEEDS_INTERVAL_S:
             speeds = self._speeds.report(sent_at)
@@ -277,7 +278,7 @@
             self._avoidance.add(found.control, now)
             self._changed_at = min(self._changed_at, sent_at)
             return False
-        self._leave(found)
+        self._leave_others(found.control, now)
         self._reply = reply
         self._told = loads
         self._synced_at = sent_at
@@ -288,11 +289,10 @@
             self._speeds.record_report(ZONE_SOURCE, reply.speeds, sent_at)
         return True
 
-    def _leave(self, found):
-        """Take back what another instance than the new one was told."""
-        former, self._told_to = self._told_to, found
-        if former is not None and former != found:
+    def _leave_others(self, control, now):
+        """Take back what other instances than one were told."""
+        for former in self._holders.remove_others(control, now):
             self._spawn(
-                self._teller.tell(former.control, {}, timeout_s=TIMEOUT_S),
+                self._teller.take_back(former, timeout_s=TIMEOUT_S),
                 name="share engine load",
             )
--- a/sycamoreshed/engineload/telling.py
+++ b/sycamoreshed/engineload/telling.py
@@ -5,13 +5,50 @@
 from sycamoreshed.engineload import messages
 from sycamoreshed.errors import kinds
 
-__all__ = ["Teller"]
+__all__ = ["Holders", "Teller"]
 
 # At most one line of each kind within this time.
 LOG_INTERVAL_S = 1.0
+# An instance that did not answer them all is not used again before they end.
+MAX_TAKE_BACKS = 5
 _SUCCESS = 200
 
 
+class Holders:
+    """Instances that count what they were told, or may: the answer was lost.
+
+    Examples
+    --------
+    >>> holders = Holders(ttl_s=1.2)
+    >>> holders.add("10.0.0.1:1", 5.0)
+    >>> holders.add("10.0.0.2:1", 5.5)
+    >>> holders.remove_others("10.0.0.2:1", 6.0)
+    ['10.0.0.1:1']
+    """
+
+    def __init__(self, *, ttl_s):
+        self._ttl_s = ttl_s
+        self._told_at = {}
+
+    def add(self, control, now):
+        """Record that an instance is told counts."""
+        self._told_at[control] = now
+
+    def remove_others(self, control, now):
+        """Return, once, those besides one that have not expired."""
+        others = [
+            each
+            for each, told_at in self._told_at.items()
+            if each != control and now - told_at < self._ttl_s
+        ]
+        self._told_at = {
+            each: told_at
+            for each, told_at in self._told_at.items()
+            if each == control
+        }
+        return others
+
+
 class Teller:
     """Tells other instances counts, in numbered messages.
 
@@ -74,6 +111,15 @@
             self._log("engine_load_lost", peer=control, why=result.reason)
         return result
 
+    async def take_back(self, control, *, timeout_s, is_total=False):
+        """Tell an instance that it has nothing to count any more."""
+        for _ in range(MAX_TAKE_BACKS):
+            result = await self.tell(
+                control, {}, timeout_s=timeout_s, is_total=is_total
+            )
+            if not isinstance(result, kinds.Failure):
+                return
+
     def log_ignored(self, why):
         """Log that a message of another instance was ignored."""
         self._metrics.record_engine_load_message("received", "ignored")
--- a/sycamoreshed/engineload/tests/test_sharing.py
+++ b/sycamoreshed/engineload/tests/test_sharing.py
@@ -135,7 +135,7 @@
     assert set(play(scenario).values()) == {2}
 
 
-@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("seed", [0, 1, 2, 3, 5, 19, 40])
 def test_lost_messages_leave_no_wrong_counts(seed):
     """A lost message left a count wrong, or counts came back and grew."""
     rng = builders.requests(seed)
--- a/sycamoreshed/engineload/totals.py
+++ b/sycamoreshed/engineload/totals.py
@@ -4,6 +4,8 @@
 import math
 
 from sycamoreshed.engineload import selection
+from sycamoreshed.engineload import telling
+from sycamoreshed.engineload import view
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import avoidance
 
@@ -34,7 +36,7 @@
 
     def __init__(self):
         self.told = {}
-        self.control = None
+        self.holders = telling.Holders(ttl_s=view.TTL_S)
         self.sent_at = -math.inf
         self.speeds_at = -math.inf
         self.is_sending = False
@@ -105,7 +107,7 @@
         """Tell the zones that are due; return the seconds to the next one."""
         total = self._collector.total(now, with_own=self._is_first_hand(now))
         next_at = math.inf
-        for zone in self._peers.zones():
+        for zone in sorted(self._peers.zones()):
             told = self._zones.setdefault(zone, _Zone())
             if told.is_sending:
                 continue
@@ -146,6 +148,7 @@
         speeds = None
         if now - told.speeds_at >= SPEEDS_INTERVAL_S:
             speeds = self._collector.total_speeds(now)
+        told.holders.add(found.control, now)
         reply = await self._teller.tell(
             found.control,
             total,
@@ -158,13 +161,12 @@
             return None
         if speeds is not None:
             told.speeds_at = now
-        if told.control not in (None, found.control):
-            # It would count there for a while beside what is told now.
+        # It would count there for a while beside what is told now.
+        for former in told.holders.remove_others(found.control, now):
             self._spawn(
-                self._teller.tell(
-                    told.control, {}, timeout_s=TIMEOUT_S, is_total=True
+                self._teller.take_back(
+                    former, timeout_s=TIMEOUT_S, is_total=True
                 ),
                 name="tell load of engines",
             )
-        told.control = found.control
         return total
