Learn how fast engines work from their answers

Engines of a service differ in speed and slow down in spells, and nothing on the path of a request knew by how much: an engine at 1.6 times the usual time got as many requests as one at 0.6.

The speed of an engine is learnt by its boot from the median time between the events of each stream, which contains neither the way nor the queue nor the prompt; that of a plain endpoint from calls within the region. Means go by logarithms, count half after 10 s, and are corrected for the requests that the engine had. The time for a prompt token is learnt from first events in the region.

`engine_speed` is logged when an engine becomes slow, fast or usual; `sycamoreshed_gateway_slow_engines` counts slow ones. Calls of plain services go to the endpoint with the least load where endpoints tell theirs.

Ruled out: first events as a measure of engines, as the way, the queue and prompts of which an unknown part is cached look like slowness; ratios in place of times in reports, as an instance knows only some of the engines.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -10,6 +10,7 @@
 
 import math
 
+from sycamoreshed.engineload import samples
 from sycamoreshed.engineload import work
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import candidates
@@ -82,6 +83,7 @@
         self._may_have_run = False
         self._call_number = None
         self._load_number = None
+        self._sending = None
         self.inputs_missing = False
 
     @property
@@ -181,6 +183,25 @@
         self._parts.crashes.record_data(endpoint, self._call_number)
         self._parts.engine_load.ledger.record_answer_start(self._load_number)
 
+    def record_pace(self, endpoint, pacing):
+        """Record the speed that an engine's part of a stream has shown.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        pacing : Pacing
+        """
+        parts = self._parts
+        if self._engine_spec is not None:
+            samples.record_stream(
+                parts.engine_speeds,
+                endpoint,
+                self._sending,
+                pacing,
+                parts.clock(),
+                is_near=self._is_near(endpoint),
+            )
+
     def close(self, opened):
         """Close an answer whose body has been read or abandoned."""
         opened.response.close()
@@ -388,6 +409,11 @@
         """The `EngineSpec` of the request's service, or None."""
         return None if self._service is None else self._service.engine
 
+    @property
+    def _is_plain(self):
+        """Whether the endpoints of the request's service are no engines."""
+        return self._service is not None and self._engine_spec is None
+
     def _choose(self, now, excluded=()):
         parts, request = self._parts, self._request
         service = self._service
@@ -408,6 +434,7 @@
             body_bytes=len(request.body),
             result_bytes=self._result_bytes,
             max_in_flight=max_in_flight,
+            is_plain=self._is_plain,
         )
 
     def _log_choice(self, choice, now):
@@ -440,6 +467,9 @@
             last_event_id=last_event_id,
         )
         started_at = parts.clock()
+        self._sending = self._describe_sending(
+            endpoint, started_at, is_resumed=last_event_id is not None
+        )
         parts.placer.record_start(endpoint)
         self._call_number = parts.crashes.record_start(
             endpoint, request.fingerprint
@@ -468,6 +498,22 @@
             if not is_open:
                 self._record_end(endpoint)
 
+    def _describe_sending(self, endpoint, now, *, is_resumed):
+        """Return the `Sending`, before the request is counted."""
+        if self._engine_spec is None:
+            in_flight = self._parts.placer.in_flight(endpoint)
+            return samples.Sending(now, in_flight)
+        load = self._parts.engine_load.load(endpoint, now)
+        needed = work.of_request(self._request)
+        unread = needed.prompt_tokens - needed.shared_tokens
+        return samples.Sending(
+            now, load.requests, load.unread_tokens + unread, is_resumed
+        )
+
+    def _is_near(self, endpoint):
+        """Return whether an endpoint is in the region of this instance."""
+        return self._parts.placer.distance(endpoint.zone) <= 1
+
     def _record_end(self, endpoint):
         self._parts.placer.record_end(endpoint)
         self._parts.crashes.record_end(endpoint, self._call_number)
@@ -480,6 +526,14 @@
             if result.failure is None:
                 is_success = result.answer.status < _ERROR_STATUS
                 self.record_served(endpoint, is_success=is_success)
+                if is_success and self._is_plain:
+                    samples.record_call(
+                        self._parts.engine_speeds,
+                        endpoint,
+                        self._sending,
+                        self._parts.clock(),
+                        is_near=self._is_near(endpoint),
+                    )
             else:
                 self.record_failure(endpoint, result.failure, started_at)
         elif isinstance(result, kinds.Failure):
--- a/sycamoreshed/forwarding/placement.py
+++ b/sycamoreshed/forwarding/placement.py
@@ -81,10 +81,14 @@
     regions : dict of str to str
         Region of each zone.
     health : Health
+    told_loads : ToldLoads, optional
+    speeds : Speeds, optional
     """
 
-    def __init__(self, *, zone, regions, health):
+    def __init__(self, *, zone, regions, health, told_loads=None, speeds=None):
         self._zone = zone
+        self._told_loads = told_loads
+        self._speeds = speeds
         self._regions = regions
         self._health = health
         self._in_flight = {}
@@ -136,6 +140,7 @@
         body_bytes=0,
         result_bytes=types.MappingProxyType({}),
         max_in_flight=math.inf,
+        is_plain=False,
     ):
         """Select an endpoint, or return None if none is available.
 
@@ -159,6 +164,9 @@
             that stores them.
         max_in_flight : float
             Requests that this instance may have in flight at an endpoint.
+        is_plain : bool
+            Whether the endpoints are no engines; then the loads that they
+            tell in their answers count.
 
         Returns
         -------
@@ -206,6 +214,10 @@
             for each in eligible:
                 if self.in_flight(each) <= min_load + AFFINITY_SLACK:
                     return Choice(each, "prefix", len(healthy))
+        if is_plain:
+            selected = self._least_told(eligible, now)
+            if selected is not None:
+                return Choice(selected, "least told load", len(healthy))
         # Each request breaks ties in another order.  With a fixed order all
         # instances would send to the same endpoint first.
         selected = min(
@@ -217,6 +229,31 @@
         )
         return Choice(selected, "least in flight", len(healthy))
 
+    def _least_told(self, endpoints, now):
+        """Return the endpoint that should end one more request first.
+
+        None if no endpoint has told its load of late.
+        """
+        if self._told_loads is None:
+            return None
+        told = {
+            each.id: self._told_loads.load(each, now) for each in endpoints
+        }
+        if not any(told.values()):
+            return None
+
+        def rank(endpoint):
+            requests = self.in_flight(endpoint)
+            load = told[endpoint.id]
+            if load is not None:
+                requests = max(requests, load.running + load.waiting)
+            share = (requests + 1) / max(1, endpoint.slots)
+            if self._speeds is not None:
+                share *= self._speeds.slowness(endpoint, now)
+            return share, rendezvous.rank(str(now), endpoint.id)
+
+        return min(endpoints, key=rank)
+
     def likely_zone(self, endpoints, now, **request):
         """Return the zone of the engine that a request will likely use.
 
@@ -236,11 +273,13 @@
         return self._zone if choice is None else choice.endpoint.zone
 
 
-@kernel.plugin("placer", needs=("health",))
+@kernel.plugin("placer", needs=("engine_speeds", "health", "told_loads"))
 async def placer(core):
     """Provide the `Placer`."""
     yield Placer(
         zone=core.settings.zone,
         regions=core.settings.zones,
         health=core.part("health"),
+        told_loads=core.part("told_loads"),
+        speeds=core.part("engine_speeds"),
     )
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -3,6 +3,7 @@
 import typing
 
 from sycamoreshed.adapters import web
+from sycamoreshed.engineload import samples
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
 from sycamoreshed.forwarding import exchanges
@@ -99,9 +100,10 @@
     progress = _Progress()
     while True:
         started_at = parts.clock()
+        pacing = samples.Pacing()
         try:
             broken = await _forward_part(
-                opened, tries, request, sink, parts, progress
+                opened, tries, request, sink, parts, progress, pacing
             )
             if broken is not None:
                 tries.record_failure(
@@ -111,6 +113,7 @@
                     is_cut_off=broken.is_cut_off,
                 )
         finally:
+            tries.record_pace(opened.endpoint, pacing)
             tries.close(opened)
         if broken is None:
             tries.record_served(opened.endpoint)
@@ -160,11 +163,12 @@
     return failure._replace(reason=f"{failure.reason}; not resumed: {reason}")
 
 
-async def _forward_part(opened, tries, request, sink, parts, progress):
+async def _forward_part(opened, tries, request, sink, parts, progress, pacing):
     """Pass on one engine's part of a stream; return a `_Break` or None."""
     response = opened.response
     buffer = sse.EventBuffer()
     while True:
+        began_at = parts.clock()
         try:
             async with timeouts.time_limit(_timeout(request, parts, progress)):
                 data = await response.content.readany()
@@ -179,6 +183,7 @@
             events = buffer.feed(data)
         except sse.EventTooLargeError as err:
             return _broken(str(err))
+        pacing.record_read(len(events), began_at, parts.clock())
         for event in events:
             broken = await _forward_event(
                 event, opened, tries, request, sink, parts, progress
--- a/sycamoreshed/forwarding/tests/test_placement.py
+++ b/sycamoreshed/forwarding/tests/test_placement.py
@@ -3,8 +3,11 @@
 import pytest
 
 from sycamoreshed.catalog import types
+from sycamoreshed.engineload import speeds
+from sycamoreshed.engineload import told as told_loads
 from sycamoreshed.forwarding import health as healths
 from sycamoreshed.forwarding import placement
+from sycamoreshed.platform import toldloads
 from testkit import journals
 
 
@@ -211,3 +214,45 @@
             pool, 0.0, affinity=part, shared_tokens=350, body_bytes=1500
         )
         assert choice.endpoint.zone != "south-a"
+
+
+def _told_placer(health, told):
+    """Return a placer that knows what endpoints told at 0.0."""
+    loads = told_loads.ToldLoads()
+    for each, load in told.items():
+        loads.record(each, toldloads.ToldLoad(*load), 0.0)
+    return placement.Placer(
+        zone="north-a",
+        regions={},
+        health=health,
+        told_loads=loads,
+        speeds=speeds.Speeds(told=loads),
+    )
+
+
+@pytest.mark.parametrize(
+    ("busy", "slow"), [((60, 9, 64), (0, 0, 64)), ((8, 0, 64), (4, 0, 64, 3))]
+)
+def test_plain_calls_avoid_endpoints_that_tell_of_load(health, busy, slow):
+    """Load: calls of other instances, which this one does not see."""
+    one, other = endpoint("one"), endpoint("other")
+    load = toldloads.ToldLoad(*slow)
+    placer = _told_placer(health, {one: busy, other: load})
+    choices = {
+        placer.choose([one, other], at / 100, is_plain=True).endpoint.id
+        for at in range(20)
+    }
+    # The told slowdown is three times the usual.
+    expected = "one" if load.slowdown > 1 else "other"
+    assert choices == {expected}
+
+
+def test_old_loads_and_those_of_engines_change_no_choice(health):
+    """Guards against a load that was told by an endpoint long ago."""
+    pool = [endpoint(f"e{number}") for number in range(4)]
+    plain = placement.Placer(zone="north-a", regions={}, health=health)
+    placer = _told_placer(health, dict.fromkeys(pool[:2], (60, 0, 64, 1.0)))
+    for number in range(40):
+        for now, is_plain in ((number / 100, False), (1 + number, True)):
+            choice = placer.choose(pool, now, is_plain=is_plain)
+            assert choice == plain.choose(pool, now)
--- /dev/null
+++ b/sycamoreshed/forwarding/tests/test_speed_samples.py
@@ -0,0 +1,69 @@
+"""Tests of what forwarding shows of the speed of endpoints."""
+
+import asyncio
+
+import pytest
+
+from sycamoreshed.forwarding import attempts
+from sycamoreshed.forwarding import exchanges
+from sycamoreshed.forwarding import streams
+from sycamoreshed.forwarding.tests import builders
+from sycamoreshed.forwarding.tests import paced
+from testkit import virtualtime
+
+
+def played(*, first_s, interval_s, slow_callers_of="", count=120):
+    """Play streams of engines, one after the other; return their slowness.
+
+    Callers of one engine may take 50 ms for each event.
+    """
+
+    async def play():
+        sender = paced.Sender(first_s=first_s, interval_s=interval_s)
+        parts = paced.parts(sender)
+        for _ in range(count):
+            now = parts.clock()
+            request = builders.request(streaming=True, resumable=True)
+            request = request._replace(started_at=now, deadline=now + 60.0)
+            tries = attempts.Attempts(request=request, parts=parts)
+            opened = await tries.open()
+            assert isinstance(opened, exchanges.Opened)
+            is_slow = opened.endpoint.id == slow_callers_of
+            sink = paced.Sink(reading_s=0.05 if is_slow else 0.0)
+            end = await streams.forward_stream(
+                opened, tries, request, sink, parts
+            )
+            assert end.events == paced.EVENTS
+        now = asyncio.get_running_loop().time()
+        return [
+            parts.engine_speeds.slowness(each, now)
+            for each in parts.catalog.endpoints(builders.SERVICE, now)
+        ]
+
+    return virtualtime.run(play())
+
+
+def test_streams_show_the_speed_of_engines():
+    """Load: streams of 10 events, from engines at half and twice the time."""
+    fast, slow = played(
+        first_s={"e0": 0.1, "e1": 0.1}, interval_s={"e0": 0.01, "e1": 0.04}
+    )
+    assert slow / fast == pytest.approx(4, rel=0.2)
+
+
+def test_the_way_to_an_engine_is_not_slowness():
+    """Guards against distance that looks like slowness: 20 ms one way."""
+    found = played(
+        first_s={"e0": 0.1, "e1": 0.14}, interval_s={"e0": 0.01, "e1": 0.01}
+    )
+    assert found == [1.0, 1.0]
+
+
+def test_a_slow_caller_does_not_make_its_engine_slow():
+    """Guards against the back pressure of a caller that reads slowly."""
+    found = played(
+        first_s={"e0": 0.1, "e1": 0.1},
+        interval_s={"e0": 0.01, "e1": 0.01},
+        slow_callers_of="e0",
+    )
+    assert found == [1.0, 1.0]
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -28,6 +28,7 @@
     def __init__(self, *, registry=None):
         registry = registry or prometheus_client.CollectorRegistry()
         self._routes = set()
+        self._services = set()
         self.registry = registry
         self._requests = prometheus_client.Counter(
             "sycamoreshed_gateway_requests",
@@ -66,6 +67,12 @@
             "Endpoints that have not warmed up yet.",
             registry=registry,
         )
+        self._slow_engines = prometheus_client.Gauge(
+            "sycamoreshed_gateway_slow_engines",
+            "Endpoints that take 1.5 times the usual time or more.",
+            ["service"],
+            registry=registry,
+        )
         self._unreached_endpoints = prometheus_client.Gauge(
             "sycamoreshed_gateway_unreached_endpoints",
             "Endpoints to which the latest connection was not established.",
@@ -131,6 +138,15 @@
         """Export the number of cold endpoints, which `read` returns."""
         self._cold_endpoints.set_function(read)
 
+    def export_slow_engines(self, service, read):
+        """Export how many engines of a service are slow.
+
+        Services after the first `MAX_ROUTE_LABELS` ones are left out.
+        """
+        self._services.add(service)
+        if len(self._services) <= MAX_ROUTE_LABELS:
+            self._slow_engines.labels(service).set_function(read)
+
     def export_unreached_endpoints(self, read):
         """Export the number of endpoints that were not reached."""
         self._unreached_endpoints.set_function(read)
