--- a/sycamoreshed/engineload/tests/test_speeds.py
+++ b/sycamoreshed/engineload/tests/test_speeds.py
@@ -105,6 +105,22 @@
     assert learner.slowness(builders.engine("c"), 30.0) < 1.5
 
 
+def test_an_engine_that_turns_slow_is_found_within_seconds():
+    """Guards against an engine that is slow for long and is not noticed.
+
+    Load: 12 engines, 36 requests a second; one turns four times as slow.
+    """
+    learner = recorded(dict.fromkeys(builders.service(12), 1.0), count=30)
+    for number in range(30):
+        at = 10.0 + number / 3
+        for name in builders.service(12):
+            seconds = 0.08 if name == "e0" else 0.02
+            learner.record_time(builders.engine(name), seconds, 1, at)
+    found = known(learner, builders.service(12), 20.0)
+    assert found.pop("e0") > 2
+    assert set(found.values()) == {1.0}
+
+
 def test_a_restarted_engine_is_not_known():
     """Guards against the speed of a process that has ended."""
     learner = recorded({"a": 1.0, "b": 1.0, "c": 4.0})
@@ -192,9 +208,11 @@
     assert len(pool._totals) == pooling.MAX_SOURCES
 
 
-def test_engines_that_become_slow_and_usual_are_logged_once():
+def test_engines_that_become_slow_and_usual_are_counted_and_logged_once():
     journal = journals.Journal()
     learner = recorded({"a": 1.0, "b": 1.0, "c": 3.0}, journal=journal)
+    assert learner.count_slow("llm", 10.0) == 1
+    assert learner.count_slow("other", 10.0) == 0
     for number in range(90):
         known(learner, "abc", 10.0 + number)
     logged = [
@@ -205,12 +223,6 @@
     assert logged == [("c", True), ("c", False)]
 
 
-def test_slow_engines_are_counted():
-    learner = recorded({"a": 1.0, "b": 1.0, "c": 3.0})
-    assert learner.count_slow("llm", 10.0) == 1
-    assert learner.count_slow("other", 10.0) == 0
-
-
 def test_the_time_for_a_prompt_token_is_known_after_some_prompts():
     learner = recorded({"a": 1.0, "b": 1.0})
     engine = builders.engine("a")
--- a/sycamoreshed/forwarding/tests/paced.py
+++ b/sycamoreshed/forwarding/tests/paced.py
@@ -1,4 +1,4 @@
-"""Engines that stream events at a pace, in simulated time."""
+"""Endpoints that answer at a pace, in simulated time."""
 
 import asyncio
 
@@ -8,7 +8,7 @@
 from sycamoreshed.forwarding.tests import builders
 from sycamoreshed.platform import names
 
-__all__ = ["Sender", "Sink", "parts"]
+__all__ = ["CallSender", "Sender", "Sink", "parts"]
 
 EVENTS = 10
 
@@ -67,6 +67,25 @@
         )
 
 
+class CallSender(builders.ScriptedSender):
+    """Answers calls after some time.
+
+    Parameters
+    ----------
+    call_s : dict of str to float
+        By endpoint.
+    """
+
+    def __init__(self, *, call_s):
+        super().__init__(())
+        self._call_s = call_s
+
+    async def send(self, method, endpoint, *args, **kwargs):
+        """Return an answer, late."""
+        await asyncio.sleep(self._call_s[endpoint.id])
+        return await super().send(method, endpoint, *args, **kwargs)
+
+
 class Sink:
     """A caller.
 
--- a/sycamoreshed/forwarding/tests/test_speed_samples.py
+++ b/sycamoreshed/forwarding/tests/test_speed_samples.py
@@ -43,6 +43,26 @@
     return virtualtime.run(play())
 
 
+def test_calls_show_the_speed_of_plain_endpoints():
+    """Load: calls of 20 ms and 60 ms, one after the other."""
+
+    async def play():
+        sender = paced.CallSender(call_s={"e0": 0.02, "e1": 0.06})
+        clock = asyncio.get_running_loop().time
+        parts = builders.parts(sender, endpoints=2)._replace(clock=clock)
+        for _ in range(100):
+            request = builders.request()._replace(deadline=clock() + 9.0)
+            tries = attempts.Attempts(request=request, parts=parts)
+            assert isinstance(await tries.open(), exchanges.Answered)
+        return [
+            parts.engine_speeds.slowness(each, clock())
+            for each in parts.catalog.endpoints(builders.SERVICE, clock())
+        ]
+
+    fast, slow = virtualtime.run(play())
+    assert slow / fast == pytest.approx(3, rel=0.2)
+
+
 def test_streams_show_the_speed_of_engines():
     """Load: streams of 10 events, from engines at half and twice the time."""
     fast, slow = played(
