Choose engines by the load of all instances and wait for room

Each instance counted its own requests only, so with many instances an engine was sent to as if each of them were alone, and the memory that the configuration names was read nowhere.

Where a service names its engines' memory, requests now go to the engine where they are expected to end first, and wait at their instance if none has room.

--- a/sycamoreshed/errors/kinds.py
+++ b/sycamoreshed/errors/kinds.py
@@ -48,6 +48,8 @@
     NO_ENDPOINT = "no-endpoint"
     # Of a request that may be served in no region.
     NO_REGION = "no-region"
+    # Of a request that needs more memory than an engine of its service has.
+    LARGER_THAN_ENGINES = "larger-than-engines"
     # Of a request that crashed several endpoints.
     CRASHES_ENDPOINTS = "crashes-endpoints"
     STORE_AWAY = "store-away"
@@ -150,6 +152,10 @@
     Kind.HOPELESS: Answer(503, "Deadline cannot be met", Outcome.NOT_RUN, 1.0),
     Kind.NO_ENDPOINT: Answer(503, "No endpoint", Outcome.NOT_RUN, 1.0),
     Kind.NO_REGION: Answer(403, "No allowed region", Outcome.NOT_RUN),
+    # Not a 413: with other engines or a shorter answer it could be served.
+    Kind.LARGER_THAN_ENGINES: Answer(
+        503, "Request larger than engines", Outcome.NOT_RUN, 3600.0
+    ),
     Kind.CRASHES_ENDPOINTS: Answer(
         503, "Request crashes endpoints", Outcome.NOT_RUN, 3600.0
     ),
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -16,6 +16,7 @@
 from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import rejections
+from sycamoreshed.forwarding import roomforecast
 
 __all__ = ["Attempts"]
 
@@ -82,6 +83,7 @@
         self._may_have_run = False
         self._call_number = None
         self._load_number = None
+        self._sent_at = None
         self.inputs_missing = False
 
     @property
@@ -117,7 +119,12 @@
             )
             if rejected is not None:
                 return rejected
-            choice = self._choose(now)
+            choice = await self._find(now, last_event_id)
+            if isinstance(choice, kinds.Failure):
+                return choice if last is None else last
+            waited_s = parts.clock() - now
+            now += waited_s
+            remaining_s -= waited_s
             if choice is None and last is not None:
                 # The answer of an endpoint is more informative than a failure
                 # for lack of further endpoints.
@@ -142,6 +149,8 @@
             remaining_s -= waited_s
             if not self._is_available(choice.endpoint, now):
                 continue
+            if waited_s > 0 and not self._has_room(choice.endpoint, now):
+                continue
             self._log_choice(choice, now)
             result = await self._send(
                 choice,
@@ -328,8 +337,12 @@
         if not endpoints:
             return self._fail(kinds.Kind.NO_ENDPOINT, "all endpoints left")
         max_wait_s = rejections.MAX_WAIT_SHARE * remaining_s
-        first = min(endpoints, key=lambda each: limiter.wait_s([each], now))
-        if limiter.wait_s([first], now) <= max_wait_s:
+        first = min(
+            (each for each in endpoints if self._has_room(each, now)),
+            key=lambda each: limiter.wait_s([each], now),
+            default=None,
+        )
+        if first and limiter.wait_s([first], now) <= max_wait_s:
             if await limiter.acquire(first, max_wait_s=max_wait_s):
                 return placement.Choice(first, "limit", len(endpoints))
         return rejections.over_limit(
@@ -388,6 +401,45 @@
         """The `EngineSpec` of the request's service, or None."""
         return None if self._service is None else self._service.engine
 
+    async def _find(self, now, last_event_id):
+        """Return a `Choice`, after a wait if no engine has room.
+
+        Returns
+        -------
+        Choice, Failure or None
+            None if there is no endpoint.
+        """
+        parts, request = self._parts, self._request
+        choice = self._choose(now)
+        begin_by = request.answer_start_deadline
+        if last_event_id is not None:
+            begin_by = min(request.deadline, now + request.max_event_wait_s)
+        wanted = roomforecast.wanted(
+            request,
+            parts,
+            begin_by=begin_by,
+            tried=self._tried,
+            find=self._choose,
+        )
+        if wanted is None or not wanted.list_endpoints(now):
+            return choice
+        room = parts.engine_room
+        if choice is not None and not room.is_waited_for(request.service):
+            return choice
+        result = await room.wait(wanted)
+        if isinstance(result, kinds.Failure):
+            return result._replace(sent=self._may_have_run)
+        return result
+
+    def _has_room(self, endpoint, now):
+        """Return whether a request has room at an endpoint."""
+        placer, spec = self._parts.placer, self._engine_spec
+        needed = work.of_request(self._request)
+        if not placer.counts_room(spec, needed):
+            return True
+        missing = placer.room_needed([endpoint], now, needed, spec)
+        return missing[endpoint] == 0
+
     def _choose(self, now, excluded=()):
         parts, request = self._parts, self._request
         service = self._service
@@ -408,9 +460,20 @@
             body_bytes=len(request.body),
             result_bytes=self._result_bytes,
             max_in_flight=max_in_flight,
+            needed=work.of_request(request),
+            engine=self._engine_spec,
         )
 
     def _log_choice(self, choice, now):
+        load = {}
+        if choice.load is not None:
+            load = choice.load._asdict()
+            load["expected_s"] = choice.expected_s and round(
+                choice.expected_s, 4
+            )
+            load["view_age_s"] = round(
+                min(1e6, self._parts.engine_load.age_s(now)), 3
+            )
         self._parts.journal.write(
             "chosen",
             request=self._request.id,
@@ -421,6 +484,7 @@
             in_flight=self._parts.placer.in_flight(choice.endpoint),
             age_s=round(self._parts.catalog.age("endpoints", now), 2),
             why=choice.reason,
+            **load,
         )
 
     async def _send(self, choice, remaining_s, last_event_id, timeout_s):
@@ -445,6 +509,7 @@
             endpoint, request.fingerprint
         )
         if self._engine_spec is not None:
+            self._sent_at = started_at
             self._load_number = parts.engine_load.ledger.record_start(
                 endpoint.boot, work.of_request(request)
             )
@@ -472,6 +537,11 @@
         self._parts.placer.record_end(endpoint)
         self._parts.crashes.record_end(endpoint, self._call_number)
         self._parts.engine_load.ledger.record_end(self._load_number)
+        if self._sent_at is not None:
+            self._parts.placer.record_held(
+                self._request.service, self._parts.clock() - self._sent_at
+            )
+            self._sent_at = None
 
     def _record(self, endpoint, result, started_at):
         if self.inputs_missing and self._release is not None:
--- /dev/null
+++ b/sycamoreshed/forwarding/engineroom.py
@@ -0,0 +1,326 @@
+"""Waiting for room in the memory of engines.
+
+The load that it answers: callers want more memory than all engines have, some
+of them much more than others.  Requests wait at their instance, the most
+urgent first.  The first one that has waited for a while counts its memory at
+an engine in advance: all instances then see that engine as full, so small
+requests do not take its room again and again.
+"""
+
+import asyncio
+import itertools
+import typing
+
+from sycamoreshed.engineload import work
+from sycamoreshed.forwarding import placement
+from sycamoreshed.forwarding import roomforecast
+from sycamoreshed.forwarding import stops
+from sycamoreshed.kernel import kernel
+from sycamoreshed.membership import rendezvous
+
+__all__ = ["EngineRoom"]
+
+# Counts that other instances told may have changed after this time.
+REFRESH_S = 0.05
+# A request that has waited for this long counts its memory in advance, for at
+# most `CLAIM_S`: two requests could wait for each other.
+CLAIM_AFTER_S = 0.25
+CLAIM_S = 1.0
+# Requests that wait at an instance; the least urgent one is rejected first.
+MAX_WAITING = 256
+# Requests that are tried in a row although they find no room.
+MAX_MISSES = 16
+
+
+class _Claim(typing.NamedTuple):
+    """Memory that is counted in advance."""
+
+    number: int
+    endpoint: typing.Any
+    until: float
+
+
+class _Waiter:
+    """A request that waits."""
+
+    def __init__(self, *, wanted, number, now, future):
+        self.wanted = wanted
+        self.future = future
+        self.since = now
+        self.claim = None
+        self.claim_from = now + CLAIM_AFTER_S
+        request = wanted.request
+        self.order = (request.priority, request.target_at, number)
+
+    @property
+    def claimed_tokens(self):
+        """Memory that is counted in advance, by `Endpoint.boot`."""
+        if self.claim is None:
+            return {}
+        return {self.claim.endpoint.boot: self.wanted.needed.memory_tokens}
+
+
+class EngineRoom:
+    """Requests of this instance that wait for room at engines.
+
+    Parameters
+    ----------
+    placer : Placer
+    engine_load : LoadView
+    engine_speeds : Speeds
+    stop_deadline : StopDeadline
+    journal : Journal
+    metrics : GatewayMetrics
+    clock : callable
+    """
+
+    def __init__(
+        self,
+        *,
+        placer,
+        engine_load,
+        engine_speeds,
+        stop_deadline,
+        journal,
+        metrics,
+        clock,
+    ):
+        self._ledger = engine_load.ledger
+        self._forecast = roomforecast.RoomForecast(
+            placer=placer, engine_speeds=engine_speeds
+        )
+        self._stop_deadline = stop_deadline
+        self._journal = journal
+        self._metrics = metrics
+        self._clock = clock
+        self._numbers = itertools.count()
+        self._waiting = []
+        self._timer = None
+        self._is_scheduled = False
+        self._ledger.listen(self._schedule)
+
+    @property
+    def waiting_count(self):
+        """Number of requests that wait."""
+        return len(self._waiting)
+
+    def is_waited_for(self, service):
+        """Return whether requests wait, which are to be served in order."""
+        return any(
+            each.wanted.request.service == service for each in self._waiting
+        )
+
+    def rejection(self, wanted, now):
+        """Return the `Failure` of a request that cannot begin in time.
+
+        Returns
+        -------
+        Failure or None
+            None also if it may have to wait.
+        """
+        ahead = self._tokens_ahead(wanted)
+        why = self._forecast.why_rejected(wanted, now, ahead)
+        return None if why is None else self._failure(wanted, why, now, ahead)
+
+    async def wait(self, wanted):
+        """Wait for room.
+
+        Returns
+        -------
+        Choice or Failure
+            The request has to be recorded in the `Ledger` before anything
+            else is awaited, else others may get the room.
+        """
+        now = self._clock()
+        rejected = self.rejection(wanted, now)
+        if rejected is not None:
+            self._log_end(wanted, now, rejected.reason)
+            return rejected
+        waiter = _Waiter(
+            wanted=wanted,
+            number=next(self._numbers),
+            now=now,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self._waiting.append(waiter)
+        self._waiting.sort(key=lambda each: each.order)
+        if len(self._waiting) > MAX_WAITING:
+            self._reject(self._waiting[-1], roomforecast.NoRoom.TOO_MANY, now)
+        self._schedule()
+        result = None
+        try:
+            result = await waiter.future
+        finally:
+            if waiter in self._waiting:
+                self._waiting.remove(waiter)
+            self._withdraw(waiter)
+            why, endpoint = "given up", None
+            if isinstance(result, placement.Choice):
+                why, endpoint = "room", result.endpoint.id
+            elif result is not None:
+                why = result.reason
+            self._log_end(wanted, waiter.since, why, endpoint)
+        return result
+
+    def _schedule(self):
+        """Try all that wait, after the caller has recorded its changes."""
+        if self._waiting and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._try_all)
+
+    def _try_all(self):
+        self._is_scheduled = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = self._clock()
+        tokens_ahead = {}
+        misses = 0
+        for waiter in list(self._waiting):
+            wanted = waiter.wanted
+            service = wanted.request.service
+            is_first = service not in tokens_ahead
+            ahead = tokens_ahead.get(service, 0)
+            choice = None
+            if misses < MAX_MISSES:
+                choice = self._find(waiter, now)
+            if choice is not None:
+                self._grant(waiter, choice)
+                continue
+            why = self._why_ends(waiter, now, ahead)
+            if why is not None:
+                self._reject(waiter, why, now)
+                continue
+            misses += 1
+            tokens_ahead[service] = ahead + wanted.needed.memory_tokens
+            self._renew_claim(waiter, is_first, now)
+        if self._waiting:
+            self._timer = asyncio.get_running_loop().call_later(
+                REFRESH_S, self._schedule
+            )
+
+    def _find(self, waiter, now):
+        wanted = waiter.wanted
+        choice = wanted.find(now)
+        if choice is not None or waiter.claim is None:
+            return choice
+        endpoint = waiter.claim.endpoint
+        missing = self._forecast.missing(
+            wanted, now, without=waiter.claimed_tokens
+        )
+        if missing.get(endpoint) == 0:
+            return placement.Choice(endpoint, "room", len(missing))
+        return None
+
+    def _why_ends(self, waiter, now, ahead):
+        wanted = waiter.wanted
+        if not self._stop_deadline.allows(
+            wanted.request.route.name, stops.Phase.ATTEMPTS, now
+        ):
+            return roomforecast.NoRoom.STOPPING
+        if self._forecast.left_s(wanted, now) <= 0.0:
+            return roomforecast.NoRoom.NO_TIME
+        return self._forecast.why_rejected(
+            wanted, now, ahead, without=waiter.claimed_tokens
+        )
+
+    def _grant(self, waiter, choice):
+        """Let a request begin; its memory counts until its task goes on."""
+        self._waiting.remove(waiter)
+        self._withdraw(waiter)
+        waiter.claim = self._claim(waiter.wanted, choice.endpoint, 0.0)
+        if not waiter.future.done():
+            waiter.future.set_result(choice)
+
+    def _reject(self, waiter, why, now):
+        self._waiting.remove(waiter)
+        self._withdraw(waiter)
+        if not waiter.future.done():
+            waiter.future.set_result(self._failure(waiter.wanted, why, now, 0))
+
+    def _failure(self, wanted, why, now, ahead):
+        self._metrics.record_no_room(why)
+        retry_s = self._forecast.wait_s(wanted, now, ahead)
+        return roomforecast.no_room(wanted, why, retry_s)
+
+    def _claim(self, wanted, endpoint, until):
+        counted = work.Work(output_tokens=wanted.needed.memory_tokens)
+        number = self._ledger.record_start(endpoint.boot, counted)
+        return _Claim(number, endpoint, until)
+
+    def _withdraw(self, waiter):
+        if waiter.claim is not None:
+            self._ledger.record_end(waiter.claim.number)
+            waiter.claim = None
+
+    def _renew_claim(self, waiter, is_first, now):
+        """Count memory in advance if a request is the first one for long."""
+        claim = waiter.claim
+        if claim is not None:
+            endpoints = waiter.wanted.list_endpoints(now)
+            if is_first and now < claim.until and claim.endpoint in endpoints:
+                return
+            self._withdraw(waiter)
+            waiter.claim_from = now + CLAIM_AFTER_S
+        if is_first and now >= waiter.claim_from:
+            wanted = waiter.wanted
+            missing = self._forecast.missing(wanted, now)
+            if missing:
+                nearest = min(
+                    missing,
+                    key=lambda each: (
+                        missing[each],
+                        rendezvous.rank(wanted.request.id, each.id),
+                    ),
+                )
+                waiter.claim = self._claim(wanted, nearest, now + CLAIM_S)
+
+    def _tokens_ahead(self, wanted):
+        request = wanted.request
+        order = (request.priority, request.target_at)
+        return sum(
+            each.wanted.needed.memory_tokens
+            for each in self._waiting
+            if each.wanted.request.service == request.service
+            and each.order[:2] <= order
+        )
+
+    def _log_end(self, wanted, since, why, endpoint=None):
+        now = self._clock()
+        missing = self._forecast.missing(wanted, now)
+        self._journal.write(
+            "engine_wait",
+            request=wanted.request.id,
+            waited_s=round(now - since, 4),
+            why=why,
+            endpoint=endpoint,
+            tokens=wanted.needed.memory_tokens,
+            short_tokens=round(min(missing.values(), default=0)),
+        )
+
+
+@kernel.plugin(
+    "engine_room",
+    needs=(
+        "placer",
+        "engine_load",
+        "engine_speeds",
+        "stop_deadline",
+        "journal",
+        "gateway_metrics",
+    ),
+)
+async def engine_room(core):
+    """Provide the `EngineRoom`."""
+    metrics = core.part("gateway_metrics")
+    room = EngineRoom(
+        placer=core.part("placer"),
+        engine_load=core.part("engine_load"),
+        engine_speeds=core.part("engine_speeds"),
+        stop_deadline=core.part("stop_deadline"),
+        journal=core.part("journal"),
+        metrics=metrics,
+        clock=core.clock,
+    )
+    metrics.export_engine_waiting(lambda: room.waiting_count)
+    yield room
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 from sycamoreshed.forwarding import exchanges
 from sycamoreshed.forwarding import input_release
 from sycamoreshed.forwarding import rejections
+from sycamoreshed.forwarding import roomforecast
 from sycamoreshed.forwarding import stops
 from sycamoreshed.forwarding import streams
 from sycamoreshed.kernel import kernel
@@ -150,6 +151,11 @@
         endpoints = candidates.endpoints(request, self._parts, now)
         if not endpoints:
             return rejections.no_endpoint(request, self._parts, now)
+        wanted = roomforecast.wanted(request, self._parts)
+        if wanted is not None:
+            rejected = self._parts.engine_room.rejection(wanted, now)
+            if rejected is not None:
+                return rejected
         max_wait_s = rejections.MAX_WAIT_SHARE * (
             request.answer_start_deadline - now
         )
@@ -238,6 +244,7 @@
 
     def _choose(self, request, now, excluded):
         parts = self._parts
+        wanted = roomforecast.wanted(request, parts)
         return parts.placer.choose(
             candidates.endpoints(request, parts, now),
             now,
@@ -245,6 +252,8 @@
             affinity=request.affinity,
             shared_tokens=request.shared_tokens,
             body_bytes=len(request.body),
+            needed=None if wanted is None else wanted.needed,
+            engine=None if wanted is None else wanted.spec,
         )
 
     def _likely_zone(self, request, now):
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -17,6 +17,7 @@
     placer : Placer
     engine_load : LoadView
     engine_speeds : Speeds
+    engine_room : EngineRoom
     health : Health
     crashes : CrashDetector
     limiter : Limiter
@@ -35,6 +36,7 @@
     placer: typing.Any
     engine_load: typing.Any
     engine_speeds: typing.Any
+    engine_room: typing.Any
     health: typing.Any
     crashes: typing.Any
     limiter: typing.Any
@@ -56,6 +58,7 @@
         "placer",
         "engine_load",
         "engine_speeds",
+        "engine_room",
         "health",
         "crashes",
         "limiter",
@@ -76,6 +79,7 @@
         placer=core.part("placer"),
         engine_load=core.part("engine_load"),
         engine_speeds=core.part("engine_speeds"),
+        engine_room=core.part("engine_room"),
         health=core.part("health"),
         crashes=core.part("crashes"),
         limiter=core.part("limiter"),
--- a/sycamoreshed/forwarding/placement.py
+++ b/sycamoreshed/forwarding/placement.py
@@ -1,9 +1,14 @@
-"""Selection of the endpoint that serves a request."""
+"""Selection of the endpoint that serves a request.
+
+Engines with a known memory are selected by `enginechoice`.
+"""
 
 import math
 import types
 import typing
 
+from sycamoreshed.engineload import work
+from sycamoreshed.forwarding import enginechoice
 from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
 
@@ -30,6 +35,10 @@
 # Cost of prefilling a token of a shared prefix again, in bytes of stage
 # results: a prefill delays all requests of the engine.
 PREFILL_TOKEN_COST = 2500.0
+# Weight of the newest request in the mean time that requests are at engines.
+NEWEST_WEIGHT = 0.1
+# That time before it is known.
+USUAL_HELD_S = 1.0
 
 
 def connection_share(max_connections, instances):
@@ -64,11 +73,18 @@
     reason : str
     healthy_count : int
         Number of available endpoints that are not avoided.
+    load : Load or None
+        What all instances have at an engine that was chosen by it.
+    expected_s : float or None
+        Seconds until the request should end there, if the engine's speed is
+        known.
     """
 
     endpoint: typing.Any
     reason: str
     healthy_count: int
+    load: typing.Any = None
+    expected_s: float | None = None
 
 
 class Placer:
@@ -81,13 +97,30 @@
     regions : dict of str to str
         Region of each zone.
     health : Health
+    engine_load : LoadView, optional
+    engine_speeds : Speeds, optional
+        Engines with a known memory are chosen by both.
+    count_instances : callable, optional
     """
 
-    def __init__(self, *, zone, regions, health):
+    def __init__(
+        self,
+        *,
+        zone,
+        regions,
+        health,
+        engine_load=None,
+        engine_speeds=None,
+        count_instances=lambda: 1,
+    ):
         self._zone = zone
         self._regions = regions
         self._health = health
+        self._engine_load = engine_load
+        self._engine_speeds = engine_speeds
+        self._count_instances = count_instances
         self._in_flight = {}
+        self._held_s = {}
 
     def in_flight(self, endpoint):
         """Return how many requests of this instance an endpoint has."""
@@ -105,6 +138,15 @@
         else:
             self._in_flight.pop(endpoint.id, None)
 
+    def record_held(self, service, held_s):
+        """Record for how long a request was at an engine."""
+        mean_s = self._held_s.get(service, held_s)
+        self._held_s[service] = mean_s + NEWEST_WEIGHT * (held_s - mean_s)
+
+    def held_s(self, service):
+        """Return the mean time that requests are at an engine, or None."""
+        return self._held_s.get(service)
+
     def distance(self, zone):
         """Return 0 for the own zone, 1 within the region, else 2."""
         if zone == self._zone:
@@ -136,6 +178,8 @@
         body_bytes=0,
         result_bytes=types.MappingProxyType({}),
         max_in_flight=math.inf,
+        needed=None,
+        engine=None,
     ):
         """Select an endpoint, or return None if none is available.
 
@@ -159,10 +203,15 @@
             that stores them.
         max_in_flight : float
             Requests that this instance may have in flight at an endpoint.
+        needed : Work, optional
+            What the request needs of an engine.
+        engine : EngineSpec, optional
+            Set if the endpoints are engines.
 
         Returns
         -------
         Choice or None
+            None as well if no engine has room for the request.
 
         Notes
         -----
@@ -187,6 +236,10 @@
             zone: self.transfer_cost(zone, body_bytes, result_bytes)
             for zone in {each.zone for each in pool}
         }
+        if self.counts_room(engine, needed):
+            return self._choose_engine(
+                pool, len(healthy), now, costs, needed, engine, affinity
+            )
         # An engine with the prefix in its cache is worth additional cost.
         # For a long prefix this admits all zones, so that all instances rank
         # the same engine first, wherever it is.
@@ -217,6 +270,146 @@
         )
         return Choice(selected, "least in flight", len(healthy))
 
+    def counts_room(self, engine, needed):
+        """Return whether engines are chosen by what all instances have."""
+        return (
+            self._engine_load is not None
+            and needed is not None
+            and engine is not None
+            and engine.memory_tokens > 0
+        )
+
+    def room_needed(self, endpoints, now, needed, engine, *, without=None):
+        """Return how many tokens too few engines have for a request.
+
+        Parameters
+        ----------
+        endpoints : iterable of Endpoint
+        now : float
+        needed : Work
+        engine : EngineSpec
+        without : dict of str to int, optional
+            Memory that does not count, by `Endpoint.boot`.
+
+        Returns
+        -------
+        dict of Endpoint to int
+            0 if the request has room.
+        """
+        without = without or {}
+        loads, margins = self._loads(endpoints, now, engine)
+        return {
+            each: enginechoice.room_needed(
+                loads[each.boot]._replace(
+                    held_tokens=loads[each.boot].held_tokens
+                    - without.get(each.boot, 0)
+                ),
+                needed,
+                engine,
+                margins[each.boot],
+            )
+            for each in endpoints
+        }
+
+    def held_tokens(self, endpoints, now, engine):
+        """Return the memory that all instances hold, by `Endpoint`."""
+        loads, _ = self._loads(endpoints, now, engine)
+        return {each: loads[each.boot].held_tokens for each in endpoints}
+
+    def _loads(self, endpoints, now, engine):
+        """Return the load and margin of engines, by `Endpoint.boot`."""
+        own = self._engine_load.ledger.loads()
+        others = self._engine_load.all_others(now)
+        boots = [each.boot for each in endpoints]
+        loads = {
+            boot: own.get(boot, work.NO_LOAD).plus(
+                others.get(boot, work.NO_LOAD)
+            )
+            for boot in boots
+        }
+        margins = enginechoice.margins(
+            loads,
+            others,
+            engine,
+            age_s=self._engine_load.age_s(now),
+            held_s=self._usual_held_s(endpoints),
+        )
+        return loads, margins
+
+    def _usual_held_s(self, endpoints):
+        services = {each.service for each in endpoints}
+        return max(
+            (self._held_s.get(each, USUAL_HELD_S) for each in services),
+            default=USUAL_HELD_S,
+        )
+
+    def _expected_loads(self, endpoints, now):
+        """Return what engines should have, and how much more at any of them.
+
+        What others told is older than some of their requests.
+        """
+        own = self._engine_load.ledger.loads()
+        age_s = self._engine_load.age_s(now)
+        if math.isinf(age_s):
+            others = {}
+            # They have as much as this one, as far as it knows.
+            count = sum(each.requests for each in own.values()) + 1
+            untold = count * (self._count_instances() - 1)
+        else:
+            others = self._engine_load.all_others(now)
+            held_s = self._usual_held_s(endpoints)
+            untold = 0
+        loads = {}
+        for each in endpoints:
+            load = own.get(each.boot, work.NO_LOAD)
+            told = others.get(each.boot)
+            if told is not None:
+                left = enginechoice.expected_now(told, age_s, held_s)
+                untold += told.requests - left.requests
+                load = load.plus(left)
+            loads[each] = load
+        return loads, untold
+
+    def _choose_engine(
+        self, pool, healthy_count, now, costs, needed, engine, affinity
+    ):
+        loads, margins = self._loads(pool, now, engine)
+        expected, untold = self._expected_loads(pool, now)
+        candidates = [
+            enginechoice.Candidate(
+                each,
+                expected[each],
+                self._engine_speeds.slowness(each, now),
+                costs[each.zone] / PREFILL_TOKEN_COST,
+                engine.memory_tokens
+                - loads[each.boot].held_tokens
+                - needed.memory_tokens,
+            )
+            for each in pool
+            if enginechoice.has_room(
+                loads[each.boot], needed, engine, margins[each.boot]
+            )
+        ]
+        if not candidates:
+            return None
+        picked = enginechoice.pick(
+            candidates,
+            needed,
+            engine,
+            key=str(now),
+            affinity=affinity,
+            untold=untold,
+        )
+        chosen = picked.candidate
+        token_s = self._engine_speeds.prompt_token_s(chosen.endpoint, now)
+        return Choice(
+            chosen.endpoint,
+            picked.reason,
+            healthy_count,
+            loads[chosen.endpoint.boot],
+            None if token_s is None else token_s * picked.cost_tokens,
+        )
+
     def likely_zone(self, endpoints, now, **request):
         """Return the zone of the engine that a request will likely use.
 
@@ -236,11 +429,16 @@
         return self._zone if choice is None else choice.endpoint.zone
 
 
-@kernel.plugin("placer", needs=("health",))
+@kernel.plugin(
+    "placer", needs=("engine_load", "engine_speeds", "health", "peers")
+)
 async def placer(core):
     """Provide the `Placer`."""
     yield Placer(
         zone=core.settings.zone,
         regions=core.settings.zones,
         health=core.part("health"),
+        engine_load=core.part("engine_load"),
+        engine_speeds=core.part("engine_speeds"),
+        count_instances=core.part("peers").count,
     )
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -100,12 +100,16 @@
         """Monotonic time by which an answer must begin."""
         if not self.route.streaming:
             return self.deadline
-        max_wait_s = max(
+        return min(self.deadline, self.started_at + self.max_event_wait_s)
+
+    @property
+    def max_event_wait_s(self):
+        """Seconds without an event after which the caller disconnects."""
+        return max(
             MIN_WAIT_S,
             WAIT_TARGET_FACTOR * self.route.target_s,
             WAIT_PAUSE_FACTOR * self.route.max_event_gap_s,
         )
-        return min(self.deadline, self.started_at + max_wait_s)
 
     @property
     def stages_deadline(self):
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -13,11 +13,13 @@
 from sycamoreshed.engineload import view as views
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import budget
+from sycamoreshed.forwarding import engineroom
 from sycamoreshed.forwarding import health
 from sycamoreshed.forwarding import parts as shared
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import requests
 from sycamoreshed.forwarding import stops
+from sycamoreshed.gateway import metrics
 from sycamoreshed.platform import calls
 from sycamoreshed.platform import names
 from sycamoreshed.platform import platform
@@ -147,12 +149,12 @@
 class _Catalog:
     """A configuration and endpoints that never change, but may rest."""
 
-    def __init__(self, endpoints):
+    def __init__(self, endpoints, engine):
         self._endpoints = endpoints
         self.rests = {}
         self.routes = routes.RouteTable(routes=())
         self.evacuations = evacuations.Evacuations(journal=journals.Journal())
-        service = types.Service(SERVICE, "/healthz", 100)
+        service = types.Service(SERVICE, "/healthz", 100, engine)
         self.configuration = types.Configuration(
             1, (), {SERVICE: service}, {}, False, types.Limits()
         )
@@ -191,37 +193,56 @@
         """Do nothing."""
 
 
-def parts(sender, *, endpoints=4, permits=None):
+def parts(sender, *, endpoints=4, permits=None, engine=None, clock=None):
     """Return shared components, with equal endpoints in one zone.
 
-    `permits` are those that limited endpoints ``e0``, ``e1`` ... grant.
+    `permits` are those that limited endpoints ``e0``, ``e1`` ... grant;
+    `engine` is the `EngineSpec` if they are engines.
     """
+    clock = clock or (lambda: 0.0)
     journal = journals.Journal()
     endpoint_health = health.Health(journal=journal)
     available = [
         types.Endpoint(f"e{n}", SERVICE, f"e{n}:80", "north-a", 6)
         for n in range(endpoints)
     ]
-    catalog = _Catalog(available)
+    catalog = _Catalog(available, engine)
+    view = views.LoadView(ledger=ledgers.Ledger())
+    learnt = speeds.Speeds()
+    stop_deadline = stops.StopDeadline()
+    placer = placement.Placer(
+        zone="north-a",
+        regions={},
+        health=endpoint_health,
+        engine_load=view,
+        engine_speeds=learnt,
+    )
     return shared.Parts(
         catalog=catalog,
         residency=residency.Residency(catalog=catalog, regions=REGIONS),
-        placer=placement.Placer(
-            zone="north-a", regions={}, health=endpoint_health
+        placer=placer,
+        engine_load=view,
+        engine_speeds=learnt,
+        engine_room=engineroom.EngineRoom(
+            placer=placer,
+            engine_load=view,
+            engine_speeds=learnt,
+            stop_deadline=stop_deadline,
+            journal=journal,
+            metrics=metrics.GatewayMetrics(),
+            clock=clock,
         ),
-        engine_load=views.LoadView(ledger=ledgers.Ledger()),
-        engine_speeds=speeds.Speeds(),
         health=endpoint_health,
         crashes=crashes.Crashes(),
         limiter=limiters.Limiter(permits=permits),
         budget=budget.RetryBudget(ratio=1.0, slack=99, window_s=10),
         peers=_Peers(),
         resumption=_Resumption(),
-        stop_deadline=stops.StopDeadline(),
+        stop_deadline=stop_deadline,
         sender=sender,
         codec=platform.Platform(store=None),
         journal=journal,
-        clock=lambda: 0.0,
+        clock=clock,
     )
 
 
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -28,6 +28,7 @@
 from sycamoreshed.forwarding import budget  # noqa: F401
 from sycamoreshed.forwarding import client  # noqa: F401
 from sycamoreshed.forwarding import crashes  # noqa: F401
+from sycamoreshed.forwarding import engineroom  # noqa: F401
 from sycamoreshed.forwarding import forwarder  # noqa: F401
 from sycamoreshed.forwarding import health  # noqa: F401
 from sycamoreshed.forwarding import limiting  # noqa: F401
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -93,6 +93,17 @@
             ["origin"],
             registry=registry,
         )
+        self._engine_waiting = prometheus_client.Gauge(
+            "sycamoreshed_gateway_engine_waiting",
+            "Requests that wait for room in the memory of engines.",
+            registry=registry,
+        )
+        self._no_room = prometheus_client.Counter(
+            "sycamoreshed_gateway_no_room",
+            "Requests rejected as engines have no room for them, by reason.",
+            ["why"],
+            registry=registry,
+        )
         self._task_failures = prometheus_client.Counter(
             "sycamoreshed_gateway_task_failures",
             "Background tasks that ended by an error, by name.",
@@ -161,6 +172,19 @@
         """
         self._taken_up.labels(origin).inc()
 
+    def export_engine_waiting(self, read):
+        """Export the requests that wait for room, which `read` returns."""
+        self._engine_waiting.set_function(read)
+
+    def record_no_room(self, why):
+        """Count a request for which engines have no room.
+
+        Parameters
+        ----------
+        why : NoRoom
+        """
+        self._no_room.labels(why.value).inc()
+
     def record_task_failure(self, name, _error):
         """Count a background task that ended by an error."""
         self._task_failures.labels(name).inc()
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -278,8 +278,16 @@
     "chosen": Event(
         EventClass.DETAIL,
         "request, endpoint, software_version, attempt, of, in_flight, age_s, "
-        "why",
-        "an endpoint was chosen; age_s of the endpoint list",
+        "why, requests, unread_tokens, held_tokens, expected_s, view_age_s",
+        "an endpoint was chosen; age_s of the endpoint list; for an engine "
+        "chosen by its load also what all instances have there, the seconds "
+        "until the request should end, and the age of what others told",
+    ),
+    "engine_wait": Event(
+        EventClass.DECISION,
+        "request, waited_s, why, endpoint, tokens, short_tokens",
+        "a request waits no longer for room at an engine; the tokens that it "
+        "needs, and how many too few the engine with most room had",
     ),
     "delegated": Event(
         EventClass.DETAIL,
