--- a/sycamoreshed/engineload/wiring.py
+++ b/sycamoreshed/engineload/wiring.py
@@ -29,17 +29,6 @@
         """Ignore a message."""
 
 
-class _NoReports:
-    """Speeds that are neither told nor learnt from others."""
-
-    def report(self, _now):
-        """Return that nothing has been learnt."""
-        return {}
-
-    def record_report(self, _source, _report, _at):
-        """Do nothing."""
-
-
 async def _send(core, control, counts, timeout_s):
     return await web.fetch(
         core.part("web"),
@@ -78,13 +67,12 @@
     if not settings.share_engine_load:
         yield NoSharing()
         return
-    speeds = core.part("engine_speeds")
     part = sharing.LoadSharing(
         own=settings.instance,
         zone=settings.zone,
         regions=settings.zones,
         view=core.part("engine_load"),
-        speeds=speeds if hasattr(speeds, "report") else _NoReports(),
+        speeds=core.part("engine_speeds"),
         peers=core.part("peers"),
         teller=telling.Teller(
             own=settings.instance,
--- a/sycamoreshed/forwarding/parts.py
+++ b/sycamoreshed/forwarding/parts.py
@@ -18,6 +18,7 @@
     engine_load : LoadView
     engine_speeds : Speeds
     load_sharing : LoadSharing
+    engine_room : EngineRoom
     health : Health
     crashes : CrashDetector
     limiter : Limiter
@@ -37,6 +38,7 @@
     engine_load: typing.Any
     engine_speeds: typing.Any
     load_sharing: typing.Any
+    engine_room: typing.Any
     health: typing.Any
     crashes: typing.Any
     limiter: typing.Any
@@ -59,6 +61,7 @@
         "engine_load",
         "engine_speeds",
         "load_sharing",
+        "engine_room",
         "health",
         "crashes",
         "limiter",
@@ -80,6 +83,7 @@
         engine_load=core.part("engine_load"),
         engine_speeds=core.part("engine_speeds"),
         load_sharing=core.part("load_sharing"),
+        engine_room=core.part("engine_room"),
         health=core.part("health"),
         crashes=core.part("crashes"),
         limiter=core.part("limiter"),
--- a/sycamoreshed/forwarding/tests/test_placement.py
+++ b/sycamoreshed/forwarding/tests/test_placement.py
@@ -226,7 +226,7 @@
         regions={},
         health=health,
         told_loads=loads,
-        speeds=speeds.Speeds(told=loads),
+        engine_speeds=speeds.Speeds(told=loads),
     )
 
 
