Keep what is known of a slow engine while it gets few requests

An engine that is known to be slow gets few requests, and was forgotten as soon as their samples, which count less with age, fell below what makes an engine known: it then counted as usual on all instances at once, got many requests and was found slow again. A known engine now stays known, with a slowness that goes back to 1 by degrees, until hardly a sample is left.

The test of what streams show of an engine's speed has its engines chosen evenly, as it does not test the choice.

--- a/sycamoreshed/engineload/tables.py
+++ b/sycamoreshed/engineload/tables.py
@@ -5,8 +5,12 @@
 
 __all__ = ["Level", "Table", "bounded", "clipped", "of_levels"]
 
-# Fewer samples, older ones counting less, say nothing.
+# Fewer samples, older ones counting less, say nothing of an engine that is not
+# known yet.
 MIN_WEIGHT = 8.0
+# Samples that keep a known engine: a slow one gets few requests, and would get
+# many at once if it were forgotten.
+KEPT_WEIGHT = 0.5
 # A mean of as many samples counts half.
 PRIOR_WEIGHT = 2.0
 # Slowness outside of this range counts as its end.
@@ -46,13 +50,15 @@
     slowness: typing.Any = {}
 
 
-def of_levels(levels, slope, now):
+def of_levels(levels, slope, now, *, known=()):
     """Return the `Table` of a service.
 
     Parameters
     ----------
     levels : dict of str to Level
     slope, now : float
+    known : collection of str
+        Boots of the engines in the table before.
 
     Examples
     --------
@@ -64,7 +70,7 @@
     levels = {
         boot: level
         for boot, level in levels.items()
-        if level.weight >= MIN_WEIGHT
+        if level.weight >= (KEPT_WEIGHT if boot in known else MIN_WEIGHT)
     }
     if not levels:
         return Table(at=now, slope=slope)
--- a/sycamoreshed/forwarding/tests/paced.py
+++ b/sycamoreshed/forwarding/tests/paced.py
@@ -5,6 +5,7 @@
 import multidict
 
 from sycamoreshed.catalog import types
+from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding.tests import builders
 from sycamoreshed.platform import names
 
@@ -107,7 +108,10 @@
 
 
 def parts(sender):
-    """Return shared components of engines; the clock is the loop's."""
+    """Return shared components of engines; the clock is the loop's.
+
+    Engines are chosen evenly, whatever is learnt of them.
+    """
     result = builders.parts(sender, endpoints=len(sender._first_s))
     configuration = result.catalog.configuration
     service = configuration.services[builders.SERVICE]._replace(
@@ -116,4 +120,9 @@
     result.catalog.configuration = configuration._replace(
         services={builders.SERVICE: service}
     )
-    return result._replace(clock=asyncio.get_running_loop().time)
+    placer = placement.Placer(
+        zone="north-a", regions={}, health=result.health
+    )
+    return result._replace(
+        clock=asyncio.get_running_loop().time, placer=placer
+    )
