Wait for room at engines in turn, and test the choice under load

Requests that wait tell other instances how much they want, under a name of their own among what the instance has at engines, and take room with a probability by which all of them together get what there is.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -424,7 +424,7 @@
         if wanted is None or not wanted.list_endpoints(now):
             return choice
         room = parts.engine_room
-        if choice is not None and not room.is_waited_for(request.service):
+        if choice is not None and not room.is_waited_for(request, now):
             return choice
         result = await room.wait(wanted)
         if isinstance(result, kinds.Failure):
@@ -437,8 +437,13 @@
         needed = work.of_request(self._request)
         if not placer.counts_room(spec, needed):
             return True
-        missing = placer.room_needed([endpoint], now, needed, spec)
-        return missing[endpoint] == 0
+        missing = placer.engines.room_needed(
+            candidates.endpoints(self._request, self._parts, now),
+            now,
+            needed,
+            spec,
+        )
+        return missing.get(endpoint) == 0
 
     def _choose(self, now, excluded=()):
         parts, request = self._parts, self._request
@@ -538,7 +543,7 @@
         self._parts.crashes.record_end(endpoint, self._call_number)
         self._parts.engine_load.ledger.record_end(self._load_number)
         if self._sent_at is not None:
-            self._parts.placer.record_held(
+            self._parts.placer.engines.record_held(
                 self._request.service, self._parts.clock() - self._sent_at
             )
             self._sent_at = None
--- a/sycamoreshed/forwarding/enginechoice.py
+++ b/sycamoreshed/forwarding/enginechoice.py
@@ -31,9 +31,6 @@
 STEP_TOKENS = 100
 # Work of a request besides its tokens, and all of it if it names none.
 REQUEST_TOKENS = 200
-# Memory is left free for what others have sent since they told what they have:
-# as many times what they should have replaced meanwhile.
-MARGIN_FACTOR = 1.0
 # Share of the requests of others that may have the same prefix.
 PREFIX_SHARE = 0.5
 # One in so many requests is sent as if all engines were equally fast: an
@@ -113,7 +110,7 @@
         boot: max(1.0, spec.memory_tokens - load.held_tokens + left[boot])
         for boot, load in loads.items()
     }
-    arrived = MARGIN_FACTOR * sum(left.values()) / sum(free.values())
+    arrived = sum(left.values()) / sum(free.values())
     return {
         boot: max(0.0, arrived * free[boot] - left[boot]) for boot in loads
     }
--- a/sycamoreshed/forwarding/engineroom.py
+++ b/sycamoreshed/forwarding/engineroom.py
@@ -2,9 +2,10 @@
 
 The load that it answers: callers want more memory than all engines have, some
 of them much more than others.  Requests wait at their instance, the most
-urgent first.  The first one that has waited for a while counts its memory at
-an engine in advance: all instances then see that engine as full, so small
-requests do not take its room again and again.
+urgent first, and tell other instances how much they want, as part of what
+this instance has at engines.  A large request that comes first and has waited
+for a while counts its memory at an engine in advance: all instances then see
+that engine as full, so small requests do not take its room again and again.
 """
 
 import asyncio
@@ -26,6 +27,9 @@
 # most `CLAIM_S`: two requests could wait for each other.
 CLAIM_AFTER_S = 0.25
 CLAIM_S = 1.0
+# Share of an engine's memory from which a request is large; smaller ones find
+# room between others.
+LARGE_SHARE = 0.4
 # Requests that wait at an instance; the least urgent one is rejected first.
 MAX_WAITING = 256
 # Requests that are tried in a row although they find no room.
@@ -43,15 +47,24 @@
 class _Waiter:
     """A request that waits."""
 
-    def __init__(self, *, wanted, number, now, future):
+    def __init__(self, *, wanted, number, now, ahead, future):
         self.wanted = wanted
+        # Tokens that those wanted who came first when this was checked.
+        self.ahead = ahead
         self.future = future
         self.since = now
+        # Number of the record that tells other instances that it waits.
+        self.told = None
         self.claim = None
         self.claim_from = now + CLAIM_AFTER_S
         request = wanted.request
         self.order = (request.priority, request.target_at, number)
 
+    @property
+    def uncounted_tokens(self):
+        """Memory that it needs and that is not counted in advance."""
+        return 0 if self.claim else self.wanted.needed.memory_tokens
+
     @property
     def claimed_tokens(self):
         """Memory that is counted in advance, by `Endpoint.boot`."""
@@ -60,6 +73,11 @@
         return {self.claim.endpoint.boot: self.wanted.needed.memory_tokens}
 
 
+def _waiting_key(request, level):
+    """Return the name under which requests that wait are told to others."""
+    return f"waiting {level} {request.service}"
+
+
 class EngineRoom:
     """Requests of this instance that wait for room at engines.
 
@@ -85,9 +103,10 @@
         metrics,
         clock,
     ):
+        self._view = engine_load
         self._ledger = engine_load.ledger
         self._forecast = roomforecast.RoomForecast(
-            placer=placer, engine_speeds=engine_speeds
+            engines=placer.engines, engine_speeds=engine_speeds
         )
         self._stop_deadline = stop_deadline
         self._journal = journal
@@ -104,11 +123,14 @@
         """Number of requests that wait."""
         return len(self._waiting)
 
-    def is_waited_for(self, service):
-        """Return whether requests wait, which are to be served in order."""
+    def is_waited_for(self, request, now):
+        """Return whether other requests wait that come before one."""
+        others = self._view.all_others(now)
+        levels = range(request.priority.level + 1)
         return any(
-            each.wanted.request.service == service for each in self._waiting
-        )
+            each.wanted.request.service == request.service
+            for each in self._waiting
+        ) or any(_waiting_key(request, each) in others for each in levels)
 
     def rejection(self, wanted, now):
         """Return the `Failure` of a request that cannot begin in time.
@@ -140,8 +162,13 @@
             wanted=wanted,
             number=next(self._numbers),
             now=now,
+            ahead=self._tokens_ahead(wanted),
             future=asyncio.get_running_loop().create_future(),
         )
+        waiter.told = self._ledger.record_start(
+            _waiting_key(wanted.request, wanted.request.priority.level),
+            work.Work(output_tokens=wanted.needed.memory_tokens),
+        )
         self._waiting.append(waiter)
         self._waiting.sort(key=lambda each: each.order)
         if len(self._waiting) > MAX_WAITING:
@@ -154,6 +181,7 @@
             if waiter in self._waiting:
                 self._waiting.remove(waiter)
             self._withdraw(waiter)
+            self._ledger.record_end(waiter.told)
             why, endpoint = "given up", None
             if isinstance(result, placement.Choice):
                 why, endpoint = "room", result.endpoint.id
@@ -192,8 +220,8 @@
                 self._reject(waiter, why, now)
                 continue
             misses += 1
-            tokens_ahead[service] = ahead + wanted.needed.memory_tokens
             self._renew_claim(waiter, is_first, now)
+            tokens_ahead[service] = ahead + waiter.uncounted_tokens
         if self._waiting:
             self._timer = asyncio.get_running_loop().call_later(
                 REFRESH_S, self._schedule
@@ -201,7 +229,9 @@
 
     def _find(self, waiter, now):
         wanted = waiter.wanted
-        choice = wanted.find(now)
+        choice = None
+        if self._has_turn(wanted, now):
+            choice = wanted.find(now)
         if choice is not None or waiter.claim is None:
             return choice
         endpoint = waiter.claim.endpoint
@@ -212,6 +242,28 @@
             return placement.Choice(endpoint, "room", len(missing))
         return None
 
+    def _has_turn(self, wanted, now):
+        """Return whether a request may take the room that is known.
+
+        All instances learn of it at the same time.  Each request takes it
+        with a probability by which those that want it get no more than there
+        is until they hear of each other.
+        """
+        others = self._view.all_others(now)
+        levels = range(wanted.request.priority.level + 1)
+        competing = sum(
+            others[key].held_tokens
+            for key in (_waiting_key(wanted.request, each) for each in levels)
+            if key in others
+        )
+        if not competing:
+            return True
+        wanted_tokens = competing + wanted.needed.memory_tokens
+        tries = max(1.0, self._view.age_s(now) / REFRESH_S)
+        share = self._forecast.free_tokens(wanted, now) / wanted_tokens
+        drawn = rendezvous.rank(wanted.request.id, str(now)) / 2**64
+        return drawn < share / tries
+
     def _why_ends(self, waiter, now, ahead):
         wanted = waiter.wanted
         if not self._stop_deadline.allows(
@@ -220,6 +272,11 @@
             return roomforecast.NoRoom.STOPPING
         if self._forecast.left_s(wanted, now) <= 0.0:
             return roomforecast.NoRoom.NO_TIME
+        # The estimate does not know for how long requests have been running:
+        # it is made once, and again if more urgent ones come.
+        if ahead <= waiter.ahead:
+            return None
+        waiter.ahead = ahead
         return self._forecast.why_rejected(
             wanted, now, ahead, without=waiter.claimed_tokens
         )
@@ -262,24 +319,21 @@
                 return
             self._withdraw(waiter)
             waiter.claim_from = now + CLAIM_AFTER_S
-        if is_first and now >= waiter.claim_from:
-            wanted = waiter.wanted
-            missing = self._forecast.missing(wanted, now)
-            if missing:
-                nearest = min(
-                    missing,
-                    key=lambda each: (
-                        missing[each],
-                        rendezvous.rank(wanted.request.id, each.id),
-                    ),
-                )
+        wanted = waiter.wanted
+        is_large = (
+            wanted.needed.memory_tokens
+            >= LARGE_SHARE * wanted.spec.memory_tokens
+        )
+        if is_first and is_large and now >= waiter.claim_from:
+            nearest = self._forecast.nearest_unclaimed(wanted, now)
+            if nearest is not None:
                 waiter.claim = self._claim(wanted, nearest, now + CLAIM_S)
 
     def _tokens_ahead(self, wanted):
         request = wanted.request
         order = (request.priority, request.target_at)
         return sum(
-            each.wanted.needed.memory_tokens
+            each.uncounted_tokens
             for each in self._waiting
             if each.wanted.request.service == request.service
             and each.order[:2] <= order
--- a/sycamoreshed/forwarding/placement.py
+++ b/sycamoreshed/forwarding/placement.py
@@ -7,8 +7,8 @@
 import types
 import typing
 
-from sycamoreshed.engineload import work
 from sycamoreshed.forwarding import enginechoice
+from sycamoreshed.forwarding import engineloads
 from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
 
@@ -35,10 +35,6 @@
 # Cost of prefilling a token of a shared prefix again, in bytes of stage
 # results: a prefill delays all requests of the engine.
 PREFILL_TOKEN_COST = 2500.0
-# Weight of the newest request in the mean time that requests are at engines.
-NEWEST_WEIGHT = 0.1
-# That time before it is known.
-USUAL_HELD_S = 1.0
 
 
 def connection_share(max_connections, instances):
@@ -97,10 +93,8 @@
     regions : dict of str to str
         Region of each zone.
     health : Health
-    engine_load : LoadView, optional
-    engine_speeds : Speeds, optional
-        Engines with a known memory are chosen by both.
-    count_instances : callable, optional
+    engines : EngineLoads, optional
+        Engines with a known memory are chosen by it.
     """
 
     def __init__(
@@ -109,18 +103,13 @@
         zone,
         regions,
         health,
-        engine_load=None,
-        engine_speeds=None,
-        count_instances=lambda: 1,
+        engines=None,
     ):
         self._zone = zone
         self._regions = regions
         self._health = health
-        self._engine_load = engine_load
-        self._engine_speeds = engine_speeds
-        self._count_instances = count_instances
+        self.engines = engines
         self._in_flight = {}
-        self._held_s = {}
 
     def in_flight(self, endpoint):
         """Return how many requests of this instance an endpoint has."""
@@ -138,15 +127,6 @@
         else:
             self._in_flight.pop(endpoint.id, None)
 
-    def record_held(self, service, held_s):
-        """Record for how long a request was at an engine."""
-        mean_s = self._held_s.get(service, held_s)
-        self._held_s[service] = mean_s + NEWEST_WEIGHT * (held_s - mean_s)
-
-    def held_s(self, service):
-        """Return the mean time that requests are at an engine, or None."""
-        return self._held_s.get(service)
-
     def distance(self, zone):
         """Return 0 for the own zone, 1 within the region, else 2."""
         if zone == self._zone:
@@ -273,123 +253,21 @@
     def counts_room(self, engine, needed):
         """Return whether engines are chosen by what all instances have."""
         return (
-            self._engine_load is not None
+            self.engines is not None
             and needed is not None
             and engine is not None
             and engine.memory_tokens > 0
         )
 
-    def room_needed(self, endpoints, now, needed, engine, *, without=None):
-        """Return how many tokens too few engines have for a request.
-
-        Parameters
-        ----------
-        endpoints : iterable of Endpoint
-        now : float
-        needed : Work
-        engine : EngineSpec
-        without : dict of str to int, optional
-            Memory that does not count, by `Endpoint.boot`.
-
-        Returns
-        -------
-        dict of Endpoint to int
-            0 if the request has room.
-        """
-        without = without or {}
-        loads, margins = self._loads(endpoints, now, engine)
-        return {
-            each: enginechoice.room_needed(
-                loads[each.boot]._replace(
-                    held_tokens=loads[each.boot].held_tokens
-                    - without.get(each.boot, 0)
-                ),
-                needed,
-                engine,
-                margins[each.boot],
-            )
-            for each in endpoints
-        }
-
-    def held_tokens(self, endpoints, now, engine):
-        """Return the memory that all instances hold, by `Endpoint`."""
-        loads, _ = self._loads(endpoints, now, engine)
-        return {each: loads[each.boot].held_tokens for each in endpoints}
-
-    def _loads(self, endpoints, now, engine):
-        """Return the load and margin of engines, by `Endpoint.boot`."""
-        own = self._engine_load.ledger.loads()
-        others = self._engine_load.all_others(now)
-        boots = [each.boot for each in endpoints]
-        loads = {
-            boot: own.get(boot, work.NO_LOAD).plus(
-                others.get(boot, work.NO_LOAD)
-            )
-            for boot in boots
-        }
-        margins = enginechoice.margins(
-            loads,
-            others,
-            engine,
-            age_s=self._engine_load.age_s(now),
-            held_s=self._usual_held_s(endpoints),
-        )
-        return loads, margins
-
-    def _usual_held_s(self, endpoints):
-        services = {each.service for each in endpoints}
-        return max(
-            (self._held_s.get(each, USUAL_HELD_S) for each in services),
-            default=USUAL_HELD_S,
-        )
-
-    def _expected_loads(self, endpoints, now):
-        """Return what engines should have, and how much more at any of them.
-
-        What others told is older than some of their requests.
-        """
-        own = self._engine_load.ledger.loads()
-        age_s = self._engine_load.age_s(now)
-        if math.isinf(age_s):
-            others = {}
-            # They have as much as this one, as far as it knows.
-            count = sum(each.requests for each in own.values()) + 1
-            untold = count * (self._count_instances() - 1)
-        else:
-            others = self._engine_load.all_others(now)
-            held_s = self._usual_held_s(endpoints)
-            untold = 0
-        loads = {}
-        for each in endpoints:
-            load = own.get(each.boot, work.NO_LOAD)
-            told = others.get(each.boot)
-            if told is not None:
-                left = enginechoice.expected_now(told, age_s, held_s)
-                untold += told.requests - left.requests
-                load = load.plus(left)
-            loads[each] = load
-        return loads, untold
-
     def _choose_engine(
         self, pool, healthy_count, now, costs, needed, engine, affinity
     ):
-        loads, margins = self._loads(pool, now, engine)
-        expected, untold = self._expected_loads(pool, now)
-        candidates = [
-            enginechoice.Candidate(
-                each,
-                expected[each],
-                self._engine_speeds.slowness(each, now),
-                costs[each.zone] / PREFILL_TOKEN_COST,
-                engine.memory_tokens
-                - loads[each.boot].held_tokens
-                - needed.memory_tokens,
-            )
-            for each in pool
-            if enginechoice.has_room(
-                loads[each.boot], needed, engine, margins[each.boot]
-            )
-        ]
+        transfer_tokens = {
+            zone: cost / PREFILL_TOKEN_COST for zone, cost in costs.items()
+        }
+        candidates, untold = self.engines.candidates(
+            pool, now, needed, engine, transfer_tokens
+        )
         if not candidates:
             return None
         picked = enginechoice.pick(
@@ -400,14 +278,13 @@
             affinity=affinity,
             untold=untold,
         )
-        chosen = picked.candidate
-        token_s = self._engine_speeds.prompt_token_s(chosen.endpoint, now)
+        endpoint = picked.candidate.endpoint
         return Choice(
-            chosen.endpoint,
+            endpoint,
             picked.reason,
             healthy_count,
-            loads[chosen.endpoint.boot],
-            None if token_s is None else token_s * picked.cost_tokens,
+            self.engines.load(endpoint, now),
+            self.engines.seconds(endpoint, picked.cost_tokens, now),
         )
 
     def likely_zone(self, endpoints, now, **request):
@@ -438,7 +315,9 @@
         zone=core.settings.zone,
         regions=core.settings.zones,
         health=core.part("health"),
-        engine_load=core.part("engine_load"),
-        engine_speeds=core.part("engine_speeds"),
-        count_instances=core.part("peers").count,
+        engines=engineloads.EngineLoads(
+            view=core.part("engine_load"),
+            speeds=core.part("engine_speeds"),
+            count_instances=core.part("peers").count,
+        ),
     )
--- a/sycamoreshed/forwarding/roomforecast.py
+++ b/sycamoreshed/forwarding/roomforecast.py
@@ -123,17 +123,17 @@
 
     Parameters
     ----------
-    placer : Placer
+    engines : EngineLoads
     engine_speeds : Speeds
     """
 
-    def __init__(self, *, placer, engine_speeds):
-        self._placer = placer
+    def __init__(self, *, engines, engine_speeds):
+        self._engines = engines
         self._speeds = engine_speeds
 
     def missing(self, wanted, now, *, without=None):
-        """Return how many tokens too few each engine has; see `Placer`."""
-        return self._placer.room_needed(
+        """Return how many tokens too few each engine has."""
+        return self._engines.room_needed(
             wanted.list_endpoints(now),
             now,
             wanted.needed,
@@ -160,6 +160,36 @@
             return NoRoom.HOPELESS
         return None
 
+    def free_tokens(self, wanted, now):
+        """Return the free memory of engines that have room for a request."""
+        missing = self.missing(wanted, now)
+        held = self._engines.held_tokens(tuple(missing), now, wanted.spec)
+        return sum(
+            wanted.spec.memory_tokens - held[each]
+            for each in missing
+            if not missing[each]
+        )
+
+    def nearest_unclaimed(self, wanted, now):
+        """Return the engine that should have room first, or None.
+
+        One that holds more than its memory counts a request in advance.
+        """
+        missing = self.missing(wanted, now)
+        held = self._engines.held_tokens(tuple(missing), now, wanted.spec)
+        return min(
+            (
+                each
+                for each in missing
+                if held[each] <= wanted.spec.memory_tokens
+            ),
+            key=lambda each: (
+                missing[each],
+                rendezvous.rank(wanted.request.id, each.id),
+            ),
+            default=None,
+        )
+
     def left_s(self, wanted, now):
         """Return the seconds for which a request may wait."""
         known = [
@@ -181,11 +211,15 @@
         missing = self.missing(wanted, now, without=without)
         if not missing or min(missing.values()) == 0:
             return 0.0
-        held_s = self._placer.held_s(wanted.request.service)
+        held_s = self._engines.held_s(wanted.request.service)
         if held_s is None:
             return _SOME_WAIT_S
-        tokens = self._placer.held_tokens(tuple(missing), now, wanted.spec)
+        tokens = self._engines.held_tokens(tuple(missing), now, wanted.spec)
         held = {each: max(1, count) for each, count in tokens.items()}
         first_s = min(missing[each] / held[each] * held_s for each in missing)
-        ahead_s = ahead / sum(held.values()) * held_s
-        return max(_SOME_WAIT_S, first_s, ahead_s)
+        total = wanted.needed.memory_tokens + ahead
+        total -= sum(
+            max(0, wanted.spec.memory_tokens - count)
+            for count in held.values()
+        )
+        return max(_SOME_WAIT_S, first_s, total / sum(held.values()) * held_s)
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -13,6 +13,7 @@
 from sycamoreshed.engineload import view as views
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import budget
+from sycamoreshed.forwarding import engineloads
 from sycamoreshed.forwarding import engineroom
 from sycamoreshed.forwarding import health
 from sycamoreshed.forwarding import parts as shared
@@ -214,8 +215,7 @@
         zone="north-a",
         regions={},
         health=endpoint_health,
-        engine_load=view,
-        engine_speeds=learnt,
+        engines=engineloads.EngineLoads(view=view, speeds=learnt),
     )
     return shared.Parts(
         catalog=catalog,
--- a/testkit/enginepool.py
+++ b/testkit/enginepool.py
@@ -13,6 +13,7 @@
 from sycamoreshed.engineload import view as views
 from sycamoreshed.engineload import work
 from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import engineloads
 from sycamoreshed.forwarding import engineroom
 from sycamoreshed.forwarding import health
 from sycamoreshed.forwarding import placement
@@ -100,13 +101,14 @@
     def __init__(self, *, speeds, clock, knows_load, instances):
         self.view = views.LoadView(ledger=ledgers.Ledger())
         journal = journals.Journal()
+        self.engines = engineloads.EngineLoads(
+            view=self.view, speeds=speeds, count_instances=lambda: instances
+        )
         self.placer = placement.Placer(
             zone=ZONE,
             regions={},
             health=health.Health(journal=journal),
-            engine_load=self.view if knows_load else None,
-            engine_speeds=speeds,
-            count_instances=lambda: instances,
+            engines=self.engines if knows_load else None,
         )
         self.room = engineroom.EngineRoom(
             placer=self.placer,
@@ -122,7 +124,13 @@
 def route(priority=0):
     """Return a streaming route whose callers wait for four seconds."""
     return types.Route(
-        "r", "h", "/", (("llm", 1.0),), streaming=True, priority=priority
+        "r",
+        "h",
+        "/",
+        (("llm", 1.0),),
+        streaming=True,
+        max_event_gap_s=0.25,
+        priority=priority,
     )
 
 
@@ -243,10 +251,13 @@
                 engine=self._spec,
             )
 
-        choice = find(self._clock())
-        if choice is not None and not instance.room.is_waited_for("llm"):
-            return choice
         request = self._request(number, arrival)
+        now = self._clock()
+        choice = find(now)
+        if choice is not None and not (
+            self._knows_load and instance.room.is_waited_for(request, now)
+        ):
+            return choice
         return await instance.room.wait(
             roomforecast.Wanted(
                 request,
@@ -278,6 +289,6 @@
         reads = await engine.run(arrival)
         ledger.record_end(load)
         instance.placer.record_end(endpoint)
-        instance.placer.record_held("llm", self._clock() - sent_at)
+        instance.engines.record_held("llm", self._clock() - sent_at)
         took_s = self._clock() - arrival.at
         return Record(arrival, endpoint.id, took_s, None, reads, overflow)
