Back off after any end of a report, and refuse absurd replies

A report that ended by an error of the program was begun again at once and for ever, and a reply with a pause of years would have kept an instance from reporting. Found by reading; the second has a test.

--- a/sycamoreshed/engineload/messages.py
+++ b/sycamoreshed/engineload/messages.py
@@ -18,6 +18,7 @@
 MAX_COUNT = 10_000_000
 MAX_LOG_RATIO = 10.0
 MAX_WEIGHT = 1e9
+MAX_SECONDS = 10.0
 MAX_NAME_LENGTH = 256
 
 
@@ -99,8 +100,9 @@
         If it has another form, or holds what cannot be.
     """
     reply = msgspec.convert(body, Reply)
-    if min(reply.age_s, reply.pause_s) < 0:
-        raise msgspec.ValidationError("negative time")
+    for seconds in (reply.age_s, reply.pause_s):
+        if not 0 <= seconds <= MAX_SECONDS:
+            raise msgspec.ValidationError("time out of range")
     _check(reply.loads, reply.speeds)
     return reply
 
--- a/sycamoreshed/engineload/sharing.py
+++ b/sycamoreshed/engineload/sharing.py
@@ -234,6 +234,8 @@
             self._record_own(now)
             return
         self._started_at = now
+        # Unless it succeeds, whatever ends it.
+        self._next_at = now + BACKOFF_S
         self._task = self._spawn(self._sync(found), name="share engine load")
 
     async def _sync(self, found):
--- a/sycamoreshed/engineload/tests/test_sharing.py
+++ b/sycamoreshed/engineload/tests/test_sharing.py
@@ -1,9 +1,11 @@
 import asyncio
 import collections
 
+import msgspec
 import pytest
 
 from sycamoreshed.engineload import collecting
+from sycamoreshed.engineload import messages
 from sycamoreshed.engineload import sharing
 from sycamoreshed.engineload.tests import builders
 from sycamoreshed.engineload import totals
@@ -278,6 +280,21 @@
     assert set(known.values()) == {0}
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        None,
+        [{}, True, -1.0, 0.0],
+        [{}, True, 0.0, 1e9],
+        [{"e1@7": [1, 0, -5]}, True, 0.0, 0.0],
+    ],
+)
+def test_reply_that_is_not_valid_is_refused(body):
+    """A reply of another build stopped an instance from reporting."""
+    with pytest.raises(msgspec.ValidationError):
+        messages.decode_reply(body)
+
+
 def test_message_that_comes_late_is_ignored():
     """An older message that came late took back what a newer one told."""
     first = b'["x", "a", 1, 1, {"e1@7": [1, 0, 0]}]'
