Notice lost answers of stage calls by the answers to later calls

An endpoint of a stage that lost an answer got no other call until the timeout of the lost one, eight times the time of a call and half a second more, and was then avoided as failed.

A call whose answer is overdue by two fixed times of a call no longer keeps an endpoint from getting one more, which can wait in the endpoint's queue if it is only slow. The endpoint is not blamed.

A shorter timeout was ruled out: an endpoint that is five times slower than usual would process calls for which nobody waits any more. It applies to services whose configuration has a queue at their endpoints.

--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -8,6 +8,7 @@
 from sycamoreshed.forwarding import client
 from sycamoreshed.links import wire
 from sycamoreshed.residency import residency
+from sycamoreshed.staging import opencalls
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import queueing
 
@@ -33,6 +34,10 @@
 # time, so that it has more of them.
 MAX_DELAY_SHARE = 0.67
 
+_LOST = kinds.Failure(
+    kinds.Kind.LATE, "answer lost: a later call was answered", sent=True
+)
+
 
 class Batcher:
     """Processes the pieces of one service with the endpoints of a zone.
@@ -92,6 +97,7 @@
         # Admitted jobs, by request and stage in progress; a request may have
         # two such stages.
         self._admitted = {}
+        self._open_calls = opencalls.OpenCalls()
         self._wake = asyncio.Event()
         self._pending_frees = {}
         self._task = None
@@ -322,6 +328,9 @@
         if isinstance(answer, kinds.Failure):
             if answer.kind is kinds.Kind.NO_ENDPOINT:
                 return _no_results(batch, "full", sent=False), answer.reason
+            if answer is _LOST:
+                # The endpoint is sound: it has answered a later call.
+                return _no_results(batch, "error", sent=True), answer.reason
             self._health.record_failure(
                 endpoint, self._clock(), answer.reason, reachable=False
             )
@@ -333,6 +342,29 @@
 
     async def _send(self, batch, path, headers, body):
         """Send a call; return a `FullAnswer` or a `Failure`."""
+        endpoint = batch.endpoint
+        call = self._open_calls.start(endpoint)
+        exchange = asyncio.ensure_future(
+            self._exchange(batch, path, headers, body)
+        )
+        is_answered = False
+        try:
+            await asyncio.wait(
+                {exchange, call.lost}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not exchange.done():
+                return _LOST
+            answer = exchange.result()
+            is_one_at_a_time = self.service.pieces.slots == 1
+            is_answered = is_one_at_a_time and not isinstance(
+                answer, kinds.Failure
+            )
+            return answer
+        finally:
+            exchange.cancel()
+            self._open_calls.end(endpoint, call, is_answered=is_answered)
+
+    async def _exchange(self, batch, path, headers, body):
         work_s = self._queue.call_s(len(batch.entries))
         sent_at = self._clock()
         response = await self._sender.send(
--- a/sycamoreshed/staging/queueing.py
+++ b/sycamoreshed/staging/queueing.py
@@ -16,6 +16,11 @@
 # Results of at least this share of an endpoint's memory are large: a few calls
 # fill it.
 LARGE_SHARE = 0.04
+# A call is overdue when its answer has not come for this many fixed times of a
+# call beyond its expected end.  The answer may be lost while the endpoint is
+# free, so one more call is sent, which can wait there.
+OVERDUE_CALLS = 2.0
+MAX_EXTRA_CALLS = 1
 # How long memory counts as occupied, beyond the results recorded here, after
 # an endpoint reported that it has none: it may store results for an instance
 # that used it before, or larger ones than configured.  About two calls; then
@@ -117,6 +122,16 @@
         """Return the number of calls in progress at an endpoint."""
         return len(self._calls.get(endpoint.id, ()))
 
+    def _can_take_call(self, endpoint, now):
+        """Return whether an endpoint may get another call."""
+        ends = self._calls.get(endpoint.id, ())
+        overdue_s = OVERDUE_CALLS * self.spec.call_s
+        waiting = sum(now <= end + overdue_s for end in ends)
+        extra = min(self.spec.queue, MAX_EXTRA_CALLS)
+        return waiting < self.spec.slots and len(ends) < (
+            self.spec.slots + extra
+        )
+
     def add(self, entry):
         """Put a piece into the queue."""
         bisect.insort(self._queue, entry, key=lambda each: each.rank)
@@ -163,11 +178,7 @@
         if not self._queue:
             return None
         self._expire(now)
-        free = [
-            each
-            for each in endpoints
-            if self.call_count(each) < self.spec.slots
-        ]
+        free = [each for each in endpoints if self._can_take_call(each, now)]
         if not free:
             return None
         free.sort(key=self.free_bytes, reverse=True)
