Give faster engines more prefixes

Each engine got an equal share of the prefixes, whatever its speed.

The engines that may have a prefix are ordered by weighted rendezvous hashing, with the square of their learnt speed as weight: the order is the same on all instances that know about the same speeds, and a change of one speed moves only the prefixes of that engine. With equal speeds the order is what it was.

--- a/sycamoreshed/engineload/speeds.py
+++ b/sycamoreshed/engineload/speeds.py
@@ -278,9 +278,7 @@
                 self._means.pop(boot, None)
             else:
                 levels[boot] = level
-        return tables.of_levels(
-            levels, slope, now, known=service.table.levels
-        )
+        return tables.of_levels(levels, slope, now, known=service.table.levels)
 
     def _level(self, boot, slope, now):
         """Return the `tables.Level` of an engine by all instances."""
--- a/sycamoreshed/forwarding/enginechoice.py
+++ b/sycamoreshed/forwarding/enginechoice.py
@@ -33,6 +33,9 @@
 REQUEST_TOKENS = 200
 # Share of the requests of others that may have the same prefix.
 PREFIX_SHARE = 0.5
+# Power of an engine's speed to which its share of the prefixes is
+# proportional.
+PREFIX_SPEED_POWER = 2
 # One in so many requests is sent as if all engines were equally fast: an
 # engine that got none would remain slow by its last measurement.
 EXPLORATION_PERIOD = 50
@@ -299,8 +302,10 @@
 def _by_prefix(candidates, needed, affinity):
     """Return the engines that may have a prefix, the likeliest first.
 
-    The order is the same on all instances.  An engine from which the
-    transfers cost more than reading the prefix again is none of them.
+    The order is the same on all instances that know about the same speeds.
+    Faster engines have more prefixes: beside long prompts, the pauses of
+    streams grow faster than the slowness of their engine.  An engine from
+    which the transfers cost more than reading the prefix again has none.
     """
     cheapest = min((each.transfer_tokens for each in candidates), default=0.0)
     eligible = [
@@ -310,7 +315,9 @@
     ]
     return sorted(
         eligible,
-        key=lambda each: rendezvous.rank(affinity, each.endpoint.id),
+        key=lambda each: rendezvous.weighted_rank(
+            affinity, each.endpoint.id, each.slowness**-PREFIX_SPEED_POWER
+        ),
         reverse=True,
     )
 
--- a/sycamoreshed/forwarding/tests/paced.py
+++ b/sycamoreshed/forwarding/tests/paced.py
@@ -5,6 +5,8 @@
 import multidict
 
 from sycamoreshed.catalog import types
+from sycamoreshed.engineload import speeds
+from sycamoreshed.forwarding import engineloads
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding.tests import builders
 from sycamoreshed.platform import names
@@ -121,7 +123,12 @@
         services={builders.SERVICE: service}
     )
     placer = placement.Placer(
-        zone="north-a", regions={}, health=result.health
+        zone="north-a",
+        regions={},
+        health=result.health,
+        engines=engineloads.EngineLoads(
+            view=result.engine_load, speeds=speeds.Speeds()
+        ),
     )
     return result._replace(
         clock=asyncio.get_running_loop().time, placer=placer
--- a/sycamoreshed/staging/queueing.py
+++ b/sycamoreshed/staging/queueing.py
@@ -140,11 +140,11 @@
 
     def _can_take_call(self, endpoint, now):
         """Return whether an endpoint may get another call."""
-        ends = self._calls.get(endpoint.id, ())
+        calls = self._calls.get(endpoint.id, ())
         overdue_s = OVERDUE_CALLS * self.spec.call_s
-        waiting = sum(now <= end + overdue_s for end in ends)
+        waiting = sum(now <= each.expected_end + overdue_s for each in calls)
         extra = min(self.spec.queue, MAX_EXTRA_CALLS)
-        return waiting < self.spec.slots and len(ends) < (
+        return waiting < self.spec.slots and len(calls) < (
             self.spec.slots + extra
         )
 
