Sum the reports on engines' load once after each change

Each choice of an engine summed the reports of all sources for all engines again: 0.8 ms of 3.5 with 70 engines and seven sources.

--- a/sycamoreshed/engineload/view.py
+++ b/sycamoreshed/engineload/view.py
@@ -52,6 +52,8 @@
     def __init__(self, *, ledger):
         self.ledger = ledger
         self._reports = {}
+        # The sum of all reports; None after one of them has changed.
+        self._sum = None
 
     def load(self, endpoint, now):
         """Return the `Load` of an engine by all instances."""
@@ -59,21 +61,9 @@
             self.others(endpoint.boot, now)
         )
 
-    def others(self, boot, now, *, without=None):
-        """Return the `Load` of an engine by the sources that told theirs.
-
-        Parameters
-        ----------
-        boot : str
-        now : float
-        without : str, optional
-            Source that does not count.
-        """
-        return work.total(
-            report.loads.get(boot, work.NO_LOAD)
-            for source, report in self._current(now)
-            if source != without
-        )
+    def others(self, boot, now):
+        """Return the `Load` of an engine by the sources that told theirs."""
+        return self.all_others(now).get(boot, work.NO_LOAD)
 
     def all_others(self, now, *, without=()):
         """Return the `Load` of each engine by the sources that told theirs.
@@ -83,14 +73,22 @@
         now : float
         without : collection of str
             Sources that do not count.
+
+        Returns
+        -------
+        dict of str to Load
+            By `Endpoint.boot`; not to be changed.
         """
-        result = {}
-        for source, report in self._current(now):
-            if source in without:
-                continue
-            for boot, load in report.loads.items():
-                result[boot] = result.get(boot, work.NO_LOAD).plus(load)
-        return result
+        current = self._current(now)
+        if without:
+            return _sum_loads(
+                report.loads
+                for source, report in current
+                if source not in without
+            )
+        if self._sum is None:
+            self._sum = _sum_loads(report.loads for _, report in current)
+        return self._sum
 
     def record_report(self, source, loads, at):
         """Replace what a source has told.
@@ -106,10 +104,12 @@
         known = self._reports.get(source)
         if known is None or at >= known.at:
             self._reports[source] = Report(loads, at)
+            self._sum = None
 
     def forget(self, source):
         """Forget what a source has told."""
-        self._reports.pop(source, None)
+        if self._reports.pop(source, None) is not None:
+            self._sum = None
 
     def age_s(self, now):
         """Return the seconds since the newest report, or infinity."""
@@ -126,10 +126,19 @@
             if now - report.at >= TTL_S
         ]
         for source in expired:
-            del self._reports[source]
+            self.forget(source)
         return self._reports.items()
 
 
+def _sum_loads(reports):
+    result = {}
+    for loads in reports:
+        for boot, load in loads.items():
+            known = result.get(boot)
+            result[boot] = load if known is None else known.plus(load)
+    return result
+
+
 @kernel.plugin("engine_load")
 async def engine_load(_core):
     """Provide the `LoadView`."""
