Bound what slow readers hold of an instance's memory

Cause: answers of plain services were read whole before their caller got a byte, and stayed in the connection's buffer until it had read them; bodies were copied whole into the connection to the endpoint. A caller that stopped reading held its stream's engine until the engine broke off.

Ruled out: waiting for memory with the body unread. While endpoints read slowly the wait mostly ends at the deadline, and the caller could have been served elsewhere.

With the setting `memory_mb` a quarter of that memory is for bodies and answers of all requests together. A body beyond it is rejected at once, not run, kind `no-memory`; small ones always pass. Answers of more than 256 KB, and all but small ones while the budget is used up, are passed on while they arrive; nothing more is read from the endpoint while the caller does not read. Bodies of more than 128 KB are sent in slices. A caller that takes nothing for `slow_reader_s` is given up and the connection to its engine closed; what the system still has to send counts, so that a slow but steady reader is not taken for one that stopped. Instances that send calls for others do the same. Without the setting nothing changes.

--- /dev/null
+++ b/sycamoreshed/buffering/__init__.py
@@ -0,0 +1,1 @@
+"""Memory for bodies and answers, and peers that read slowly."""
--- /dev/null
+++ b/sycamoreshed/buffering/budget.py
@@ -0,0 +1,160 @@
+"""The memory that bodies and answers of all requests may use together."""
+
+import collections
+import enum
+
+from sycamoreshed.kernel import kernel
+
+__all__ = ["SMALL_BYTES", "BufferBudget", "Content", "Hold", "max_bytes"]
+
+MB = 10**6
+# Share of an instance's memory that bodies and answers may use.  The rest is
+# for the program and for the buffers of connections.
+BUFFER_SHARE = 0.25
+# A body or answer up to this size is always taken: how many there are is
+# limited by the number of connections.
+SMALL_BYTES = 16 * 1024
+
+
+class Content(enum.StrEnum):
+    """What is held for a request."""
+
+    BODY = "body"
+    ANSWER = "answer"
+    # Of a request that another instance wants to have sent.
+    CALL = "call"
+
+
+def max_bytes(memory_mb):
+    """Return the bytes that bodies and answers may use, or None.
+
+    Examples
+    --------
+    >>> max_bytes(160)
+    40000000
+    >>> max_bytes(None) is None
+    True
+    """
+    return None if memory_mb is None else int(memory_mb * MB * BUFFER_SHARE)
+
+
+class BufferBudget:
+    """Bytes that are held for requests.
+
+    Parameters
+    ----------
+    max_bytes : int, optional
+        Without it there is no limit.
+
+    Examples
+    --------
+    >>> budget = BufferBudget(max_bytes=100_000)
+    >>> with budget.open() as first, budget.open() as second:
+    ...     taken = first.try_add(Content.BODY, 90_000)
+    ...     small = second.try_add(Content.BODY, 16_000)
+    ...     taken, small, second.try_add(Content.BODY, 1000)
+    (True, True, False)
+    >>> budget.held(Content.BODY)
+    0
+    """
+
+    def __init__(self, *, max_bytes=None):
+        self._max_bytes = max_bytes
+        self._held = collections.Counter()
+
+    @property
+    def is_limited(self):
+        """Whether there is a limit."""
+        return self._max_bytes is not None
+
+    def held(self, content):
+        """Return the bytes that are held of one kind of content."""
+        return self._held[content]
+
+    def sizes(self):
+        """Return the bytes that are held, by content."""
+        return {str(content): self._held[content] for content in Content}
+
+    def open(self):
+        """Return a `Hold` for one request, a context manager."""
+        return Hold(budget=self)
+
+    def has_room(self, size):
+        """Return whether a number of bytes may be held in addition."""
+        if self._max_bytes is None:
+            return True
+        return self._held.total() + size <= self._max_bytes
+
+    def add(self, content, size):
+        """Record that bytes are held, or, if negative, no more."""
+        self._held[content] += size
+
+
+class Hold:
+    """What is held for one request, released at the end of its block.
+
+    Parameters
+    ----------
+    budget : BufferBudget
+    """
+
+    def __init__(self, *, budget):
+        self._budget = budget
+        self._sizes = collections.Counter()
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_error):
+        self.release()
+
+    @property
+    def is_limited(self):
+        """Whether the budget has a limit."""
+        return self._budget.is_limited
+
+    def allows(self, content, size):
+        """Return whether bytes may be added to what is held.
+
+        Parameters
+        ----------
+        content : Content
+        size : int
+            Bytes of the same body or answer that are to be added.
+        """
+        if self._sizes[content] + size <= SMALL_BYTES:
+            return True
+        return self._budget.has_room(size)
+
+    def try_add(self, content, size):
+        """Add bytes if the budget allows them; return whether it does."""
+        if not self.allows(content, size):
+            return False
+        self.add(content, size)
+        return True
+
+    def add(self, content, size):
+        """Add bytes that are held in any case."""
+        self._sizes[content] += size
+        self._budget.add(content, size)
+
+    def remove(self, content, size):
+        """Remove bytes that are held no more."""
+        self.add(content, -size)
+
+    def release(self):
+        """Remove all bytes."""
+        for content, size in self._sizes.items():
+            self._budget.add(content, -size)
+        self._sizes.clear()
+
+
+@kernel.plugin("buffers", needs=("gateway_metrics",))
+async def buffers(core):
+    """Provide the `BufferBudget` of this instance."""
+    part = BufferBudget(max_bytes=max_bytes(core.settings.memory_mb))
+    for content in Content:
+        core.part("gateway_metrics").export_held_bytes(
+            content, lambda content=content: part.held(content)
+        )
+    yield part
--- /dev/null
+++ b/sycamoreshed/buffering/slowreaders.py
@@ -0,0 +1,185 @@
+"""Peers that do not read what is sent to them.
+
+While a caller does not read, its answer fills the buffers between the engine
+and the caller, one after the other.  The engine breaks off an answer that is
+not read; a caller is given up before that.
+"""
+
+import asyncio
+import contextlib
+import fcntl
+import struct
+import termios
+import typing
+
+from sycamoreshed.kernel import kernel
+
+__all__ = ["Peer", "SlowReaders", "Writing", "queued_bytes"]
+
+CHECK_INTERVAL_S = 0.25
+
+
+class Writing(typing.NamedTuple):
+    """A write that waits for its peer.
+
+    Parameters
+    ----------
+    since : float
+        When the write began, or the peer last read something.
+    patience_s : float
+        Seconds without progress after which the peer is given up.
+    pending : int or None
+        Bytes that the peer had not taken at the last check.
+    """
+
+    since: float
+    patience_s: float
+    pending: int | None = None
+
+
+def queued_bytes(transport):
+    """Return the bytes in a socket that its peer has not taken.
+
+    Notes
+    -----
+    A socket takes new bytes only after a good part of its buffer is free, so
+    a peer that reads slowly but steadily would seem to read nothing for
+    seconds if these were not counted.
+
+    Raises
+    ------
+    OSError
+        If the system does not tell.
+    """
+    descriptor = transport.get_extra_info("socket").fileno()
+    raw = fcntl.ioctl(descriptor, termios.TIOCOUTQ, struct.pack("i", 0))
+    return struct.unpack("i", raw)[0]
+
+
+class SlowReaders:
+    """Gives up peers that read nothing for too long.
+
+    Parameters
+    ----------
+    journal : Journal
+    on_given_up : callable, optional
+        Called without arguments for each peer that is given up.
+    read_queued : callable, optional
+        As `queued_bytes`.
+    """
+
+    def __init__(self, *, journal, on_given_up=None, read_queued=queued_bytes):
+        self._journal = journal
+        self._on_given_up = on_given_up
+        self._read_queued = read_queued
+        self._is_told = True
+        self._writing = {}
+
+    def begin(self, peer, now, *, patience_s):
+        """Record that a write to a `Peer` begins."""
+        self._writing[peer] = Writing(now, patience_s)
+
+    def end(self, peer):
+        """Record that a write has ended."""
+        self._writing.pop(peer, None)
+
+    def check(self, now):
+        """Give up the peers that have read nothing for too long."""
+        for peer, writing in list(self._writing.items()):
+            pending = self._pending(peer.transport)
+            if writing.pending is None or pending < writing.pending:
+                self._writing[peer] = writing._replace(
+                    since=now, pending=pending
+                )
+            elif now - writing.since >= writing.patience_s:
+                self.end(peer)
+                self._journal.write(
+                    "slow_reader",
+                    request=peer.request,
+                    bytes=pending,
+                    waited_s=round(now - writing.since, 2),
+                )
+                if self._on_given_up is not None:
+                    self._on_given_up()
+                peer.give_up()
+
+    def _pending(self, transport):
+        """Return the bytes that the peer has not taken."""
+        if transport is None or transport.is_closing():
+            return 0
+        size = transport.get_write_buffer_size()
+        try:
+            return size + self._read_queued(transport)
+        except OSError as err:
+            if self._is_told:
+                self._journal.write("send_queue_unknown", why=str(err))
+            self._is_told = False
+            return size
+
+    async def run(self, clock):
+        """Check again and again."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.check(clock())
+
+
+class Peer:
+    """Who reads the answer to one HTTP request.
+
+    Parameters
+    ----------
+    http : aiohttp.web.BaseRequest
+    request : str
+        Id of the request.
+    clock : callable
+    slow_readers : SlowReaders or None
+        None if nobody is given up.
+
+    Attributes
+    ----------
+    is_given_up : bool
+    """
+
+    def __init__(self, *, http, request, clock, slow_readers):
+        self._http = http
+        self._clock = clock
+        self._slow_readers = slow_readers
+        self.request = request
+        self.is_given_up = False
+
+    @property
+    def transport(self):
+        """The connection, or None once it is closed."""
+        return self._http.transport
+
+    def give_up(self):
+        """Close the connection."""
+        self.is_given_up = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    @contextlib.contextmanager
+    def watch(self, patience_s):
+        """Give up the peer if it does not read during a block."""
+        if self._slow_readers is None:
+            yield
+            return
+        self._slow_readers.begin(self, self._clock(), patience_s=patience_s)
+        try:
+            yield
+        finally:
+            self._slow_readers.end(self)
+
+
+@kernel.plugin("slow_readers", needs=("gateway_metrics", "journal"))
+async def slow_readers(core):
+    """Provide the `SlowReaders`, or None without a limit of memory."""
+    if core.settings.memory_mb is None:
+        yield None
+        return
+    part = SlowReaders(
+        journal=core.part("journal"),
+        on_given_up=core.part("gateway_metrics").record_slow_reader,
+    )
+    core.keep_running(lambda: part.run(core.clock), name="give up readers")
+    yield part
--- a/sycamoreshed/errors/kinds.py
+++ b/sycamoreshed/errors/kinds.py
@@ -46,6 +46,8 @@
     OVER_LIMIT = "over-limit"
     HOPELESS = "hopeless"
     NO_ENDPOINT = "no-endpoint"
+    # Of a request whose body cannot be held.
+    NO_MEMORY = "no-memory"
     # Of a request that may be served in no region.
     NO_REGION = "no-region"
     # Of a request that crashed several endpoints.
@@ -149,6 +151,7 @@
     Kind.OVER_LIMIT: Answer(429, "Over the limit", Outcome.NOT_RUN, 1.0),
     Kind.HOPELESS: Answer(503, "Deadline cannot be met", Outcome.NOT_RUN, 1.0),
     Kind.NO_ENDPOINT: Answer(503, "No endpoint", Outcome.NOT_RUN, 1.0),
+    Kind.NO_MEMORY: Answer(503, "No memory", Outcome.NOT_RUN, 1.0),
     Kind.NO_REGION: Answer(403, "No allowed region", Outcome.NOT_RUN),
     Kind.CRASHES_ENDPOINTS: Answer(
         503, "Request crashes endpoints", Outcome.NOT_RUN, 3600.0
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -7,10 +7,12 @@
 
 import aiohttp
 from aiohttp import client_proto
+from aiohttp.helpers import DEFAULT_CHUNK_SIZE
 import yarl
 
 from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web
+from sycamoreshed.buffering import payloads
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.kernel import timeouts
@@ -26,6 +28,9 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
+# Bytes of an answer that are read ahead while its caller does not read, if
+# this instance's memory is limited.  A single read may add more.
+READ_AHEAD_BYTES = 32 * 1024
 # Maximum idle time of a pooled connection.  Endpoints close idle connections
 # after a few seconds; under load a pooled connection is used several times a
 # second.
@@ -113,11 +118,14 @@
         Opens a connection for each request.
     pooled : aiohttp.ClientSession
         Reuses connections.
+    saves_memory : bool
+        Whether long bodies are sent in slices, as fast as they are read.
     """
 
-    def __init__(self, *, session, pooled):
+    def __init__(self, *, session, pooled, saves_memory=False):
         self._session = session
         self._pooled = pooled
+        self._saves_memory = saves_memory
 
     async def post_idempotent(
         self, address, target, headers, body, *, timeout_s
@@ -170,13 +178,16 @@
         self, session, method, address, target, headers, body, timeout_s
     ):
         url = yarl.URL(f"http://{address}{target}", encoded=True)
+        data = body or None
+        if self._saves_memory and len(body) > payloads.SLICE_BYTES:
+            data = payloads.SlicedPayload(body)
         try:
             async with timeouts.time_limit(max(timeout_s, 0.001)):
                 return await session.request(
                     method,
                     url,
                     headers=headers,
-                    data=body or None,
+                    data=data,
                     allow_redirects=False,
                     timeout=aiohttp.ClientTimeout(
                         total=None,
@@ -250,19 +261,32 @@
 
 
 @contextlib.asynccontextmanager
-async def open_client():
-    """Open an `EndpointClient`; close its connections on exit."""
+async def open_client(*, saves_memory=False):
+    """Open an `EndpointClient`; close its connections on exit.
+
+    Parameters
+    ----------
+    saves_memory : bool
+        Whether little is held in the buffers of connections.
+    """
+    read_bufsize = READ_AHEAD_BYTES if saves_memory else DEFAULT_CHUNK_SIZE
     unpooled = Connector(limit=0, force_close=True, socket_factory=open_socket)
     pooling = Connector(
         limit=0, keepalive_timeout=MAX_IDLE_S, socket_factory=open_socket
     )
-    async with _session(unpooled) as session, _session(pooling) as pooled:
-        yield EndpointClient(session=session, pooled=pooled)
+    async with (
+        _session(unpooled, read_bufsize) as session,
+        _session(pooling, read_bufsize) as pooled,
+    ):
+        yield EndpointClient(
+            session=session, pooled=pooled, saves_memory=saves_memory
+        )
 
 
-def _session(connector):
+def _session(connector, read_bufsize):
     session = aiohttp.ClientSession(
         connector=connector,
+        read_bufsize=read_bufsize,
         response_class=Response,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
@@ -286,5 +310,6 @@
 @kernel.plugin("endpoint_client", needs=("sockets",))
 async def endpoint_client(core):
     """Provide the `EndpointClient`."""
-    async with open_client() as client:
+    saves_memory = core.settings.memory_mb is not None
+    async with open_client(saves_memory=saves_memory) as client:
         yield client
--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -3,6 +3,7 @@
 import typing
 
 from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import answers
 from sycamoreshed.forwarding import client
 from sycamoreshed.links import wire
 
@@ -17,11 +18,13 @@
 class Opened(typing.NamedTuple):
     """The head of an endpoint's answer, whose body is still to be read.
 
-    ``response`` must be closed and `Attempts.close` called.
+    ``response`` must be closed and `Attempts.close` called.  ``start`` is the
+    `Start` of a long answer, and None for a stream.
     """
 
     endpoint: typing.Any
     response: typing.Any
+    start: typing.Any = None
 
 
 class Answered(typing.NamedTuple):
@@ -50,8 +53,8 @@
     Parameters
     ----------
     result : Opened, Answered or Failure
-        `Opened` for a 200 of a streaming route, whose body is still to be
-        read.
+        `Opened` for a 200 of a streaming route and for long answers, whose
+        body is still to be read.
     is_counted : bool
         Whether it counts towards the attempts that the route allows.
     inputs_missing : bool
@@ -107,7 +110,15 @@
     is_success = verdict == "done" and response.status == 200
     if request.route.streaming and is_success:
         return Exchanged(Opened(endpoint, response), is_counted)
-    answer = await client.read_full(response, timeout_s=timeout_s)
+    may_pass_on = verdict == "done" and not request.route.streaming
+    if may_pass_on and request.hold.is_limited:
+        answer = await answers.read_start(
+            response, request.hold, timeout_s=timeout_s
+        )
+        if isinstance(answer, answers.Start):
+            return Exchanged(Opened(endpoint, response, answer), is_counted)
+    else:
+        answer = await client.read_full(response, timeout_s=timeout_s)
     if isinstance(answer, kinds.Failure):
         if verdict in _NOT_RUN:
             answer = answer._replace(sent=False)
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -5,6 +5,7 @@
 import typing
 
 from sycamoreshed.errors import kinds
+from sycamoreshed.forwarding import answers
 from sycamoreshed.forwarding import attempts
 from sycamoreshed.forwarding import candidates
 from sycamoreshed.forwarding import exchanges
@@ -55,7 +56,8 @@
     Parameters
     ----------
     answer : FullAnswer or None
-        The answer of an endpoint, which is passed on unchanged.
+        The answer of an endpoint, which is passed on unchanged.  None if it
+        has been passed on already.
     failure : Failure or None
         Reported to the caller instead of an answer; with ``has_started``
         the answer is cut off.
@@ -336,6 +338,13 @@
         result = await tries.open()
         if isinstance(result, exchanges.Opened):
             sink.on_begin = tries.record_answer_start
+            if result.start is not None:
+                failure = await answers.pass_on(
+                    result, tries, request, sink, self._parts
+                )
+                return Outcome(
+                    failure=failure, has_started=True, endpoint=result.endpoint
+                )
             result = await streams.forward_stream(
                 result, tries, request, sink, self._parts
             )
--- a/sycamoreshed/forwarding/requests.py
+++ b/sycamoreshed/forwarding/requests.py
@@ -2,6 +2,8 @@
 
 import typing
 
+from sycamoreshed.buffering import budget
+
 __all__ = ["Priority", "Request"]
 
 # Engines accept ten priority levels.  Each team priority has three of them for
@@ -20,6 +22,10 @@
 STAGES_TARGET_FACTOR = 1.25
 
 
+# Of requests that need no room in the budget of an instance.
+_UNLIMITED = budget.BufferBudget().open()
+
+
 class Priority(typing.NamedTuple):
     """Urgency of a request, by team and then route; 0 is the most urgent."""
 
@@ -66,6 +72,8 @@
         Set if it goes on with a stream.
     is_probe : bool
         Whether it is sent once although a part of its prompt is rejected.
+    hold : Hold
+        What is held in memory for it.
     """
 
     id: str
@@ -84,6 +92,7 @@
     deadline: float
     origin: typing.Any = None
     is_probe: bool = False
+    hold: budget.Hold = _UNLIMITED
 
     @property
     def can_rerun(self):
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -191,6 +191,7 @@
 @kernel.plugin(
     "inner",
     needs=(
+        "buffers",
         "call_server",
         "catalog",
         "stages",
@@ -225,6 +226,7 @@
             and not core.stopping.is_set(),
             "failing_tasks": sorted(core.tasks.failing(now)),
             "in_flight": core.part("handler").in_flight,
+            "held_bytes": core.part("buffers").sizes(),
             "peers": sorted(catalog.peers),
             "evacuated_s": {
                 zone: round(age_s, 2)
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -4,14 +4,18 @@
 
 from aiohttp import web
 
+from sycamoreshed.buffering import budget
+from sycamoreshed.buffering import slowreaders
 from sycamoreshed.entry import backlog
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import fingerprints
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding import requests
 from sycamoreshed.forwarding import stops
+from sycamoreshed.gateway import callerbodies
 from sycamoreshed.gateway import deadline_history
 from sycamoreshed.gateway import error_responses
+from sycamoreshed.gateway import sinks
 from sycamoreshed.kernel import kernel
 from sycamoreshed.kernel import timeouts
 from sycamoreshed.residency import residency
@@ -32,41 +36,6 @@
     """Ends a handler that closed the connection during its response."""
 
 
-class Sink:
-    """Sends the events of a stream to a caller.
-
-    Parameters
-    ----------
-    http : aiohttp.web.BaseRequest
-    codec : Platform
-    should_close : callable
-        Returns whether to close the connection after the response.
-    """
-
-    def __init__(self, *, http, codec, should_close):
-        self._http = http
-        self._codec = codec
-        self._should_close = should_close
-        self.response = None
-        self.on_begin = None
-
-    async def begin(self, response):
-        """Send the response head of the first engine that streams."""
-        headers = self._codec.response_headers(response.headers)
-        self.response = web.StreamResponse(
-            status=response.status, reason=response.reason, headers=headers
-        )
-        if self._should_close():
-            self.response.force_close()
-        await self.response.prepare(self._http)
-        if self.on_begin is not None:
-            self.on_begin()
-
-    async def send(self, data):
-        """Send complete events."""
-        await self.response.write(data)
-
-
 class Handler:
     """Handles requests of callers.
 
@@ -80,6 +49,10 @@
     stop_deadline : StopDeadline
     clock : callable
     stopping : asyncio.Event
+    buffers : BufferBudget
+    slow_readers : SlowReaders or None
+    slow_reader_s : float
+        See `Settings`.
     """
 
     def __init__(
@@ -93,6 +66,9 @@
         stop_deadline,
         clock,
         stopping,
+        buffers,
+        slow_readers=None,
+        slow_reader_s=0.0,
     ):
         self._catalog = catalog
         self._codec = codec
@@ -102,6 +78,9 @@
         self._stop_deadline = stop_deadline
         self._clock = clock
         self._stopping = stopping
+        self._buffers = buffers
+        self._slow_readers = slow_readers
+        self._slow_reader_s = slow_reader_s
         self._deadline_history = deadline_history.DeadlineHistory()
         self._received = 0
         self.in_flight = 0
@@ -114,24 +93,28 @@
         self.in_flight += 1
         route = None
         head = self._codec.parse_head(http.headers)
+        sink = self._make_sink(http, head)
+        hold = self._buffers.open()
         try:
-            admitted = await self._admit(http, head, started_at)
+            admitted = await self._admit(http, head, hold, started_at)
             if isinstance(admitted, kinds.Failure):
                 return self._error_response(admitted, head, None, started_at)
             route = admitted.route
-            return await self._serve(http, admitted, started_at)
+            return await self._serve(http, admitted, sink, started_at)
         except _ResponseAborted:
             raise asyncio.CancelledError from None
         except (asyncio.CancelledError, ConnectionError):
+            took_s = self._clock() - started_at
+            if sink.peer.is_given_up:
+                self._metrics.record_ended(route, "slow_reader", took_s)
+                raise
             self._journal.write(
                 "caller_left",
                 request=head.request_id,
                 route=route.name if route else None,
-                took_s=round(self._clock() - started_at, 4),
-            )
-            self._metrics.record_ended(
-                route, "left", self._clock() - started_at
+                took_s=round(took_s, 4),
             )
+            self._metrics.record_ended(route, "left", took_s)
             raise
         except Exception as err:
             # An internal error must not reach the caller as a bare 500, and
@@ -147,12 +130,27 @@
             return self._error_response(failure, head, route, started_at)
         finally:
             self.in_flight -= 1
+            hold.release()
+
+    def _make_sink(self, http, head):
+        return sinks.Sink(
+            http=http,
+            codec=self._codec,
+            should_close=self._stopping.is_set,
+            peer=slowreaders.Peer(
+                http=http,
+                request=head.request_id,
+                clock=self._clock,
+                slow_readers=self._slow_readers,
+            ),
+            patience_s=self._slow_reader_s,
+        )
 
     async def wait_until_read(self):
         """Wait until the requests that have arrived are read."""
         await backlog.wait_until_read(lambda: self._received, self._clock)
 
-    async def _admit(self, http, head, started_at):
+    async def _admit(self, http, head, hold, started_at):
         """Return the `Request`, or the `Failure` that rejects it."""
         configuration = self._catalog.configuration
         if not self._catalog.is_ready:
@@ -173,7 +171,12 @@
             deadline_s = DEFAULT_DEADLINE_S
         waited_s = self._deadline_history.observe(route.name, deadline_s)
         deadline = started_at + min(deadline_s, route.timeout_s)
-        body = await self._read_body(http, configuration.limits, deadline)
+        body = await callerbodies.read(
+            http,
+            configuration.limits.body_bytes,
+            hold,
+            timeout_s=deadline - self._clock(),
+        )
         if isinstance(body, kinds.Failure):
             return body
         if not self.is_accepting:
@@ -225,35 +228,10 @@
             started_at=started_at,
             waited_s=waited_s,
             deadline=deadline,
+            hold=hold,
         )
 
-    async def _read_body(self, http, limits, deadline):
-        if http.headers.get("Expect", "").lower() == "100-continue":
-            http.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        length = http.content_length
-        if length is not None and length > limits.body_bytes:
-            return kinds.Failure(kinds.Kind.TOO_LARGE, "body too large")
-        chunks = []
-        size = 0
-        try:
-            async with asyncio.timeout(max(0.0, deadline - self._clock())):
-                async for chunk in http.content.iter_any():
-                    size += len(chunk)
-                    if size > limits.body_bytes:
-                        return kinds.Failure(
-                            kinds.Kind.TOO_LARGE, "body too large"
-                        )
-                    chunks.append(chunk)
-        except TimeoutError:
-            return kinds.Failure(kinds.Kind.LATE, "the body did not come")
-        except web.RequestPayloadError:
-            return kinds.Failure(kinds.Kind.BAD_REQUEST, "body is not whole")
-        return b"".join(chunks)
-
-    async def _serve(self, http, request, started_at):
-        sink = Sink(
-            http=http, codec=self._codec, should_close=self._stopping.is_set
-        )
+    async def _serve(self, http, request, sink, started_at):
         remaining_s = max(0.0, request.deadline - self._clock())
         try:
             async with timeouts.time_limit(remaining_s):
@@ -277,10 +255,10 @@
                 )
             return self._abort_response(http, request, outcome, now)
         if outcome.answer is not None:
-            response = self._buffered_response(outcome.answer)
+            response = await self._send_answer(outcome.answer, request, sink)
         else:
             response = sink.response
-            await response.write_eof()
+            await sink.end(patience_s=self._whole_patience_s)
         self._journal.write(
             "answered",
             request=request.id,
@@ -297,6 +275,22 @@
         )
         return response
 
+    @property
+    def _whole_patience_s(self):
+        """Patience with callers for whom no engine has to wait."""
+        return self._catalog.configuration.limits.idle_s
+
+    async def _send_answer(self, answer, request, sink):
+        """Send a whole answer; return a response that may be sent already."""
+        is_long = len(answer.body) > budget.SMALL_BYTES
+        if not request.hold.is_limited or not is_long:
+            return self._buffered_response(answer)
+        # What is held for it is released only when the caller has it.
+        await sink.begin(answer, length=len(answer.body))
+        await sink.send(answer.body, patience_s=self._whole_patience_s)
+        await sink.end(patience_s=self._whole_patience_s)
+        return sink.response
+
     def _buffered_response(self, answer):
         headers = self._codec.response_headers(answer.headers)
         response = web.Response(
@@ -369,10 +363,12 @@
     "handler",
     needs=(
         "catalog",
+        "buffers",
         "platform",
         "forwarder",
         "journal",
         "gateway_metrics",
+        "slow_readers",
         "stop_deadline",
     ),
 )
@@ -387,4 +383,7 @@
         stop_deadline=core.part("stop_deadline"),
         clock=core.clock,
         stopping=core.stopping,
+        buffers=core.part("buffers"),
+        slow_readers=core.part("slow_readers"),
+        slow_reader_s=core.settings.slow_reader_s,
     )
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import socket
 
 from aiohttp import web
 
@@ -24,6 +25,10 @@
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 ACCEPT_S = 3.2
+# Bytes that the system holds for a caller that does not read, and that are
+# read ahead of a caller's body, if this instance's memory is limited.
+SEND_BUFFER_BYTES = 128 * 1024
+READ_AHEAD_BYTES = 32 * 1024
 # Part of the grace period that is reserved for writing the last responses.
 WRITE_MARGIN_S = 0.6
 POLL_S = 0.02
@@ -47,6 +52,13 @@
         core.settings.max_descriptors
     )
     shares = connections.descriptor_shares(max_descriptors)
+    options = {}
+    if core.settings.memory_mb is not None:
+        options["read_bufsize"] = READ_AHEAD_BYTES
+        # Connections inherit it.
+        sockets["public"].setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
 
     def make_server(name, max_connections, limits):
         return functools.partial(
@@ -63,6 +75,7 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            **options,
         )
 
     of_callers = functools.partial(_caller_limits, core.part("catalog"))
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -87,6 +87,17 @@
             "Descriptors that the process may have open.",
             registry=registry,
         )
+        self._held_bytes = prometheus_client.Gauge(
+            "sycamoreshed_gateway_held_bytes",
+            "Bytes of bodies and answers that are held for requests.",
+            ["content"],
+            registry=registry,
+        )
+        self._slow_readers = prometheus_client.Counter(
+            "sycamoreshed_gateway_slow_readers",
+            "Peers that were given up because they read nothing.",
+            registry=registry,
+        )
         self._taken_up = prometheus_client.Counter(
             "sycamoreshed_gateway_streams_taken_up",
             "Requests that go on with a stream, by what knew its origin.",
@@ -147,6 +158,14 @@
         """Export the limit of open descriptors, which `read` returns."""
         self._max_descriptors.set_function(read)
 
+    def export_held_bytes(self, content, read):
+        """Export the bytes held of a kind of content, from `read`."""
+        self._held_bytes.labels(content).set_function(read)
+
+    def record_slow_reader(self):
+        """Count a peer that was given up because it read nothing."""
+        self._slow_readers.inc()
+
     def export_dropped(self, read):
         """Export the number of dropped log lines, which `read` returns."""
         self._dropped.set_function(read)
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -36,6 +36,8 @@
     max_body_bytes: typing.NotRequired[schema.PositiveInt]
     max_control_bytes: typing.NotRequired[schema.PositiveInt]
     max_descriptors: typing.NotRequired[schema.PositiveInt]
+    memory_mb: typing.NotRequired[schema.PositiveInt]
+    slow_reader_s: typing.NotRequired[schema.NonNegative]
 
 
 class Settings(typing.NamedTuple):
@@ -82,6 +84,12 @@
         Maximum body sizes of the kernel's public and control
         applications.  For callers' requests to this daemon, the limit in
         the operator's configuration applies instead.
+    memory_mb : int or None
+        Memory that this instance may use.  A share of it is for the bodies
+        and answers of all requests; without it they have no limit.
+    slow_reader_s : float
+        Seconds after which a caller that reads nothing of an answer that is
+        still being made is given up, if `memory_mb` is set.
     """
 
     instance: str
@@ -107,6 +115,8 @@
     max_body_bytes: int = 4 << 20
     max_control_bytes: int = 1 << 26
     max_descriptors: int | None = None
+    memory_mb: int | None = None
+    slow_reader_s: float = 2.0
 
     @property
     def update_s(self):
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -8,6 +8,8 @@
 
 from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web as adapters
+from sycamoreshed.buffering import budget
+from sycamoreshed.buffering import slowreaders
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client as clients
 from sycamoreshed.kernel import kernel
@@ -15,6 +17,10 @@
 
 __all__ = ["CallServer"]
 
+# An instance gives up a caller that does not read, and ends its call then.
+# This is for an instance that does not.
+PATIENCE_FACTOR = 1.5
+
 
 class CallServer:
     """Handles the calls that other instances want to have sent.
@@ -35,6 +41,10 @@
     stopping : asyncio.Event
     journal : Journal
     clock : callable
+    buffers : BufferBudget
+    slow_readers : SlowReaders, optional
+    slow_reader_s : float
+        See `Settings`.
     """
 
     def __init__(
@@ -49,6 +59,9 @@
         stopping,
         journal,
         clock,
+        buffers,
+        slow_readers=None,
+        slow_reader_s=0.0,
     ):
         self._catalog = catalog
         self._client = client
@@ -59,9 +72,19 @@
         self._stopping = stopping
         self._journal = journal
         self._clock = clock
+        self._buffers = buffers
+        self._slow_readers = slow_readers
+        self._patience_s = PATIENCE_FACTOR * slow_reader_s
 
     async def handle(self, http):
         """Send a call, and return the endpoint's answer or a refusal."""
+        with self._buffers.open() as hold:
+            if not hold.try_add(budget.Content.CALL, http.content_length or 0):
+                refusal = _not_sent("no memory for the call", try_others=True)
+                return self._refuse(None, refusal)
+            return await self._handle(http)
+
+    async def _handle(self, http):
         # `http.read` has a limit, which bodies of callers may exceed.
         call, body = wire.decode_call(await bodies.read(http))
         endpoint = self._catalog.endpoint(call.endpoint)
@@ -163,6 +186,12 @@
         if length is not None:
             answer.content_length = int(length)
         await answer.prepare(http)
+        peer = slowreaders.Peer(
+            http=http,
+            request=call.request,
+            clock=self._clock,
+            slow_readers=self._slow_readers,
+        )
         why = None
         size = 0
         try:
@@ -170,7 +199,8 @@
                 for number in calls:
                     self._crashes.record_data(endpoint, number)
                 size += len(data)
-                await answer.write(data)
+                with peer.watch(self._patience_s):
+                    await answer.write(data)
         except adapters.TRANSPORT_ERRORS as err:
             why = adapters.describe(err)
         if why is None and clients.is_truncated(response):
@@ -211,8 +241,8 @@
     def _refuse(self, call, refusal):
         self._journal.write(
             "not_sent_for_other",
-            request=call.request,
-            endpoint=call.endpoint,
+            request=call and call.request,
+            endpoint=call and call.endpoint,
             why=refusal.reason,
             sent=refusal.sent,
         )
@@ -236,6 +266,7 @@
 @kernel.plugin(
     "call_server",
     needs=(
+        "buffers",
         "catalog",
         "crashes",
         "endpoint_client",
@@ -243,6 +274,7 @@
         "notices",
         "platform",
         "reachability",
+        "slow_readers",
     ),
 )
 async def call_server(core):
@@ -257,4 +289,7 @@
         stopping=core.stopping,
         journal=core.part("journal"),
         clock=core.clock,
+        buffers=core.part("buffers"),
+        slow_readers=core.part("slow_readers"),
+        slow_reader_s=core.settings.slow_reader_s,
     )
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -8,6 +8,7 @@
 import multidict
 
 from standins import scripted
+from sycamoreshed.buffering import budget
 from sycamoreshed.catalog import rests
 from sycamoreshed.catalog import types
 from sycamoreshed.findings import board
@@ -107,6 +108,7 @@
             stopping=self.stopping,
             journal=self.journal,
             clock=asyncio.get_running_loop().time,
+            buffers=budget.BufferBudget(),
         )
         self._runner = None
         self.control = None
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -344,6 +344,18 @@
         "request, route, took_s",
         "the caller closed its connection",
     ),
+    "send_queue_unknown": Event(
+        EventClass.STATE,
+        "why",
+        "the system does not tell what callers have not taken yet; only what "
+        "this process holds for them counts then",
+    ),
+    "slow_reader": Event(
+        EventClass.FAILURE,
+        "request, bytes, waited_s",
+        "the caller, or the instance that asked for a call, was given up: it "
+        "read nothing; how many bytes it had not taken",
+    ),
     "table_stale": Event(
         EventClass.STATE,
         "table, age_s, version, store_fails",
