Give up those that read nothing for longest while memory is short

Cause: the buffers of each connection between an endpoint and a caller that does not read were bounded, but not how many there are.

The sockets of callers and of calls to endpoints have buffers of 64 KB, and 16 KB are read ahead of an answer. Callers that have read nothing since the last check count with 256 KB each in the budget. While it is exceeded those that have waited longest are given up after half a second instead of two.

--- a/sycamoreshed/buffering/budget.py
+++ b/sycamoreshed/buffering/budget.py
@@ -23,6 +23,8 @@
     ANSWER = "answer"
     # Of a request that another instance wants to have sent.
     CALL = "call"
+    # Buffers of connections whose peer does not read.
+    CONNECTION = "connection"
 
 
 def max_bytes(memory_mb):
@@ -75,6 +77,17 @@
         """Return the bytes that are held, by content."""
         return {str(content): self._held[content] for content in Content}
 
+    @property
+    def excess(self):
+        """Bytes that are held beyond the limit, or 0."""
+        if self._max_bytes is None:
+            return 0
+        return max(0, self._held.total() - self._max_bytes)
+
+    def set_held(self, content, size):
+        """Set the bytes that are held of one kind of content."""
+        self._held[content] = size
+
     def open(self):
         """Return a `Hold` for one request, a context manager."""
         return Hold(budget=self)
--- a/sycamoreshed/buffering/slowreaders.py
+++ b/sycamoreshed/buffering/slowreaders.py
@@ -12,11 +12,18 @@
 import termios
 import typing
 
+from sycamoreshed.buffering import budget
 from sycamoreshed.kernel import kernel
 
 __all__ = ["Peer", "SlowReaders", "Writing", "queued_bytes"]
 
 CHECK_INTERVAL_S = 0.25
+# While more is held than allowed, those that have read nothing for longest are
+# given up, but not before this time.
+MIN_PATIENCE_S = 0.5
+# Largest part of what the buffers between an endpoint and a peer that does not
+# read hold in this process.
+CONNECTION_BYTES = 256 * 1024
 
 
 class Writing(typing.NamedTuple):
@@ -62,14 +69,18 @@
     Parameters
     ----------
     journal : Journal
+    buffers : BufferBudget
     on_given_up : callable, optional
         Called without arguments for each peer that is given up.
     read_queued : callable, optional
         As `queued_bytes`.
     """
 
-    def __init__(self, *, journal, on_given_up=None, read_queued=queued_bytes):
+    def __init__(
+        self, *, journal, buffers, on_given_up=None, read_queued=queued_bytes
+    ):
         self._journal = journal
+        self._buffers = buffers
         self._on_given_up = on_given_up
         self._read_queued = read_queued
         self._is_told = True
@@ -85,23 +96,51 @@
 
     def check(self, now):
         """Give up the peers that have read nothing for too long."""
+        stalled = self._stalled(now)
+        kept = []
+        for peer, writing in stalled:
+            if now - writing.since >= writing.patience_s:
+                self._give_up(peer, writing, now)
+            else:
+                kept.append((peer, writing))
+        self._buffers.set_held(
+            budget.Content.CONNECTION, len(kept) * CONNECTION_BYTES
+        )
+        excess = self._buffers.excess
+        for peer, writing in kept:
+            if excess <= 0 or now - writing.since < MIN_PATIENCE_S:
+                break
+            self._give_up(peer, writing, now)
+            excess -= CONNECTION_BYTES
+
+    def _stalled(self, now):
+        """Return those that have read nothing since the last check.
+
+        The ones that have waited longest come first.
+        """
+        stalled = []
         for peer, writing in list(self._writing.items()):
             pending = self._pending(peer.transport)
             if writing.pending is None or pending < writing.pending:
                 self._writing[peer] = writing._replace(
                     since=now, pending=pending
                 )
-            elif now - writing.since >= writing.patience_s:
-                self.end(peer)
-                self._journal.write(
-                    "slow_reader",
-                    request=peer.request,
-                    bytes=pending,
-                    waited_s=round(now - writing.since, 2),
-                )
-                if self._on_given_up is not None:
-                    self._on_given_up()
-                peer.give_up()
+            else:
+                stalled.append((peer, writing))
+        return sorted(stalled, key=lambda each: each[1].since)
+
+    def _give_up(self, peer, writing, now):
+        self.end(peer)
+        self._journal.write(
+            "slow_reader",
+            request=peer.request,
+            bytes=writing.pending,
+            waited_s=round(now - writing.since, 2),
+            excess=self._buffers.excess,
+        )
+        if self._on_given_up is not None:
+            self._on_given_up()
+        peer.give_up()
 
     def _pending(self, transport):
         """Return the bytes that the peer has not taken."""
@@ -171,7 +210,7 @@
             self._slow_readers.end(self)
 
 
-@kernel.plugin("slow_readers", needs=("gateway_metrics", "journal"))
+@kernel.plugin("slow_readers", needs=("buffers", "gateway_metrics", "journal"))
 async def slow_readers(core):
     """Provide the `SlowReaders`, or None without a limit of memory."""
     if core.settings.memory_mb is None:
@@ -179,6 +218,7 @@
         return
     part = SlowReaders(
         journal=core.part("journal"),
+        buffers=core.part("buffers"),
         on_given_up=core.part("gateway_metrics").record_slow_reader,
     )
     core.keep_running(lambda: part.run(core.clock), name="give up readers")
--- a/sycamoreshed/buffering/tests/test_slowreaders.py
+++ b/sycamoreshed/buffering/tests/test_slowreaders.py
@@ -1,5 +1,6 @@
 import itertools
 
+from sycamoreshed.buffering import budget
 from sycamoreshed.buffering import slowreaders
 from testkit import journals
 
@@ -27,9 +28,11 @@
         self.is_given_up = True
 
 
-def make_readers(read_queued=lambda _transport: 0):
+def make_readers(read_queued=lambda _transport: 0, max_bytes=None):
     return slowreaders.SlowReaders(
-        journal=journals.Journal(), read_queued=read_queued
+        journal=journals.Journal(),
+        buffers=budget.BufferBudget(max_bytes=max_bytes),
+        read_queued=read_queued,
     )
 
 
@@ -81,3 +84,18 @@
     readers = make_readers(read_queued=fail)
     assert given_up_at(readers, _Peer(pending=1000)) == 2
     assert readers._journal.names().count("send_queue_unknown") == 1
+
+
+def test_those_that_wait_longest_make_room():
+    """Many callers that stopped at once filled the memory in their time."""
+    readers = make_readers(max_bytes=slowreaders.CONNECTION_BYTES)
+    peers = [_Peer(pending=1000) for _ in range(3)]
+    for number, peer in enumerate(peers):
+        readers.begin(peer, 0.0, patience_s=9.0)
+        readers.check(0.1 * number)
+    readers.check(0.55)
+    assert [each.is_given_up for each in peers] == [True, False, False]
+    readers.check(1.0)
+    assert [each.is_given_up for each in peers] == [True, True, False]
+    readers.check(2.0)
+    assert [each.is_given_up for each in peers] == [True, True, False]
--- a/sycamoreshed/forwarding/answers.py
+++ b/sycamoreshed/forwarding/answers.py
@@ -13,7 +13,7 @@
 # An answer is read as a whole up to this size.  Until then a request whose
 # answer breaks off can be sent to another endpoint.
 MAX_START_BYTES = 256 * 1024
-CHUNK_BYTES = 64 * 1024
+CHUNK_BYTES = 32 * 1024
 # Lowest status that tells of an error.
 _ERROR_STATUS = 400
 
@@ -136,9 +136,7 @@
         if not data:
             break
         tries.record_data(opened.endpoint)
-        hold.add(budget.Content.ANSWER, len(data))
         await sink.send(data)
-        hold.remove(budget.Content.ANSWER, len(data))
     if client.is_truncated(response):
         return _broken("answer without length was reset")
     return None
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -29,8 +29,10 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
 # Bytes of an answer that are read ahead while its caller does not read, if
-# this instance's memory is limited.  A single read may add more.
-READ_AHEAD_BYTES = 32 * 1024
+# this instance's memory is limited.  A single read may add what is in the
+# socket's buffer.
+READ_AHEAD_BYTES = 16 * 1024
+SOCKET_BUFFER_BYTES = 64 * 1024
 # Maximum idle time of a pooled connection.  Endpoints close idle connections
 # after a few seconds; under load a pooled connection is used several times a
 # second.
@@ -245,6 +247,13 @@
     return kinds.Failure(kind, web.describe(error), sent=sent)
 
 
+def open_small_socket(address_info):
+    """Return a socket like `open_socket`, with a small receive buffer."""
+    sock = open_socket(address_info)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    return sock
+
+
 def open_socket(address_info):
     """Return a socket that detects that the peer host is unreachable."""
     family, kind, proto, _, _ = address_info
@@ -270,7 +279,11 @@
         Whether little is held in the buffers of connections.
     """
     read_bufsize = READ_AHEAD_BYTES if saves_memory else DEFAULT_CHUNK_SIZE
-    unpooled = Connector(limit=0, force_close=True, socket_factory=open_socket)
+    unpooled = Connector(
+        limit=0,
+        force_close=True,
+        socket_factory=open_small_socket if saves_memory else open_socket,
+    )
     pooling = Connector(
         limit=0, keepalive_timeout=MAX_IDLE_S, socket_factory=open_socket
     )
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -25,9 +25,9 @@
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 ACCEPT_S = 3.2
-# Bytes that the system holds for a caller that does not read, and that are
-# read ahead of a caller's body, if this instance's memory is limited.
-SEND_BUFFER_BYTES = 128 * 1024
+# Bytes that the system holds for each direction of a caller's connection, and
+# that are read ahead of its body, if this instance's memory is limited.
+SOCKET_BUFFER_BYTES = 64 * 1024
 READ_AHEAD_BYTES = 32 * 1024
 # Part of the grace period that is reserved for writing the last responses.
 WRITE_MARGIN_S = 0.6
@@ -55,10 +55,11 @@
     options = {}
     if core.settings.memory_mb is not None:
         options["read_bufsize"] = READ_AHEAD_BYTES
-        # Connections inherit it.
-        sockets["public"].setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
-        )
+        # Connections inherit them.
+        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            sockets["public"].setsockopt(
+                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+            )
 
     def make_server(name, max_connections, limits):
         return functools.partial(
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -352,9 +352,10 @@
     ),
     "slow_reader": Event(
         EventClass.FAILURE,
-        "request, bytes, waited_s",
+        "request, bytes, waited_s, excess",
         "the caller, or the instance that asked for a call, was given up: it "
-        "read nothing; how many bytes it had not taken",
+        "read nothing; how many bytes it had not taken, and how many were "
+        "held beyond the limit",
     ),
     "table_stale": Event(
         EventClass.STATE,
