--- a/sycamoreshed/forwarding/tests/test_client.py
+++ b/sycamoreshed/forwarding/tests/test_client.py
@@ -6,6 +6,8 @@
 import aiohttp
 import pytest
 
+from standins import scripted
+from sycamoreshed.buffering import payloads
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client
 
@@ -152,3 +154,21 @@
         ]
     assert all(isinstance(each, kinds.Failure) for each in answers)
     assert all(each.sent for each in answers)
+
+
+@pytest.mark.parametrize("size", [10, payloads.SLICE_BYTES * 3 + 1])
+async def test_body_that_is_sent_in_slices_is_the_same_request(size):
+    """Endpoints got chunks instead of a length, or other headers."""
+    endpoint = scripted.Endpoint(lambda _seen: [ANSWER])
+    await endpoint.start()
+    body = bytes(range(250)) * (size // 250 + 1)
+    for saves_memory in (False, True):
+        async with client.open_client(saves_memory=saves_memory) as sender:
+            response = await sender.send(
+                "POST", endpoint.address, "/", {}, body, timeout_s=5.0
+            )
+            response.close()
+    plain, sliced = endpoint.seen
+    assert sliced == plain
+    assert sliced.body == body
+    await endpoint.stop()
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -5,6 +5,7 @@
 import pytest
 
 from standins import scripted
+from sycamoreshed.buffering import budget
 from sycamoreshed.catalog import rests
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client as clients
@@ -74,6 +75,26 @@
     assert set(events) == {"not_sent_for_other"}
 
 
+async def test_long_requests_of_others_are_refused_while_memory_is_short():
+    """An instance that helps others was killed for what it held for them."""
+    long_body = b"x" * 500_000
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            each.server._buffers = budget.BufferBudget(max_bytes=100_000)
+        refused = await builders.send(system, body=long_body)
+        assert isinstance(refused, kinds.Failure) and not refused.sent
+        assert not system.server.seen
+    async with builders.running(answer) as system:
+        system.helpers[0].server._buffers = budget.BufferBudget(max_bytes=0)
+        response = await builders.send(system, body=long_body)
+        response.close()
+        (received,) = system.server.seen
+        assert received.body == long_body
+        response = await builders.send(system, body=b"short")
+        response.close()
+        assert len(system.server.seen) == 2
+
+
 async def test_a_request_that_crashes_endpoints_is_not_sent_for_others():
     async with builders.running(answer) as system:
         for each in system.helpers:
