Break off answers without end also where they are passed on

Cause: with `memory_mb` an answer of more than 16 MB was passed on until the deadline, while it is refused with 502 where answers are read whole.

One whose length is over 16 MB is refused at once as before; one without a length is broken off after 16 MB.

--- a/sycamoreshed/forwarding/answers.py
+++ b/sycamoreshed/forwarding/answers.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web
 from sycamoreshed.buffering import budget
 from sycamoreshed.errors import kinds
@@ -38,6 +39,10 @@
     -------
     FullAnswer, Start or Failure
     """
+    length = response.content_length
+    if length is not None and length > bodies.MAX_BODY_BYTES:
+        response.close()
+        return _broken(f"answer of {length} bytes is too large")
     chunks = []
     is_begun = False
     try:
@@ -121,8 +126,9 @@
     tries.record_data(opened.endpoint)
     await sink.begin(response, length=response.content_length)
     await sink.send(opened.start.body)
-    hold.remove(budget.Content.ANSWER, len(opened.start.body))
-    while True:
+    size = len(opened.start.body)
+    hold.remove(budget.Content.ANSWER, size)
+    while size <= bodies.MAX_BODY_BYTES:
         remaining_s = max(0.001, request.deadline - parts.clock())
         try:
             async with timeouts.time_limit(remaining_s):
@@ -134,12 +140,13 @@
         except web.TRANSPORT_ERRORS as err:
             return _broken(web.describe(err))
         if not data:
-            break
+            if client.is_truncated(response):
+                return _broken("answer without length was reset")
+            return None
+        size += len(data)
         tries.record_data(opened.endpoint)
         await sink.send(data)
-    if client.is_truncated(response):
-        return _broken("answer without length was reset")
-    return None
+    return _broken(f"answer is too large after {size} bytes")
 
 
 def _broken(reason):
