Keep room for answers beside bodies, and describe slow readers

Bodies could use up the whole budget; each caller that paused for half a second was then given up to make room. A quarter of it is now left for answers and connections.

Only writes that may wait are watched: those that the connection takes at once cost a look at its buffer. Whether the sizes of sockets' buffers can be set is tried once at the start and logged if not.

Tests of log lines wait until the line is written: one found no `broken` line right after its caller had seen the end.

--- a/sycamoreshed/buffering/budget.py
+++ b/sycamoreshed/buffering/budget.py
@@ -11,6 +11,9 @@
 # Share of an instance's memory that bodies and answers may use.  The rest is
 # for the program and for the buffers of connections.
 BUFFER_SHARE = 0.25
+# Share of that which may be used up for requests to be accepted with more than
+# a small body; the rest is for answers.
+BODY_SHARE = 0.75
 # A body or answer up to this size is always taken: how many there are is
 # limited by the number of connections.
 SMALL_BYTES = 16 * 1024
@@ -52,7 +55,7 @@
     --------
     >>> budget = BufferBudget(max_bytes=100_000)
     >>> with budget.open() as first, budget.open() as second:
-    ...     taken = first.try_add(Content.BODY, 90_000)
+    ...     taken = first.try_add(Content.BODY, 70_000)
     ...     small = second.try_add(Content.BODY, 16_000)
     ...     taken, small, second.try_add(Content.BODY, 1000)
     (True, True, False)
@@ -92,11 +95,12 @@
         """Return a `Hold` for one request, a context manager."""
         return Hold(budget=self)
 
-    def has_room(self, size):
+    def has_room(self, content, size):
         """Return whether a number of bytes may be held in addition."""
         if self._max_bytes is None:
             return True
-        return self._held.total() + size <= self._max_bytes
+        share = 1.0 if content is Content.ANSWER else BODY_SHARE
+        return self._held.total() + size <= share * self._max_bytes
 
     def add(self, content, size):
         """Record that bytes are held, or, if negative, no more."""
@@ -137,7 +141,7 @@
         """
         if self._sizes[content] + size <= SMALL_BYTES:
             return True
-        return self._budget.has_room(size)
+        return self._budget.has_room(content, size)
 
     def try_add(self, content, size):
         """Add bytes if the budget allows them; return whether it does."""
--- a/sycamoreshed/buffering/slowreaders.py
+++ b/sycamoreshed/buffering/slowreaders.py
@@ -24,6 +24,9 @@
 # Largest part of what the buffers between an endpoint and a peer that does not
 # read hold in this process.
 CONNECTION_BYTES = 256 * 1024
+# A connection's write buffer, from which on writes wait, is larger than this
+# and the framing of a part together.
+FREE_BUFFER_BYTES = 32 * 1024
 
 
 class Writing(typing.NamedTuple):
@@ -197,9 +200,30 @@
         if self.transport is not None:
             self.transport.abort()
 
+    async def write(self, response, data, *, patience_s):
+        """Write a part of a response; give up a peer that does not read."""
+        if self._takes(len(data)):
+            await response.write(data)
+            return
+        with self._watch(patience_s):
+            await response.write(data)
+
+    async def write_eof(self, response, *, patience_s):
+        """Write the end of a response, and wait until it is read."""
+        with self._watch(patience_s):
+            await response.write_eof()
+
+    def _takes(self, size):
+        """Return whether a write of some bytes cannot wait for the peer."""
+        transport = self.transport
+        return (
+            transport is not None
+            and not self._http.protocol.writing_paused
+            and transport.get_write_buffer_size() + size <= FREE_BUFFER_BYTES
+        )
+
     @contextlib.contextmanager
-    def watch(self, patience_s):
-        """Give up the peer if it does not read during a block."""
+    def _watch(self, patience_s):
         if self._slow_readers is None:
             yield
             return
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -13,6 +13,7 @@
 from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import web
 from sycamoreshed.buffering import payloads
+from sycamoreshed.buffering import sockets
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.kernel import timeouts
@@ -32,7 +33,6 @@
 # this instance's memory is limited.  A single read may add what is in the
 # socket's buffer.
 READ_AHEAD_BYTES = 16 * 1024
-SOCKET_BUFFER_BYTES = 64 * 1024
 # Maximum idle time of a pooled connection.  Endpoints close idle connections
 # after a few seconds; under load a pooled connection is used several times a
 # second.
@@ -247,14 +247,7 @@
     return kinds.Failure(kind, web.describe(error), sent=sent)
 
 
-def open_small_socket(address_info):
-    """Return a socket like `open_socket`, with a small receive buffer."""
-    sock = open_socket(address_info)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-    return sock
-
-
-def open_socket(address_info):
+def open_socket(address_info, *, buffer_bytes=None):
     """Return a socket that detects that the peer host is unreachable."""
     family, kind, proto, _, _ = address_info
     sock = socket.socket(family=family, type=kind, proto=proto)
@@ -266,23 +259,28 @@
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    sockets.set_sizes(sock, buffer_bytes)
     return sock
 
 
 @contextlib.asynccontextmanager
-async def open_client(*, saves_memory=False):
+async def open_client(*, saves_memory=False, buffer_bytes=None):
     """Open an `EndpointClient`; close its connections on exit.
 
     Parameters
     ----------
     saves_memory : bool
         Whether little is held in the buffers of connections.
+    buffer_bytes : int, optional
+        Size of each buffer of sockets.
     """
     read_bufsize = READ_AHEAD_BYTES if saves_memory else DEFAULT_CHUNK_SIZE
     unpooled = Connector(
         limit=0,
         force_close=True,
-        socket_factory=open_small_socket if saves_memory else open_socket,
+        socket_factory=functools.partial(
+            open_socket, buffer_bytes=buffer_bytes
+        ),
     )
     pooling = Connector(
         limit=0, keepalive_timeout=MAX_IDLE_S, socket_factory=open_socket
@@ -320,9 +318,11 @@
     return session
 
 
-@kernel.plugin("endpoint_client", needs=("sockets",))
+@kernel.plugin("endpoint_client", needs=("socket_buffers", "sockets"))
 async def endpoint_client(core):
     """Provide the `EndpointClient`."""
     saves_memory = core.settings.memory_mb is not None
-    async with open_client(saves_memory=saves_memory) as client:
+    async with open_client(
+        saves_memory=saves_memory, buffer_bytes=core.part("socket_buffers")
+    ) as client:
         yield client
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import functools
-import socket
 
 from aiohttp import web
 
+from sycamoreshed.buffering import sockets as buffering
 from sycamoreshed.catalog import types
 from sycamoreshed.entry import connections
 from sycamoreshed.entry import limitedserver
@@ -25,9 +25,8 @@
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 ACCEPT_S = 3.2
-# Bytes that the system holds for each direction of a caller's connection, and
-# that are read ahead of its body, if this instance's memory is limited.
-SOCKET_BUFFER_BYTES = 64 * 1024
+# Bytes that are read ahead of a caller's body, if this instance's memory is
+# limited.
 READ_AHEAD_BYTES = 32 * 1024
 # Part of the grace period that is reserved for writing the last responses.
 WRITE_MARGIN_S = 0.6
@@ -41,6 +40,7 @@
         "gateway_metrics",
         "handler",
         "inner",
+        "socket_buffers",
         "sockets",
         "journal",
     ),
@@ -52,14 +52,11 @@
         core.settings.max_descriptors
     )
     shares = connections.descriptor_shares(max_descriptors)
+    # Connections inherit them.
+    buffering.set_sizes(sockets["public"], core.part("socket_buffers"))
     options = {}
     if core.settings.memory_mb is not None:
         options["read_bufsize"] = READ_AHEAD_BYTES
-        # Connections inherit them.
-        for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
-            sockets["public"].setsockopt(
-                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
-            )
 
     def make_server(name, max_connections, limits):
         return functools.partial(
--- a/sycamoreshed/gateway/sinks.py
+++ b/sycamoreshed/gateway/sinks.py
@@ -54,10 +54,8 @@
         """Send a part of the body."""
         if patience_s is None:
             patience_s = self._patience_s
-        with self.peer.watch(patience_s):
-            await self.response.write(data)
+        await self.peer.write(self.response, data, patience_s=patience_s)
 
     async def end(self, *, patience_s):
         """Send the end of the body, and wait until the caller reads it."""
-        with self.peer.watch(patience_s):
-            await self.response.write_eof()
+        await self.peer.write_eof(self.response, patience_s=patience_s)
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -199,8 +199,7 @@
                 for number in calls:
                     self._crashes.record_data(endpoint, number)
                 size += len(data)
-                with peer.watch(self._patience_s):
-                    await answer.write(data)
+                await peer.write(answer, data, patience_s=self._patience_s)
         except adapters.TRANSPORT_ERRORS as err:
             why = adapters.describe(err)
         if why is None and clients.is_truncated(response):
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -344,6 +344,12 @@
         "request, route, took_s",
         "the caller closed its connection",
     ),
+    "socket_buffers_fixed": Event(
+        EventClass.STATE,
+        "why",
+        "the system does not let the sizes of sockets' buffers be set; a "
+        "peer that does not read takes up more memory then",
+    ),
     "send_queue_unknown": Event(
         EventClass.STATE,
         "why",
--- a/tests/integration/test_slow_readers.py
+++ b/tests/integration/test_slow_readers.py
@@ -171,6 +171,7 @@
         slow_callers(gateway),
     ):
         await until(lambda: engine.left == 1)
+        await until(lambda: gateway.events("slow_reader"))
         (event,) = gateway.events("slow_reader")
         assert event["waited_s"] >= SLOW_READER_S
         assert not gateway.events("caller_left")
@@ -217,6 +218,7 @@
     ):
         with pytest.raises(aiohttp.ClientPayloadError):
             await harness.call(session, gateway, headers=head())
+        await until(lambda: gateway.events("broken"))
         (event,) = gateway.events("broken")
         assert event["why"].startswith("answer is too large")
 
@@ -232,4 +234,4 @@
     ):
         with pytest.raises(aiohttp.ClientPayloadError):
             await harness.call(session, gateway, url="http://{}" + PATH)
-        assert gateway.events("broken")
+        await until(lambda: gateway.events("broken"))
