Test that an instance that does not read an answer is given up

The instance that sends a call for another one passes the answer on with back pressure; one that froze would have held up the engine through it.

--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -6,6 +6,7 @@
 
 from standins import scripted
 from sycamoreshed.buffering import budget
+from sycamoreshed.buffering import slowreaders
 from sycamoreshed.catalog import rests
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import client as clients
@@ -19,6 +20,7 @@
 LONG_S = 30.0
 AT_ONCE_S = 0.3
 MANY = indirect.MAX_REFUSALS
+MAX_CHECKS = 2000
 
 
 def answer(_received):
@@ -95,6 +97,30 @@
         assert len(system.server.seen) == 2
 
 
+async def test_an_instance_that_does_not_read_an_answer_is_given_up():
+    """An instance that froze held up an engine through another instance."""
+
+    def endless(_received):
+        yield scripted.stream_head()
+        while True:
+            yield b"x" * 100_000
+
+    async with builders.running(endless) as system:
+        readers = slowreaders.SlowReaders(
+            journal=system.helpers[0].journal, buffers=budget.BufferBudget()
+        )
+        system.helpers[0].server._slow_readers = readers
+        response = await builders.send(system)
+        for now in range(MAX_CHECKS):
+            readers.check(float(now))
+            await asyncio.sleep(0.01)
+            if system.server.left:
+                break
+        assert system.server.left
+        assert "slow_reader" in system.helpers[0].journal.names()
+        response.close()
+
+
 async def test_a_request_that_crashes_endpoints_is_not_sent_for_others():
     async with builders.running(answer) as system:
         for each in system.helpers:
