Give up no caller that has nothing left to read

Cause: a write whose connection is gone has nothing pending, at each check the same, and was logged as a slow reader until its handler had ended.

--- a/sycamoreshed/buffering/slowreaders.py
+++ b/sycamoreshed/buffering/slowreaders.py
@@ -124,7 +124,8 @@
         stalled = []
         for peer, writing in list(self._writing.items()):
             pending = self._pending(peer.transport)
-            if writing.pending is None or pending < writing.pending:
+            last = writing.pending
+            if not pending or last is None or pending < last:
                 self._writing[peer] = writing._replace(
                     since=now, pending=pending
                 )
--- a/sycamoreshed/buffering/tests/test_slowreaders.py
+++ b/sycamoreshed/buffering/tests/test_slowreaders.py
@@ -75,6 +75,11 @@
     assert not peer.is_given_up
 
 
+def test_a_caller_that_has_taken_everything_is_not_given_up():
+    """A caller was given up while nothing was left for it to read."""
+    assert given_up_at(make_readers(), _Peer(pending=0)) is None
+
+
 def test_a_system_that_does_not_tell_its_queue_is_logged_once():
     """Each check wrote a line where the system does not tell the queue."""
 
