--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from sycamoreshed.buffering import sockets as buffering
 from sycamoreshed.catalog import types
 from sycamoreshed.entry import connections
 from sycamoreshed.entry import limitedserver
@@ -24,6 +25,9 @@
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 ACCEPT_S = 3.2
+# Bytes that are read ahead of a caller's body, if this instance's memory is
+# limited.
+READ_AHEAD_BYTES = 32 * 1024
 # Part of the grace period that is reserved for writing the last responses.
 WRITE_MARGIN_S = 0.6
 POLL_S = 0.02
@@ -36,6 +40,7 @@
         "gateway_metrics",
         "handler",
         "inner",
+        "socket_buffers",
         "sockets",
         "journal",
     ),
@@ -47,6 +52,11 @@
         core.settings.max_descriptors
     )
     shares = connections.descriptor_shares(max_descriptors)
+    # Connections inherit them.
+    buffering.set_sizes(sockets["public"], core.part("socket_buffers"))
+    options = {}
+    if core.settings.memory_mb is not None:
+        options["read_bufsize"] = READ_AHEAD_BYTES
 
     def make_server(name, max_connections, limits):
         return functools.partial(
@@ -63,6 +73,7 @@
             auto_decompress=False,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            **options,
         )
 
     of_callers = functools.partial(_caller_limits, core.part("catalog"))
--- a/sycamoreshed/gateway/settings.py
+++ b/sycamoreshed/gateway/settings.py
@@ -38,6 +38,8 @@
     max_control_bytes: typing.NotRequired[schema.PositiveInt]
     max_descriptors: typing.NotRequired[schema.PositiveInt]
     share_engine_load: typing.NotRequired[bool]
+    memory_mb: typing.NotRequired[schema.PositiveInt]
+    slow_reader_s: typing.NotRequired[schema.NonNegative]
 
 
 class Settings(typing.NamedTuple):
@@ -92,6 +94,12 @@
         not set.
     share_engine_load : bool
         Whether instances tell each other what they have at engines.
+    memory_mb : int or None
+        Memory that this instance may use.  A share of it is for the bodies
+        and answers of all requests; without it they have no limit.
+    slow_reader_s : float
+        Seconds after which a caller that reads nothing of an answer that is
+        still being made is given up, if `memory_mb` is set.
     """
 
     instance: str
@@ -119,6 +127,8 @@
     max_control_bytes: int = 1 << 26
     max_descriptors: int | None = None
     share_engine_load: bool = True
+    memory_mb: int | None = None
+    slow_reader_s: float = 2.0
 
     @property
     def update_s(self):
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -383,6 +383,25 @@
         "request, route, took_s",
         "the caller closed its connection",
     ),
+    "socket_buffers_fixed": Event(
+        EventClass.STATE,
+        "why",
+        "the system does not let the sizes of sockets' buffers be set; a "
+        "peer that does not read takes up more memory then",
+    ),
+    "send_queue_unknown": Event(
+        EventClass.STATE,
+        "why",
+        "the system does not tell what callers have not taken yet; only what "
+        "this process holds for them counts then",
+    ),
+    "slow_reader": Event(
+        EventClass.FAILURE,
+        "request, bytes, waited_s, excess",
+        "the caller, or the instance that asked for a call, was given up: it "
+        "read nothing; how many bytes it had not taken, and how many were "
+        "held beyond the limit",
+    ),
     "table_stale": Event(
         EventClass.STATE,
         "table, age_s, version, store_fails",
