--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -421,12 +421,15 @@
             tried=self._tried,
             find=self._choose,
         )
-        if wanted is None or not wanted.list_endpoints(now):
+        if wanted is None:
             return choice
-        room = parts.engine_room
-        if choice is not None and not room.is_waited_for(request, now):
+        if choice is None:
+            # Room is no help if there is no endpoint for another reason.
+            if self._choose(now, counts_room=False) is None:
+                return None
+        elif not parts.engine_room.is_waited_for(request, now):
             return choice
-        result = await room.wait(wanted)
+        result = await parts.engine_room.wait(wanted)
         if isinstance(result, kinds.Failure):
             return result._replace(sent=self._may_have_run)
         return result
@@ -445,7 +448,7 @@
         )
         return missing.get(endpoint) == 0
 
-    def _choose(self, now, excluded=()):
+    def _choose(self, now, excluded=(), *, counts_room=True):
         parts, request = self._parts, self._request
         service = self._service
         max_in_flight = math.inf
@@ -466,7 +469,7 @@
             result_bytes=self._result_bytes,
             max_in_flight=max_in_flight,
             needed=work.of_request(request),
-            engine=self._engine_spec,
+            engine=self._engine_spec if counts_room else None,
         )
 
     def _log_choice(self, choice, now):
--- a/sycamoreshed/forwarding/tests/test_engineroom.py
+++ b/sycamoreshed/forwarding/tests/test_engineroom.py
@@ -200,6 +200,22 @@
     virtualtime.run(main())
 
 
+def test_request_does_not_wait_for_memory_if_connections_are_used_up():
+    """A request waited for room that was there, and got no other instance."""
+
+    async def main():
+        parts = full_parts(held=(0,) * 4)
+        for endpoint in parts.catalog.endpoints(None, 0.0):
+            for _ in range(100):
+                parts.placer.record_start(endpoint)
+        tries = attempts.Attempts(request=request_of(500), parts=parts)
+        result = await tries.open()
+        assert result.kind is kinds.Kind.NO_ENDPOINT
+        assert asyncio.get_running_loop().time() == 0.0
+
+    virtualtime.run(main())
+
+
 def test_request_without_room_in_time_runs_no_stages():
     """Stages worked for requests that no engine had room for in time."""
 
