--- a/sycamoreshed/engineload/work.py
+++ b/sycamoreshed/engineload/work.py
@@ -53,7 +53,11 @@
         >>> Load(1, 200, 300).plus(Load(2, 0, 50))
         Load(requests=3, unread_tokens=200, held_tokens=350)
         """
-        return Load(*map(sum, zip(self, other, strict=True)))
+        return Load(
+            self.requests + other.requests,
+            self.unread_tokens + other.unread_tokens,
+            self.held_tokens + other.held_tokens,
+        )
 
 
 NO_LOAD = Load()
