Count an engine's slowness once in the expected time of a choice

The cost of a request at an engine contains the engine's slowness, and so does the learnt time for a token of a prompt: the time that the log line of a choice tells was slowness times too long. No decision uses it.

--- a/sycamoreshed/forwarding/engineloads.py
+++ b/sycamoreshed/forwarding/engineloads.py
@@ -115,7 +115,10 @@
     def seconds(self, endpoint, cost_tokens, now):
         """Return the time of a cost at an engine, or None if not known."""
         token_s = self._speeds.prompt_token_s(endpoint, now)
-        return None if token_s is None else token_s * cost_tokens
+        if token_s is None:
+            return None
+        # Both the time of a token and the cost contain the slowness.
+        return token_s * cost_tokens / self._speeds.slowness(endpoint, now)
 
     def candidates(self, endpoints, now, needed, engine, transfer_tokens):
         """Return the engines that have room for a request.
