Move the selection and the counts of attempts to modules of their own

The module of the attempts at a request had grown to 636 lines with the choice by all instances' load, the wait for room and the samples of speed. What selects the endpoint of the next attempt is in `selecting`, what counts a request at an endpoint while it is there in `occupancy`; `Attempts` keeps the order of attempts and their outcomes. No decision changes.

--- a/sycamoreshed/forwarding/answers.py
+++ b/sycamoreshed/forwarding/answers.py
@@ -123,7 +123,7 @@
 
 async def _pass_on(opened, tries, request, sink, parts):
     response, hold = opened.response, request.hold
-    tries.record_data(opened.endpoint)
+    tries.record_data()
     await sink.begin(response, length=response.content_length)
     await sink.send(opened.start.body)
     size = len(opened.start.body)
@@ -144,7 +144,7 @@
                 return _broken("answer without length was reset")
             return None
         size += len(data)
-        tries.record_data(opened.endpoint)
+        tries.record_data()
         await sink.send(data)
     return _broken(f"answer is too large after {size} bytes")
 
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -8,16 +8,12 @@
 route allows.
 """
 
-import math
-
-from sycamoreshed.engineload import samples
-from sycamoreshed.engineload import work
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import candidates
 from sycamoreshed.forwarding import exchanges
-from sycamoreshed.forwarding import placement
+from sycamoreshed.forwarding import occupancy
 from sycamoreshed.forwarding import rejections
-from sycamoreshed.forwarding import roomforecast
+from sycamoreshed.forwarding import selecting
 
 __all__ = ["Attempts"]
 
@@ -79,13 +75,12 @@
         self._locate_inputs = locate_inputs
         self._permitted = set(permitted)
         self._refused = frozenset(refused)
-        self._tried = set()
+        self._selection = selecting.Selection(
+            request=request, parts=parts, result_bytes=self._find_inputs
+        )
+        self._occupancy = occupancy.Occupancy(request=request, parts=parts)
         self._counted_attempts = 0
         self._may_have_run = False
-        self._call_number = None
-        self._load_number = None
-        self._sending = None
-        self._sent_at = None
         self.inputs_missing = False
 
     @property
@@ -110,7 +105,7 @@
         parts, request = self._parts, self._request
         last = None
         while True:
-            if self._engine_spec is not None:
+            if self._selection.engine is not None:
                 await parts.load_sharing.refresh(parts.clock())
             now = parts.clock()
             remaining_s = request.deadline - now
@@ -123,9 +118,11 @@
             )
             if rejected is not None:
                 return rejected
-            choice = await self._find(now, last_event_id)
+            choice = await self._selection.find(
+                now, begin_by=self._begin_by(last_event_id, now)
+            )
             if isinstance(choice, kinds.Failure):
-                return choice if last is None else last
+                return self._unsent(choice) if last is None else last
             waited_s = parts.clock() - now
             now += waited_s
             remaining_s -= waited_s
@@ -145,17 +142,25 @@
                 self._release.freed = False
                 # Endpoints may have joined or left meanwhile.
                 continue
-            choice = await self._acquire(choice, now, remaining_s)
+            choice = await self._selection.acquire(
+                choice,
+                now,
+                rejections.MAX_WAIT_SHARE * remaining_s,
+                permitted=self._permitted,
+                refused=self._refused,
+            )
             if isinstance(choice, kinds.Failure):
-                return choice if last is None else last
+                return self._unsent(choice) if last is None else last
             waited_s = parts.clock() - now
             now += waited_s
             remaining_s -= waited_s
-            if not self._is_available(choice.endpoint, now):
+            if not self._selection.is_available(choice.endpoint, now):
                 continue
-            if waited_s > 0 and not self._has_room(choice.endpoint, now):
+            if waited_s > 0 and not self._selection.has_room(
+                choice.endpoint, now
+            ):
                 continue
-            self._log_choice(choice, now)
+            self._selection.log(choice, now)
             result = await self._send(
                 choice,
                 request.deadline - now,
@@ -188,35 +193,25 @@
             What began the part of the stream that has been passed on.
         """
         self._request = self._request._replace(origin=origin)
+        self._selection.request = self._request
 
-    def record_data(self, endpoint):
-        """Record that an endpoint has sent a part of its answer."""
-        self._parts.crashes.record_data(endpoint, self._call_number)
-        self._parts.engine_load.ledger.record_answer_start(self._load_number)
+    def record_data(self):
+        """Record that the endpoint has sent a part of its answer."""
+        self._occupancy.record_data()
 
-    def record_pace(self, endpoint, pacing):
+    def record_pace(self, pacing):
         """Record the speed that an engine's part of a stream has shown.
 
         Parameters
         ----------
-        endpoint : Endpoint
         pacing : Pacing
         """
-        parts = self._parts
-        if self._engine_spec is not None:
-            samples.record_stream(
-                parts.engine_speeds,
-                endpoint,
-                self._sending,
-                pacing,
-                parts.clock(),
-                is_near=self._is_near(endpoint),
-            )
+        self._occupancy.record_pace(pacing)
 
     def close(self, opened):
         """Close an answer whose body has been read or abandoned."""
         opened.response.close()
-        self._record_end(opened.endpoint)
+        self._occupancy.end()
 
     async def settle(self, endpoint):
         """Wait until it is known whether an endpoint crashed."""
@@ -274,7 +269,7 @@
             "attempt_failed",
             request=self._request.id,
             endpoint=endpoint.id,
-            attempt=len(self._tried),
+            attempt=len(self._selection.tried),
             why=failure.reason,
             sent=failure.sent,
             took_s=round(now - started_at, 4),
@@ -325,53 +320,6 @@
         timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_TARGET_FACTOR * route.target_s)
         return min(remaining_s, timeout_s)
 
-    async def _acquire(self, choice, now, remaining_s):
-        """Return a `Choice` whose endpoint's limit allows the request.
-
-        Parameters
-        ----------
-        choice : Choice
-            The first one to try.
-        now, remaining_s : float
-
-        Returns
-        -------
-        Choice or Failure
-        """
-        limiter = self._parts.limiter
-        exhausted = limiter.exhausted(now) | self._refused
-        while choice is not None:
-            endpoint = choice.endpoint
-            if endpoint.id in self._permitted:
-                self._permitted.discard(endpoint.id)
-                return choice
-            if endpoint.id not in exhausted:
-                if await limiter.acquire(endpoint):
-                    return choice
-                exhausted.add(endpoint.id)
-            choice = self._choose(now, exhausted)
-        # The limits of all endpoints are used up: wait for the first of them
-        # that takes the request, unless it is too late then.
-        endpoints = [
-            each
-            for each in candidates.endpoints(self._request, self._parts, now)
-            if each.id not in self._tried
-        ]
-        if not endpoints:
-            return self._fail(kinds.Kind.NO_ENDPOINT, "all endpoints left")
-        max_wait_s = rejections.MAX_WAIT_SHARE * remaining_s
-        first = min(
-            (each for each in endpoints if self._has_room(each, now)),
-            key=lambda each: limiter.wait_s([each], now),
-            default=None,
-        )
-        if first and limiter.wait_s([first], now) <= max_wait_s:
-            if await limiter.acquire(first, max_wait_s=max_wait_s):
-                return placement.Choice(first, "limit", len(endpoints))
-        return rejections.over_limit(
-            endpoints, self._parts, now, sent=self._may_have_run
-        )
-
     def _with_rest(self, answered, now):
         """Add the time after which an endpoint rests no more, if all rest."""
         if candidates.endpoints(self._request, self._parts, now):
@@ -380,16 +328,6 @@
         failure = answered.failure._replace(retry_after=rest_s)
         return answered._replace(failure=failure)
 
-    def _is_available(self, endpoint, now):
-        """Return whether an endpoint is there after a wait for a permit."""
-        parts, request = self._parts, self._request
-        is_known = any(
-            each.id == endpoint.id
-            and each.started_at_ms == endpoint.started_at_ms
-            for each in candidates.endpoints(request, parts, now)
-        )
-        return is_known and rejections.of_request(request, parts, now) is None
-
     def _needs_inputs(self, now):
         """Return whether the stages must run again before an attempt.
 
@@ -403,131 +341,25 @@
         residency = self._parts.residency
         regions = residency.regions(self._request)
         return not all(
-            residency.allows(regions, zone) for zone in self._result_bytes
+            residency.allows(regions, zone) for zone in self._find_inputs()
         )
 
-    @property
-    def _result_bytes(self):
-        """Bytes of the inputs in each zone."""
+    def _find_inputs(self):
+        """Return the bytes of the inputs in each zone."""
         if self._locate_inputs is None:
             return {}
         return self._locate_inputs(self._inputs)
 
-    @property
-    def _service(self):
-        """The request's `Service` as configured, or None."""
-        services = self._parts.catalog.configuration.services
-        return services.get(self._request.service)
-
-    @property
-    def _engine_spec(self):
-        """The `EngineSpec` of the request's service, or None."""
-        return None if self._service is None else self._service.engine
-
-    @property
-    def _is_plain(self):
-        """Whether the endpoints of the request's service are no engines."""
-        return self._service is not None and self._engine_spec is None
-
-    async def _find(self, now, last_event_id):
-        """Return a `Choice`, after a wait if no engine has room.
-
-        Returns
-        -------
-        Choice, Failure or None
-            None if there is no endpoint.
-        """
-        parts, request = self._parts, self._request
-        choice = self._choose(now)
-        begin_by = request.answer_start_deadline
-        if last_event_id is not None:
-            begin_by = min(request.deadline, now + request.max_event_wait_s)
-        wanted = roomforecast.wanted(
-            request,
-            parts,
-            begin_by=begin_by,
-            tried=self._tried,
-            find=self._choose,
-        )
-        if wanted is None:
-            return choice
-        if choice is None:
-            # Room is no help if there is no endpoint for another reason.
-            if self._choose(now, counts_room=False) is None:
-                return None
-        elif not parts.engine_room.is_waited_for(request, now):
-            return choice
-        result = await parts.engine_room.wait(wanted)
-        if isinstance(result, kinds.Failure):
-            return result._replace(sent=self._may_have_run)
-        return result
-
-    def _has_room(self, endpoint, now):
-        """Return whether a request has room at an endpoint."""
-        placer, spec = self._parts.placer, self._engine_spec
-        needed = work.of_request(self._request)
-        if not placer.counts_room(spec, needed):
-            return True
-        missing = placer.engines.room_needed(
-            candidates.endpoints(self._request, self._parts, now),
-            now,
-            needed,
-            spec,
-        )
-        return missing.get(endpoint) == 0
-
-    def _choose(self, now, excluded=(), *, counts_room=True):
-        parts, request = self._parts, self._request
-        service = self._service
-        max_in_flight = math.inf
-        if service is not None:
-            max_in_flight = placement.connection_share(
-                service.max_connections, parts.peers.count()
-            )
-        # Suspects of a crash are kept apart: those that share an endpoint
-        # again cannot be told from each other if it crashes.
-        is_suspect = parts.crashes.is_suspect(request.fingerprint, now)
-        return parts.placer.choose(
-            candidates.endpoints(request, parts, now),
-            now,
-            tried=self._tried.union(excluded),
-            affinity=request.fingerprint if is_suspect else request.affinity,
-            shared_tokens=request.shared_tokens,
-            body_bytes=len(request.body),
-            result_bytes=self._result_bytes,
-            max_in_flight=max_in_flight,
-            is_plain=self._is_plain,
-            needed=work.of_request(request),
-            engine=self._engine_spec if counts_room else None,
-        )
-
-    def _log_choice(self, choice, now):
-        load = {}
-        if choice.load is not None:
-            load = choice.load._asdict()
-            load["expected_s"] = choice.expected_s and round(
-                choice.expected_s, 4
-            )
-            load["view_age_s"] = round(
-                min(1e6, self._parts.engine_load.age_s(now)), 3
-            )
-        self._parts.journal.write(
-            "chosen",
-            request=self._request.id,
-            endpoint=choice.endpoint.id,
-            software_version=choice.endpoint.software_version,
-            attempt=len(self._tried) + 1,
-            of=choice.healthy_count,
-            in_flight=self._parts.placer.in_flight(choice.endpoint),
-            age_s=round(self._parts.catalog.age("endpoints", now), 2),
-            why=choice.reason,
-            **load,
-        )
+    def _begin_by(self, last_event_id, now):
+        """Return the monotonic time by which an answer has to begin."""
+        request = self._request
+        if last_event_id is None:
+            return request.answer_start_deadline
+        return min(request.deadline, now + request.max_event_wait_s)
 
     async def _send(self, choice, remaining_s, last_event_id, timeout_s):
         parts, request = self._parts, self._request
         endpoint = choice.endpoint
-        self._tried.add(endpoint.id)
         # Describes the latest attempt only: were it still set after another
         # endpoint has answered, `Forwarder` would run the request again.
         self.inputs_missing = False
@@ -541,18 +373,12 @@
             last_event_id=last_event_id,
         )
         started_at = parts.clock()
-        self._sending = self._describe_sending(
-            endpoint, started_at, is_resumed=last_event_id is not None
-        )
-        parts.placer.record_start(endpoint)
-        self._call_number = parts.crashes.record_start(
-            endpoint, request.fingerprint
+        self._occupancy.begin(
+            endpoint,
+            started_at,
+            engine=self._selection.engine,
+            is_resumed=last_event_id is not None,
         )
-        if self._engine_spec is not None:
-            self._sent_at = started_at
-            self._load_number = parts.engine_load.ledger.record_start(
-                endpoint.boot, work.of_request(request)
-            )
         if self._inputs:
             self._release.schedule(endpoint)
         is_open = False
@@ -571,33 +397,7 @@
         finally:
             self._record(endpoint, result, started_at)
             if not is_open:
-                self._record_end(endpoint)
-
-    def _describe_sending(self, endpoint, now, *, is_resumed):
-        """Return the `Sending`, before the request is counted."""
-        if self._engine_spec is None:
-            in_flight = self._parts.placer.in_flight(endpoint)
-            return samples.Sending(now, in_flight)
-        load = self._parts.engine_load.load(endpoint, now)
-        needed = work.of_request(self._request)
-        unread = needed.prompt_tokens - needed.shared_tokens
-        return samples.Sending(
-            now, load.requests, load.unread_tokens + unread, is_resumed
-        )
-
-    def _is_near(self, endpoint):
-        """Return whether an endpoint is in the region of this instance."""
-        return self._parts.placer.distance(endpoint.zone) <= 1
-
-    def _record_end(self, endpoint):
-        self._parts.placer.record_end(endpoint)
-        self._parts.crashes.record_end(endpoint, self._call_number)
-        self._parts.engine_load.ledger.record_end(self._load_number)
-        if self._sent_at is not None:
-            self._parts.placer.engines.record_held(
-                self._request.service, self._parts.clock() - self._sent_at
-            )
-            self._sent_at = None
+                self._occupancy.end()
 
     def _record(self, endpoint, result, started_at):
         if self.inputs_missing and self._release is not None:
@@ -606,14 +406,8 @@
             if result.failure is None:
                 is_success = result.answer.status < _ERROR_STATUS
                 self.record_served(endpoint, is_success=is_success)
-                if is_success and self._is_plain:
-                    samples.record_call(
-                        self._parts.engine_speeds,
-                        endpoint,
-                        self._sending,
-                        self._parts.clock(),
-                        is_near=self._is_near(endpoint),
-                    )
+                if is_success and self._selection.is_plain:
+                    self._occupancy.record_call()
             else:
                 self.record_failure(endpoint, result.failure, started_at)
         elif isinstance(result, kinds.Failure):
@@ -633,4 +427,11 @@
             )
 
     def _fail(self, kind, reason):
-        return kinds.Failure(kind, reason, sent=self._may_have_run)
+        return self._unsent(kinds.Failure(kind, reason))
+
+    def _unsent(self, failure):
+        """Return a failure of an attempt that was not sent.
+
+        The request may have run at an earlier one.
+        """
+        return failure._replace(sent=self._may_have_run)
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -113,7 +113,7 @@
                     is_cut_off=broken.is_cut_off,
                 )
         finally:
-            tries.record_pace(opened.endpoint, pacing)
+            tries.record_pace(pacing)
             tries.close(opened)
         if broken is None:
             tries.record_served(opened.endpoint)
@@ -178,7 +178,7 @@
             return _broken(web.describe(err), is_cut_off=True)
         if not data:
             break
-        tries.record_data(opened.endpoint)
+        tries.record_data()
         try:
             events = buffer.feed(data)
         except sse.EventTooLargeError as err:
