Test that fast engines have most prefixes

Plays 600 prefixes on idle engines at 0.6, 1.0 and 1.6 times the usual speed; speeds that all differ by 3 in 100 between two instances change no choice. By plain rendezvous hashing each engine has a third.

--- a/sycamoreshed/forwarding/tests/test_enginechoice.py
+++ b/sycamoreshed/forwarding/tests/test_enginechoice.py
@@ -245,3 +245,35 @@
         for key in range(40)
     }
     assert len(chosen) == 3
+
+
+def test_fast_engines_have_most_prefixes():
+    """Slow engines had as many prefixes as fast ones, and long pauses.
+
+    Load: 600 prefixes of long prompts on idle engines at 0.6, 1.0 and 1.6
+    times the usual speed.
+    """
+    slowness = {"slow": 1 / 0.6, "usual": 1.0, "fast": 1 / 1.6}
+    needed = work.Work(9190, 6300, 52)
+    spec = types.EngineSpec(64, 232_000)
+
+    def homes(error):
+        candidates = [
+            enginechoice.Candidate(
+                types.Endpoint(name, "llm", f"{name}:80", "north-a", 64),
+                work.NO_LOAD,
+                slowness=each * error,
+            )
+            for name, each in slowness.items()
+        ]
+        return [
+            enginechoice.pick(
+                candidates, needed, spec, key="k", affinity=f"p{number}"
+            ).candidate.endpoint.id
+            for number in range(600)
+        ]
+
+    found = homes(1.0)
+    shares = {name: found.count(name) / len(found) for name in slowness}
+    assert shares["slow"] < 0.15 < 0.5 < shares["fast"]
+    assert homes(1.03) == found
