Take no answer for lost because a later call was rejected

An endpoint without room rejects a call at once, while it still works on the one before. The rejection was taken for an answer in turn, and the pieces of the earlier call went out again after 0.2 s. Only a call that was worked on shows now that an earlier answer is lost; the test fails without this.

--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -2,31 +2,17 @@
 
 import asyncio
 
-import msgspec
-
 from sycamoreshed.errors import kinds
-from sycamoreshed.forwarding import client
-from sycamoreshed.links import wire
-from sycamoreshed.residency import residency
-from sycamoreshed.staging import opencalls
+from sycamoreshed.staging import piececalls
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import queueing
 
 __all__ = ["Batcher"]
 
-# Timeout of a call, as a multiple of its expected time.  Endpoints that become
-# slow take five times as long, and a call queued behind another instance's
-# twice as long; after a shorter timeout, the endpoint would still process the
-# call, although nobody waits for it.
-CALL_TIMEOUT_FACTOR = 8.0
-# Added to that; also the timeout for the body of the answer.
-CALL_TIMEOUT_EXTRA_S = 0.5
 FREE_TIMEOUT_S = 1.0
 # Results to be freed are collected for this long: a call for each would cost
 # more than its memory is worth.
 FREE_DELAY_S = 0.02
-# For an endpoint whose limit is used up; then other ones are tried.
-MAX_PERMIT_WAIT_S = 0.5
 # Interval of checks while pieces are queued: no event announces that an
 # endpoint is available again or that results have expired.
 POLL_S = 0.05
@@ -34,10 +20,6 @@
 # time, so that it has more of them.
 MAX_DELAY_SHARE = 0.67
 
-_LOST = kinds.Failure(
-    kinds.Kind.LATE, "answer lost: a later call was answered", sent=True
-)
-
 
 class Batcher:
     """Processes the pieces of one service with the endpoints of a zone.
@@ -90,8 +72,6 @@
         self._scheduler = scheduler
         self._sender = sender
         self._codec = codec
-        self._health = health
-        self._crashes = crashes
         self._limiter = limiter
         self._journal = journal
         self._clock = clock
@@ -102,7 +82,15 @@
         # Admitted jobs, by request and stage in progress; a request may have
         # two such stages.
         self._admitted = {}
-        self._open_calls = opencalls.OpenCalls()
+        self._calls = piececalls.PieceCalls(
+            spec=service.pieces,
+            sender=sender,
+            codec=codec,
+            health=health,
+            crashes=crashes,
+            limiter=limiter,
+            clock=clock,
+        )
         self._wake = asyncio.Event()
         self._pending_frees = {}
         self._task = None
@@ -267,10 +255,10 @@
     async def _call(self, batch, expected_end):
         started_at = self._clock()
         self._log_call(batch, started_at)
-        outcomes = _no_results(batch, "error", sent=True)
+        outcomes = piececalls.no_results(batch, "error", sent=True)
         status = "cancelled"
         try:
-            outcomes, status = await self._attempt(batch, started_at)
+            outcomes, status = await self._calls.run(batch)
         finally:
             now = self._clock()
             self._queue.end_call(batch, expected_end, outcomes, now)
@@ -307,123 +295,6 @@
         self.free(unclaimed)
         self._wake.set()
 
-    async def _attempt(self, batch, started_at):
-        """Return the outcomes of a call, and its status for the log."""
-        endpoint = batch.endpoint
-        if not await self._limiter.acquire(
-            endpoint, max_wait_s=MAX_PERMIT_WAIT_S
-        ):
-            return _no_results(batch, "full", sent=False), "over its limit"
-        path, headers, body = self._codec.piece_call(
-            [each.piece for each in batch.entries],
-            endpoint=endpoint.id,
-            now=self._clock(),
-        )
-        calls = [
-            self._crashes.record_start(endpoint, fingerprint)
-            for fingerprint in _context(batch).fingerprints
-        ]
-        try:
-            answer = await self._send(batch, path, headers, body)
-            if isinstance(answer, kinds.Failure) and answer.sent:
-                if answer.kind is kinds.Kind.REFUSED:
-                    self._crashes.record_break(endpoint)
-        finally:
-            for number in calls:
-                self._crashes.record_end(endpoint, number)
-        if isinstance(answer, kinds.Failure):
-            if answer.kind is kinds.Kind.NO_ENDPOINT:
-                return _no_results(batch, "full", sent=False), answer.reason
-            if answer is _LOST:
-                # The endpoint is sound: it has answered a later call.
-                return _no_results(batch, "error", sent=True), answer.reason
-            self._health.record_failure(
-                endpoint, self._clock(), answer.reason, reachable=False
-            )
-            # A retry of a request that is rejected meanwhile would crash
-            # another endpoint.
-            await self._crashes.settle(endpoint)
-            return _no_results(batch, "error", answer.sent), answer.reason
-        return self._parse(batch, answer)
-
-    async def _send(self, batch, path, headers, body):
-        """Send a call; return a `FullAnswer` or a `Failure`."""
-        endpoint = batch.endpoint
-        call = self._open_calls.start(endpoint)
-        exchange = asyncio.ensure_future(
-            self._exchange(batch, path, headers, body)
-        )
-        is_answered = False
-        try:
-            await asyncio.wait(
-                {exchange, call.lost}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not exchange.done():
-                return _LOST
-            answer = exchange.result()
-            is_one_at_a_time = self.service.pieces.slots == 1
-            is_answered = is_one_at_a_time and not isinstance(
-                answer, kinds.Failure
-            )
-            return answer
-        finally:
-            exchange.cancel()
-            self._open_calls.end(endpoint, call, is_answered=is_answered)
-
-    async def _exchange(self, batch, path, headers, body):
-        work_s = self._queue.call_s(len(batch.entries))
-        sent_at = self._clock()
-        response = await self._sender.send(
-            "POST",
-            batch.endpoint,
-            path,
-            headers,
-            body,
-            timeout_s=work_s * CALL_TIMEOUT_FACTOR + CALL_TIMEOUT_EXTRA_S,
-            context=_context(batch),
-        )
-        if isinstance(response, kinds.Failure):
-            return response
-        tolerated = self._codec.tolerated_rejections(
-            response.status, response.headers
-        )
-        if tolerated is not None:
-            self._limiter.record_rejection(batch.endpoint, tolerated)
-        rate = self._codec.rate_limit(response.headers)
-        if rate is not None or response.status == 200:
-            self._limiter.record_answer(batch.endpoint, rate, sent_at=sent_at)
-        return await client.read_full(response, timeout_s=CALL_TIMEOUT_EXTRA_S)
-
-    def _parse(self, batch, answer):
-        now = self._clock()
-        if answer.status != 200:
-            verdict = self._codec.classify_response(
-                answer.status, answer.headers
-            ).value
-            not_run = verdict in ("not-run", "elsewhere")
-            status = f"status {answer.status}"
-            self._health.record_failure(batch.endpoint, now, status)
-            return (
-                _no_results(
-                    batch, "full" if not_run else "error", not not_run
-                ),
-                status,
-            )
-        try:
-            received = self._codec.decode_piece_results(answer.body)
-        except msgspec.MsgspecError as err:
-            self._health.record_failure(batch.endpoint, now, str(err))
-            return _no_results(batch, "error", sent=True), str(err)
-        if len(received) != len(batch.entries):
-            self._health.record_failure(
-                batch.endpoint, now, "unexpected number of results"
-            )
-            return _no_results(batch, "error", sent=True), "results missing"
-        self._health.record_success(batch.endpoint, now)
-        outcomes = [_outcome(each, batch.endpoint) for each in received]
-        reasons = {each.reason for each in outcomes if each.ref is None}
-        return outcomes, ",".join(sorted(map(str, reasons))) or "done"
-
     async def _send_frees(self, endpoint_id):
         await asyncio.sleep(FREE_DELAY_S)
         handles = self._pending_frees.pop(endpoint_id)
@@ -454,28 +325,6 @@
         self._wake.set()
 
 
-def _outcome(received, endpoint):
-    ref = None
-    if received.handle is not None:
-        ref = pieces.ResultRef(received.handle, endpoint.id)
-    return pieces.PieceOutcome(ref, received.reason, sent=True)
-
-
-def _context(batch):
-    """Return the `Context` of a call with the pieces of several requests."""
-    origins = [each.piece.origin for each in batch.entries]
-    restricted = [each.regions for each in origins if each.regions is not None]
-    return wire.Context(
-        batch.entries[0].piece.request,
-        tuple({each.fingerprint for each in origins if each.fingerprint}),
-        residency.common_regions(*restricted),
-    )
-
-
-def _no_results(batch, reason, sent):
-    return [pieces.PieceOutcome(None, reason, sent)] * len(batch.entries)
-
-
 def _resolve(entry, outcome):
     """Set the outcome of a piece; return whether anybody waits for it."""
     if entry.future.done():
--- a/sycamoreshed/staging/tests/test_opencalls.py
+++ b/sycamoreshed/staging/tests/test_opencalls.py
@@ -2,9 +2,18 @@
 
 import asyncio
 import collections
+import typing
 
+from sycamoreshed.forwarding import health
+from sycamoreshed.platform import calls
+from sycamoreshed.platform import names
+from sycamoreshed.staging import piececalls
 from sycamoreshed.staging import pieces
+from sycamoreshed.staging import queueing
 from sycamoreshed.staging.tests import builders
+from testkit import crashes
+from testkit import journals
+from testkit import limiters
 from testkit import stagezone
 from testkit import virtualtime
 
@@ -98,3 +107,63 @@
     """Under load, pieces of a call that was only slow were sent again."""
     records, calls = play({"slow_s": 2 * JOB_S}, count=12, every_s=0.3)
     assert calls <= len(records)
+
+
+class _Answer:
+    """An answer to a call, with the results of one piece."""
+
+    headers: typing.ClassVar = {"Content-Length": "1", names.NOT_RUN: "1"}
+    reason = ""
+    content_length = 1
+
+    def __init__(self, status):
+        self.status = status
+        self.content = self
+
+    async def iter_any(self):
+        """Yield the body."""
+        yield b'{"items":[{"handle":"h"}]}'
+
+    def close(self):
+        """Do nothing."""
+
+
+class _FullEndpoint:
+    """Works on one call for two seconds, and rejects the others."""
+
+    def __init__(self):
+        self._is_busy = False
+
+    async def send(self, *_call, **_options):
+        """Answer a call."""
+        if self._is_busy:
+            return _Answer(503)
+        self._is_busy = True
+        await asyncio.sleep(2.0)
+        return _Answer(200)
+
+
+def test_rejected_call_does_not_show_that_an_answer_is_lost():
+    """A call was repeated as its endpoint had no room for the next one."""
+
+    async def run():
+        clock = asyncio.get_running_loop().time
+        sent = piececalls.PieceCalls(
+            spec=SPECS["first"],
+            sender=_FullEndpoint(),
+            codec=calls,
+            health=health.Health(journal=journals.Journal()),
+            crashes=crashes.Crashes(),
+            limiter=limiters.Limiter(),
+            clock=clock,
+        )
+        batches = [
+            queueing.Batch(
+                builders.endpoint("e"), [builders.queued_piece(name, 0)]
+            )
+            for name in "ab"
+        ]
+        results = await asyncio.gather(*map(sent.run, batches))
+        return [status for _, status in results]
+
+    assert virtualtime.run(run()) == ["done", "status 503"]
