Log the store's era, and full reads of a table that are not taken

Three hypotheses on configuration that was not followed look alike in the log: a store that came back from an older copy, one that dropped its history, and stale reads. `history_gone` has the era that the answer told, `store_era` tells when a table's follower hears another one, and `copy_refused` when a full read is as old as the copy held, or older. No decision changes. What reads return moves from the client of the store to a module of the catalog, as the follower now tells these types apart; a listing whose pages are of two eras is a failure.

`Reply` carries the answer's headers.

--- a/sycamoreshed/adapters/web.py
+++ b/sycamoreshed/adapters/web.py
@@ -1,6 +1,7 @@
 """The HTTP client session of a daemon, and JSON requests over it."""
 
 import functools
+import types
 import typing
 
 import aiohttp
@@ -87,12 +88,14 @@
         Bytes of the body.
     sent_size : int
         Bytes of the request's body.
+    headers : mapping of str to str
     """
 
     status: int
     body: typing.Any
     size: int
     sent_size: int = 0
+    headers: typing.Mapping = types.MappingProxyType({})
 
 
 async def fetch(session, method, address, path, *, timeout, body=None):
@@ -134,7 +137,13 @@
         ):
             raw = await bodies.read(response)
             decoded = msgspec.json.decode(raw) if raw else None
-            return Reply(response.status, decoded, len(raw), len(data))
+            return Reply(
+                response.status,
+                decoded,
+                len(raw),
+                len(data),
+                response.headers,
+            )
     except NOT_SENT_ERRORS as err:
         return kinds.Failure(kinds.Kind.REFUSED, describe(err), sent=False)
     except TimeoutError:
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -17,6 +17,7 @@
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.catalog import debounce as debounces
 from sycamoreshed.catalog import readerselection
+from sycamoreshed.catalog import tablereads
 from sycamoreshed.catalog import updates
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -111,6 +112,7 @@
         self._clock = clock
         self._is_failing = False
         self._called_at = float("-inf")
+        self._era = None
 
     async def run(self):
         """Follow the table until cancelled."""
@@ -124,19 +126,21 @@
             called_at = self._called_at = self._clock()
             result = await self._read_store(is_full_read)
             took_s = self._clock() - called_at
-            if result is None:
+            if isinstance(result, kinds.Failure):
+                self._on_failure(result)
+                await self._wait_for_retry(pause)
+                pause = min(MAX_RETRY_S, pause * 2)
+                continue
+            self._log_era(result.era)
+            if isinstance(result, tablereads.HistoryGone):
                 self._journal.write(
                     "history_gone",
                     table=self._table,
                     after=self._replica.version,
+                    era=result.era,
                 )
                 is_full_read = True
                 continue
-            if isinstance(result, kinds.Failure):
-                self._on_failure(result)
-                await self._wait_for_retry(pause)
-                pause = min(MAX_RETRY_S, pause * 2)
-                continue
             pause = RETRY_S
             self._on_success()
             self._apply_changes(result)
@@ -186,9 +190,17 @@
         now = self._clock()
         rows = [(row.key, row.value) for row in changes.rows]
         if changes.is_full:
-            self._catalog.replace(
+            is_taken = self._catalog.replace(
                 self._table, dict(rows), changes.version, now, source="store"
             )
+            if not is_taken:
+                self._journal.write(
+                    "copy_refused",
+                    table=self._table,
+                    era=changes.era,
+                    version=changes.version,
+                    held_version=self._replica.version,
+                )
         else:
             self._catalog.apply(
                 self._table,
@@ -200,6 +212,13 @@
             )
         self._catalog.mark_current(self._table, now)
 
+    def _log_era(self, era):
+        if era != self._era:
+            self._journal.write(
+                "store_era", table=self._table, era=era, previous=self._era
+            )
+            self._era = era
+
     def _on_failure(self, failure):
         self._access.mark_unavailable(self._table)
         if self._is_failing:
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -280,7 +280,22 @@
         EventClass.STATE, "table, age_s", "the store answers again"
     ),
     "history_gone": Event(
-        EventClass.STATE, "table, after", "the store dropped its history"
+        EventClass.STATE,
+        "table, after, era",
+        "the store has no history after that version: it dropped it, or came "
+        "back from an older copy and has not reached it",
+    ),
+    "store_era": Event(
+        EventClass.STATE,
+        "table, era, previous",
+        "the store told another era than before: it came back from an older "
+        "copy",
+    ),
+    "copy_refused": Event(
+        EventClass.STATE,
+        "table, era, version, held_version",
+        "a full read of a table was not taken, as the copy held is as new or "
+        "newer",
     ),
     "admitted": Event(
         EventClass.DETAIL,
--- a/sycamoreshed/platform/names.py
+++ b/sycamoreshed/platform/names.py
@@ -29,6 +29,8 @@
 # Seconds for which an endpoint that rejected a request wants no other one from
 # the same instance.
 RETRY_AFTER = "Retry-After"
+# In all answers of the store: how often it came back from an older copy.
+STORE_ERA = "Store-Era"
 # Tokens of the prompt, and the maximum number to generate.
 TOKENS = "X-Sycamoreshed-Token-Usage"
 # Caller's estimate of the number of tokens to generate.
--- a/sycamoreshed/platform/store.py
+++ b/sycamoreshed/platform/store.py
@@ -12,32 +12,16 @@
 import msgspec
 
 from sycamoreshed.adapters import web
+from sycamoreshed.catalog import tablereads
 from sycamoreshed.errors import kinds
 from sycamoreshed.platform import names
 
-__all__ = ["Changes", "Row", "TableStore"]
+__all__ = ["TableStore"]
 
 _OK = 200
 _HISTORY_GONE = 410
-
-
-class Row(typing.NamedTuple):
-    """A row of a table; `value` is None if the row was removed."""
-
-    key: str
-    value: bytes | None
-    version: int
-
-
-class Changes(typing.NamedTuple):
-    """Rows of a table, and the version of the store that they reflect.
-
-    ``is_full`` tells a full listing from the changes since a version.
-    """
-
-    rows: list
-    version: int
-    is_full: bool
+# Longer numbers do not fit into 64 bits.
+_MAX_ERA_DIGITS = 18
 
 
 class _WireRow(msgspec.Struct):
@@ -55,6 +39,13 @@
     has_more: typing.Any = False
 
 
+class _Page(typing.NamedTuple):
+    rows: list
+    version: int
+    has_more: bool
+    era: int | None
+
+
 class TableStore:
     """Client of the table store.
 
@@ -80,21 +71,25 @@
         does no harm.
         """
         rows = []
-        start = version = None
+        start = version = era = None
         while True:
             query = {"table": table, "part": "", "limit": "500"}
             if start is not None:
                 query["from"] = start
             reply = await self._get(names.ROWS_GET, query, timeout)
-            if reply is None:
+            if isinstance(reply, tablereads.HistoryGone):
                 return _unexpected_status(_HISTORY_GONE)
             if isinstance(reply, kinds.Failure):
                 return reply
-            rows += _decode_rows(reply)
+            rows += reply.rows
             if version is None:
-                version = reply.ver
+                version, era = reply.version, reply.era
+            if reply.era != era:
+                return kinds.Failure(
+                    kinds.Kind.STORE_AWAY, "the era changed between two pages"
+                )
             if not reply.has_more or not rows:
-                return Changes(rows, version, is_full=True)
+                return tablereads.Changes(rows, version, is_full=True, era=era)
             # The smallest key after the last one in byte order.
             start = rows[-1].key + "\0"
 
@@ -112,8 +107,7 @@
 
         Returns
         -------
-        Changes, None or Failure
-            None if the store has dropped the changes after that version.
+        Changes, HistoryGone or Failure
         """
         query = {
             "table": table,
@@ -121,9 +115,11 @@
             "wait_ms": str(int(wait_s * 1000)),
         }
         reply = await self._get(names.ROWS_FEED, query, wait_s + slack_s)
-        if reply is None or isinstance(reply, kinds.Failure):
+        if isinstance(reply, tablereads.HistoryGone | kinds.Failure):
             return reply
-        return Changes(_decode_rows(reply), reply.ver, is_full=False)
+        return tablereads.Changes(
+            reply.rows, reply.version, is_full=False, era=reply.era
+        )
 
     async def put(self, table, key, value, *, timeout):
         """Write a row unconditionally; return None or a `Failure`."""
@@ -163,14 +159,18 @@
         )
         if isinstance(reply, kinds.Failure):
             return reply
+        era = _decode_era(reply.headers)
         if reply.status == _HISTORY_GONE:
-            return None
+            return tablereads.HistoryGone(era)
         if reply.status != _OK:
             return _unexpected_status(reply.status)
         try:
-            return msgspec.convert(reply.body, _Answer)
+            answer = msgspec.convert(reply.body, _Answer)
         except msgspec.ValidationError as err:
             return kinds.Failure(kinds.Kind.STORE_AWAY, str(err))
+        return _Page(
+            _decode_rows(answer), answer.ver, bool(answer.has_more), era
+        )
 
 
 def _unexpected_status(status):
@@ -179,10 +179,17 @@
     )
 
 
+def _decode_era(headers):
+    """Return the era that an answer tells, or None."""
+    text = headers.get(names.STORE_ERA, "").strip()
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= _MAX_ERA_DIGITS else None
+
+
 def _decode_rows(answer):
     """Decode rows; the change feed marks removed ones by a tombstone."""
     return [
-        Row(
+        tablereads.Row(
             wire.key,
             None if wire.tombstone else _decode_value(wire.value),
             wire.ver,
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -12,8 +12,8 @@
 from sycamoreshed.catalog import peers
 from sycamoreshed.catalog import readerselection
 from sycamoreshed.catalog import relay
+from sycamoreshed.catalog import tablereads
 from sycamoreshed.errors import kinds
-from sycamoreshed.platform import store as stores
 from testkit import journals
 
 __all__ = ["Store", "Zone"]
@@ -39,7 +39,7 @@
     def put(self, table, key, value):
         """Write a row."""
         self.version += 1
-        self._rows[table][key] = stores.Row(key, value, self.version)
+        self._rows[table][key] = tablereads.Row(key, value, self.version)
 
     def client(self, caller):
         """Return a client of the store for one instance."""
@@ -62,7 +62,7 @@
         if failure is not None:
             return failure
         rows = self.store.rows_after(table, -1)
-        return stores.Changes(rows, self.store.version, is_full=True)
+        return tablereads.Changes(rows, self.store.version, is_full=True)
 
     async def wait_for_changes(self, table, after, *, wait_s, slack_s):
         """Wait for rows that changed."""
@@ -77,7 +77,7 @@
             await asyncio.sleep(max(0.0, deadline + slack_s - clock()))
             return kinds.Failure(kinds.Kind.LATE, "no answer in time")
         rows = self.store.rows_after(table, after)
-        return stores.Changes(rows, self.store.version, is_full=False)
+        return tablereads.Changes(rows, self.store.version, is_full=False)
 
     async def _failure(self, timeout):
         self.store.calls += 1
--- a/tools/wirenames.py
+++ b/tools/wirenames.py
@@ -15,7 +15,7 @@
 PLATFORM = PRODUCT / "platform"
 # Headers, calls, and fields whose names have no other use in the product.
 PATTERN = re.compile(
-    r"X-Sycamoreshed-|Kv-(?:From|Fetch)|Last-Event-Id|Server-[A-Z]"
+    r"X-Sycamoreshed-|Kv-(?:From|Fetch)|Last-Event-Id|Server-[A-Z]|Store-Era"
     r"|\b(?:(?:rows|kv|hold|blob)-[a-z]+|stage-(?:run|free))\b"
     r"|\b(?:route_kind|target_latency_ms|itl_target_ms|cold_remaining_ms"
     r"|api_keys|call_ms|item_ms|headroom_mb|remaining_ms|tombstone"
