--- a/standins/platformstore.py
+++ b/standins/platformstore.py
@@ -8,7 +8,9 @@
 from aiohttp import web
 import msgspec
 
-__all__ = ["Mood", "PlatformStore"]
+__all__ = ["Backup", "Mood", "PlatformStore"]
+
+ERA_HEADER = "Store-Era"
 
 
 class Mood(typing.NamedTuple):
@@ -29,16 +31,32 @@
     loses_answers: bool = False
 
 
+class Backup(typing.NamedTuple):
+    """Copy of all rows and of the history, from which a store comes back."""
+
+    rows: dict
+    changes: list
+    version: int
+
+
 class PlatformStore:
-    """Stores rows in tables, each with the version of its last change."""
+    """Stores rows in tables, each with the version of its last change.
+
+    Attributes
+    ----------
+    era : int, str or None
+        Told in all answers; raised by `restore`.  None tells none.
+    """
 
     def __init__(self):
         self._rows = {}
         self._changes = []
         self._changed = asyncio.Event()
         self._compacted_version = 0
+        self._restores = 0
         self._runner = None
         self.version = 0
+        self.era = None
         self.mood = Mood()
         self.calls = []
         self.address = None
@@ -94,6 +112,24 @@
         self._changes.clear()
         self._compacted_version = self.version
 
+    def backup(self):
+        """Return a copy for `restore`."""
+        return Backup(dict(self._rows), list(self._changes), self.version)
+
+    def restore(self, backup):
+        """Come back from a copy; pending calls are cut off."""
+        self._rows = dict(backup.rows)
+        self._changes = list(backup.changes)
+        self.version = backup.version
+        if self.era is not None:
+            self.era += 1
+        self._restores += 1
+        self._wake()
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _change(self, table, key, value):
         self.version += 1
         row = {"table": table, "part": "", "key": key, "ver": self.version}
@@ -104,8 +140,7 @@
             row["value"] = value
             self._rows[table, key] = row
             self._changes.append(row)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
 
     def _with_failures(self, handler):
         async def handle(http):
@@ -113,14 +148,23 @@
             if self.mood.silent:
                 await asyncio.Event().wait()
             if self.mood.status is not None:
-                return web.json_response({}, status=self.mood.status)
+                return self._with_era(
+                    web.json_response({}, status=self.mood.status)
+                )
+            restores = self._restores
             answer = await handler(http)
-            if self.mood.loses_answers and http.method == "POST":
+            is_lost = self.mood.loses_answers and http.method == "POST"
+            if is_lost or restores != self._restores:
                 http.transport.abort()
-            return answer
+            return self._with_era(answer)
 
         return handle
 
+    def _with_era(self, answer):
+        if self.era is not None:
+            answer.headers[ERA_HEADER] = str(self.era)
+        return answer
+
     def _answer(self, **more):
         now_ms = int(time.monotonic() * 1000)
         return web.json_response(
@@ -146,7 +190,7 @@
         after = int(http.query["after"])
         deadline = time.monotonic() + int(http.query["wait_ms"]) / 1000
         while True:
-            if after < self._compacted_version:
+            if not self._compacted_version <= after <= self.version:
                 return web.json_response({}, status=410)
             changed = {
                 row["key"]: row
