Follow a store that comes back from an older copy

Versions were compared as bare numbers, across two histories of the store: a full read of the one that came back was taken for an older copy and dropped, 410 was answered by the next full read in a loop, and once the counter had passed, changes between the copy and the old position were never asked for.

Copies, their changes, the messages of readers and peers and the followers' questions carry positions; changes of one era do not apply to a copy of another, and a copy of a later era replaces any of an earlier one. A follower that hears of another era reads the whole table, also when the store has the version it asked for. An answer without an era, or with one that is no number, counts as of the era held, so that a store that tells none is followed as before. A full read that is not taken is repeated with growing pauses instead of at once.

Elsewhere in the tests versions become positions. A test of malformed answers asks after version 0: an empty store has no other one, and now says so.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -267,16 +267,16 @@
         """
         self._grace_ends_at = max(self._grace_ends_at, now + grace_s)
 
-    def replace(self, table, rows, version, now, *, source):
+    def replace(self, table, rows, position, now, *, source):
         """Install a full copy of a table; return whether it was newer."""
-        is_newer = self._replicas[table].replace(rows, version)
+        is_newer = self._replicas[table].replace(rows, position)
         if is_newer or table in self._underived:
             self._derive(table, now, source)
         return is_newer
 
-    def apply(self, table, rows, since, version, now, *, source):
+    def apply(self, table, rows, since, position, now, *, source):
         """Apply changes of a table; return whether it advanced."""
-        is_newer = self._replicas[table].apply(rows, since, version)
+        is_newer = self._replicas[table].apply(rows, since, position)
         if (is_newer and rows) or table in self._underived:
             self._derive(table, now, source)
         return is_newer
@@ -302,7 +302,9 @@
             decoded = self._decode_configuration(raw)
         except msgspec.MsgspecError as err:
             self._journal.write(
-                "configuration_bad", store_version=copy.version, why=str(err)
+                "configuration_bad",
+                store_version=copy.position.version,
+                why=str(err),
             )
             return
         current = self._configuration
@@ -313,7 +315,7 @@
         self._journal.write(
             "configuration",
             version=decoded.version,
-            store_version=copy.version,
+            store_version=copy.position.version,
             routes=len(decoded.routes),
             keys=len(decoded.teams),
             source=source,
@@ -349,7 +351,7 @@
         self._warmups.update(
             previous, endpoints, now, has_previous=bool(previous)
         )
-        self._set_endpoints(endpoints, copy.version, now, source)
+        self._set_endpoints(endpoints, copy.position.version, now, source)
 
     def _set_endpoints(self, endpoints, version, now, source):
         previous = self._endpoints
@@ -407,7 +409,7 @@
             for key, each in self._endpoints.items()
             if key not in expired
         }
-        version = self._replicas[ENDPOINTS].version
+        version = self._replicas[ENDPOINTS].position.version
         self._set_endpoints(remaining, version, now, "lapse")
 
     def _derive_peers(self):
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -16,6 +16,7 @@
 from sycamoreshed.catalog import access as accesses
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.catalog import debounce as debounces
+from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import readerselection
 from sycamoreshed.catalog import tablereads
 from sycamoreshed.catalog import updates
@@ -124,6 +125,7 @@
                 await self._wait_for_retry(MAX_RETRY_S)
                 continue
             called_at = self._called_at = self._clock()
+            asked = self._replica.position
             result = await self._read_store(is_full_read)
             took_s = self._clock() - called_at
             if isinstance(result, kinds.Failure):
@@ -131,19 +133,18 @@
                 await self._wait_for_retry(pause)
                 pause = min(MAX_RETRY_S, pause * 2)
                 continue
-            self._log_era(result.era)
-            if isinstance(result, tablereads.HistoryGone):
-                self._journal.write(
-                    "history_gone",
-                    table=self._table,
-                    after=self._replica.version,
-                    era=result.era,
-                )
+            self._on_success(result.era)
+            if self._needs_full_read(result, asked):
                 is_full_read = True
                 continue
+            if not self._apply_changes(result, asked):
+                # Reading on at once would be a loop without an end for as
+                # long as the store is behind the copy.
+                is_full_read = True
+                await self._wait_for_retry(pause)
+                pause = min(MAX_RETRY_S, pause * 2)
+                continue
             pause = RETRY_S
-            self._on_success()
-            self._apply_changes(result)
             if result.rows and not is_full_read:
                 await asyncio.sleep(self._debounce.pause(took_s))
             elif is_full_read:
@@ -181,43 +182,63 @@
             wait, slack = 0.0, PROBE_SLACK_S
         return await self._store.wait_for_changes(
             self._store_table,
-            self._replica.version,
+            self._replica.position.version,
             wait_s=wait,
             slack_s=slack,
         )
 
-    def _apply_changes(self, changes):
+    def _needs_full_read(self, result, asked):
+        """Return whether changes after a position cannot be had.
+
+        A store that came back from an older copy has another history, also
+        where it has the version asked for.
+        """
+        if isinstance(result, tablereads.HistoryGone):
+            self._journal.write(
+                "history_gone",
+                table=self._table,
+                after=asked.version,
+                era=result.era,
+            )
+            return True
+        if result.is_full:
+            return False
+        return _position(result, asked).era != asked.era
+
+    def _apply_changes(self, changes, asked):
+        """Apply what was read; return whether the copy is as new as that.
+
+        Parameters
+        ----------
+        changes : Changes
+        asked : Position
+            Of the copy when the store was asked.
+        """
         now = self._clock()
         rows = [(row.key, row.value) for row in changes.rows]
+        position = _position(changes, asked)
         if changes.is_full:
-            is_taken = self._catalog.replace(
-                self._table, dict(rows), changes.version, now, source="store"
+            self._catalog.replace(
+                self._table, dict(rows), position, now, source="store"
             )
-            if not is_taken:
-                self._journal.write(
-                    "copy_refused",
-                    table=self._table,
-                    era=changes.era,
-                    version=changes.version,
-                    held_version=self._replica.version,
-                )
         else:
             self._catalog.apply(
-                self._table,
-                rows,
-                self._replica.version,
-                changes.version,
-                now,
-                source="store",
+                self._table, rows, asked, position, now, source="store"
             )
         self._catalog.mark_current(self._table, now)
-
-    def _log_era(self, era):
-        if era != self._era:
-            self._journal.write(
-                "store_era", table=self._table, era=era, previous=self._era
-            )
-            self._era = era
+        held = self._replica.position
+        if held == position:
+            return True
+        self._journal.write(
+            "copy_refused",
+            table=self._table,
+            era=position.era,
+            version=position.version,
+            held_era=held.era,
+            held_version=held.version,
+        )
+        # A peer's copy that came meanwhile may be newer than the answer.
+        return held.era == position.era and held > asked
 
     def _on_failure(self, failure):
         self._access.mark_unavailable(self._table)
@@ -231,7 +252,12 @@
             age_s=self._age(),
         )
 
-    def _on_success(self):
+    def _on_success(self, era):
+        if era != self._era:
+            self._journal.write(
+                "store_era", table=self._table, era=era, previous=self._era
+            )
+            self._era = era
         self._access.mark_available(self._table)
         if not self._is_failing:
             return
@@ -244,7 +270,8 @@
 
     async def _poll_peers(self):
         for peer in self._peers.sample(self._clock()):
-            path = f"{PATH}?table={self._table}&after={self._replica.version}"
+            after = positions.format_position(self._replica.position)
+            path = f"{PATH}?table={self._table}&after={after}"
             reply = await web.fetch(
                 self._session, "GET", peer, path, timeout=PEER_TIMEOUT_S
             )
@@ -266,6 +293,10 @@
         updates.apply_update(self._catalog, update, now, peer)
 
 
+def _position(result, asked):
+    return positions.told(result.era, result.version, asked)
+
+
 def max_wait(stable_s):
     """Return the seconds for which the store may hold a call.
 
--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -10,6 +10,7 @@
 
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import updates
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
@@ -75,7 +76,7 @@
         self._selector.record_request(now)
         tables = [
             updates.table_update(
-                self._catalog, table, request.versions.get(table, -1), now
+                self._catalog, table, _held(request, table), now
             )
             for table in self._catalog.tables
         ]
@@ -89,17 +90,15 @@
         if self._is_current != request.was_current:
             return True
         return any(
-            self._is_newer(
-                self._catalog.replica(table), request.versions.get(table, -1)
-            )
+            self._is_newer(self._catalog.replica(table), _held(request, table))
             for table in self._catalog.tables
         )
 
     @staticmethod
-    def _is_newer(replica, version):
-        if replica.version <= version:
+    def _is_newer(replica, position):
+        if replica.position <= position:
             return False
-        changed = replica.changes(version)
+        changed = replica.changes(position)
         return changed is None or bool(changed)
 
     async def _wait_changed(self, timeout):
@@ -175,10 +174,10 @@
         """Send one request to the reader."""
         # A reader that has not answered yet must not hold the request.
         hold_s = self._hold_s if self._access.is_relayed else 0.0
-        versions = updates.versions(self._catalog)
+        held = updates.held_positions(self._catalog)
         update = await self._send(
             reader,
-            updates.WatchRequest(versions, self._was_current, hold_s),
+            updates.WatchRequest(held, self._was_current, hold_s),
             hold_s + SLACK_S,
         )
         now = self._clock()
@@ -236,6 +235,10 @@
         self._access.enable(reads_store)
 
 
+def _held(request, table):
+    return request.positions.get(table, positions.UNKNOWN)
+
+
 async def _send(core, control, request, timeout):
     reply = await web.fetch(
         core.part("web"), "POST", control, PATH, timeout=timeout, body=request
--- a/sycamoreshed/catalog/staleness.py
+++ b/sycamoreshed/catalog/staleness.py
@@ -72,7 +72,7 @@
             if not replica.has_copy:
                 continue
             if age_s <= self._max_age_s:
-                self._on_current(table, replica.version, now)
+                self._on_current(table, replica.position, now)
                 continue
             self._access.enable(True)
             if table not in self._stale_since:
@@ -81,17 +81,19 @@
                     "table_stale",
                     table=table,
                     age_s=round(min(1e6, age_s), 3),
-                    version=replica.version,
+                    era=replica.position.era,
+                    version=replica.position.version,
                     store_fails=self._access.is_unavailable,
                 )
 
-    def _on_current(self, table, version, now):
+    def _on_current(self, table, position, now):
         since = self._stale_since.pop(table, None)
         if since is not None:
             self._journal.write(
                 "table_current",
                 table=table,
-                version=version,
+                era=position.era,
+                version=position.version,
                 for_s=round(now - since, 3),
             )
 
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -7,8 +7,11 @@
 from sycamoreshed.catalog import updates
 from sycamoreshed.platform import records
 from testkit import journals
+from testkit import storepositions
 from testkit import wiredata
 
+at = storepositions.at
+
 
 @pytest.fixture
 def catalog():
@@ -48,22 +51,24 @@
 
     Applying it would make a revoked key valid again.
     """
-    catalog.replace("settings", settings(7), 20, 0.0, source="store")
-    catalog.replace("settings", settings(5), 30, 0.0, source="peer")
+    catalog.replace("settings", settings(7), at(20), 0.0, source="store")
+    catalog.replace("settings", settings(5), at(30), 0.0, source="peer")
     assert catalog.configuration.version == 7
 
 
 def test_invalid_configuration_is_ignored(catalog):
-    catalog.replace("settings", settings(7), 20, 0.0, source="store")
-    catalog.replace("settings", {"config": b"{"}, 21, 0.0, source="store")
+    catalog.replace("settings", settings(7), at(20), 0.0, source="store")
+    catalog.replace("settings", {"config": b"{"}, at(21), 0.0, source="store")
     assert catalog.configuration.version == 7
 
 
 def test_endpoint_without_entry_gets_no_requests(catalog):
     catalog.replace(
-        "endpoints", endpoint_rows("a", "b"), 5, 0.0, source="store"
+        "endpoints", endpoint_rows("a", "b"), at(5), 0.0, source="store"
+    )
+    catalog.apply(
+        "endpoints", [("a", None)], at(5), at(6), 9.0, source="store"
     )
-    catalog.apply("endpoints", [("a", None)], 5, 6, 9.0, source="store")
     assert ids(catalog, 9.0) == {"b"}
 
 
@@ -75,23 +80,25 @@
     still missing after two seconds are dropped.
     """
     catalog.replace(
-        "endpoints", endpoint_rows("a", "b"), 5, 0.0, source="store"
+        "endpoints", endpoint_rows("a", "b"), at(5), 0.0, source="store"
     )
     catalog.on_store_recovered(10.0)
     rows = [("a", None), ("b", None)]
-    catalog.apply("endpoints", rows, 5, 6, 10.0, source="store")
+    catalog.apply("endpoints", rows, at(5), at(6), 10.0, source="store")
     assert ids(catalog, 11.0) == {"a", "b"}
     renewed = list(endpoint_rows("b").items())
-    catalog.apply("endpoints", renewed, 6, 7, 11.0, source="store")
+    catalog.apply("endpoints", renewed, at(6), at(7), 11.0, source="store")
     assert ids(catalog, 10.0 + catalogs.EXPIRY_GRACE_S) == {"b"}
 
 
 def test_draining_endpoint_is_not_retained_after_an_outage(catalog):
     """The entry of a draining endpoint disappears during a store outage."""
     leaving = endpoint_rows("a", state="draining")
-    catalog.replace("endpoints", leaving, 5, 0.0, source="store")
+    catalog.replace("endpoints", leaving, at(5), 0.0, source="store")
     catalog.on_store_recovered(10.0)
-    catalog.apply("endpoints", [("a", None)], 5, 6, 10.0, source="store")
+    catalog.apply(
+        "endpoints", [("a", None)], at(5), at(6), 10.0, source="store"
+    )
     assert ids(catalog, 10.1) == set()
 
 
@@ -102,19 +109,22 @@
     endpoint's state.
     """
     catalog.replace(
-        "endpoints", endpoint_rows("a", "b"), 5, 0.0, source="store"
+        "endpoints", endpoint_rows("a", "b"), at(5), 0.0, source="store"
     )
     rows = {**endpoint_rows("b"), **endpoint_rows("a", state="draining")}
-    catalog.replace("endpoints", rows, 50, 1.0, source="store")
+    catalog.replace("endpoints", rows, at(50), 1.0, source="store")
     assert ids(catalog, 1.0) == {"b"}
 
 
 def test_update_has_rows_only_for_an_older_copy(catalog):
-    catalog.replace("endpoints", endpoint_rows("a"), 5, 1.0, source="store")
+    catalog.replace(
+        "endpoints", endpoint_rows("a"), at(5), 1.0, source="store"
+    )
     catalog.mark_current("endpoints", 1.0)
-    update = updates.table_update(catalog, "endpoints", 4, 3.0)
-    assert (update.version, set(update.rows), update.age_s) == (5, {"a"}, 2.0)
-    assert updates.table_update(catalog, "endpoints", 5, 3.0).rows is None
+    update = updates.table_update(catalog, "endpoints", at(4), 3.0)
+    assert (update.position, set(update.rows)) == (at(5), {"a"})
+    assert update.age_s == 2.0
+    assert updates.table_update(catalog, "endpoints", at(5), 3.0).rows is None
 
 
 def test_grace_period_is_passed_on_to_peers(catalog):
@@ -133,24 +143,24 @@
     )
     for each in (catalog, other):
         each.replace(
-            "endpoints", endpoint_rows("a", "b"), 5, 0.0, source="store"
+            "endpoints", endpoint_rows("a", "b"), at(5), 0.0, source="store"
         )
     other.on_store_recovered(10.0)
     # The clocks of the two instances differ by 10 s.
     rows = [("a", None), ("b", None)]
-    other.apply("endpoints", rows, 5, 6, 10.0, source="store")
+    other.apply("endpoints", rows, at(5), at(6), 10.0, source="store")
     updates.apply_update(
         catalog,
-        updates.table_update(other, "endpoints", 5, 10.5),
+        updates.table_update(other, "endpoints", at(5), 10.5),
         20.5,
         "other",
     )
     assert ids(catalog, 20.6) == {"a", "b"}
     renewed = list(endpoint_rows("b").items())
-    other.apply("endpoints", renewed, 6, 7, 11.0, source="store")
+    other.apply("endpoints", renewed, at(6), at(7), 11.0, source="store")
     updates.apply_update(
         catalog,
-        updates.table_update(other, "endpoints", 6, 11.0),
+        updates.table_update(other, "endpoints", at(6), 11.0),
         21.0,
         "other",
     )
@@ -178,15 +188,15 @@
         journal=journals.Journal(),
     )
     with pytest.raises(RuntimeError):
-        copies.replace("settings", settings(8), 20, 0.0, source="store")
-    copies.replace("settings", settings(8), 20, 0.1, source="store")
+        copies.replace("settings", settings(8), at(20), 0.0, source="store")
+    copies.replace("settings", settings(8), at(20), 0.1, source="store")
     assert copies.configuration.version == 8
 
 
 def list_endpoints(catalog, version, **changes):
     """Install a list of two endpoints; return the first one."""
     rows = endpoint_rows("a", "b", **changes)
-    catalog.replace("endpoints", rows, version, 0.0, source="store")
+    catalog.replace("endpoints", rows, at(version), 0.0, source="store")
     return catalog.endpoint("a")
 
 
@@ -220,10 +230,10 @@
     if why == "draining":
         list_endpoints(catalog, 2, state="draining")
     elif why == "gone":
-        catalog.replace("endpoints", {}, 2, 0.0, source="store")
+        catalog.replace("endpoints", {}, at(2), 0.0, source="store")
     else:
         rows = {**settings(7), f"evacuate/{endpoint.zone}": b"{}"}
-        catalog.replace("settings", rows, 2, 0.0, source="store")
+        catalog.replace("settings", rows, at(2), 0.0, source="store")
     assert not catalog.takes_work(endpoint, 0.0)
 
 
--- a/sycamoreshed/catalog/tests/test_draining.py
+++ b/sycamoreshed/catalog/tests/test_draining.py
@@ -8,8 +8,11 @@
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.platform import records
 from testkit import journals
+from testkit import storepositions
 from testkit import wiredata
 
+at = storepositions.at
+
 STATES = ["ready", "draining", None]
 
 
@@ -57,7 +60,7 @@
         version = point % len(self.history)
         rows = _rows(self.history[version])
         self.catalog.replace(
-            "endpoints", rows, version, self.now, source="peer"
+            "endpoints", rows, at(version), self.now, source="peer"
         )
 
     @stateful.rule(
@@ -75,7 +78,12 @@
         if version > since:
             rows = [("a", _rows(self.history[version]).get("a"))]
         self.catalog.apply(
-            "endpoints", rows, since, version, self.now, source="store"
+            "endpoints",
+            rows,
+            at(since),
+            at(version),
+            self.now,
+            source="store",
         )
 
     @stateful.rule()
@@ -93,7 +101,7 @@
     def draining_endpoint_gets_no_requests(self):
         """Offer the endpoint according to the newest received state."""
         offered = bool(self.catalog.endpoints("desk", self.now))
-        version = self.catalog.replica("endpoints").version
+        version = self.catalog.replica("endpoints").position.version
         state = None if version < 0 else self.history[version]
         if state == "ready":
             assert offered
--- a/sycamoreshed/catalog/tests/test_following.py
+++ b/sycamoreshed/catalog/tests/test_following.py
@@ -129,7 +129,7 @@
         delays = {}
         while clock() < seconds:
             await asyncio.sleep(0.01)
-            version = copy.replica(catalog.SETTINGS).version
+            version = copy.replica(catalog.SETTINGS).position.version
             for number in range(version):
                 delays.setdefault(number, clock() - times[number])
         task.cancel()
@@ -230,7 +230,7 @@
         follow = contextlib.asynccontextmanager(following.following)
         async with follow(core):
             await asyncio.sleep(10.0)
-            version = copy.replica(catalog.SETTINGS).version
+            version = copy.replica(catalog.SETTINGS).position.version
         await core.tasks.cancel()
         return version
 
--- a/sycamoreshed/catalog/tests/test_places.py
+++ b/sycamoreshed/catalog/tests/test_places.py
@@ -6,8 +6,11 @@
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.platform import records
 from testkit import journals
+from testkit import storepositions
 from testkit import wiredata
 
+at = storepositions.at
+
 COLD_START_S = 3.0
 ZONES = ("north-a", "south-a")
 
@@ -28,9 +31,9 @@
     service = wiredata.service(cold_start_s=COLD_START_S, cold_per_s=11.0)
     document = wiredata.configuration(services=[service])
     rows = {"config": msgspec.json.encode(document)}
-    result.replace("settings", rows, 1, 0.0, source="store")
+    result.replace("settings", rows, at(1), 0.0, source="store")
     entries = {zone: entry(zone) for zone in ZONES}
-    result.replace("endpoints", entries, 1, 0.0, source="store")
+    result.replace("endpoints", entries, at(1), 0.0, source="store")
     return result
 
 
@@ -54,20 +57,25 @@
     catalog,
 ):
     row = ("evacuate/north-a", b"{}")
-    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    catalog.apply("settings", [row], at(1), at(2), 5.0, source="store")
     assert zones(catalog) == {"south-a"}
     assert catalog.evacuations.ages(7.0) == {"north-a": 2.0}
     row = ("evacuate/north-a", None)
-    catalog.apply("settings", [row], 2, 3, 9.0, source="store")
+    catalog.apply("settings", [row], at(2), at(3), 9.0, source="store")
     assert zones(catalog) == set(ZONES)
 
 
 def test_an_evacuation_holds_for_endpoints_that_register_later(catalog):
     """An endpoint that started in an evacuated zone was used at once."""
     row = ("evacuate/north-a", b"{}")
-    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    catalog.apply("settings", [row], at(1), at(2), 5.0, source="store")
     catalog.apply(
-        "endpoints", [("new", entry("north-a"))], 1, 3, 6.0, source="store"
+        "endpoints",
+        [("new", entry("north-a"))],
+        at(1),
+        at(3),
+        6.0,
+        source="store",
     )
     assert zones(catalog) == {"south-a"}
 
@@ -75,25 +83,25 @@
 def test_an_evacuation_holds_for_endpoints_that_lapsed(catalog):
     """The store recovered, and a zone was used although it is evacuated."""
     row = ("evacuate/north-a", b"{}")
-    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    catalog.apply("settings", [row], at(1), at(2), 5.0, source="store")
     catalog.on_store_recovered(6.0)
-    catalog.replace("endpoints", {}, 4, 6.0, source="store")
+    catalog.replace("endpoints", {}, at(4), 6.0, source="store")
     assert zones(catalog, 6.5) == {"south-a"}
 
 
 def test_a_full_copy_restores_a_zone_whose_row_it_lacks(catalog):
     """A zone stayed unused after the store had dropped its history."""
     row = ("evacuate/north-a", b"{}")
-    catalog.apply("settings", [row], 1, 2, 5.0, source="store")
+    catalog.apply("settings", [row], at(1), at(2), 5.0, source="store")
     rows = dict(catalog.replica("settings").rows)
     del rows["evacuate/north-a"]
-    catalog.replace("settings", rows, 4, 9.0, source="peer")
+    catalog.replace("settings", rows, at(4), 9.0, source="peer")
     assert zones(catalog) == set(ZONES)
 
 
 def test_an_endpoint_is_cold_for_as_long_as_it_says(catalog):
     row = ("north-a", entry("north-a", cold_ms=4000))
-    catalog.apply("endpoints", [row], 1, 2, 10.0, source="store")
+    catalog.apply("endpoints", [row], at(1), at(2), 10.0, source="store")
     assert is_cold(catalog, "north-a", 13.9)
     assert not is_cold(catalog, "north-a", 14.1)
     assert not is_cold(catalog, "south-a", 10.0)
@@ -103,9 +111,9 @@
 def test_other_changes_do_not_make_an_endpoint_cold_for_longer(catalog):
     """Each change of another entry made it cold for the same time again."""
     row = ("north-a", entry("north-a", cold_ms=4000))
-    catalog.apply("endpoints", [row], 1, 2, 10.0, source="store")
+    catalog.apply("endpoints", [row], at(1), at(2), 10.0, source="store")
     row = ("south-a", entry("south-a", slots=9))
-    catalog.apply("endpoints", [row], 2, 3, 13.0, source="store")
+    catalog.apply("endpoints", [row], at(2), at(3), 13.0, source="store")
     assert not is_cold(catalog, "north-a", 14.1)
 
 
@@ -115,7 +123,7 @@
 def test_an_endpoint_that_has_just_started_is_cold(catalog, key, changes):
     """A started endpoint got the load of a warm one until it said more."""
     row = (key, entry("north-a", **changes))
-    catalog.apply("endpoints", [row], 1, 2, 10.0, source="store")
+    catalog.apply("endpoints", [row], at(1), at(2), 10.0, source="store")
     assert is_cold(catalog, key, 10.0 + COLD_START_S - 0.1)
     assert not is_cold(catalog, key, 10.0 + COLD_START_S + 0.1)
 
--- a/sycamoreshed/catalog/tests/test_relay.py
+++ b/sycamoreshed/catalog/tests/test_relay.py
@@ -7,6 +7,7 @@
 from sycamoreshed.catalog import readerselection
 from sycamoreshed.catalog import updates
 from testkit import relayzone
+from testkit import storepositions
 from testkit import virtualtime
 
 SIZE = 32
@@ -84,7 +85,9 @@
         zone.store.refuses.add("late")
         unready = zone.add("late")
         started_at = zone.clock()
-        request = updates.WatchRequest({"settings": 1}, False, 1.0)
+        request = updates.WatchRequest(
+            {"settings": storepositions.at(1)}, False, 1.0
+        )
         await unready.watch_server.answer(request)
         return zone.clock() - started_at
 
--- a/sycamoreshed/catalog/tests/test_staleness.py
+++ b/sycamoreshed/catalog/tests/test_staleness.py
@@ -6,6 +6,9 @@
 from sycamoreshed.catalog import catalog
 from sycamoreshed.catalog import staleness
 from testkit import journals
+from testkit import storepositions
+
+at = storepositions.at
 
 
 def make_catalog():
@@ -33,7 +36,7 @@
     copies = make_catalog()
     journal = journals.Journal()
     monitor = make_monitor(copies, access.StoreAccess(), journal)
-    copies.replace(catalog.SETTINGS, {}, 7, 0.0, source="store")
+    copies.replace(catalog.SETTINGS, {}, at(7), 0.0, source="store")
     copies.mark_current(catalog.SETTINGS, 0.0)
     for now in (4.0, 6.0, 7.0):
         monitor.check(now)
@@ -45,13 +48,14 @@
             {
                 "table": "settings",
                 "age_s": 6.0,
+                "era": 0,
                 "version": 7,
                 "store_fails": False,
             },
         ),
         (
             "table_current",
-            {"table": "settings", "version": 7, "for_s": 2.5},
+            {"table": "settings", "era": 0, "version": 7, "for_s": 2.5},
         ),
     ]
 
@@ -61,7 +65,7 @@
     copies = make_catalog()
     store_access = access.StoreAccess()
     monitor = make_monitor(copies, store_access, journals.Journal())
-    copies.replace(catalog.SETTINGS, {}, 7, 0.0, source="store")
+    copies.replace(catalog.SETTINGS, {}, at(7), 0.0, source="store")
     copies.mark_current(catalog.SETTINGS, 0.0)
     store_access.enable(False)
     monitor.check(4.0)
--- a/sycamoreshed/catalog/updates.py
+++ b/sycamoreshed/catalog/updates.py
@@ -3,14 +3,15 @@
 import typing
 
 from sycamoreshed.catalog import catalog as catalogs
+from sycamoreshed.catalog import positions
 
 __all__ = [
     "TableUpdate",
     "Update",
     "WatchRequest",
     "apply_update",
+    "held_positions",
     "table_update",
-    "versions",
 ]
 
 # Reported age in seconds of a table that was never confirmed current.
@@ -23,25 +24,25 @@
     Parameters
     ----------
     table : str
-    version : int
+    position : Position
     rows : dict of str to (bytes or None), or None
-        None if the requesting instance has this version or a newer one.
+        None if the requesting instance has this position or a newer one.
     age_s : float
         Seconds since the sender last confirmed its copy current.
     grace_s : float
         Seconds for which endpoints without an entry are retained, because
         entries may have expired while the store was unavailable.
-    since : int or None
-        Set if the rows are only those that changed after this version; a
+    since : Position or None
+        Set if the rows are only those that changed after this position; a
         row that was removed has the value None.
     """
 
     table: str
-    version: int
+    position: positions.Position
     rows: dict[str, bytes | None] | None
     age_s: float
     grace_s: float = 0.0
-    since: int | None = None
+    since: positions.Position | None = None
 
 
 class WatchRequest(typing.NamedTuple):
@@ -49,15 +50,15 @@
 
     Parameters
     ----------
-    versions : dict of str to int
-        Versions of the sender's copies, by table.
+    positions : dict of str to Position
+        Positions of the sender's copies, by table.
     was_current : bool
         `Update.is_current` of the reader's last answer; True initially.
     wait_s : float
         Seconds to hold the request while nothing has changed.
     """
 
-    versions: dict[str, int]
+    positions: dict[str, positions.Position]
     was_current: bool
     wait_s: float
 
@@ -77,16 +78,16 @@
 
 
 def table_update(catalog, table, after, now):
-    """Return the `TableUpdate` for an instance that has version `after`."""
+    """Return the `TableUpdate` for an instance that has position `after`."""
     replica = catalog.replica(table)
     state = TableUpdate(
         table=table,
-        version=replica.version,
+        position=replica.position,
         rows=None,
         age_s=round(min(catalog.age(table, now), MAX_AGE_S), 3),
         grace_s=round(catalog.remaining_grace_s(now), 3),
     )
-    if replica.version <= after:
+    if replica.position <= after:
         return state
     changed = replica.changes(after)
     if changed is None:
@@ -94,9 +95,9 @@
     return state._replace(rows=changed, since=after)
 
 
-def versions(catalog):
-    """Return the version of each table's copy."""
-    return {each: catalog.replica(each).version for each in catalog.tables}
+def held_positions(catalog):
+    """Return the position of each table's copy."""
+    return {each: catalog.replica(each).position for each in catalog.tables}
 
 
 def apply_update(catalog, update, now, peer):
@@ -119,14 +120,14 @@
         return
     if update.since is None:
         catalog.replace(
-            update.table, update.rows, update.version, now, source=peer
+            update.table, update.rows, update.position, now, source=peer
         )
     else:
         catalog.apply(
             update.table,
             list(update.rows.items()),
             update.since,
-            update.version,
+            update.position,
             now,
             source=peer,
         )
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 from sycamoreshed.catalog import following
+from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import relay
 from sycamoreshed.catalog import updates
 from sycamoreshed.engineload import messages as load_messages
@@ -74,7 +75,7 @@
     async def table_update(self, http):
         """Return what is newer than the requester's copy of a table."""
         table = http.query["table"]
-        after = int(http.query["after"])
+        after = positions.parse(http.query["after"])
         return _json(
             updates.table_update(self._catalog, table, after, self._clock())
         )
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -293,7 +293,7 @@
     ),
     "copy_refused": Event(
         EventClass.STATE,
-        "table, era, version, held_version",
+        "table, era, version, held_era, held_version",
         "a full read of a table was not taken, as the copy held is as new or "
         "newer",
     ),
@@ -419,13 +419,13 @@
     ),
     "table_stale": Event(
         EventClass.STATE,
-        "table, age_s, version, store_fails",
+        "table, age_s, era, version, store_fails",
         "no copy of a table was confirmed current for long; whether the store "
         "does not answer",
     ),
     "table_current": Event(
         EventClass.STATE,
-        "table, version, for_s",
+        "table, era, version, for_s",
         "the copy of such a table is confirmed again",
     ),
     "task_failed": Event(
--- a/sycamoreshed/platform/tests/test_store.py
+++ b/sycamoreshed/platform/tests/test_store.py
@@ -78,7 +78,7 @@
         client = stores.TableStore(session=session, address=store.address)
         answers = [
             await client.read(TABLE, timeout=5.0),
-            await client.wait_for_changes(TABLE, 1, wait_s=0.0, slack_s=5.0),
+            await client.wait_for_changes(TABLE, 0, wait_s=0.0, slack_s=5.0),
         ]
     await store.stop()
     assert all(isinstance(each, kinds.Failure) for each in answers)
