Count a copy as current only if it is what the store answered

An instance that took nothing of what the store answered was told to have a copy that is 0.2 s old, and went on serving by one that was seconds old: the incident's log has `table_current` half a second after `table_stale`, while four versions of the configuration passed. Whatever the answer was, it confirmed the copy. It confirms it now only if the copy has the answer's position; the same holds for what a zone's reader tells of its copies.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -156,9 +156,14 @@
         """Return the seconds since a table was last confirmed current."""
         return now - self._confirmed[table]
 
-    def mark_current(self, table, at):
-        """Record that the copy of a table was current at a time."""
-        self._confirmed[table] = max(self._confirmed[table], at)
+    def mark_current(self, table, position, at):
+        """Record that the store was at a position at a time.
+
+        The copy of the table was current then if it has that position; if
+        nothing was taken of what the store answered, it need not have been.
+        """
+        if position == self._replicas[table].position:
+            self._confirmed[table] = max(self._confirmed[table], at)
 
     def endpoints(self, service, now):
         """Return the endpoints of a service that may get new work.
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -225,7 +225,7 @@
             self._catalog.apply(
                 self._table, rows, asked, position, now, source="store"
             )
-        self._catalog.mark_current(self._table, now)
+        self._catalog.mark_current(self._table, position, now)
         held = self._replica.position
         if held == position:
             return True
--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -225,7 +225,9 @@
         self._access.is_relayed = True
         for each in update.tables:
             updates.apply_update(self._catalog, each, now, reader)
-            self._catalog.mark_current(each.table, now - each.age_s)
+            self._catalog.mark_current(
+                each.table, each.position, now - each.age_s
+            )
         is_fresh = update.is_current and all(
             each.age_s <= self._stale_s
             for each in update.tables
--- a/sycamoreshed/catalog/tests/test_catalog.py
+++ b/sycamoreshed/catalog/tests/test_catalog.py
@@ -120,13 +120,22 @@
     catalog.replace(
         "endpoints", endpoint_rows("a"), at(5), 1.0, source="store"
     )
-    catalog.mark_current("endpoints", 1.0)
+    catalog.mark_current("endpoints", at(5), 1.0)
     update = updates.table_update(catalog, "endpoints", at(4), 3.0)
     assert (update.position, set(update.rows)) == (at(5), {"a"})
     assert update.age_s == 2.0
     assert updates.table_update(catalog, "endpoints", at(5), 3.0).rows is None
 
 
+def test_copy_is_not_current_as_of_another_position(catalog):
+    """An answer that was not taken made an old copy count as young."""
+    catalog.replace("endpoints", {}, at(5, era=1), 1.0, source="store")
+    catalog.mark_current("endpoints", at(5, era=1), 1.0)
+    for other in (at(4, era=1), at(6, era=1), at(5), at(5, era=2)):
+        catalog.mark_current("endpoints", other, 9.0)
+    assert catalog.age("endpoints", 9.0) == 8.0
+
+
 def test_grace_period_is_passed_on_to_peers(catalog):
     """Another instance reaches the recovered store first.
 
--- a/sycamoreshed/catalog/tests/test_following.py
+++ b/sycamoreshed/catalog/tests/test_following.py
@@ -235,3 +235,101 @@
         return version
 
     assert virtualtime.run(run()) == 3
+
+
+class RestoredStore(Store):
+    """Comes back at `at` from a copy with fewer transactions, untold.
+
+    Its position before then is gone for good.
+    """
+
+    at = 2.0
+    lost = 3
+    eras = (None, None)
+
+    def _version(self):
+        version = super()._version()
+        is_restored = asyncio.get_running_loop().time() >= self.at
+        return version - self.lost if is_restored else version
+
+    @property
+    def era(self):
+        """The era told at present."""
+        is_restored = asyncio.get_running_loop().time() >= self.at
+        return self.eras[is_restored]
+
+    async def read(self, table, *, timeout):
+        """Return all rows."""
+        changes = await super().read(table, timeout=timeout)
+        return changes._replace(era=self.era)
+
+    async def wait_for_changes(self, table, after, *, wait_s, slack_s):
+        """Wait for rows that changed; end when the store comes back."""
+        if after > self._version():
+            self.calls += 1
+            await asyncio.sleep(0.004)
+            return tablereads.HistoryGone(self.era)
+        remaining_s = self.at - asyncio.get_running_loop().time()
+        if remaining_s > 0:
+            wait_s = min(wait_s, remaining_s)
+        changes = await super().wait_for_changes(
+            table, after, wait_s=wait_s, slack_s=slack_s
+        )
+        return changes._replace(era=self.era)
+
+
+def follow_restored(eras, seconds):
+    """Follow a store that comes back; return store, catalog and journal."""
+
+    async def run():
+        store = RestoredStore([0.1, 0.2, 0.3, 0.4, 0.5])
+        store.eras = eras
+        clock = asyncio.get_running_loop().time
+        copy = make_catalog()
+        journal = journals.Journal()
+        follower = following.Follower(
+            table=catalog.SETTINGS,
+            store_table="remote",
+            wait=lambda: 3.0,
+            debounce=debounce.Debounce(min_s=0.1, max_s=MOST_S),
+            store=store,
+            catalog=copy,
+            peers=NoPeers(),
+            access=access.StoreAccess(),
+            session=None,
+            journal=journal,
+            clock=clock,
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(seconds)
+        task.cancel()
+        return store.calls, copy.age(catalog.SETTINGS, clock()), journal
+
+    return virtualtime.run(run())
+
+
+UNTOLD = [(None, None), (4, None), (4, 3)]
+
+
+@pytest.mark.parametrize("eras", UNTOLD)
+def test_copy_is_not_current_if_nothing_of_a_read_was_taken(eras):
+    """Staleness, the log and operators were told that the copy was young."""
+    _, age_s, _ = follow_restored(eras, 12.0)
+    assert age_s >= 10.0
+
+
+@pytest.mark.parametrize("eras", UNTOLD)
+def test_store_behind_the_copy_is_not_read_in_a_loop(eras):
+    """The reads of all instances would use up the rate of the store."""
+    calls, _, journal = follow_restored(eras, 32.0)
+    assert "copy_refused" in journal.names()
+    # One read a second or less often, after the first ones.
+    assert calls <= 60
+
+
+def test_copy_is_current_after_a_store_that_tells_its_era_came_back():
+    """Otherwise the instance would read the table again and again."""
+    calls, age_s, journal = follow_restored((4, 5), 12.0)
+    assert age_s <= 3.1
+    assert calls <= 20
+    assert "copy_refused" not in journal.names()
--- a/sycamoreshed/catalog/tests/test_staleness.py
+++ b/sycamoreshed/catalog/tests/test_staleness.py
@@ -37,10 +37,10 @@
     journal = journals.Journal()
     monitor = make_monitor(copies, access.StoreAccess(), journal)
     copies.replace(catalog.SETTINGS, {}, at(7), 0.0, source="store")
-    copies.mark_current(catalog.SETTINGS, 0.0)
+    copies.mark_current(catalog.SETTINGS, at(7), 0.0)
     for now in (4.0, 6.0, 7.0):
         monitor.check(now)
-    copies.mark_current(catalog.SETTINGS, 8.0)
+    copies.mark_current(catalog.SETTINGS, at(7), 8.0)
     monitor.check(8.5)
     assert journal.lines == [
         (
@@ -66,7 +66,7 @@
     store_access = access.StoreAccess()
     monitor = make_monitor(copies, store_access, journals.Journal())
     copies.replace(catalog.SETTINGS, {}, at(7), 0.0, source="store")
-    copies.mark_current(catalog.SETTINGS, 0.0)
+    copies.mark_current(catalog.SETTINGS, at(7), 0.0)
     store_access.enable(False)
     monitor.check(4.0)
     with pytest.raises(TimeoutError):
