Keep what is newer than the copy from which a store came back

The copy lists endpoints as ready that had said that they leave, or whose entries had been removed, lacks those that had registered since, and does not have the evacuations that operators had ordered since. Instances took all of that at its word until it was written again: they sent to engines that had left, gave up those that had just started, and sent to evacuated zones. The configuration itself never went back, as one in force is replaced only by a higher version.

Missing endpoints are kept for the grace period after an outage, which the change of era starts as well, and evacuations for 5 s. Whatever sends asks `Availability`, so that no sender needs to know of it.

--- a/sycamoreshed/catalog/availability.py
+++ b/sycamoreshed/catalog/availability.py
@@ -5,6 +5,7 @@
 
 from sycamoreshed.catalog import evacuations
 from sycamoreshed.catalog import rests
+from sycamoreshed.catalog import staleentries
 
 __all__ = ["Availability"]
 
@@ -20,12 +21,14 @@
     ----------
     evacuations : Evacuations
     rests : Rests
+    stale_entries : StaleEntries
     """
 
     def __init__(self, *, journal):
         self._departures = frozenset()
         self.evacuations = evacuations.Evacuations(journal=journal)
         self.rests = rests.Rests()
+        self.stale_entries = staleentries.StaleEntries()
 
     def set_departures(self, boots):
         """Replace the endpoints that leave by their answers.
@@ -45,8 +48,15 @@
         return is_new
 
     def is_leaving(self, endpoint):
-        """Return whether an endpoint leaves, as listed or by its answers."""
-        return endpoint.is_draining or endpoint.boot in self._departures
+        """Return whether an endpoint leaves, as listed or by its answers.
+
+        An older copy of the store may list one as staying that had left.
+        """
+        return (
+            endpoint.is_draining
+            or endpoint.boot in self._departures
+            or endpoint.boot in self.stale_entries
+        )
 
     def is_open(self, endpoint):
         """Return whether an endpoint takes work, unless it rests."""
--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -1,10 +1,12 @@
 """Local copies of what operators, endpoints and instances wrote."""
 
+import contextlib
 import typing
 
 import msgspec
 
 from sycamoreshed.catalog import availability
+from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import replica
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
@@ -18,6 +20,9 @@
 # written again within two seconds of its recovery, as the platform documents;
 # one that is still missing after that belongs to no live endpoint.
 EXPIRY_GRACE_S = 2.0
+# A zone that was evacuated stays so for this long if the store came back
+# from a copy that does not say so.
+EVACUATION_GRACE_S = 5.0
 SETTINGS = "settings"
 ENDPOINTS = "endpoints"
 PEERS = "peers"
@@ -199,8 +204,7 @@
 
         False as well if it started again since `endpoint` was listed.
         """
-        if self._retained:
-            self._expire(now)
+        self._refresh(now)
         current = self._endpoints.get(endpoint.id)
         if current is None or current.boot != endpoint.boot:
             return False
@@ -274,7 +278,10 @@
 
     def replace(self, table, rows, position, now, *, source):
         """Install a full copy of a table; return whether it was newer."""
+        held = self._replicas[table].position
         is_newer = self._replicas[table].replace(rows, position)
+        if is_newer and held != positions.UNKNOWN and position.era > held.era:
+            self._on_store_restored(table, held, now, source)
         if is_newer or table in self._underived:
             self._derive(table, now, source)
         return is_newer
@@ -286,6 +293,37 @@
             self._derive(table, now, source)
         return is_newer
 
+    def _on_store_restored(self, table, held, now, source):
+        """Keep what is known to be newer than the copy of the store.
+
+        The operators and the endpoints write again what the store has lost,
+        but may need some time for it.
+        """
+        position, rows = self._replicas[table].copy
+        self._journal.write(
+            "store_restored",
+            table=table,
+            era=position.era,
+            version=position.version,
+            held_era=held.era,
+            held_version=held.version,
+            source=source,
+        )
+        if table == SETTINGS:
+            self.evacuations.retain(now + EVACUATION_GRACE_S)
+        elif table == ENDPOINTS:
+            self.on_store_recovered(now)
+            self._hold_stale_entries(rows, now)
+
+    def _hold_stale_entries(self, rows, now):
+        boots = []
+        for key, raw in rows.items():
+            # Rows that name no endpoint are logged where they are derived.
+            with contextlib.suppress(msgspec.MsgspecError, UnicodeDecodeError):
+                boots.append(self._decode_endpoint(key, raw).boot)
+        for boot in self._availability.stale_entries.on_restored(boots, now):
+            self._journal.write("endpoint_held", endpoint=boot)
+
     def _derive(self, table, now, source):
         self._underived.add(table)
         if table == SETTINGS:
@@ -381,10 +419,25 @@
                 store_version=version,
                 source=source,
             )
+        self._record_departures(previous, endpoints, now)
         self._software.update(previous.values(), endpoints.values(), now)
         self._endpoints = endpoints
         self._group_endpoints()
 
+    def _record_departures(self, previous, endpoints, now):
+        """Remember who left, in case the store forgets it."""
+        stale_entries = self._availability.stale_entries
+        boots = {each.boot for each in endpoints.values()}
+        stale_entries.retain(boots)
+        for each in previous.values():
+            if each.boot not in boots:
+                stale_entries.record_left(each.boot, now, has_said_so=False)
+        for each in endpoints.values():
+            if each.is_draining:
+                stale_entries.record_left(each.boot, now, has_said_so=True)
+            else:
+                stale_entries.record_listed(each.boot)
+
     def _group_endpoints(self):
         grouped = {}
         for each in self._endpoints.values():
@@ -395,9 +448,16 @@
         }
 
     def _listed(self, service, now):
+        self._refresh(now)
+        return self._by_service.get(service, ())
+
+    def _refresh(self, now):
+        """End what was kept only for a time."""
         if self._retained:
             self._expire(now)
-        return self._by_service.get(service, ())
+        has_released = self._availability.stale_entries.release(now)
+        if self.evacuations.release(now) or has_released:
+            self._group_endpoints()
 
     def _expire(self, now):
         expired = {
--- a/sycamoreshed/catalog/evacuations.py
+++ b/sycamoreshed/catalog/evacuations.py
@@ -23,6 +23,8 @@
     def __init__(self, *, journal):
         self._journal = journal
         self._since = {}
+        self._listed = frozenset()
+        self._retained_until = {}
 
     def __contains__(self, zone):
         return zone in self._since
@@ -38,6 +40,26 @@
         source : str
             Who told, for the journal.
         """
+        self._listed = frozenset(zones)
+        for zone in zones & self._retained_until.keys():
+            del self._retained_until[zone]
+        return self._set(zones | self._retained_until.keys(), now, source)
+
+    def retain(self, until):
+        """Keep the present zones evacuated until a time, listed or not."""
+        self._retained_until = dict.fromkeys(self._since, until)
+
+    def release(self, now):
+        """End what was retained for a time; return whether zones changed."""
+        over = [z for z, until in self._retained_until.items() if now >= until]
+        for zone in over:
+            del self._retained_until[zone]
+        if not over:
+            return False
+        zones = self._listed | self._retained_until.keys()
+        return self._set(zones, now, "lapse")
+
+    def _set(self, zones, now, source):
         if zones == self._since.keys():
             return False
         for zone in zones - self._since.keys():
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -291,6 +291,17 @@
         "the store told another era than before: it came back from an older "
         "copy",
     ),
+    "store_restored": Event(
+        EventClass.STATE,
+        "table, era, version, held_era, held_version, source",
+        "a table's copy was replaced by one of a later era of the store, "
+        "which lost what was written since its own copy was made",
+    ),
+    "endpoint_held": Event(
+        EventClass.STATE,
+        "endpoint",
+        "such a store lists an endpoint that had left; it gets no new work",
+    ),
     "copy_refused": Event(
         EventClass.STATE,
         "table, era, version, held_era, held_version",
