Save findings again of which the store has an older one

The instance that checks a zone's findings saved those without a row. A store that came back from an older copy has rows of findings as they were: an instance that started then learned, for as long as the row lived, what no longer held. The stamps are compared now. The row is written within the interval of the check, 10 to 20 s, by one instance a zone.

The test failed before: the row kept the older finding.

--- a/sycamoreshed/findings/stored.py
+++ b/sycamoreshed/findings/stored.py
@@ -142,7 +142,11 @@
         return rendezvous.top("check findings", members, 1) == [self._own]
 
     def _save_missing(self):
-        """Save what the instance that found it could not save."""
+        """Save what the store lacks, or has an older finding of.
+
+        The instance that found it may have been unable to save it, or the
+        store may have come back from an older copy.
+        """
         rows = self._catalog.findings
         now = self._clock()
         self.save(
@@ -150,10 +154,15 @@
                 each
                 for each in self._board.findings(now)
                 if topics.find(each.topic).is_durable
-                and _row_key(each.topic, each.key) not in rows
+                and self._is_newer(each, rows)
             ]
         )
 
+    def _is_newer(self, finding, rows):
+        raw = rows.get(_row_key(finding.topic, finding.key))
+        row = None if raw is None else self._decode(None, raw)
+        return row is None or row.stamp < finding.stamp
+
     async def _remove_expired(self):
         rows = self._catalog.findings
         expired = [
--- a/sycamoreshed/findings/tests/test_stored.py
+++ b/sycamoreshed/findings/tests/test_stored.py
@@ -127,3 +127,25 @@
         return store.rows
 
     assert list(virtualtime.run(scenario())) == ["test-lasting/k"]
+
+
+def test_finding_replaces_an_older_one_of_a_store_that_came_back():
+    """An instance that started then learned what no longer held."""
+
+    async def scenario():
+        store = Store()
+        store.rows["test-lasting/k"] = msgspec.json.encode(["old", 1, DAY_MS])
+        each = Instance(store)
+        newer = board.Finding(builders.LASTING.name, "k", "new", 2, 0.0)
+        each.board.merge([newer], 0.0)
+        tasks = [
+            asyncio.create_task(run)
+            for run in (each.stored.run_saving(), each.stored.run_checking())
+        ]
+        await asyncio.sleep(2 * stored.CHECK_INTERVAL_S[1])
+        for task in tasks:
+            task.cancel()
+        return msgspec.json.decode(store.rows["test-lasting/k"])
+
+    value, stamp, _ = virtualtime.run(scenario())
+    assert (value, stamp) == ("new", 2)
