Show the store's era to operators, and test zones that have a reader

The simulated zone's store comes back from a copy: 32 instances with one reader get a change in less than the 5 s of the deployment, also when the reader is silent as the store returns, keep no row that the store lost, and make few calls.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -142,6 +142,11 @@
         """
         return self._findings
 
+    @property
+    def store_era(self):
+        """Latest era of the store that any copy is of; -1 without a copy."""
+        return max(each.position.era for each in self._replicas.values())
+
     @property
     def changed(self):
         """`Signal` that fires for a newer full copy or changed rows."""
--- a/sycamoreshed/catalog/tests/test_relay.py
+++ b/sycamoreshed/catalog/tests/test_relay.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.catalog import readerselection
 from sycamoreshed.catalog import updates
 from testkit import relayzone
@@ -179,6 +180,57 @@
     assert calls <= 3 * 20.0 / 3.5 + 3
 
 
+@pytest.mark.parametrize("lost", [1, 40])
+@pytest.mark.parametrize("is_reader_away", [False, True])
+def test_change_arrives_after_the_store_came_back(lost, is_reader_away):
+    """Copies were held back, as their versions were those of another era."""
+
+    async def scenario(zone):
+        backup = zone.store.backup()
+        for number in range(lost):
+            zone.store.put(catalogs.SETTINGS, f"row-{number}", b"")
+        await zone.change(2)
+        if is_reader_away:
+            zone.store.refuses |= zone.readers
+            zone.unresponsive |= zone.readers
+        zone.store.restore(backup)
+        zone.store.put(catalogs.SETTINGS, "config", b"2")
+        await asyncio.sleep(5.0)
+        zone.store.refuses.clear()
+        zone.unresponsive.clear()
+        delays = await zone.change(3)
+        rows = [
+            each.catalog.replica(catalogs.SETTINGS).rows
+            for each in zone.instances.values()
+        ]
+        return delays, rows
+
+    delays, rows = run_scenario(scenario)
+    assert len(delays) == SIZE
+    assert max(delays.values()) < 5.0
+    # What the store lost does not stay at any instance.
+    assert all(set(each) == {"config"} for each in rows)
+
+
+def test_store_that_came_back_is_not_read_by_all_for_long():
+    """A zone of instances that read in a loop uses up the store's rate."""
+
+    async def scenario(zone):
+        backup = zone.store.backup()
+        for number in range(40):
+            zone.store.put(catalogs.SETTINGS, f"row-{number}", b"")
+        await asyncio.sleep(1.0)
+        zone.store.restore(backup)
+        before = zone.store.calls
+        await asyncio.sleep(20.0)
+        return zone.readers, zone.store.calls - before
+
+    readers, calls = run_scenario(scenario)
+    assert len(readers) == 1
+    # Each instance may read the three tables a few times.
+    assert calls <= 3 * (20.0 / 3.5 + 1) + 9 * SIZE
+
+
 def test_reader_wait():
     assert readerselection.reader_wait(5.0, 0.5) == 3.5
     assert readerselection.reader_wait(0.5, 0.5) == readerselection.MIN_WAIT_S
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -180,6 +180,7 @@
         metrics.export_age(
             table, lambda table=table: catalog.age(table, core.clock())
         )
+    metrics.export_store_era(lambda: catalog.store_era)
     for zone in core.settings.zones:
         metrics.export_evacuation(
             zone,
@@ -244,6 +245,7 @@
                 for zone, age_s in catalog.evacuations.ages(now).items()
             },
             "reader": core.part("reading").reader(now),
+            "store_era": catalog.store_era,
             "engine_load_collector": load_sharing.collector(now),
             "engine_load_age_s": round(min(1e6, load_sharing.age_s(now)), 2),
             "settings_age_s": round(min(1e6, catalog.age("settings", now)), 2),
--- a/sycamoreshed/gateway/metrics.py
+++ b/sycamoreshed/gateway/metrics.py
@@ -56,6 +56,12 @@
             ["table"],
             registry=registry,
         )
+        self._store_era = prometheus_client.Gauge(
+            "sycamoreshed_gateway_store_era",
+            "Era of the store that this instance knows of; rises each time "
+            "that the store comes back from an older copy.",
+            registry=registry,
+        )
         self._evacuated = prometheus_client.Gauge(
             "sycamoreshed_gateway_evacuated_seconds",
             "Time since a zone is known to be evacuated; 0 if it is not.",
@@ -168,6 +174,10 @@
         """Export the age of a table, which `read` returns at each scrape."""
         self._age.labels(table).set_function(read)
 
+    def export_store_era(self, read):
+        """Export the store's era, which `read` returns at each scrape."""
+        self._store_era.set_function(read)
+
     def export_evacuation(self, zone, read):
         """Export since when a zone is evacuated, in seconds."""
         self._evacuated.labels(zone).set_function(read)
--- a/testkit/relayzone.py
+++ b/testkit/relayzone.py
@@ -26,12 +26,14 @@
 class Store:
     """Three tables; rejects or never answers calls of some instances.
 
-    ``refuses`` and ``ignores`` hold the names of these instances.
+    ``refuses`` and ``ignores`` hold the names of these instances.  Comes
+    back from a `backup` by `restore`, in the next era.
     """
 
     def __init__(self):
         self._rows = {table: {} for table in TABLES}
         self.version = 0
+        self.era = 0
         self.calls = 0
         self.refuses = set()
         self.ignores = set()
@@ -41,6 +43,17 @@
         self.version += 1
         self._rows[table][key] = tablereads.Row(key, value, self.version)
 
+    def backup(self):
+        """Return a copy of all rows, and its version."""
+        rows = {table: dict(each) for table, each in self._rows.items()}
+        return rows, self.version
+
+    def restore(self, backup):
+        """Come back from a copy."""
+        rows, self.version = backup
+        self._rows = {table: dict(each) for table, each in rows.items()}
+        self.era += 1
+
     def client(self, caller):
         """Return a client of the store for one instance."""
         return _StoreClient(self, caller)
@@ -62,7 +75,9 @@
         if failure is not None:
             return failure
         rows = self.store.rows_after(table, -1)
-        return tablereads.Changes(rows, self.store.version, is_full=True)
+        return tablereads.Changes(
+            rows, self.store.version, is_full=True, era=self.store.era
+        )
 
     async def wait_for_changes(self, table, after, *, wait_s, slack_s):
         """Wait for rows that changed."""
@@ -71,13 +86,20 @@
         failure = await self._failure(wait_s + slack_s)
         if failure is not None:
             return failure
+        era = self.store.era
         while not self.store.rows_after(table, after) and clock() < deadline:
             await asyncio.sleep(0.01)
+            if self.store.era != era:
+                return kinds.Failure(kinds.Kind.REFUSED, "connection reset")
+        if after > self.store.version:
+            return tablereads.HistoryGone(self.store.era)
         if self.caller in self.store.ignores:
             await asyncio.sleep(max(0.0, deadline + slack_s - clock()))
             return kinds.Failure(kinds.Kind.LATE, "no answer in time")
         rows = self.store.rows_after(table, after)
-        return tablereads.Changes(rows, self.store.version, is_full=False)
+        return tablereads.Changes(
+            rows, self.store.version, is_full=False, era=self.store.era
+        )
 
     async def _failure(self, timeout):
         self.store.calls += 1
--- a/tests/integration/test_restored_store.py
+++ b/tests/integration/test_restored_store.py
@@ -82,6 +82,7 @@
         store.put("op", "config", configuration(14))
         await wait_version(instances, 14)
         for each in instances:
+            assert (await each.status())["store_era"] == 5
             status, _, _ = await harness.call(session, each, url=NEW_URL)
             assert status == 200
 
