Tell rows' versions of different eras apart in the table service's client

The daemon that runs pipelines keeps leases, idempotency records and release notes in the table service and compares their versions as numbers: a candidate takes a row for unchanged, a conditional write succeeds on the row of another writer, as versions are given out again, and a probe takes a higher number for a write that took effect.

Versions are packed positions now, the era in the high bits (`adapters/positions.py`, where the positions of table copies went as well), so that comparisons hold across eras without a change to those who compare. A write that is conditional on an earlier era is not sent, but answered as a conflict with the present rows; if the era changes while it is under way its outcome is unknown, and answers of an earlier era are failures. A service that tells no era has era 0 and the versions that it always had.

What cannot be had with the service's calls: a write that is sent before its sender knows of the new era may take effect on a row that has the same version by chance.

--- a/standins/table.py
+++ b/standins/table.py
@@ -11,6 +11,8 @@
 
 __all__ = ["TableStore"]
 
+ERA_HEADER = "Table-Era"
+
 
 class TableStore:
     """Versioned rows with conditional transactions.
@@ -20,9 +22,11 @@
     faults : Faults
     reads_per_s, writes_per_s : float
         Rate limits; calls above them are refused with status 429.
+    era : int or None
+        Told in all answers, and raised by each restore; None tells none.
     """
 
-    def __init__(self, *, faults, reads_per_s, writes_per_s):
+    def __init__(self, *, faults, reads_per_s, writes_per_s, era=None):
         self._faults = faults
         self._limits = {"reads": reads_per_s, "writes": writes_per_s}
         self._window = (0, collections.Counter())
@@ -30,6 +34,8 @@
         self._rows = {}
         self._keys = []
         self._last_version = 0
+        self._backup = None
+        self._era = era
         self.counters = collections.Counter()
 
     def routes(self):
@@ -39,6 +45,8 @@
             web.get("/scan", self.scan),
             web.post("/transact", self.transact),
             web.get("/counts", self.counts),
+            web.post("/backup", self.backup),
+            web.post("/restore", self.restore),
         ]
 
     async def read(self, http):
@@ -51,8 +59,8 @@
             self.counters["stale_reads"] += 1
             row = self._previous_rows.get(key, row)
         if not row["version"]:
-            return web.json_response({"error": "no row"}, status=404)
-        return web.json_response(row)
+            return self._reply({"error": "no row"}, status=404)
+        return self._reply(row)
 
     async def scan(self, http):
         """Answer with the rows of a key prefix that follow a given key."""
@@ -69,7 +77,7 @@
             if not key.startswith(prefix) or len(rows) == limit:
                 break
             rows.append(self._row(key))
-        return web.json_response({"rows": rows})
+        return self._reply({"rows": rows})
 
     async def transact(self, http):
         """Write all rows, or none if any version does not match."""
@@ -83,9 +91,9 @@
         ]
         if stale:
             rows = [self._row(key) for key in stale]
-            return web.json_response({"conflicts": rows}, status=409)
+            return self._reply({"conflicts": rows}, status=409)
         versions = [self._put(write) for write in body["writes"]]
-        return web.json_response({"versions": versions})
+        return self._reply({"versions": versions})
 
     async def counts(self, _http):
         """Answer with the numbers of calls and rows."""
@@ -98,6 +106,27 @@
             }
         )
 
+    async def backup(self, _http):
+        """Keep a copy of all rows."""
+        self._backup = (dict(self._rows), self._last_version)
+        return web.json_response({})
+
+    async def restore(self, _http):
+        """Come back from the copy, in the next era."""
+        rows, self._last_version = self._backup
+        self._rows = dict(rows)
+        self._keys = sorted(rows)
+        self._previous_rows = {}
+        if self._era is not None:
+            self._era += 1
+        return web.json_response({})
+
+    def _reply(self, body, status=200):
+        headers = {}
+        if self._era is not None:
+            headers[ERA_HEADER] = str(self._era)
+        return web.json_response(body, status=status, headers=headers)
+
     def _exceeds_limit(self, operation):
         """Count a call; return whether it exceeds the rate limit."""
         second = int(time.monotonic())
@@ -138,6 +167,7 @@
         faults=faults,
         reads_per_s=spec.get("reads_per_s", math.inf),
         writes_per_s=spec.get("writes_per_s", math.inf),
+        era=spec.get("era"),
     )
 
 
--- a/sycamoreshed/catalog/positions.py
+++ b/sycamoreshed/adapters/positions.py
@@ -8,7 +8,22 @@
 
 import typing
 
-__all__ = ["UNKNOWN", "Position", "format_position", "parse", "told"]
+__all__ = [
+    "UNKNOWN",
+    "Position",
+    "format_position",
+    "has_advanced",
+    "pack",
+    "parse",
+    "parse_era",
+    "told",
+    "unpack",
+]
+
+# Bits of a packed position that hold the version.
+VERSION_BITS = 48
+# Longer numbers do not fit into 64 bits.
+MAX_ERA_DIGITS = 18
 
 
 class Position(typing.NamedTuple):
@@ -64,6 +79,52 @@
     return Position(max(0, held.era) if era is None else era, version)
 
 
+def parse_era(text):
+    """Return the era that an answer's header tells, or None.
+
+    Examples
+    --------
+    >>> parse_era("3"), parse_era(""), parse_era("third"), parse_era("-1")
+    (3, None, None, None)
+    """
+    text = text.strip()
+    is_number = text.isascii() and text.isdecimal()
+    return int(text) if is_number and len(text) <= MAX_ERA_DIGITS else None
+
+
+def pack(position):
+    """Return a position as one number, in the same order.
+
+    In era 0 this is the version, as of a store that tells no era.
+
+    Examples
+    --------
+    >>> pack(Position(0, 7)), unpack(pack(Position(2, 7)))
+    (7, Position(era=2, version=7))
+    """
+    return position.era << VERSION_BITS | position.version
+
+
+def unpack(number):
+    """Return the position of a packed one."""
+    return Position(number >> VERSION_BITS, number & (1 << VERSION_BITS) - 1)
+
+
+def has_advanced(before, after):
+    """Return whether something was written between two packed positions.
+
+    False between two eras: the later one is higher even if what was written
+    is lost.
+
+    Examples
+    --------
+    >>> first, lost, next_era = 40, 44, pack(Position(1, 40))
+    >>> has_advanced(first, lost), has_advanced(lost, next_era)
+    (True, False)
+    """
+    return before < after and unpack(before).era == unpack(after).era
+
+
 def format_position(position):
     """Return the text of a position in the query of a call.
 
--- a/sycamoreshed/adapters/tests/test_table.py
+++ b/sycamoreshed/adapters/tests/test_table.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.adapters.tests import serving
 from sycamoreshed.errors import kinds
@@ -124,3 +125,98 @@
         row = await client.read("a")
     assert (result.kind, result.sent) == (UNAVAILABLE, False)
     assert row.version == tables.ABSENT
+
+
+async def _restore(session, proxy, lost):
+    """Keep a copy, write `lost` rows, and come back from the copy."""
+    url = f"http://{proxy.address}"
+    other = _client(session, proxy.address)
+    async with session.post(f"{url}/backup"):
+        pass
+    for number in range(lost):
+        await other.write(tables.Write(f"lost-{number}", 1, tables.ABSENT))
+    async with session.post(f"{url}/restore"):
+        pass
+
+
+async def test_versions_of_two_eras_differ():
+    """A version is given out again; a row would count as unchanged."""
+    async with serving.running("table", era=3) as (session, proxy, _):
+        client = _client(session, proxy.address)
+        await client.write(tables.Write("a", 1, tables.ABSENT))
+        before = await client.read("a")
+        absent = await client.read("b")
+        await _restore(session, proxy, 2)
+        after = await client.read("a")
+        still_absent = await client.read("b")
+    assert after.value == before.value
+    assert after.version > before.version
+    assert not positions.has_advanced(before.version, after.version)
+    assert still_absent.version > absent.version
+
+
+@pytest.mark.parametrize("is_era_known", [False, True])
+async def test_write_on_a_version_that_was_given_out_again_has_not_succeeded(
+    is_era_known,
+):
+    """An instance would take another writer's row for its own.
+
+    If the era is learnt only from the answer to the write, its outcome is
+    told as unknown.
+    """
+    async with serving.running("table", era=3) as (session, proxy, _):
+        client, other = (
+            _client(session, proxy.address),
+            _client(session, proxy.address),
+        )
+        async with session.post(f"http://{proxy.address}/backup"):
+            pass
+        (version,) = (
+            await client.write(tables.Write("a", "own", tables.ABSENT))
+        ).versions
+        async with session.post(f"http://{proxy.address}/restore"):
+            pass
+        await other.write(tables.Write("a", "other's", tables.ABSENT))
+        if is_era_known:
+            await client.read("b")
+        result = await client.write(tables.Write("a", "next", version))
+    if is_era_known:
+        (row,) = result.rows
+        assert row.value == "other's"
+    else:
+        assert (result.kind, result.sent) == (UNAVAILABLE, True)
+
+
+async def test_answer_of_an_earlier_era_is_a_failure():
+    """A call was under way as the store came back; its rows are lost ones."""
+    async with serving.running("table", era=3) as (session, proxy, _):
+        client = _client(session, proxy.address)
+        await client.read("a")
+        client._observe(4)
+        row = await client.read("a")
+    assert (row.kind, row.sent) == (UNAVAILABLE, True)
+
+
+@pytest.mark.parametrize("era", [None, "", "third", "-1", "9" * 40])
+async def test_service_that_tells_no_era_is_used_as_before(era):
+    """The header is missing or malformed."""
+    async with serving.running("table", era=era) as (session, proxy, _):
+        client = _client(session, proxy.address)
+        result = await client.write(tables.Write("a", 1, tables.ABSENT))
+        row = await client.read("a")
+    assert result == tables.Written((1,))
+    assert row == tables.Row("a", 1, 1)
+    assert client.era == 0
+
+
+async def test_return_from_a_copy_is_told_to_those_who_wrote():
+    """Otherwise nobody would write again what the store lost."""
+    told = []
+    async with serving.running("table", era=3) as (session, proxy, _):
+        client = _client(session, proxy.address)
+        client.on_restored(lambda: told.append(client.era))
+        await client.read("a")
+        await _restore(session, proxy, 1)
+        await client.read("a")
+        await client.read("a")
+    assert told == [4]
--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.catalog import availability
-from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import replica
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -12,11 +12,11 @@
 
 import msgspec
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import access as accesses
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.catalog import debounce as debounces
-from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import readerselection
 from sycamoreshed.catalog import tablereads
 from sycamoreshed.catalog import updates
--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import catalog as catalogs
-from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import updates
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
--- a/sycamoreshed/catalog/replica.py
+++ b/sycamoreshed/catalog/replica.py
@@ -8,7 +8,7 @@
 
 import typing
 
-from sycamoreshed.catalog import positions
+from sycamoreshed.adapters import positions
 
 __all__ = ["Copy", "Replica"]
 
--- a/sycamoreshed/catalog/tests/test_replica.py
+++ b/sycamoreshed/catalog/tests/test_replica.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 import pytest
 
-from sycamoreshed.catalog import positions
+from sycamoreshed.adapters import positions
 from sycamoreshed.catalog import replica
 from testkit import storepositions
 
--- a/sycamoreshed/catalog/updates.py
+++ b/sycamoreshed/catalog/updates.py
@@ -2,8 +2,8 @@
 
 import typing
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.catalog import catalog as catalogs
-from sycamoreshed.catalog import positions
 
 __all__ = [
     "TableUpdate",
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -3,8 +3,8 @@
 import msgspec
 
 from aiohttp import web
+from sycamoreshed.adapters import positions
 from sycamoreshed.catalog import following
-from sycamoreshed.catalog import positions
 from sycamoreshed.catalog import relay
 from sycamoreshed.catalog import updates
 from sycamoreshed.engineload import messages as load_messages
--- a/sycamoreshed/idempotency/store.py
+++ b/sycamoreshed/idempotency/store.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 from sycamoreshed.idempotency import breaker as breakers
@@ -180,4 +181,4 @@
         after = await self._table.read(PROBE_KEY)
         if isinstance(after, kinds.Failure):
             return False
-        return after.version > before.version
+        return positions.has_advanced(before.version, after.version)
--- a/sycamoreshed/platform/store.py
+++ b/sycamoreshed/platform/store.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import tablereads
 from sycamoreshed.errors import kinds
@@ -20,8 +21,6 @@
 
 _OK = 200
 _HISTORY_GONE = 410
-# Longer numbers do not fit into 64 bits.
-_MAX_ERA_DIGITS = 18
 
 
 class _WireRow(msgspec.Struct):
@@ -159,7 +158,7 @@
         )
         if isinstance(reply, kinds.Failure):
             return reply
-        era = _decode_era(reply.headers)
+        era = positions.parse_era(reply.headers.get(names.STORE_ERA, ""))
         if reply.status == _HISTORY_GONE:
             return tablereads.HistoryGone(era)
         if reply.status != _OK:
@@ -179,13 +178,6 @@
     )
 
 
-def _decode_era(headers):
-    """Return the era that an answer tells, or None."""
-    text = headers.get(names.STORE_ERA, "").strip()
-    is_number = text.isascii() and text.isdecimal()
-    return int(text) if is_number and len(text) <= _MAX_ERA_DIGITS else None
-
-
 def _decode_rows(answer):
     """Decode rows; the change feed marks removed ones by a tombstone."""
     return [
--- a/testkit/storepositions.py
+++ b/testkit/storepositions.py
@@ -1,6 +1,6 @@
 """Builders of positions in the history of a store."""
 
-from sycamoreshed.catalog import positions
+from sycamoreshed.adapters import positions
 
 __all__ = ["at"]
 
