Keep leases safe when the store came back from an older copy

Two instances could order the same engines: a row that had been released before the copy was made was acquired without a wait, although another instance had acquired it since; an own write was taken for a lease although it had replaced another holder's row of the same version; and a holder in the new era could get a fencing number that engines had seen from the one before, so that they would take a late order of that one.

A release counts only in the era in which it was written, an unanswered write only over a row of the present era, and a version that was first seen in another era is waited for anew. In eras after 0 fencing numbers grow with the position of the row over which a lease is acquired, so that they need no memory of what was lost; without an era they are as before.

The exploration of all orders of events has a store that is copied and comes back, and compares bare versions as the service does.

--- a/sycamoreshed/orders/leases.py
+++ b/sycamoreshed/orders/leases.py
@@ -6,6 +6,7 @@
 tests run the same functions through every order of events.
 """
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.orders import records
 
@@ -22,6 +23,9 @@
 # Limit on the unanswered writes that are remembered.  More than a few mean
 # that the store is unavailable, and then the lease expires anyway.
 MAX_UNANSWERED = 8
+# Bits of a fencing number below those of the store's era; 13 bits remain for
+# the era in a number that a double holds exactly.
+FENCE_VERSION_BITS = 40
 
 
 def is_valid(state, now, terms):
@@ -63,10 +67,14 @@
     has never seen the new version and would wait for its own lease to
     expire.  The holder's name does not suffice either: an instance
     restarted under the same name would treat the lease of its predecessor
-    as its own and skip the wait.
+    as its own and skip the wait.  Nor does the id of a write over a row of
+    an earlier era: it may have replaced the lease of another holder, whose
+    row had the same version by chance.
     """
     value = row.value or {}
     own = _find(state.unanswered, value.get("attempt"))
+    if own is not None and own.era != _era(row):
+        own = None
     max_fence = max(state.max_fence, value.get("fence", 0))
     state = state._replace(max_fence=max_fence)
     if own is not None and not value["released"]:
@@ -133,11 +141,14 @@
     one of the new holder.  The wait applies to an absent row as well; the
     store may have lost it while the lease was held.  The holder's terms
     apply if they are longer, as can happen while settings are changed.
+
+    After the store came back from an older copy, a row that was released
+    may have been acquired since the copy was made.
     """
     if _is_own(state, row):
         return True
     value = row.value or {}
-    if value.get("released", False):
+    if value.get("released", False) and value.get("era", 0) == _era(row):
         return True
     if state.seen is None or state.seen.version != row.version:
         return False
@@ -175,14 +186,14 @@
         fence = state.lease.fence
         config = max(config, state.lease.config)
     else:
-        fence = state.max_fence + 1
+        fence = max(state.max_fence, _fence_floor(row)) + 1
         config = max(config, value.get("config", 0))
     # An engine has received a higher fencing number, as after the store lost
     # the row and the numbers restarted.  It would refuse all orders with
     # lower numbers for good.
     if fence < state.max_fence:
         fence = state.max_fence + 1
-    pending = records.UnansweredWrite(attempt, now, fence, config)
+    pending = records.UnansweredWrite(attempt, now, fence, config, _era(row))
     write = tables.Write(
         row.key, _value(pending, holder, terms, released=False), row.version
     )
@@ -236,11 +247,31 @@
     released = records.LeaseState(max_fence=state.max_fence)
     if lease is None:
         return released, None
-    pending = records.UnansweredWrite(attempt, 0.0, lease.fence, lease.config)
+    pending = records.UnansweredWrite(
+        attempt,
+        0.0,
+        lease.fence,
+        lease.config,
+        positions.unpack(lease.version).era,
+    )
     value = _value(pending, holder, terms, released=True)
     return released, tables.Write(key, value, lease.version)
 
 
+def _fence_floor(row):
+    """Return what fencing numbers over later versions of a row exceed.
+
+    The store may have lost the highest number, or a row that holds it may
+    have been replaced by chance.
+    """
+    era, version = positions.unpack(row.version)
+    return (era << FENCE_VERSION_BITS) + version if era else 0
+
+
+def _era(row):
+    return positions.unpack(row.version).era
+
+
 def _is_own(state, row):
     lease = state.lease
     return lease is not None and lease.version == row.version
@@ -259,4 +290,5 @@
         released=released,
         seconds=terms.duration_s,
         longest=terms.max_order_s,
+        era=pending.era,
     )
--- a/sycamoreshed/orders/records.py
+++ b/sycamoreshed/orders/records.py
@@ -37,7 +37,8 @@
     ``attempt`` is unique for each write ever sent; ``config`` is the
     highest configuration version that orders may have been sent for;
     ``seconds`` and ``longest`` are ``duration_s`` and ``max_order_s`` of
-    the holder's terms.
+    the holder's terms.  ``era`` is that of the row over which it was written,
+    0 if it is missing.
     """
 
     holder: str
@@ -47,6 +48,7 @@
     released: bool
     seconds: float
     longest: float
+    era: typing.NotRequired[int]
 
 
 class HeldLease(typing.NamedTuple):
@@ -78,12 +80,16 @@
 
 
 class UnansweredWrite(typing.NamedTuple):
-    """A write without a response: its id, time and contents."""
+    """A write without a response: its id, time and contents.
+
+    ``era`` is that of the row over which it was to be written.
+    """
 
     attempt: str
     sent_at: float
     fence: int
     config: int
+    era: int = 0
 
 
 class LeaseState(typing.NamedTuple):
--- a/sycamoreshed/orders/tests/test_leases.py
+++ b/sycamoreshed/orders/tests/test_leases.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.orders import leases
 from sycamoreshed.orders import records
@@ -12,6 +13,7 @@
     "restarts and drift": exploration.Bounds(
         attempts=(1, 1), restarts=1, drift=3
     ),
+    "older copies": exploration.Bounds(attempts=(1, 1), drift=0, restores=1),
 }
 REAL = types.SimpleNamespace(
     **{name: getattr(leases, name) for name in leases.__all__}
@@ -51,7 +53,12 @@
     return REAL.propose(lower, row, now, terms, **options)
 
 
+def _fence_from_memory(row):
+    return 0
+
+
 MUTATIONS = {
+    "fence from memory alone": ("_fence_floor", _fence_from_memory),
     "counted from the answer": ("on_written", _counted_from_answer),
     "longest order not waited for": ("can_acquire", _without_order_time),
     "taken at first sight": ("can_acquire", _without_wait),
@@ -102,6 +109,7 @@
     return tables.Row("leases/z", {**base, **value}, version)
 
 
+NEXT_ERA_VERSION = positions.pack(positions.Position(1, 3))
 HELD_LEASE = records.HeldLease(fence=4, expires_at=6.0, version=3, config=7)
 WAITING = records.LeaseState(seen=records.SeenVersion(3, 0.0), max_fence=4)
 UNANSWERED = records.LeaseState(
@@ -115,6 +123,25 @@
     "renewed meanwhile": (WAITING, _row(4), 8.1, None),
     "holder has longer terms": (WAITING, _row(3, seconds=9.0), 8.1, None),
     "released": (records.LeaseState(), _row(3, released=True), 0.0, 5),
+    "released, but before the store's copy was made": (
+        records.LeaseState(),
+        _row(NEXT_ERA_VERSION, released=True),
+        0.0,
+        None,
+    ),
+    "released in this era": (
+        records.LeaseState(),
+        _row(NEXT_ERA_VERSION, released=True, era=1),
+        0.0,
+        (1 << leases.FENCE_VERSION_BITS) + 4,
+    ),
+    "own, but written over a row of an earlier era": (
+        UNANSWERED,
+        _row(NEXT_ERA_VERSION, attempt="mine"),
+        1.0,
+        None,
+    ),
+    "seen in an earlier era": (WAITING, _row(NEXT_ERA_VERSION), 8.1, None),
     "own, answer was lost": (UNANSWERED, _row(5, attempt="mine"), 1.0, 4),
     "own, but of an earlier process": (
         records.LeaseState(),
