Run no ballot twice after the store came back from an older copy

A member who repeated a vote after the store had lost the last seconds had it counted twice: its record was gone, so that the key could be claimed again, and a claim under way was given up as belonging to nobody, with its answer unrecorded.

A claim whose answer is the first to tell of the new era is given up, as the row may have been free only for the loss.

--- a/sycamoreshed/idempotency/decide.py
+++ b/sycamoreshed/idempotency/decide.py
@@ -18,6 +18,7 @@
     "State",
     "Step",
     "after_finish",
+    "after_loss",
     "after_read",
     "after_run",
     "after_write",
@@ -237,6 +238,41 @@
     return None
 
 
+def after_loss(row, record):
+    """Decide how to write a record again that the store may have lost.
+
+    Parameters
+    ----------
+    row : Row
+        As the store has it since it came back from an older copy.
+    record : Record
+        The last one that this instance wrote for the key.
+
+    Returns
+    -------
+    Step
+        ``CLAIM_AGAIN``: write it over the row.  ``TRY_AGAIN``: read again
+        later.  ``REFUSE``: the row tells as much as the record, or the
+        answer of another attempt.
+
+    Notes
+    -----
+    Over ``not-run`` of another attempt the record is written as well: the
+    copy may be from before this attempt claimed the key.  Another attempt
+    may have claimed it as the record was lost; it gives the key up once it
+    hears of the new era.
+    """
+    if row.value is None:
+        return Step.CLAIM_AGAIN
+    state, written = row.value["state"], record["state"]
+    if row.value["attempt"] == record["attempt"]:
+        is_older = state == State.BEGUN and written != State.BEGUN
+        return Step.CLAIM_AGAIN if is_older else Step.REFUSE
+    if written == State.NOT_RUN or state == State.DONE:
+        return Step.REFUSE
+    return Step.CLAIM_AGAIN if state == State.NOT_RUN else Step.TRY_AGAIN
+
+
 def after_run(failure, has_output):
     """Decide how to settle the record at the end of a run.
 
@@ -256,14 +292,17 @@
     return RunEnd.LEAVE if failure.sent else RunEnd.RELEASE
 
 
-def after_finish(result, attempt):
+def after_finish(result, record, *, is_row_restored=False):
     """Decide the next step after the write that settles a record.
 
     Parameters
     ----------
     result : Written, Conflict or Failure
-    attempt : str
-        Id of the attempt whose record is settled.
+    record : Record
+        The settled record.
+    is_row_restored : bool
+        Whether the store came back from an older copy since the key was
+        claimed.
 
     Returns
     -------
@@ -273,18 +312,22 @@
         write; send that one.  ``CLAIM_AGAIN``: write again over the
         current version.  ``TRY_AGAIN``: the write failed, or its result
         is unknown.  ``REFUSE``: the record belongs to another attempt, is
-        absent, or is already ``not-run``.
+        absent, or is already ``not-run``; not if the claim may be lost.
     """
     if isinstance(result, tables.Written):
         return Step.SEND
     if isinstance(result, kinds.Failure):
         return Step.TRY_AGAIN
-    record = result.rows[0].value
-    if record is None or record["attempt"] != attempt:
+    row = result.rows[0]
+    if is_row_restored:
+        step = after_loss(row, record)
+        if step is not Step.REFUSE:
+            return step
+    if row.value is None or row.value["attempt"] != record["attempt"]:
         return Step.REFUSE
-    if record["state"] == State.DONE:
+    if row.value["state"] == State.DONE:
         return Step.REPLAY
-    if record["state"] == State.BEGUN:
+    if row.value["state"] == State.BEGUN:
         return Step.CLAIM_AGAIN
     return Step.REFUSE
 
--- a/sycamoreshed/idempotency/once.py
+++ b/sycamoreshed/idempotency/once.py
@@ -11,6 +11,8 @@
 from sycamoreshed.idempotency import decide
 from sycamoreshed.idempotency import keys
 from sycamoreshed.idempotency import lookups  # noqa: F401
+from sycamoreshed.idempotency import losses  # noqa: F401
+from sycamoreshed.idempotency import prior_runs
 from sycamoreshed.idempotency import records
 from sycamoreshed.idempotency import rejections
 from sycamoreshed.idempotency import responses
@@ -127,6 +129,10 @@
             row = tables.Row(row_key, unstored, tables.ABSENT)
         elif failure is not None:
             row = await self._records.read(row_key)
+            loss = self._check_loss(request.key, request.repeat)
+            if loss is not None and not prior_runs.from_record(row):
+                # The record of an earlier request may be lost.
+                row = loss
         else:
             return None
         result = self._records.recorded_result(
@@ -162,6 +168,10 @@
             instance=self._instance,
             stages=names if unrepeatable is stages[-1] else None,
         )
+
+        def check_loss():
+            return self._check_loss(request.key, request.repeat)
+
         if unrepeatable is not stages[0]:
             prior_result = await self._records.peek(row_key, record)
             if prior_result is not None:
@@ -178,6 +188,7 @@
                 record,
                 request.deadline,
                 complete_from_endpoints=complete_from_endpoints,
+                check_loss=check_loss,
             )
 
         async def find_answer():
@@ -213,12 +224,23 @@
             return problems.response(unknown)
         endpoint_key = keys.endpoint_key(team, key)
         row = await self._complete_from_endpoints(row, service, endpoint_key)
+        loss = self._check_loss(key, None)
+        if loss is not None and not prior_runs.from_record(row):
+            unknown = loss._replace(kind=kinds.Kind.OUTCOME_UNKNOWN, sent=True)
+            return problems.response(unknown)
         if row.value is None:
             return problems.response(
                 kinds.Failure(kinds.Kind.KEY_UNKNOWN, "nothing is recorded")
             )
         return responses.record_response(row.value)
 
+    def _check_loss(self, key, repeat):
+        if self._records.losses is None:
+            return None
+        return self._records.losses.check(
+            key, repeat, self._records.clock(), time.time()
+        )
+
     def _service_of(self, match_info):
         if "service" in match_info:
             return match_info["service"]
--- a/sycamoreshed/idempotency/records.py
+++ b/sycamoreshed/idempotency/records.py
@@ -10,6 +10,7 @@
 from sycamoreshed.idempotency import breaker
 from sycamoreshed.idempotency import decide
 from sycamoreshed.idempotency import prior_runs
+from sycamoreshed.idempotency import rewriting
 from sycamoreshed.idempotency import settling
 from sycamoreshed.idempotency import store as stores
 from sycamoreshed.idempotency import trace as traces
@@ -59,15 +60,22 @@
     settler : Settler
     log : DecisionLog, optional
         Defaults to a new one.
+    losses : Losses, optional
     """
 
-    def __init__(self, *, store, clock, settler, log=None):
+    def __init__(self, *, store, clock, settler, log=None, losses=None):
         self.store = store
+        self.losses = losses
         self.prior_runs = prior_runs.PriorRuns()
         self.trace = traces.Trace(log=log or logs.DecisionLog(), clock=clock)
         self._clock = clock
         self.settler = settler
 
+    @property
+    def clock(self):
+        """Returns monotonic seconds."""
+        return self._clock
+
     def reject_if_unavailable(self):
         """Return a failure while writes are rejected, else None."""
         return self.store.reject_if_unavailable()
@@ -113,7 +121,15 @@
             return None
         return self._result_of(step, row, earlier_may_have_run=True)
 
-    async def claim(self, key, record, deadline, *, complete_from_endpoints):
+    async def claim(
+        self,
+        key,
+        record,
+        deadline,
+        *,
+        complete_from_endpoints,
+        check_loss=lambda: None,
+    ):
         """Claim a key for an attempt before anything is sent.
 
         Parameters
@@ -126,6 +142,9 @@
             Takes the row of another attempt that has begun.  Completes the
             record if an endpoint reports that the call ran; returns the
             current row, as far as known.
+        check_loss : callable
+            Returns a failure if the key cannot be claimed without a
+            record, as that may be lost; else None.
 
         Returns
         -------
@@ -141,6 +160,14 @@
         earlier_may_have_run = True
         unavailable_since = None
         for pause in settling.backoff_pauses():
+            era = self.store.era
+            loss = check_loss()
+            if loss is not None:
+                if may_be_written:
+                    self.settler.fence(key, record)
+                return await self._result_despite_loss(
+                    key, record, deadline, complete_from_endpoints, loss
+                )
             step, row, is_answer_lost = await self._try_claim(
                 key, record, version
             )
@@ -153,7 +180,14 @@
                 "claim", row, request=record["attempt"], step=step.value
             )
             if step is decide.Step.SEND:
-                return settling.Claim(key, record, row.version)
+                claim = settling.Claim(key, record, row.version)
+                loss = None if era == self.store.era else check_loss()
+                if loss is None:
+                    return claim
+                # The answer told of a new era: the row may have been free
+                # only because an earlier record is lost.
+                await self.settler.release(claim)
+                return loss
             if prior_runs.from_record(row) is False:
                 earlier_may_have_run = False
             now = self._clock()
@@ -207,6 +241,20 @@
         self.trace.log_write("complete", write, result)
         return decide.row_after_completion(result, write)
 
+    async def _result_despite_loss(
+        self, key, record, deadline, complete_from_endpoints, loss
+    ):
+        """Return what the record of a key tells, or `loss` without one."""
+        row = await self.store.read(key)
+        step = decide.after_read(row, record["attempt"], record["body"])
+        if step is decide.Step.WAIT:
+            step, row = await self._wait_for_owner(
+                key, record, deadline, complete_from_endpoints, row
+            )
+        if step in (*_RETRY_STEPS, decide.Step.SEND):
+            return loss
+        return self._result_of(step, row, earlier_may_have_run=True)
+
     async def _try_claim(self, key, record, version):
         attempt, body_digest = record["attempt"], record["body"]
         result = await self.store.write(tables.Write(key, record, version))
@@ -221,6 +269,7 @@
         step = decide.after_read(row, attempt, body_digest)
         if step is decide.Step.SEND:
             self.store.report_write_applied()
+            self.store.remember(row)
         return step, row, True
 
     async def _wait_for_owner(
@@ -281,7 +330,7 @@
     return now if previous is None else previous
 
 
-@kernel.plugin("records", needs=("decisions", "metrics", "table"))
+@kernel.plugin("records", needs=("decisions", "losses", "metrics", "table"))
 async def records(core):
     """Provide the idempotency records of non-repeatable requests."""
     registry = core.part("metrics").registry
@@ -296,18 +345,34 @@
         "Writes of records that go on in the background.",
         registry=registry,
     )
+    recent = rewriting.RecentRecords()
     store = stores.Store(
         table=core.part("table"),
         breaker=breaker.Breaker(),
         calls=calls,
         spawn=core.spawn,
         max_group_size=core.settings.record_group,
+        recent=recent,
+        clock=core.clock,
+    )
+    rewriting.Rewriter(
+        table=core.part("table"),
+        store=store,
+        recent=recent,
+        clock=core.clock,
+        spawn=core.spawn,
     )
     log = core.part("decisions")
     settler = settling.Settler(
         store=store, clock=core.clock, spawn=core.spawn, log=log
     )
-    part = Records(store=store, clock=core.clock, settler=settler, log=log)
+    part = Records(
+        store=store,
+        clock=core.clock,
+        settler=settler,
+        log=log,
+        losses=core.part("losses"),
+    )
     pending.set_function(lambda: settler.pending)
     yield part
     await settler.flush()
--- a/sycamoreshed/idempotency/settling.py
+++ b/sycamoreshed/idempotency/settling.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 from sycamoreshed.idempotency import decide
@@ -83,6 +84,14 @@
     return Replay(row.value["answer"], row.value["status"])
 
 
+def _is_of_later_era(result, version):
+    """Return whether a conflict is with a row of a later era."""
+    if not isinstance(result, tables.Conflict):
+        return False
+    era = positions.unpack(result.rows[0].version).era
+    return era > positions.unpack(version).era
+
+
 class Settler:
     """Writes the final state of records, and fences off ended attempts.
 
@@ -174,7 +183,11 @@
             self._trace.log_write("settle", write, result)
             if isinstance(result, kinds.Failure) and result.sent:
                 result = await self._read_back(write, result)
-            step = decide.after_finish(result, record["attempt"])
+            step = decide.after_finish(
+                result,
+                record,
+                is_row_restored=_is_of_later_era(result, claim.version),
+            )
             if step is decide.Step.REPLAY:
                 return replay_of(result.rows[0])
             if step is decide.Step.CLAIM_AGAIN:
@@ -198,6 +211,7 @@
         if row.value != write.value:
             return tables.Conflict((row,))
         self._store.report_write_applied()
+        self._store.remember(row)
         return tables.Written((row.version,))
 
     async def _fence(self, key, record):
--- a/sycamoreshed/idempotency/store.py
+++ b/sycamoreshed/idempotency/store.py
@@ -37,6 +37,10 @@
         Runs a coroutine in the background.
     max_group_size : int
         Largest number of writes in one transaction.
+    recent : RecentRecords, optional
+        Remembers the records that were written.
+    clock : callable, optional
+        Returns monotonic seconds; needed to remember records.
 
     Notes
     -----
@@ -45,7 +49,17 @@
     still be read to find out whether they took effect.
     """
 
-    def __init__(self, *, table, breaker, calls, spawn, max_group_size):
+    def __init__(
+        self,
+        *,
+        table,
+        breaker,
+        calls,
+        spawn,
+        max_group_size,
+        recent=None,
+        clock=None,
+    ):
         self._table = table
         self._writes = breaker
         self._reads = breakers.Breaker(
@@ -53,6 +67,8 @@
         )
         self._calls = calls
         self._spawn = spawn
+        self._recent = recent
+        self._clock = clock
         self._probing = False
         self._groups = groups.WriteGroups(
             write=self._write, spawn=spawn, max_size=max_group_size
@@ -66,6 +82,11 @@
         """
         return self._writes.is_open
 
+    @property
+    def era(self):
+        """Latest era that the service told; 0 if it tells none."""
+        return self._table.era
+
     @property
     def is_readable(self):
         """Whether reads are attempted."""
@@ -112,7 +133,21 @@
         -----
         A failure caused by the open breaker has ``sent`` false.
         """
-        return self.reject_if_unavailable() or await self._groups.write(write)
+        result = self.reject_if_unavailable()
+        if result is None:
+            result = await self._groups.write(write)
+        if isinstance(result, tables.Written):
+            self.remember(
+                tables.Row(write.key, write.value, result.versions[0])
+            )
+        return result
+
+    def remember(self, row):
+        """Remember a record that this instance has written."""
+        if self._recent is not None:
+            self._recent.add(
+                row.key, row.value, row.version, now=self._clock()
+            )
 
     async def write_all(self, *writes):
         """Write rows atomically; see `Table.write`."""
--- a/sycamoreshed/idempotency/tests/exploration.py
+++ b/sycamoreshed/idempotency/tests/exploration.py
@@ -373,7 +373,8 @@
     outcome = me.reported[0]
     state = NOT_RUN if outcome == "not-run" else DONE
     for name, after, result in settle_results(world, i):
-        step = decide.after_finish(result, str(i))
+        record = {"state": DONE, "attempt": str(i), "body": BODY}
+        step = decide.after_finish(result, record)
         after = with_attempt(after, i, waits=False, reply=None)
         if step is decide.Step.REFUSE and outcome == "complete":
             after = with_attempt(after, i, reported=("displaced", None))
--- a/sycamoreshed/idempotency/tests/test_decide.py
+++ b/sycamoreshed/idempotency/tests/test_decide.py
@@ -108,7 +108,9 @@
     ],
 )
 def test_after_finish(result, step):
-    assert decide.after_finish(result, "a") is step
+    assert (
+        decide.after_finish(result, {"state": "done", "attempt": "a"}) is step
+    )
 
 
 RAN = {"state": "ran", "output": 7}
--- a/sycamoreshed/idempotency/tests/test_settling.py
+++ b/sycamoreshed/idempotency/tests/test_settling.py
@@ -32,6 +32,9 @@
     def report_write_applied(self):
         self.confirmed += 1
 
+    def remember(self, _row):
+        """Ignore what would be written again."""
+
 
 def row(value, version):
     return tables.Row("k", value, version)
--- a/testkit/ballots.py
+++ b/testkit/ballots.py
@@ -225,3 +225,9 @@
     url = f"http://{daemon.control}/control/status"
     async with running.session.get(url) as answer:
         return (await answer.json())["version"] >= version
+
+
+async def state_of_era(cluster):
+    """Return what the store holds of its present era, or None."""
+    rows = (await cluster.get("table", "/scan?prefix=store-era"))["rows"]
+    return rows[0]["value"] if rows else None
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -229,6 +229,12 @@
         async with self.session.get(url) as answer:
             return await answer.json()
 
+    async def post(self, name, path):
+        """Post an empty body to a stand-in."""
+        url = f"http://{self.addresses[name]}{path}"
+        async with self.session.post(url):
+            pass
+
     async def apply(self, index, note):
         """Apply a release note through a daemon."""
         url = f"http://{self.daemons[index].control}/control/notes"
@@ -278,6 +284,7 @@
     proxied=False,
     program=PROGRAM,
     env=None,
+    table_era=None,
     **changes,
 ):
     """Run stand-ins and daemons with the configuration of `builders`.
@@ -298,12 +305,18 @@
         Command that runs a daemon.
     env : dict, optional
         Additional environment variables of each daemon.
+    table_era : int, optional
+        First era that the table service tells.
     **changes
         Changes to the settings of each daemon.
     """
     specs = endpoint_specs() if specs is None else specs
     zones = zones or ["north-a"] * daemons
-    host, addresses = await start_host([*PLATFORM, *specs])
+    platform = [
+        {**spec, "era": table_era} if spec["kind"] == "table" else spec
+        for spec in PLATFORM
+    ]
+    host, addresses = await start_host([*platform, *specs])
     result = None
     async with contextlib.AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
