Write accepted notes again that a restored store has lost

An operator's note that was accepted within the seconds that the store lost stayed in force where it was known, but an instance that started later had the configuration from before it, and the next note, accepted there, took its place: two histories.

Instances tell each other the era with their gossip: one that asks the table for nothing would write its records and notes again only at its next poll, up to 30 s later. The fake table of the tests returns the version of each row written, as the service does; it gave all rows of a transaction the last one.

--- a/sycamoreshed/idempotency/losses.py
+++ b/sycamoreshed/idempotency/losses.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import time
 import typing
@@ -26,6 +27,7 @@
 # For how long a key that does not tell when it was made is not claimed.
 UNDATED_S = 60.0
 RETRY_S = (0.1, 0.5)
+LOAD_TIMEOUT_S = 2.0
 
 
 class _EraRow(typing.TypedDict):
@@ -52,7 +54,7 @@
         self._clock = clock
         self._unix_time = unix_time
         self._spawn = spawn
-        self._is_loaded = False
+        self._loaded = asyncio.Event()
         self._rewritten_at = float("-inf")
         # Records made before this Unix time may be lost.
         self._lost_before = 0.0
@@ -61,10 +63,17 @@
 
     def remaining_s(self, now):
         """Return the seconds until records have been written again."""
-        if not self._is_loaded:
+        if not self._loaded.is_set():
             return RETRY_S[1]
         return max(0.0, self._rewritten_at - now)
 
+    async def is_restored(self):
+        """Return whether what the table may have lost is written again."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOAD_TIMEOUT_S):
+                await self._loaded.wait()
+        return not self.remaining_s(self._clock())
+
     def check(self, key, repeat, now, unix_time):
         """Return a failure if a key without a record may have had one.
 
@@ -105,6 +114,15 @@
             return made_at < self._lost_before
         return unix_time < self._lost_before + UNDATED_S
 
+    def hear(self, era):
+        """Take note of an era that another instance has heard of.
+
+        An instance that asks the table for nothing would have its records
+        written again too late.
+        """
+        if isinstance(era, int) and era > self._table.era:
+            self._spawn(self._table.read(ROW_KEY), name="hear of an era")
+
     async def load(self):
         """Find out when the present era began, and tell other instances.
 
@@ -112,7 +130,7 @@
         """
         while not await self._load_once():
             await asyncio.sleep(random.uniform(*RETRY_S))
-        self._is_loaded = True
+        self._loaded.set()
 
     async def _load_once(self):
         row = await self._table.read(ROW_KEY)
@@ -138,7 +156,7 @@
 
     def _on_restored(self):
         self._notice()
-        self._is_loaded = True
+        self._loaded.set()
         self._spawn(self.load(), name="share the era")
 
     def _notice(self):
@@ -151,7 +169,7 @@
         self._lost_before = max(self._lost_before, unix_time)
 
 
-@kernel.plugin("losses", needs=("table",))
+@kernel.plugin("losses", needs=("gossip", "table"))
 async def losses(core):
     """Provide what may be lost of the records."""
     part = Losses(
@@ -161,4 +179,10 @@
         spawn=core.spawn,
     )
     core.spawn(part.load(), name="load the era")
+    table = core.part("table")
+    core.part("gossip").add_field(
+        "table_era",
+        write=lambda _name, _now: table.era or None,
+        read=lambda era, _name, _now: part.hear(era),
+    )
     yield part
--- a/sycamoreshed/idempotency/tests/test_losses.py
+++ b/sycamoreshed/idempotency/tests/test_losses.py
@@ -238,3 +238,19 @@
     over = 3.0 + rewriting.REMEMBERED_S
     recent.add("new", record(DONE), 9, now=over)
     assert set(recent.of_earlier_eras(1, now=over)) == {"new"}
+
+
+@pytest.mark.parametrize(
+    ("era", "reads"), [(4, 1), (3, 0), (2, 0), ("4", 0), (None, 0)]
+)
+def test_instance_asks_the_table_once_it_hears_of_an_era(era, reads):
+    """One without requests would write its records again too late."""
+
+    async def scenario(table, instance):
+        asked = []
+        table.read = lambda key: asyncio.sleep(0, asked.append(key))
+        instance.losses.hear(era)
+        await asyncio.sleep(1.0)
+        return len(asked)
+
+    assert run(scenario) == reads
--- a/sycamoreshed/notes/acceptance.py
+++ b/sycamoreshed/notes/acceptance.py
@@ -4,16 +4,22 @@
 import time
 import typing
 
+from loguru import logger
+
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.config import changes
 from sycamoreshed.config import state
 from sycamoreshed.errors import kinds
 from sycamoreshed import exceptions
 from sycamoreshed.kernel import kernel
+from sycamoreshed.notes import rewriting
 from sycamoreshed.notes import rows
 
 __all__ = ["Acceptor", "Verdict"]
 
+_BEING_RESTORED = kinds.Failure(
+    kinds.Kind.STORE_AWAY, "it came back from an older copy"
+)
 MAX_ATTEMPTS = 3
 RETRY_DELAY_S = 0.1
 
@@ -46,11 +52,14 @@
     table : Table
     notes : Notes
         Holds the current configuration; accepted notes are applied to it.
+    restored : coroutine function, optional
+        Returns whether what the table may have lost has been written again.
     """
 
-    def __init__(self, *, table, notes):
+    def __init__(self, *, table, notes, restored=None):
         self._table = table
         self._notes = notes
+        self._restored = restored
 
     async def accept(self, note):
         """Accept a note if it is based on the latest version.
@@ -64,7 +73,14 @@
         Acceptance is idempotent: the note's id is looked up before its
         base version is compared, and the row of the id is written in the
         same transaction as the note.
+
+        After the table came back from an older copy, notes that were accepted
+        are written again first: a note in place of a lost one would be a
+        second history.
         """
+        if self._restored is not None and not await self._restored():
+            return _unknown_verdict(_BEING_RESTORED)
+        era = self._table.era
         failure = await self._notes.catch_up()
         if failure is not None:
             return _unknown_verdict(failure)
@@ -76,7 +92,7 @@
         verdict = self.check(note)
         if verdict.failure is not None:
             return verdict
-        return await self._write(note)
+        return await self._write(note, era)
 
     def check(self, note):
         """Validate a note against the current configuration.
@@ -147,7 +163,7 @@
             )
         return _conflict_verdict(note, row.value["note"], version)
 
-    async def _write(self, note):
+    async def _write(self, note, era):
         """Write a note; retry while its outcome is unknown.
 
         Notes
@@ -161,16 +177,13 @@
         """
         version = note["base"] + 1
         accepted = rows.AcceptedNote(note=note, at=time.time())
-        writes = (
-            tables.Write(rows.note_key(version), accepted, tables.ABSENT),
-            tables.Write(
-                rows.id_key(note["id"]), {"version": version}, tables.ABSENT
-            ),
-        )
+        writes = rewriting.accepted_writes(version, accepted)
         failure = None
         for attempt in range(MAX_ATTEMPTS):
             result = await self._table.write(*writes)
             if isinstance(result, tables.Written):
+                if self._table.era != era:
+                    return await self._withdraw(writes, result)
                 self._notes.advance(version, accepted)
                 return Verdict(version=version)
             if isinstance(result, tables.Conflict):
@@ -185,6 +198,22 @@
             await asyncio.sleep(RETRY_DELAY_S * (attempt + 1))
         return _unknown_verdict(failure)
 
+    async def _withdraw(self, writes, written):
+        """Remove a note that may be in place of one that the table lost."""
+        result = await self._table.write(
+            *(
+                tables.Write(write.key, None, version)
+                for write, version in zip(
+                    writes, written.versions, strict=True
+                )
+            )
+        )
+        if not isinstance(result, tables.Written):
+            logger.bind(note=writes[0].value["note"]["id"]).warning(
+                "a note may take effect though its outcome is unknown"
+            )
+        return _unknown_verdict(_BEING_RESTORED)
+
 
 def _unknown_verdict(failure):
     # Even if only a read failed, an earlier submission of the same note may
@@ -211,7 +240,11 @@
     )
 
 
-@kernel.plugin("acceptor", needs=("notes", "table"))
+@kernel.plugin("acceptor", needs=("losses", "note_rewriter", "table"))
 async def acceptor(core):
     """Provide the acceptance of notes."""
-    yield Acceptor(table=core.part("table"), notes=core.part("notes"))
+    yield Acceptor(
+        table=core.part("table"),
+        notes=core.part("notes"),
+        restored=core.part("losses").is_restored,
+    )
--- a/sycamoreshed/notes/notes.py
+++ b/sycamoreshed/notes/notes.py
@@ -39,6 +39,11 @@
         """The current `Config`; its version never decreases."""
         return self._config
 
+    @property
+    def recent(self):
+        """Recent `AcceptedNote` by version; must not be modified."""
+        return self._recent
+
     @property
     def is_ready(self):
         """Whether requests may be served: synced, with a configuration."""
--- a/sycamoreshed/notes/tests/fakes.py
+++ b/sycamoreshed/notes/tests/fakes.py
@@ -21,8 +21,21 @@
         self.rows = {}
         self.faults = []
         self.calls = []
+        self.era = 0
         self._versions = 0
         self._late = None
+        self._listeners = []
+
+    def on_restored(self, func):
+        """Register a function to call by `restore`."""
+        self._listeners.append(func)
+
+    def restore(self, kept):
+        """Come back with the rows kept, in the next era."""
+        self.rows = dict(kept)
+        self.era += 1
+        for func in self._listeners:
+            func()
 
     async def read(self, key):
         fault = self._next_fault("read")
@@ -69,12 +82,14 @@
         ]
         if conflicting:
             return tables.Conflict(tuple(conflicting))
+        versions = []
         for write in writes:
             self._versions += 1
+            versions.append(self._versions)
             self.rows[write.key] = (write.value, self._versions)
             if write.value is None:
                 del self.rows[write.key]
-        return tables.Written((self._versions,) * len(writes))
+        return tables.Written(tuple(versions))
 
 
 class FakeObjects:
--- a/tests/integration/test_restored_records.py
+++ b/tests/integration/test_restored_records.py
@@ -1,4 +1,4 @@
-"""Requests that must run at most once, as the store comes back from a copy."""
+"""Votes and release notes as the store comes back from an older copy."""
 
 import asyncio
 import os
@@ -9,6 +9,7 @@
 
 from sycamoreshed.idempotency import losses
 from testkit import ballots
+from testkit import builders
 
 
 def dated_key():
@@ -118,3 +119,34 @@
     assert first.outcome == "complete"
     assert again == first
     assert len(runs) == 1
+
+
+async def test_accepted_note_stays_in_force_for_instances_that_start_later():
+    """A note was accepted and lost; a restarted instance reverted it.
+
+    The next note must not take the place of the lost one.
+    """
+    async with ballots.cluster(table_era=3) as cluster:
+        await cluster.post("table", "/backup")
+        lost = builders.note(2, added={"teams": {"lost": {"rate": 5}}})
+        status, _ = await cluster.apply(0, lost)
+        assert status == 200
+        await cluster.post("table", "/restore")
+
+        async def try_next():
+            added = {"teams": {"next": {"rate": 5}}}
+            status, body = await cluster.apply(
+                1, builders.note(3, added=added)
+            )
+            return body if status == 200 else None
+
+        accepted = await ballots.until(try_next)
+        for daemon in cluster.daemons:
+            await daemon.kill()
+        await cluster.daemons[0].start()
+        await cluster.daemons[0].wait_ready()
+        url = f"http://{cluster.daemons[0].control}/control/status"
+        async with cluster.session.get(url) as answer:
+            status = await answer.json()
+    assert accepted["version"] == 4
+    assert status["version"] == 4
