--- a/sycamoreshed/platform/tests/test_store.py
+++ b/sycamoreshed/platform/tests/test_store.py
@@ -104,3 +104,65 @@
         tablereads.Row("a", b"", 2),
         tablereads.Row("b", None, 3),
     ]
+
+
+@pytest.mark.parametrize(
+    ("header", "era"),
+    [
+        (None, None),
+        ("7", 7),
+        ("0", 0),
+        ("", None),
+        ("-1", None),
+        ("7.5", None),
+        ("seven", None),
+        ("9" * 5000, None),
+    ],
+)
+async def test_era_is_read_if_it_is_a_number(header, era):
+    """A malformed header ends the task that follows the table."""
+    store = platformstore.PlatformStore()
+    store.era = header
+    await store.start()
+    store.put(TABLE, "i-0", "ready")
+    async with aiohttp.ClientSession() as session:
+        client = stores.TableStore(session=session, address=store.address)
+        answers = [
+            await client.read(TABLE, timeout=5.0),
+            await client.wait_for_changes(TABLE, 1, wait_s=0.0, slack_s=5.0),
+            await client.wait_for_changes(TABLE, 9, wait_s=0.0, slack_s=5.0),
+        ]
+    await store.stop()
+    assert [type(each) for each in answers] == [
+        tablereads.Changes,
+        tablereads.Changes,
+        tablereads.HistoryGone,
+    ]
+    assert [each.era for each in answers] == [era] * 3
+
+
+async def test_pages_of_two_eras_are_no_listing():
+    """Rows of the first page may be lost, and those of the second not."""
+
+    class RestoredStore(platformstore.PlatformStore):
+        def _answer(self, **more):
+            answer = super()._answer(**more)
+            if more.get("has_more"):
+                answer.headers[platformstore.ERA_HEADER] = "4"
+                self.era = 5
+            return answer
+
+        def _with_era(self, answer):
+            if platformstore.ERA_HEADER in answer.headers:
+                return answer
+            return super()._with_era(answer)
+
+    store = RestoredStore()
+    await store.start()
+    for number in range(PAGE + 100):
+        store.put(TABLE, f"i-{number:03d}", "ready")
+    async with aiohttp.ClientSession() as session:
+        client = stores.TableStore(session=session, address=store.address)
+        first = await client.read(TABLE, timeout=5.0)
+    await store.stop()
+    assert isinstance(first, kinds.Failure)
