Tell instances that start which configuration the store has lost

An instance that started after the store came back, and before the operator had written again, served by the configuration of the copy: keys that had been revoked were taken there while all others refused them. It knows no newer one, and the copy's position is the newest.

An instance whose configuration in force is newer than the row of it tells it along with the table, to those that watch it and to those that ask. Each instance asks a peer once in each era of a store that tells one, also after it was cut off across the change.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -89,6 +89,8 @@
             PEERS: replica.Replica(),
         }
         self._configuration = None
+        self._configuration_raw = None
+        self._is_unlisted = False
         self._routes = routes.RouteTable(routes=())
         self._availability = availability.Availability(journal=journal)
         self._warmups = warmups.Warmups()
@@ -114,6 +116,14 @@
         """The configuration in force, or None."""
         return self._configuration
 
+    @property
+    def unlisted_configuration(self):
+        """Bytes of the configuration in force if its row is older, or None.
+
+        The store may have come back from a copy with an older one.
+        """
+        return self._configuration_raw if self._is_unlisted else None
+
     @property
     def routes(self):
         """The `RouteTable` of the configuration in force."""
@@ -342,32 +352,58 @@
         self._changed.fire()
 
     def _derive_configuration(self, source):
-        copy = self._replicas[SETTINGS].copy
-        raw = copy.rows.get(self._configuration_key)
-        if raw is None:
-            return
+        raw = self._replicas[SETTINGS].rows.get(self._configuration_key)
+        listed = None if raw is None else self._decode_logged(raw)
+        if listed is not None:
+            self._put_in_force(listed, raw, source)
+        current = self._configuration
+        self._is_unlisted = current is not None and (
+            listed is None or listed.version < current.version
+        )
+
+    def adopt_configuration(self, raw, source):
+        """Put a configuration in force that another instance has.
+
+        Parameters
+        ----------
+        raw : bytes
+        source : str
+            Address of that instance.
+        """
+        decoded = self._decode_logged(raw)
+        if decoded is not None and self._put_in_force(decoded, raw, source):
+            self._is_unlisted = True
+            self._changed.fire()
+
+    def _decode_logged(self, raw):
+        """Return the configuration in a row, or None."""
         try:
-            decoded = self._decode_configuration(raw)
+            return self._decode_configuration(raw)
         except msgspec.MsgspecError as err:
             self._journal.write(
                 "configuration_bad",
-                store_version=copy.position.version,
+                store_version=self._replicas[SETTINGS].position.version,
                 why=str(err),
             )
-            return
+            return None
+
+    def _put_in_force(self, decoded, raw, source):
+        """Put a configuration in force if it is newer; return whether so."""
         current = self._configuration
         if current is not None and decoded.version <= current.version:
-            return
+            return False
         self._configuration = decoded
+        self._configuration_raw = raw
         self._routes = routes.RouteTable(routes=decoded.routes)
         self._journal.write(
             "configuration",
             version=decoded.version,
-            store_version=copy.position.version,
+            store_version=self._replicas[SETTINGS].position.version,
             routes=len(decoded.routes),
             keys=len(decoded.teams),
             source=source,
         )
+        return True
 
     def _derive_evacuations(self, now, source):
         rows = self._replicas[SETTINGS].rows
--- a/sycamoreshed/catalog/following.py
+++ b/sycamoreshed/catalog/following.py
@@ -151,6 +151,20 @@
                 await asyncio.sleep(self._full_read_pause_s)
             is_full_read = False
 
+    async def run_asking(self):
+        """Ask a peer for what it has, once in each era, until cancelled.
+
+        The store may have lost the configuration in force, and an instance
+        that has just started knows only the one of the store's copy.
+        """
+        asked_era = 0
+        while True:
+            era = self._replica.position.era
+            if era > asked_era and await self._poll_peers():
+                asked_era = era
+            is_asked = era <= asked_era
+            await self._catalog.changed.wait(None if is_asked else MAX_RETRY_S)
+
     def _skips_probe(self):
         """Return whether to leave the next probe to another task or reader."""
         if not self._is_failing:
@@ -269,6 +283,7 @@
         return round(self._catalog.age(self._table, self._clock()), 3)
 
     async def _poll_peers(self):
+        """Apply what a peer has that is newer; return whether one answered."""
         for peer in self._peers.sample(self._clock()):
             after = positions.format_position(self._replica.position)
             path = f"{PATH}?table={self._table}&after={after}"
@@ -281,7 +296,8 @@
                 continue
             self._peers.record_success(peer)
             self._apply_update(reply.body, now, peer)
-            return
+            return True
+        return False
 
     def _apply_update(self, body, now, peer):
         try:
@@ -363,6 +379,8 @@
             clock=core.clock,
         )
         core.keep_running(follower.run, name=f"follow {table}")
+        if table == catalogs.SETTINGS:
+            core.keep_running(follower.run_asking, name="ask for settings")
     yield access
 
 
--- a/sycamoreshed/catalog/tests/test_restored.py
+++ b/sycamoreshed/catalog/tests/test_restored.py
@@ -5,6 +5,7 @@
 
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.catalog import staleentries
+from sycamoreshed.catalog import updates
 from sycamoreshed.platform import records
 from testkit import journals
 from testkit import storepositions
@@ -15,16 +16,21 @@
 RESTORED = at(5, era=1)
 
 
-@pytest.fixture
-def catalog():
-    """Return a catalog with the endpoints a and b, and a configuration."""
-    result = catalogs.Catalog(
+def make_catalog():
+    """Return an empty catalog."""
+    return catalogs.Catalog(
         decode_configuration=records.decode_configuration,
         decode_endpoint=records.decode_endpoint,
         configuration_key="config",
         evacuated_zone=records.evacuated_zone,
         journal=journals.Journal(),
     )
+
+
+@pytest.fixture
+def catalog():
+    """Return a catalog with the endpoints a and b, and a configuration."""
+    result = make_catalog()
     rows = {"config": msgspec.json.encode(wiredata.configuration(7))}
     result.replace("settings", rows, at(9), 0.0, source="store")
     result.replace("endpoints", entries("a", "b"), at(9), 0.0, source="store")
@@ -141,3 +147,32 @@
     """Operators could not tell why entries came and went."""
     catalog.replace("endpoints", entries("b"), RESTORED, 2.0, source="store")
     assert "store_restored" in catalog._journal.names()
+
+
+def test_configuration_in_force_is_passed_on_although_its_row_is_lost(
+    catalog,
+):
+    """An instance that started since has the older one of the copy."""
+    rows = {"config": msgspec.json.encode(wiredata.configuration(5))}
+    started = make_catalog()
+    for each in (catalog, started):
+        each.replace("settings", rows, RESTORED, 2.0, source="store")
+    assert started.configuration.version == 5
+    update = updates.table_update(catalog, "settings", RESTORED, 3.0)
+    updates.apply_update(started, update, 3.0, "other")
+    assert started.configuration.version == 7
+    # Passed on by this instance as well, until its row is written again.
+    assert started.unlisted_configuration is not None
+    again = [("config", msgspec.json.encode(wiredata.configuration(7)))]
+    started.apply(
+        "settings", again, RESTORED, at(6, era=1), 4.0, source="store"
+    )
+    assert started.unlisted_configuration is None
+
+
+def test_configuration_is_not_sent_where_its_row_is(catalog):
+    """Each answer to an instance of the zone would carry it."""
+    update = updates.table_update(catalog, "settings", at(9), 3.0)
+    assert update.configuration is None
+    update = updates.table_update(catalog, "endpoints", at(9), 3.0)
+    assert update.configuration is None
--- a/sycamoreshed/catalog/updates.py
+++ b/sycamoreshed/catalog/updates.py
@@ -35,6 +35,8 @@
     since : Position or None
         Set if the rows are only those that changed after this position; a
         row that was removed has the value None.
+    configuration : bytes or None
+        Set if the sender has a configuration in force that its copy lacks.
     """
 
     table: str
@@ -43,6 +45,7 @@
     age_s: float
     grace_s: float = 0.0
     since: positions.Position | None = None
+    configuration: bytes | None = None
 
 
 class WatchRequest(typing.NamedTuple):
@@ -87,6 +90,8 @@
         age_s=round(min(catalog.age(table, now), MAX_AGE_S), 3),
         grace_s=round(catalog.remaining_grace_s(now), 3),
     )
+    if table == catalogs.SETTINGS:
+        state = state._replace(configuration=catalog.unlisted_configuration)
     if replica.position <= after:
         return state
     changed = replica.changes(after)
@@ -116,8 +121,13 @@
         catalog.on_store_recovered(
             now, min(update.grace_s, catalogs.EXPIRY_GRACE_S)
         )
-    if update.rows is None:
-        return
+    if update.rows is not None:
+        _apply_rows(catalog, update, now, peer)
+    if update.configuration is not None:
+        catalog.adopt_configuration(update.configuration, peer)
+
+
+def _apply_rows(catalog, update, now, peer):
     if update.since is None:
         catalog.replace(
             update.table, update.rows, update.position, now, source=peer
--- a/tests/integration/test_restored_store.py
+++ b/tests/integration/test_restored_store.py
@@ -107,3 +107,24 @@
                 await harness.call(session, each)
     assert len(leaving.seen) == seen
     assert len(staying.seen) >= 24
+
+
+async def test_instance_that_starts_has_the_configuration_in_force(
+    store, tmp_path
+):
+    """It read the older one of the store's copy, and accepted revoked keys.
+
+    The operator has not written the lost configuration again yet.
+    """
+    store.era = 4
+    async with harness.serving_in_zones(store, tmp_path) as (instances, _):
+        backup = store.backup()
+        store.put("op", "config", configuration(11))
+        await wait_version(instances, 11)
+        store.restore(backup)
+        await instances[0].kill()
+        await instances[0].start()
+        await instances[0].wait_ready()
+        await wait_version(instances[:1], 11)
+        store.put("op", "config", wiredata.configuration(12))
+        await wait_version(instances, 12)
