--- a/sycamoreshed/idempotency/trace.py
+++ b/sycamoreshed/idempotency/trace.py
@@ -1,5 +1,6 @@
 """Decision log lines about records: each write, its version and its reason."""
 
+from sycamoreshed.adapters import positions
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
 
@@ -55,7 +56,7 @@
             key=write.key,
             request=write.value["attempt"],
             state=write.value["state"],
-            if_version=write.if_version,
+            if_version=_readable(write.if_version),
             **_result_fields(result),
         )
 
@@ -87,6 +88,20 @@
         self._log.write(self._clock(), step_name, **fields)
 
 
+def _readable(version):
+    """Return a row's version for the log: with its era, unless that is 0.
+
+    Examples
+    --------
+    >>> _readable(7), _readable(positions.pack(positions.Position(2, 7)))
+    (7, '2.7')
+    """
+    position = positions.unpack(version)
+    if not position.era:
+        return version
+    return positions.format_position(position)
+
+
 def _row_fields(row):
     """Return log fields for a row, or the reason why it is missing.
 
@@ -102,7 +117,7 @@
         return {}
     if isinstance(row, kinds.Failure):
         return {"why": row.reason}
-    fields = {"key": row.key, "version": row.version}
+    fields = {"key": row.key, "version": _readable(row.version)}
     if row.value is not None:
         fields["state"] = str(row.value["state"])
         fields["attempt"] = row.value["attempt"]
@@ -121,7 +136,8 @@
     {'result': 'conflict', 'found': 8, 'found_state': 'done', 'attempt': 'a'}
     """
     if isinstance(result, tables.Written):
-        return {"result": "written", "version": result.versions[0]}
+        version = _readable(result.versions[0])
+        return {"result": "written", "version": version}
     if isinstance(result, kinds.Failure):
         return {
             "result": "unknown" if result.sent else "refused",
