Name the positions in a request for changes what they are

The field had the name of the module of its type. A peer that asks for changes after no position gets 400 and not an error of the program; the flag of the acceptance of notes is named like one.

--- a/sycamoreshed/catalog/relay.py
+++ b/sycamoreshed/catalog/relay.py
@@ -238,7 +238,7 @@
 
 
 def _held(request, table):
-    return request.positions.get(table, positions.UNKNOWN)
+    return request.held.get(table, positions.UNKNOWN)
 
 
 async def _send(core, control, request, timeout):
--- a/sycamoreshed/catalog/updates.py
+++ b/sycamoreshed/catalog/updates.py
@@ -53,7 +53,7 @@
 
     Parameters
     ----------
-    positions : dict of str to Position
+    held : dict of str to Position
         Positions of the sender's copies, by table.
     was_current : bool
         `Update.is_current` of the reader's last answer; True initially.
@@ -61,7 +61,7 @@
         Seconds to hold the request while nothing has changed.
     """
 
-    positions: dict[str, positions.Position]
+    held: dict[str, positions.Position]
     was_current: bool
     wait_s: float
 
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -75,7 +75,11 @@
     async def table_update(self, http):
         """Return what is newer than the requester's copy of a table."""
         table = http.query["table"]
-        after = positions.parse(http.query["after"])
+        try:
+            after = positions.parse(http.query["after"])
+        except ValueError as err:
+            # An instance of another version of the program may ask so.
+            raise web.HTTPBadRequest(text=str(err)) from err
         return _json(
             updates.table_update(self._catalog, table, after, self._clock())
         )
--- a/sycamoreshed/notes/acceptance.py
+++ b/sycamoreshed/notes/acceptance.py
@@ -52,14 +52,14 @@
     table : Table
     notes : Notes
         Holds the current configuration; accepted notes are applied to it.
-    restored : coroutine function, optional
+    is_restored : coroutine function, optional
         Returns whether what the table may have lost has been written again.
     """
 
-    def __init__(self, *, table, notes, restored=None):
+    def __init__(self, *, table, notes, is_restored=None):
         self._table = table
         self._notes = notes
-        self._restored = restored
+        self._is_restored = is_restored
 
     async def accept(self, note):
         """Accept a note if it is based on the latest version.
@@ -78,7 +78,7 @@
         are written again first: a note in place of a lost one would be a
         second history.
         """
-        if self._restored is not None and not await self._restored():
+        if self._is_restored is not None and not await self._is_restored():
             return _unknown_verdict(_BEING_RESTORED)
         era = self._table.era
         failure = await self._notes.catch_up()
@@ -246,5 +246,5 @@
     yield Acceptor(
         table=core.part("table"),
         notes=core.part("notes"),
-        restored=core.part("losses").is_restored,
+        is_restored=core.part("losses").is_restored,
     )
--- a/sycamoreshed/notes/tests/test_rewriting.py
+++ b/sycamoreshed/notes/tests/test_rewriting.py
@@ -79,7 +79,7 @@
         return False
 
     behind.acceptor = acceptance.Acceptor(
-        table=table, notes=behind.notes, restored=is_restored
+        table=table, notes=behind.notes, is_restored=is_restored
     )
     verdict = await behind.accept(0, "other")
     assert verdict.failure.kind is kinds.Kind.NOTE_UNKNOWN
