--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -7,8 +7,8 @@
 
 from sycamoreshed.adapters import positions
 from sycamoreshed.catalog import availability
+from sycamoreshed.catalog import inforce
 from sycamoreshed.catalog import replica
-from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
 from sycamoreshed.catalog import software
 from sycamoreshed.catalog import warmups
@@ -78,7 +78,6 @@
         evacuated_zone,
         journal,
     ):
-        self._decode_configuration = decode_configuration
         self._decode_endpoint = decode_endpoint
         self._configuration_key = configuration_key
         self._evacuated_zone = evacuated_zone
@@ -88,10 +87,9 @@
             ENDPOINTS: replica.Replica(),
             PEERS: replica.Replica(),
         }
-        self._configuration = None
-        self._configuration_raw = None
-        self._is_unlisted = False
-        self._routes = routes.RouteTable(routes=())
+        self._in_force = inforce.ConfigurationInForce(
+            decode=decode_configuration, journal=journal
+        )
         self._availability = availability.Availability(journal=journal)
         self._warmups = warmups.Warmups()
         self._software = software.SoftwareVersions()
@@ -114,7 +112,7 @@
     @property
     def configuration(self):
         """The configuration in force, or None."""
-        return self._configuration
+        return self._in_force.configuration
 
     @property
     def unlisted_configuration(self):
@@ -122,12 +120,12 @@
 
         The store may have come back from a copy with an older one.
         """
-        return self._configuration_raw if self._is_unlisted else None
+        return self._in_force.unlisted
 
     @property
     def routes(self):
         """The `RouteTable` of the configuration in force."""
-        return self._routes
+        return self._in_force.routes
 
     @property
     def peers(self):
@@ -166,7 +164,7 @@
     def is_ready(self):
         """Whether the configuration and the endpoints are loaded."""
         has_endpoints = self._replicas[ENDPOINTS].has_copy
-        return self._configuration is not None and has_endpoints
+        return self.configuration is not None and has_endpoints
 
     def replica(self, table):
         """Return the `Replica` of a table."""
@@ -256,7 +254,7 @@
 
     def is_cold(self, endpoint, now):
         """Return whether an endpoint has not warmed up yet."""
-        service = self._configuration and self._configuration.services.get(
+        service = self.configuration and self.configuration.services.get(
             endpoint.service
         )
         cold_start_s = service.cold_start_s if service else 0.0
@@ -342,7 +340,9 @@
     def _derive(self, table, now, source):
         self._underived.add(table)
         if table == SETTINGS:
-            self._derive_configuration(source)
+            position, rows = self._replicas[SETTINGS].copy
+            raw = rows.get(self._configuration_key)
+            self._in_force.update(raw, position.version, source)
             self._derive_evacuations(now, source)
         elif table == ENDPOINTS:
             self._derive_endpoints(now, source)
@@ -351,16 +351,6 @@
         self._underived.discard(table)
         self._changed.fire()
 
-    def _derive_configuration(self, source):
-        raw = self._replicas[SETTINGS].rows.get(self._configuration_key)
-        listed = None if raw is None else self._decode_logged(raw)
-        if listed is not None:
-            self._put_in_force(listed, raw, source)
-        current = self._configuration
-        self._is_unlisted = current is not None and (
-            listed is None or listed.version < current.version
-        )
-
     def adopt_configuration(self, raw, source):
         """Put a configuration in force that another instance has.
 
@@ -370,41 +360,10 @@
         source : str
             Address of that instance.
         """
-        decoded = self._decode_logged(raw)
-        if decoded is not None and self._put_in_force(decoded, raw, source):
-            self._is_unlisted = True
+        version = self._replicas[SETTINGS].position.version
+        if self._in_force.adopt(raw, version, source):
             self._changed.fire()
 
-    def _decode_logged(self, raw):
-        """Return the configuration in a row, or None."""
-        try:
-            return self._decode_configuration(raw)
-        except msgspec.MsgspecError as err:
-            self._journal.write(
-                "configuration_bad",
-                store_version=self._replicas[SETTINGS].position.version,
-                why=str(err),
-            )
-            return None
-
-    def _put_in_force(self, decoded, raw, source):
-        """Put a configuration in force if it is newer; return whether so."""
-        current = self._configuration
-        if current is not None and decoded.version <= current.version:
-            return False
-        self._configuration = decoded
-        self._configuration_raw = raw
-        self._routes = routes.RouteTable(routes=decoded.routes)
-        self._journal.write(
-            "configuration",
-            version=decoded.version,
-            store_version=self._replicas[SETTINGS].position.version,
-            routes=len(decoded.routes),
-            keys=len(decoded.teams),
-            source=source,
-        )
-        return True
-
     def _derive_evacuations(self, now, source):
         rows = self._replicas[SETTINGS].rows
         zones = {self._evacuated_zone(key) for key in rows} - {None}
