Write no note once a read has told that the store came back from a copy

An instance that had not heard of the new era read the notes, heard of it in that answer, and wrote its note all the same, to withdraw it afterwards; another instance can take it over in between. It is then in force, the next one is refused as outdated, and as nobody writes it again it is lost with the instances that have it.

The era is compared before the write as well; the withdrawal is left for a change during the write itself. Notes are looked for again 2 and 6 s after the change, so that one that came into force meanwhile is written. Both tests failed before. A row of the era that cannot be read counts as one of an earlier era; it would have kept an instance that starts from taking any ballot.

--- a/sycamoreshed/idempotency/losses.py
+++ b/sycamoreshed/idempotency/losses.py
@@ -13,6 +13,7 @@
 import typing
 
 from loguru import logger
+import msgspec
 
 from sycamoreshed.adapters import table as tables
 from sycamoreshed.errors import kinds
@@ -139,14 +140,15 @@
         era = self._table.era
         if not era:
             return True
-        stored = row.value or _EraRow(era=era, at=0.0)
+        stored = _decode(row)
         has_noticed = self._noticed_era == era
-        if stored["era"] == era and (stored["at"] or not has_noticed):
+        if stored is not None and stored["era"] == era:
             self._extend(stored["at"])
-            if row.value is not None:
+            # An instance that started first in this era wrote 0.
+            if stored["at"] or not has_noticed:
                 return True
-        elif not has_noticed:
-            # The era changed while no instance noticed.
+        elif stored is not None and not has_noticed:
+            # The era changed while no instance ran.
             self._notice()
         value = _EraRow(era=era, at=self._lost_before)
         result = await self._table.write(
@@ -169,6 +171,17 @@
         self._lost_before = max(self._lost_before, unix_time)
 
 
+def _decode(row):
+    """Return the stored era, or None without a row."""
+    if row.value is None:
+        return None
+    try:
+        return msgspec.convert(row.value, _EraRow)
+    except msgspec.ValidationError as err:
+        logger.bind(key=row.key).warning("not the row of an era: {}", err)
+        return _EraRow(era=0, at=0.0)
+
+
 @kernel.plugin("losses", needs=("gossip", "table"))
 async def losses(core):
     """Provide what may be lost of the records."""
--- a/sycamoreshed/idempotency/tests/test_losses.py
+++ b/sycamoreshed/idempotency/tests/test_losses.py
@@ -186,6 +186,20 @@
     )
 
 
+@pytest.mark.parametrize("value", [7, {"era": "x"}, {}])
+def test_row_that_cannot_be_read_is_written_again(value):
+    """No ballot would ever be taken by an instance that starts."""
+
+    async def scenario(table, _instance):
+        table.value = value
+        later = Instance(table)
+        await later.losses.load()
+        await asyncio.sleep(losses.REWRITE_S)
+        return later.kind(dated(UNIX_S + 99)), table.value["era"]
+
+    assert run(scenario) == (None, 3)
+
+
 def test_two_losses_in_a_row_count_from_the_later():
     """A key made between the two would be claimed."""
 
--- a/sycamoreshed/notes/acceptance.py
+++ b/sycamoreshed/notes/acceptance.py
@@ -92,6 +92,9 @@
         verdict = self.check(note)
         if verdict.failure is not None:
             return verdict
+        if self._table.era != era:
+            # What was read may lack notes that are to be written again.
+            return _unknown_verdict(_BEING_RESTORED)
         return await self._write(note, era)
 
     def check(self, note):
--- a/sycamoreshed/notes/rewriting.py
+++ b/sycamoreshed/notes/rewriting.py
@@ -14,6 +14,9 @@
 __all__ = ["NoteRewriter", "accepted_writes"]
 
 RETRY_S = (0.2, 1.0)
+# Delays between further checks: a note may have come into force meanwhile
+# that was withdrawn, or written before its writer heard of the new era.
+CHECKS_S = (2.0, 4.0)
 
 
 def accepted_writes(version, accepted):
@@ -62,8 +65,10 @@
 
     async def _run(self):
         try:
-            while not await self._write_missing():
-                await asyncio.sleep(random.uniform(*RETRY_S))
+            for delay_s in (0.0, *CHECKS_S):
+                await asyncio.sleep(delay_s)
+                while not await self._write_missing():
+                    await asyncio.sleep(random.uniform(*RETRY_S))
         finally:
             self._is_running = False
 
--- a/sycamoreshed/notes/tests/test_rewriting.py
+++ b/sycamoreshed/notes/tests/test_rewriting.py
@@ -40,6 +40,7 @@
 async def test_lost_note_is_written_again(monkeypatch):
     """An instance that starts later would have an older configuration."""
     monkeypatch.setattr(rewriting, "RETRY_S", (0.0, 0.0))
+    monkeypatch.setattr(rewriting, "CHECKS_S", ())
     table = fakes.FakeTable()
     instance = Instance(table)
     await instance.accept(0, "kept")
@@ -61,6 +62,7 @@
 async def test_note_is_written_again_by_one_of_many(monkeypatch):
     """All instances that have the note write it at the same time."""
     monkeypatch.setattr(rewriting, "RETRY_S", (0.0, 0.0))
+    monkeypatch.setattr(rewriting, "CHECKS_S", ())
     table = fakes.FakeTable()
     first, second = Instance(table), Instance(table)
     await first.accept(0, "lost")
@@ -86,8 +88,9 @@
     assert not table.rows
 
 
-async def test_note_whose_write_told_of_the_new_era_is_withdrawn():
+async def test_note_whose_write_told_of_the_new_era_is_withdrawn(monkeypatch):
     """It may stand in place of one that was accepted and lost."""
+    monkeypatch.setattr(rewriting, "CHECKS_S", ())
 
     class RestoringTable(fakes.FakeTable):
         async def write(self, *writes):
@@ -102,3 +105,33 @@
     assert verdict.failure.kind is kinds.Kind.NOTE_UNKNOWN
     assert instance.notes.config.version == 0
     assert not table.rows
+
+
+async def test_note_is_not_written_once_a_read_told_of_the_new_era():
+    """Another instance took it over before it was withdrawn again."""
+
+    class RestoredTable(fakes.FakeTable):
+        async def scan(self, prefix, **options):
+            if not self.era:
+                self.restore({})
+            return await super().scan(prefix, **options)
+
+    table = RestoredTable()
+    instance = Instance(table)
+    verdict = await instance.accept(0, "other")
+    assert verdict.failure.kind is kinds.Kind.NOTE_UNKNOWN
+    assert "write" not in table.calls
+
+
+async def test_note_that_came_into_force_meanwhile_is_written_again(
+    monkeypatch,
+):
+    """It would be in force, but lost with the instances that have it."""
+    monkeypatch.setattr(rewriting, "CHECKS_S", (0.0, 0.0))
+    table = fakes.FakeTable()
+    instance = Instance(table)
+    table.restore({})
+    taken = {"note": builders.note(0, added={"teams": {"t": {"rate": 5}}})}
+    instance.notes.advance(1, {**taken, "at": 0.0})
+    await asyncio.gather(*instance.tasks)
+    assert rows.note_key(1) in table.rows
