--- /dev/null
+++ b/review/kit/processes.py
@@ -0,0 +1,108 @@
+"""The project's processes, started with the command of the deploy file."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+import aiohttp
+
+__all__ = ["Process", "free_address", "wait_ready"]
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+# As in deploy/system.toml, with the path of a settings file.
+COMMAND = ("python3", "-m", "sycamoreshed", "gateway")
+READY_S = 20.0
+
+
+def free_address():
+    """Return a loopback address with a port that is unused now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        host, port = probe.getsockname()
+        return f"{host}:{port}"
+
+
+class Process:
+    """One process of the gateway role.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Where its settings and its log are written.
+    document : dict
+        Its settings.
+    """
+
+    def __init__(self, *, folder, document):
+        self._folder = folder
+        self.document = document
+        self.process = None
+
+    @property
+    def name(self):
+        """Name of the instance."""
+        return self.document["instance"]
+
+    @property
+    def public(self):
+        """Address for requesters."""
+        return self.document["public"]
+
+    @property
+    def log(self):
+        """Path of the log."""
+        return self._folder / f"{self.name}.log"
+
+    async def start(self):
+        """Start the process."""
+        path = self._folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.document))
+        python_path = os.pathsep.join(
+            [str(ROOT / "target" / "deps"), str(ROOT)]
+        )
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *COMMAND,
+                str(path),
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": python_path},
+                stdout=log,
+                stderr=log,
+            )
+
+    def pause(self):
+        """Stop the process, which keeps its connections."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    async def end(self):
+        """Kill the process if it runs."""
+        if self.process is None:
+            return
+        if self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGKILL)
+        await self.process.wait()
+
+    async def is_ready(self, session):
+        """Return whether it takes requesters, as the platform asks."""
+        url = f"http://{self.document['ready']}/v1/readyz"
+        try:
+            async with session.get(url) as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+
+async def wait_ready(running, session):
+    """Wait until all processes are ready; end the script if they are not."""
+    async with asyncio.timeout(READY_S):
+        for each in running:
+            while not await each.is_ready(session):
+                if each.process.returncode is not None:
+                    sys.exit(2)
+                await asyncio.sleep(0.1)
