--- a/review/1/case.py
+++ b/review/1/case.py
@@ -79,6 +79,7 @@
             ]
             await asyncio.sleep(2.5 * EVENT_GAP_S)
             await released.crash()
+            await deployment.close_engine(released)
             parts = await asyncio.gather(*streams)
             is_ready = await deployment.running[CUT].is_ready(session)
             record.write(f"{CUT} tells the platform ready={is_ready}")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -35,6 +35,7 @@
 # Of sound streams.
 PER_S = 45.0
 DEADLY_EVERY_S = 1.0
+AT_ONCE = 2
 MAX_CRASHES = 3
 REPEATS = 12
 # The rule: more than so many retries reach engines.
@@ -51,7 +52,7 @@
         await asyncio.sleep(0.3)
         if DEADLY.encode().hex() in fields["x-sycamoreshed-prefix-hash"]:
             await self.crash()
-            self.on_crash(self, fields["x-sycamoreshed-request-id"])
+            await self.on_crash(self, fields["x-sycamoreshed-request-id"])
 
 
 class Play:
@@ -86,7 +87,8 @@
         self._running.append(engine)
         await engine.start()
 
-    def _on_crash(self, engine, request):
+    async def _on_crash(self, engine, request):
+        await self._deployment.close_engine(engine)
         self.crashes.append(request)
         self.spawn(self._replace(engine))
 
@@ -111,11 +113,15 @@
             await asyncio.sleep(random.expovariate(PER_S))
 
     async def send_deadly(self):
-        """Send the deadly request once more."""
-        request = f"d-{next(self._numbers):05}"
-        headers = self._callers.head(request, DEADLINE_S, prompt=DEADLY)
-        name = random.choice(list(deployments.ZONES))
-        await self._callers.attempt(name, request, headers, prompt=DEADLY)
+        """Send the deadly request at some processes at the same time."""
+
+        async def send(name):
+            request = f"d-{next(self._numbers):05}"
+            headers = self._callers.head(request, DEADLINE_S, prompt=DEADLY)
+            await self._callers.attempt(name, request, headers, prompt=DEADLY)
+
+        names = random.sample(list(deployments.ZONES), AT_ONCE)
+        await asyncio.gather(*map(send, names))
 
     async def stop(self):
         """Stop all engines and requests."""
@@ -156,13 +162,14 @@
                 await deployment.wait_known(session)
             await asyncio.sleep(IN_TOUCH_S)
             record.write("the deadly request comes again")
+            crashes_before = len(state.crashes)
             for _ in range(REPEATS):
                 await state.send_deadly()
                 await asyncio.sleep(DEADLY_EVERY_S)
         finally:
             await state.stop()
             await deployment.stop()
-    retries = len(state.crashes) - MAX_CRASHES
+    retries = len(state.crashes) - crashes_before
     record.write(
         f"{retries} retries reached engines later than 4 s after the third "
         f"crash, by machines in touch; {MAX_RETRIES} are allowed"
--- a/review/kit/deployments.py
+++ b/review/kit/deployments.py
@@ -18,6 +18,8 @@
 SERVICE = "writer"
 PREFIX = "/notes/"
 START_S = 20.0
+# One way, between regions.
+REGION_DELAY_S = 0.02
 
 
 def configuration(**route):
@@ -44,18 +46,22 @@
     return wiredata.configuration(3, routes=[document], services=[service])
 
 
-def _settings(name, links, store_link):
+def _delay_s(zone, other):
+    return 0.0 if REGIONS[zone] == REGIONS[other] else REGION_DELAY_S
+
+
+def _settings(name, zone, links, store_link, addresses):
     """Return the settings of a process, as the template writes them."""
     return wiredata.settings(
         instance=name,
-        zone=ZONES[name],
-        region=REGIONS[ZONES[name]],
+        zone=zone,
+        region=REGIONS[zone],
         zones=REGIONS,
-        public=processes.free_address(),
-        ready=processes.free_address(),
-        control=processes.free_address(),
+        public=addresses.take(),
+        ready=addresses.take(),
+        control=addresses.take(),
         table=store_link.address,
-        peers=[each.address for each in links.values()],
+        peers=[each.address for each in links.values()][:3],
         grace_s=8,
         stable_ms=4000,
         apply_ms=2500,
@@ -70,17 +76,21 @@
 
 
 class Deployment:
-    """Three processes, the store, and the links between them.
+    """Processes, the store, and the links between all of them.
 
     Parameters
     ----------
     folder : pathlib.Path
+    zones : dict of str to str
+        Zone of each process, by its name.
     """
 
-    def __init__(self, folder):
+    def __init__(self, folder, zones=ZONES):
         self.store = platformstore.PlatformStore()
         self.running = {}
+        self.zones = zones
         self._folder = folder
+        self._addresses = processes.Addresses()
         self._links = {}
         self._store_links = {}
 
@@ -88,19 +98,24 @@
         """Start the store, the links and the processes."""
         await self.store.start()
         controls = {}
-        for name in ZONES:
+        for name, zone in self.zones.items():
+            delays = {each: _delay_s(zone, each) for each in REGIONS}
             links = {
-                other: network.PeerLink() for other in ZONES if other != name
+                other: network.Link(delay_s=delays[self.zones[other]])
+                for other in self.zones
+                if other != name
             }
             for link in links.values():
                 await link.start()
             store_link = network.StoreLink(
-                store=self.store.address, links=links
+                store=self.store.address, links=links, zone_delays=delays
             )
             await store_link.start()
             self._links[name] = links
             self._store_links[name] = store_link
-            document = _settings(name, links, store_link)
+            document = _settings(
+                name, zone, links, store_link, self._addresses
+            )
             controls[name] = document["control"]
             self.running[name] = processes.Process(
                 folder=self._folder, document=document
@@ -115,7 +130,9 @@
         """Wait until all processes are ready and have registered."""
         await processes.wait_ready(self.running.values(), session)
         async with asyncio.timeout(START_S):
-            while len(self.store.rows(network.INSTANCE_TABLE)) < len(ZONES):
+            while len(self.store.rows(network.INSTANCE_TABLE)) < len(
+                self.zones
+            ):
                 await asyncio.sleep(0.1)
 
     def cut(self, name):
@@ -127,6 +144,11 @@
             if other != name:
                 links[name].cut()
 
+    async def close_engine(self, engine):
+        """Refuse connections to an engine that is gone, on all links."""
+        for link in self._store_links.values():
+            await link.close_engine(engine.address)
+
     async def stop(self):
         """End all processes and stand-ins."""
         for each in self.running.values():
@@ -137,3 +159,4 @@
             for link in links.values():
                 await link.stop()
         await self.store.stop()
+        self._addresses.close()
--- a/review/kit/engines.py
+++ b/review/kit/engines.py
@@ -8,9 +8,10 @@
 from standins import platformstore
 from testkit import wiredata
 
-__all__ = ["SEAL", "Engine", "abort"]
+__all__ = ["SEAL", "Engine", "abort", "answer"]
 
 SEAL = "X-Sycamoreshed-Response-Seal"
+ID = "X-Sycamoreshed-Instance-Id"
 _REPORT = {
     "phase": "combined",
     "models": [{"name": "m", "version": 1, "adapters": []}],
@@ -27,7 +28,7 @@
 def abort(writer):
     """Reset a connection."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         linger = struct.pack("ii", 1, 0)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
@@ -43,6 +44,7 @@
         Its id.
     record : Record
     service, zone, version : str
+    slots : int
     events : int
         Events of each stream.
     gap_s : float
@@ -63,6 +65,7 @@
         service="desk",
         zone="north-a",
         version="v1",
+        slots=64,
         events=8,
         gap_s=0.2,
     ):
@@ -72,7 +75,12 @@
         self._gap_s = gap_s
         self._server = None
         self._writers = set()
-        self._entry = {"service": service, "zone": zone, "version": version}
+        self._entry = {
+            "service": service,
+            "zone": zone,
+            "version": version,
+            "slots": slots,
+        }
         self.name = name
         self.zone = zone
         self.version = version
@@ -84,7 +92,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
-        entry = wiredata.beat(self.address, slots=64, **self._entry)
+        entry = wiredata.beat(self.address, **self._entry)
         self._store.put("servers", self.name, entry)
         self._record.write(f"engine {self.name} {self.version} registers")
 
@@ -126,18 +134,19 @@
         size = int(fields.get("content-length", 0))
         await reader.readexactly(size)
         if method == "GET" and target == "/v1/report":
-            await _answer(writer, 200, json.dumps(_REPORT).encode())
+            await answer(writer, 200, json.dumps(_REPORT).encode())
             return True
         if method == "GET" and target == "/healthz":
-            await _answer(writer, 200, b"", **{"Instance-Id": self.name})
+            await answer(writer, 200, b"", {ID: self.name})
             return True
         if fields.get("x-sycamoreshed-expect-instance") != self.name:
-            await _answer(writer, 421, b"", **{"Instance-Id": self.name})
+            await answer(writer, 421, b"", {ID: self.name})
             return True
-        await self._stream(reader, writer, fields)
+        await self.serve_request(reader, writer, fields)
         return False
 
-    async def _stream(self, reader, writer, fields):
+    async def serve_request(self, reader, writer, fields):
+        """Run a request with these headers: stream its events."""
         request = fields["x-sycamoreshed-request-id"]
         after = fields.get("last-event-id")
         self.runs.append((asyncio.get_running_loop().time(), request, after))
@@ -169,8 +178,9 @@
         left.cancel()
 
 
-async def _answer(writer, status, body, **headers):
+async def answer(writer, status, body, fields=None):
+    """Send an answer with a length."""
     lines = [f"HTTP/1.1 {status} Told", f"Content-Length: {len(body)}"]
-    lines += [f"X-Sycamoreshed-{key}: {headers[key]}" for key in headers]
+    lines += [f"{name}: {value}" for name, value in (fields or {}).items()]
     writer.write("\r\n".join([*lines, "", ""]).encode() + body)
     await writer.drain()
--- a/review/kit/network.py
+++ b/review/kit/network.py
@@ -14,30 +14,43 @@
 
 from review.kit import engines
 
-__all__ = ["PeerLink", "StoreLink"]
+__all__ = ["ENGINE_TABLE", "INSTANCE_TABLE", "Link", "StoreLink"]
 
 INSTANCE_TABLE = "sycamoreshed-instances"
+ENGINE_TABLE = "servers"
 
 
-class PeerLink:
+class Link:
     """A link from one process to the address of another one.
 
+    Parameters
+    ----------
+    target : str, optional
+        The address that it leads to.
+    delay_s : float
+        Seconds that bytes need each way; a connection takes one round trip
+        before its first bytes.
+
     Attributes
     ----------
     target : str or None
-        The address that it leads to.
+    is_cut : bool
+    address : str
     """
 
-    def __init__(self):
+    def __init__(self, target=None, *, delay_s=0.0):
+        self._delay_s = delay_s
         self._writers = set()
         self._server = None
-        self.target = None
+        self.target = target
         self.is_cut = False
         self.address = None
 
     async def start(self):
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(
+            self._serve, "127.0.0.1", 0, backlog=512
+        )
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -66,20 +79,46 @@
             engines.abort(writer)
             return
         self._writers |= {writer, onward[1]}
-        await asyncio.gather(
-            _copy(reader, onward[1]), _copy(onward[0], writer)
-        )
-        self._writers -= {writer, onward[1]}
+        try:
+            await asyncio.gather(
+                _copy(reader, onward[1], self._delay_s, 2 * self._delay_s),
+                _copy(onward[0], writer, self._delay_s, 0.0),
+            )
+        finally:
+            self._writers -= {writer, onward[1]}
 
 
-async def _copy(reader, writer):
+async def _copy(reader, writer, delay_s, first_s):
+    """Copy bytes, each after a delay; the first ones wait longer."""
+    now = asyncio.get_running_loop().time
+    parts = asyncio.Queue()
+    opened_at = now() + first_s
+
+    async def receive():
+        try:
+            while data := await reader.read(65536):
+                parts.put_nowait((max(now(), opened_at) + delay_s, data))
+            parts.put_nowait((max(now(), opened_at) + delay_s, b""))
+        except OSError:
+            parts.put_nowait((now() + delay_s, None))
+
+    receiving = asyncio.ensure_future(receive())
     try:
-        while data := await reader.read(65536):
+        while True:
+            due_at, data = await parts.get()
+            if due_at > now():
+                await asyncio.sleep(due_at - now())
+            if data is None:
+                engines.abort(writer)
+                return
+            if not data:
+                return
             writer.write(data)
             await writer.drain()
     except OSError:
         pass
     finally:
+        receiving.cancel()
         writer.close()
 
 
@@ -90,13 +129,17 @@
     ----------
     store : str
         Address of the store.
-    links : dict of str to PeerLink
+    links : dict of str to Link
         The process's links, by the names of the other processes.
+    zone_delays : dict of str to float
+        Seconds each way to the engines of each zone.
     """
 
-    def __init__(self, *, store, links):
+    def __init__(self, *, store, links, zone_delays):
         self._store = store
         self._links = links
+        self._zone_delays = zone_delays
+        self._engine_links = {}
         self._runner = None
         self._session = None
         self._pending = {}
@@ -118,6 +161,8 @@
         """Stop listening."""
         await self._runner.cleanup()
         await self._session.close()
+        for link in self._engine_links.values():
+            await link.stop()
 
     def cut(self):
         """Reset the open connections, and each new one."""
@@ -140,29 +185,44 @@
                 body = await answer.read()
         finally:
             self._pending.pop(id(http), None)
-        if http.query.get("table") == INSTANCE_TABLE:
-            body = self._translate(body)
+        table = http.query.get("table")
+        if table in (INSTANCE_TABLE, ENGINE_TABLE):
+            body = await self._translate(table, body)
         return web.Response(
             status=answer.status, body=body, content_type="application/json"
         )
 
-    def _translate(self, body):
+    async def _translate(self, table, body):
         document = json.loads(body)
         for row in document.get("rows", ()):
-            link = self._links.get(row["key"])
-            if link is None or row.get("value") is None:
+            if row.get("value") is None:
                 continue
             value = json.loads(base64.b64decode(row["value"]))
-            control = _with_control(value, link.address)
-            row["value"] = base64.b64encode(
-                json.dumps(control).encode()
-            ).decode()
+            if table == ENGINE_TABLE:
+                value["address"] = await self._link_to(value)
+            elif row["key"] in self._links:
+                link = self._links[row["key"]]
+                # Name, zone and control address come first.
+                value = [*value[:2], link.address, *value[3:]]
+            raw = json.dumps(value).encode()
+            row["value"] = base64.b64encode(raw).decode()
         return json.dumps(document).encode()
 
-
-def _with_control(value, address):
-    """Return the row of a process with another control address."""
-    if isinstance(value, dict):
-        return {**value, "control": address}
-    # Name, zone and control address come first.
-    return [*value[:2], address, *value[3:]]
+    async def close_engine(self, address):
+        """Refuse connections to an engine that is gone."""
+        link = self._engine_links.get(address)
+        if link is not None:
+            await link.stop()
+
+    async def _link_to(self, entry):
+        """Return the address of an engine, or of the link to it."""
+        address = entry["address"]
+        delay_s = self._zone_delays[entry["zone"]]
+        if not delay_s:
+            return address
+        link = self._engine_links.get(address)
+        if link is None:
+            link = Link(address, delay_s=delay_s)
+            self._engine_links[address] = link
+            await link.start()
+        return link.address
--- a/review/kit/processes.py
+++ b/review/kit/processes.py
@@ -11,7 +11,7 @@
 
 import aiohttp
 
-__all__ = ["Process", "free_address", "wait_ready"]
+__all__ = ["Addresses", "Process", "wait_ready"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # As in deploy/system.toml, with the path of a settings file.
@@ -19,13 +19,30 @@
 READY_S = 20.0
 
 
-def free_address():
-    """Return a loopback address with a port that is unused now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        host, port = probe.getsockname()
+class Addresses:
+    """Loopback addresses that are kept for processes.
+
+    A bound socket that does not listen keeps a port from being taken by a
+    connection, and does not stand in the way of the process.
+    """
+
+    def __init__(self):
+        self._sockets = []
+
+    def take(self):
+        """Return an address that nothing else uses."""
+        kept = socket.socket()
+        kept.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        kept.bind(("127.0.0.1", 0))
+        self._sockets.append(kept)
+        host, port = kept.getsockname()
         return f"{host}:{port}"
 
+    def close(self):
+        """Give all addresses back."""
+        for kept in self._sockets:
+            kept.close()
+
 
 class Process:
     """One process of the gateway role.
