Review: a spoilt event ends in a second response within a stream

A script that fails: an unexpected error after the head of an answer has been sent writes an error response into it.

--- a/review/kit/engines.py
+++ b/review/kit/engines.py
@@ -103,6 +103,10 @@
         for writer in list(self._writers):
             abort(writer)
 
+    def event(self, number):
+        """Return an event of a stream."""
+        return f"id: {number}\ndata: {self.version} {number}\n\n"
+
     async def begin(self, fields):
         """Read the prompt of a request with these headers."""
 
@@ -166,7 +170,7 @@
         left = asyncio.ensure_future(reader.read(1))
         begin = 0 if after is None else int(after) + 1
         for number in range(begin, self._events):
-            event = f"id: {number}\ndata: {self.version} {number}\n\n"
+            event = self.event(number)
             writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
             await writer.drain()
             await asyncio.wait([left], timeout=self._gap_s)
