--- a/review/kit/processes.py
+++ b/review/kit/processes.py
@@ -7,7 +7,6 @@
 import pathlib
 import signal
 import socket
-import sys
 
 import aiohttp
 
@@ -116,10 +115,16 @@
 
 
 async def wait_ready(running, session):
-    """Wait until all processes are ready; end the script if they are not."""
+    """Wait until all processes are ready.
+
+    Raises
+    ------
+    RuntimeError or TimeoutError
+        If one has ended, or is not ready in time.
+    """
     async with asyncio.timeout(READY_S):
         for each in running:
             while not await each.is_ready(session):
                 if each.process.returncode is not None:
-                    sys.exit(2)
+                    raise RuntimeError(each.log.read_text())
                 await asyncio.sleep(0.1)
