Take up no stream at a version that nothing confirms to be the only one

Callers got whole answers whose parts two software versions wrote: streams that began at a version of a release were taken up at an instance that was cut off from the store and the others, and went on at the version it knew.

Cause: an instance that nobody told the origin of a stream concluded it from its own copy of the endpoints, if that was less than ten seconds old or if one other instance answered that it did not know. A cut, a release and the first event of a stream fit into that time, and two instances can be cut off together. Evidence: `taken_up` has the source "only version" for each of the joined streams, after `origin_lost` for both other instances. Ruled out by that: a wrong origin told by another instance, and a look-up that is not made.

The origin now follows only if a majority of the stream's three holders, which are the same for all instances, name the same single version, or if the store lists a single one in a read that began after the caller came. Otherwise the request is rejected at once, as before where no instance knew.

--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -151,9 +151,9 @@
         return _json(None)
 
     async def origin(self, http):
-        """Return what began a stream, or null."""
-        stream = msgspec.json.decode(await http.read(), type=str)
-        return _json(self._finder.answer(stream))
+        """Return what this instance knows of the origin of a stream."""
+        question = msgspec.json.decode(await http.read(), type=lookup.Question)
+        return _json(self._finder.answer(question))
 
     async def engine_load(self, http):
         """Accept what another instance has at engines; return the others'."""
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -12,6 +12,7 @@
 from sycamoreshed.buffering import slowreaders  # noqa: F401
 from sycamoreshed.buffering import sockets as socket_buffers  # noqa: F401
 from sycamoreshed.catalog import catalog  # noqa: F401
+from sycamoreshed.catalog import confirming  # noqa: F401
 from sycamoreshed.catalog import following  # noqa: F401
 from sycamoreshed.catalog import peers  # noqa: F401
 from sycamoreshed.catalog import registering  # noqa: F401
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -308,6 +308,12 @@
         "a full read of a table was not taken, as the copy held is as new or "
         "newer",
     ),
+    "copy_unconfirmed": Event(
+        EventClass.DECISION,
+        "table, why",
+        "the store did not tell whether a copy is current, for a stream that "
+        "a caller takes up and whose holders do not answer",
+    ),
     "admitted": Event(
         EventClass.DETAIL,
         "request, fingerprint, parts, route, version, team, regions, "
--- a/sycamoreshed/resumption/holders.py
+++ b/sycamoreshed/resumption/holders.py
@@ -4,8 +4,10 @@
 
 from sycamoreshed.membership import rendezvous
 
-__all__ = ["Holders", "order"]
+__all__ = ["GROUP_SIZE", "Holders", "order"]
 
+# Instances that are to know what began a stream.
+GROUP_SIZE = 3
 # Streams are spread over this many orders of the instances, which are computed
 # once for each list of instances.
 BUCKETS = 256
@@ -63,7 +65,7 @@
     Parameters
     ----------
     own : str
-        Name of this instance, which is left out.
+        Name of this instance.
     catalog : Catalog
     """
 
@@ -74,12 +76,22 @@
         self._orders = {}
 
     def of(self, stream):
-        """Return name and control address of each, in order.
+        """Return name and control address of all others, in order.
 
         Returns
         -------
         list of (str, str)
         """
+        return [each for each in self._order(stream) if each[0] != self._own]
+
+    def group(self, stream):
+        """Return the names of the first `GROUP_SIZE`, with this instance.
+
+        All instances with the same list of peers return the same names.
+        """
+        return [name for name, _ in self._order(stream)[:GROUP_SIZE]]
+
+    def _order(self, stream):
         peers = self._catalog.peers
         if peers is not self._peers:
             self._peers = peers
@@ -87,8 +99,6 @@
         bucket = rendezvous.rank("stream", stream) % BUCKETS
         if bucket not in self._orders:
             self._orders[bucket] = [
-                (name, peers[name].control)
-                for name in order(bucket, peers)
-                if name != self._own
+                (name, peers[name].control) for name in order(bucket, peers)
             ]
         return self._orders[bucket]
--- a/sycamoreshed/resumption/lookup.py
+++ b/sycamoreshed/resumption/lookup.py
@@ -1,6 +1,7 @@
 """Finds out what began a stream that a caller takes up."""
 
 import asyncio
+import collections
 import typing
 
 import msgspec
@@ -8,7 +9,7 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.resumption import origins
 
-__all__ = ["PATH", "Finder", "Found"]
+__all__ = ["MAJORITY", "PATH", "Answer", "Finder", "Found", "Question"]
 
 PATH = "/control/origin"
 # Instances that are asked; more than hold an origin, as the list of instances
@@ -17,6 +18,38 @@
 # Several round trips between regions, and a small part of the time for which
 # callers wait for the next event.
 TIMEOUT_S = 0.3
+# Source of an origin that follows from what a majority of holders lacks.
+MAJORITY = "majority"
+
+
+class Question(typing.NamedTuple):
+    """What an instance asks others.
+
+    Parameters
+    ----------
+    stream : str
+        Id of the request that brought its first event.
+    service : str or None
+        The only service that can have begun it, if there is one.
+    """
+
+    stream: str
+    service: str | None
+
+
+class Answer(typing.NamedTuple):
+    """What an instance knows of a stream.
+
+    Parameters
+    ----------
+    origin : Origin or None
+    versions : list of str
+        Without an origin, the software versions of the service that can have
+        begun the stream as far as this instance knows.
+    """
+
+    origin: origins.Origin | None
+    versions: list[str] = []
 
 
 class Found(typing.NamedTuple):
@@ -35,64 +68,119 @@
         Name of this instance.
     table : OriginTable
     holders : Holders
+    catalog : Catalog
     send : callable
         As for `Replicator`.
     journal : Journal
     clock : callable
     """
 
-    def __init__(self, *, own, table, holders, send, journal, clock):
+    def __init__(self, *, own, table, holders, catalog, send, journal, clock):
         self._own = own
         self._table = table
         self._holders = holders
+        self._catalog = catalog
         self._send = send
         self._journal = journal
         self._clock = clock
 
-    def answer(self, stream):
-        """Return the `Origin` of a stream that another instance asks for."""
-        return self._table.find(stream, self._clock())
+    def answer(self, question):
+        """Return the `Answer` to another instance, or to this one."""
+        now = self._clock()
+        origin = self._table.find(question.stream, now)
+        if origin is not None or question.service is None:
+            return Answer(origin)
+        versions = self._catalog.software_versions(question.service, now)
+        return Answer(None, sorted(versions))
 
-    async def find(self, stream):
+    async def find(self, question):
         """Return what began a stream.
 
+        If nobody knows, it follows where a majority of the stream's holders
+        names the same version as the only possible one: what another version
+        began would be known to one of them.
+
+        Parameters
+        ----------
+        question : Question
+
         Returns
         -------
         Found or Failure
-            A failure of kind ``refused`` if others may know, but none
-            answered; else of kind ``no-endpoint``.
+            A failure of kind ``refused`` if no majority answered; else of
+            kind ``no-endpoint``.
         """
-        origin = self._table.find(stream, self._clock())
-        if origin is not None:
-            return Found(origin, self._own)
-        asked = self._holders.of(stream)[:MAX_ASKED]
+        own = self.answer(question)
+        if own.origin is not None:
+            return Found(own.origin, self._own)
+        votes = _Votes(self._holders.group(question.stream))
+        votes.add(self._own, own.versions)
+        asked = self._holders.of(question.stream)[:MAX_ASKED]
         tasks = [
-            asyncio.create_task(self._ask(name, control, stream))
+            asyncio.create_task(self._ask(name, control, question))
             for name, control in asked
         ]
-        failures = 0
         try:
             for finished in asyncio.as_completed(tasks):
-                answer = await finished
-                if isinstance(answer, Found):
-                    return answer
-                failures += isinstance(answer, kinds.Failure)
+                name, answer = await finished
+                if isinstance(answer, kinds.Failure):
+                    continue
+                if answer.origin is not None:
+                    return Found(answer.origin, name)
+                votes.add(name, answer.versions)
+                if votes.version is not None:
+                    break
         finally:
             for task in tasks:
                 task.cancel()
-        if tasks and failures == len(tasks):
-            return kinds.Failure(kinds.Kind.REFUSED, "no instance answered")
-        return kinds.Failure(kinds.Kind.NO_ENDPOINT, "no instance knows")
-
-    async def _ask(self, name, control, stream):
-        """Return `Found`, None if the instance does not know, or `Failure`."""
-        reply = await self._send(control, PATH, stream, TIMEOUT_S)
+        if votes.version is not None:
+            origin = origins.Origin(question.service, votes.version)
+            return Found(origin, MAJORITY)
+        if not votes.has_majority:
+            return kinds.Failure(
+                kinds.Kind.REFUSED, "no majority of its holders answered"
+            )
+        return kinds.Failure(
+            kinds.Kind.NO_ENDPOINT, "several versions may have begun it"
+        )
+
+    async def _ask(self, name, control, question):
+        """Return the name, and an `Answer` or `Failure`."""
+        reply = await self._send(control, PATH, question, TIMEOUT_S)
         if not isinstance(reply, kinds.Failure):
             try:
-                origin = msgspec.convert(reply.body, origins.Origin | None)
+                return name, msgspec.convert(reply.body, Answer)
             except msgspec.ValidationError as err:
                 reply = kinds.Failure(kinds.Kind.REFUSED, str(err))
-            else:
-                return None if origin is None else Found(origin, name)
         self._journal.write("origin_lost", peer=name, why=reply.reason)
-        return reply
+        return name, reply
+
+
+class _Votes:
+    """Answers of the holders of a stream that do not know it."""
+
+    def __init__(self, group):
+        self._group = group
+        self._needed = len(group) // 2 + 1
+        self._votes = {}
+
+    def add(self, name, versions):
+        if name in self._group:
+            self._votes[name] = versions
+
+    @property
+    def has_majority(self):
+        return len(self._votes) >= self._needed
+
+    @property
+    def version(self):
+        """The only version that is possible for a majority, or None."""
+        single = collections.Counter(
+            versions[0]
+            for versions in self._votes.values()
+            if len(versions) == 1
+        )
+        for version, count in single.most_common(1):
+            if count >= self._needed:
+                return version
+        return None
--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -3,7 +3,6 @@
 import functools
 
 from sycamoreshed.adapters import web
-from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.resumption import holders
@@ -13,14 +12,12 @@
 
 __all__ = ["Resumption"]
 
-# Labels of what knew an origin: this instance, another one, the catalog, or
+# Labels of what knew an origin: this instance, another one, the store, or
 # nobody.
 OWN = "own"
 PEER = "peer"
 ONLY_VERSION = "only version"
 UNKNOWN = "unknown"
-# Age of the copy of the endpoints above which it may lack a version.
-MAX_AGE_S = 10.0
 
 
 class Resumption:
@@ -33,6 +30,8 @@
     catalog : Catalog
     finder : Finder
     replicator : Replicator
+    confirmation : Confirmation
+        Of the copies that name software versions.
     metrics : GatewayMetrics
     journal : Journal
     clock : callable
@@ -45,10 +44,20 @@
     """
 
     def __init__(
-        self, *, own, catalog, finder, replicator, metrics, journal, clock
+        self,
+        *,
+        own,
+        catalog,
+        finder,
+        replicator,
+        confirmation,
+        metrics,
+        journal,
+        clock,
     ):
         self._own = own
         self._catalog = catalog
+        self._confirmation = confirmation
         self._metrics = metrics
         self.finder = finder
         self.replicator = replicator
@@ -85,11 +94,20 @@
         head, route = request.head, request.route
         if not route.streaming or head.last_event_id is None:
             return request
-        found = kinds.Failure(kinds.Kind.NO_ENDPOINT, "no request is named")
+        service = None
+        if len(self._services(route)) == 1 == len(route.services):
+            service = request.service
+        found = kinds.Failure(kinds.Kind.REFUSED, "no request is named")
         if head.resumes is not None:
-            found = await self.finder.find(head.resumes)
-        if isinstance(found, kinds.Failure):
-            found = self._only_origin(request, found)
+            found = await self.finder.find(
+                lookup.Question(head.resumes, service)
+            )
+        if (
+            isinstance(found, kinds.Failure)
+            and found.kind is kinds.Kind.REFUSED
+            and service is not None
+        ):
+            found = await self._only_origin(service, found)
         self._record(request, found)
         if isinstance(found, kinds.Failure):
             return _rejected(
@@ -105,22 +123,19 @@
         current = self._catalog.routes.named(route.name)
         return (current or route).services
 
-    def _only_origin(self, request, failure):
-        """Return the only origin that a stream can have, or the failure."""
-        now = self._clock()
-        # Others may know of a version that an old copy lacks.
-        if (
-            failure.kind is kinds.Kind.REFUSED
-            and self._catalog.age(catalogs.ENDPOINTS, now) > MAX_AGE_S
-        ):
+    async def _only_origin(self, service, failure):
+        """Return the only origin that a stream can have, or the failure.
+
+        An instance that reaches no others may have missed that engines of
+        another version came, at which one of them began the stream.
+        """
+        if not await self._confirmation.confirm():
             return failure
-        versions = self._catalog.software_versions(request.service, now)
-        if len(request.route.services) > 1 or len(versions) != 1:
+        versions = self._catalog.software_versions(service, self._clock())
+        if len(versions) != 1:
             return failure
         (version,) = versions
-        return lookup.Found(
-            origins.Origin(request.service, version), ONLY_VERSION
-        )
+        return lookup.Found(origins.Origin(service, version), ONLY_VERSION)
 
     def _record(self, request, found):
         self._metrics.record_taken_up(self._label(found))
@@ -140,9 +155,9 @@
     def _label(self, found):
         if isinstance(found, kinds.Failure):
             return UNKNOWN
-        if found.source in (self._own, ONLY_VERSION):
-            return OWN if found.source == self._own else ONLY_VERSION
-        return PEER
+        if found.source in (lookup.MAJORITY, ONLY_VERSION):
+            return found.source
+        return OWN if found.source == self._own else PEER
 
 
 def _rejected(reason):
@@ -174,6 +189,7 @@
     "resumption",
     needs=(
         "catalog",
+        "confirmation",
         "following",
         "gateway_metrics",
         "journal",
@@ -201,8 +217,9 @@
     yield Resumption(
         own=own,
         catalog=catalog,
-        finder=lookup.Finder(**shared, own=own),
+        finder=lookup.Finder(**shared, own=own, catalog=catalog),
         replicator=replicator,
+        confirmation=core.part("confirmation"),
         metrics=core.part("gateway_metrics"),
         journal=core.part("journal"),
         clock=core.clock,
