Write no second response within one that has begun

Callers of a stream got, where the next chunk was due, a second head with status 502, a body and an end of its own on the same connection.

Cause: an event whose id has more than 4,300 digits makes `int` raise a ValueError that nothing expects, and the handler answers each unexpected error with an error response, also when the answer has begun. Evidence: `internal` and `failed` with status 502 in the log of a request whose head was sent. Ruled out: that the HTTP library writes it, which refuses to, and that the engine's bytes were passed on.

An event with an impossible id now breaks the engine's stream, like one without end. The handler closes the connection after an error within an answer, and so does each server of the program if any handler returns a second response for a request.

Tests, failing before: test_spoilt_event_brings_no_second_response[id], test_response_within_another_one_is_not_sent[return_other, fail_guarded], test_body_that_ends_with_its_connection_is_reset, and test_unexpected_error_within_a_stream_closes_the_connection.

--- a/sycamoreshed/entry/limitedserver.py
+++ b/sycamoreshed/entry/limitedserver.py
@@ -4,7 +4,9 @@
 
 from aiohttp import web
 from aiohttp import web_protocol
+from loguru import logger
 
+from sycamoreshed.adapters import truncation
 from sycamoreshed.entry import connections
 
 __all__ = ["LimitedAppRunner", "LimitedServer"]
@@ -43,7 +45,19 @@
         super().connection_lost(error)
 
     async def finish_response(self, request, response, start_time):
-        """Write the response to a request."""
+        """Write the response to a request.
+
+        Within a response that has begun, a second one would be taken for a
+        part of it; the connection is closed instead, so that the peer notices
+        that the first one is truncated.
+        """
+        is_other = not getattr(response, "prepared", False)
+        if is_other and request.writer.output_size > 0:
+            logger.bind(path=request.path).error(
+                "an error response came within a response"
+            )
+            truncation.truncate(request)
+            return response, True
         try:
             return await super().finish_response(request, response, start_time)
         finally:
--- a/sycamoreshed/forwarding/sse.py
+++ b/sycamoreshed/forwarding/sse.py
@@ -3,9 +3,11 @@
 import re
 import typing
 
-__all__ = ["EventBuffer", "EventTooLargeError", "StreamEvent"]
+__all__ = ["EventBuffer", "MalformedEventError", "StreamEvent"]
 
 MAX_EVENT_BYTES = 1024 * 1024
+# Longer ids are none that an engine has counted up to.
+MAX_ID_DIGITS = 18
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
@@ -18,8 +20,8 @@
     event_id: int | None
 
 
-class EventTooLargeError(ValueError):
-    """An event does not end in time."""
+class MalformedEventError(ValueError):
+    """An event does not end in time, or has an impossible id."""
 
 
 class EventBuffer:
@@ -51,19 +53,29 @@
 
         Raises
         ------
-        EventTooLargeError
-            If an event has more than `MAX_EVENT_BYTES`.
+        MalformedEventError
+            If an event has more than `MAX_EVENT_BYTES`, or its id more than
+            `MAX_ID_DIGITS`.
         """
         data = self._rest + data
         events = []
         start = 0
         for end in _EVENT_END.finditer(data):
             raw = data[start : end.end()]
-            id_line = _ID.search(raw)
-            event_id = int(id_line[1]) if id_line else None
-            events.append(StreamEvent(raw, event_id))
+            events.append(StreamEvent(raw, _parse_id(raw)))
             start = end.end()
         self._rest = data[start:]
         if len(self._rest) > MAX_EVENT_BYTES:
-            raise EventTooLargeError(f"event of over {MAX_EVENT_BYTES} bytes")
+            raise MalformedEventError(f"event of over {MAX_EVENT_BYTES} bytes")
         return events
+
+
+def _parse_id(raw):
+    """Return the numeric id of an event, or None."""
+    id_line = _ID.search(raw)
+    if id_line is None:
+        return None
+    digits = id_line[1]
+    if len(digits) > MAX_ID_DIGITS:
+        raise MalformedEventError(f"event id of {len(digits)} digits")
+    return int(digits)
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -181,7 +181,7 @@
         tries.record_data()
         try:
             events = buffer.feed(data)
-        except sse.EventTooLargeError as err:
+        except sse.MalformedEventError as err:
             return _broken(str(err))
         pacing.record_read(len(events), began_at, parts.clock())
         for event in events:
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from sycamoreshed.adapters import truncation
 from sycamoreshed.buffering import budget
 from sycamoreshed.buffering import slowreaders
 from sycamoreshed.entry import backlog
@@ -127,6 +128,10 @@
             failure = kinds.Failure(
                 kinds.Kind.INTERNAL, "internal error", sent=True
             )
+            if sink.has_begun:
+                outcome = forwarder.Outcome(failure=failure, has_started=True)
+                self._abort_response(http, head, route, outcome, started_at)
+                raise asyncio.CancelledError from None
             return self._error_response(failure, head, route, started_at)
         finally:
             self.in_flight -= 1
@@ -253,7 +258,10 @@
                 return self._error_response(
                     outcome.failure, request.head, request.route, started_at
                 )
-            return self._abort_response(http, request, outcome, now)
+            self._abort_response(
+                http, request.head, request.route, outcome, started_at
+            )
+            raise _ResponseAborted
         if outcome.answer is not None:
             response = await self._send_answer(outcome.answer, request, sink)
         else:
@@ -302,27 +310,24 @@
         self._close_if_stopping(response)
         return response
 
-    def _abort_response(self, http, request, outcome, now):
+    def _abort_response(self, http, head, route, outcome, started_at):
         """Close the connection in the middle of a response.
 
         Without the end marker of the body the caller detects that the
         response is truncated; ended normally, it would look complete.
         """
+        took_s = self._clock() - started_at
         self._journal.write(
             "broken",
-            request=request.id,
-            route=request.route.name,
+            request=head.request_id,
+            route=route.name,
             endpoint=outcome.endpoint and outcome.endpoint.id,
             why=outcome.failure.reason,
             events=outcome.events,
-            took_s=round(now - request.started_at, 4),
-        )
-        self._metrics.record_ended(
-            request.route, "broken", now - request.started_at
+            took_s=round(took_s, 4),
         )
-        if http.transport is not None:
-            http.transport.abort()
-        raise _ResponseAborted
+        self._metrics.record_ended(route, "broken", took_s)
+        truncation.truncate(http)
 
     def _error_response(self, failure, head, route, started_at):
         now = self._clock()
--- a/sycamoreshed/gateway/sinks.py
+++ b/sycamoreshed/gateway/sinks.py
@@ -29,6 +29,11 @@
         self.response = None
         self.on_begin = None
 
+    @property
+    def has_begun(self):
+        """Whether a part of the response may have been sent."""
+        return self.response is not None and self.response.prepared
+
     async def begin(self, answer, *, length=None):
         """Send the head of an endpoint's answer.
 
--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -7,6 +7,7 @@
 import multidict
 
 from sycamoreshed.adapters import bodies
+from sycamoreshed.adapters import truncation
 from sycamoreshed.adapters import web as adapters
 from sycamoreshed.buffering import budget
 from sycamoreshed.buffering import slowreaders
@@ -209,9 +210,7 @@
             await answer.write_eof()
             return answer
         await self._record_break(endpoint)
-        # Without its end the answer is seen to be truncated.
-        if http.transport is not None:
-            http.transport.abort()
+        truncation.truncate(http)
         raise asyncio.CancelledError
 
     async def _record_break(self, endpoint):
