Take up streams that were lost before a second software version came

Callers whose instance lost power shortly before a release got 503 for each stream that they took up, while new streams began: nobody knew what had begun theirs.

Cause: instances send what began a stream to others only once they know of a second version. One that is lost before tells nobody, and the others cannot conclude that its streams began before the version came: versions have no order, and that nobody knows a stream tells nothing.

A stream at another than the oldest version now begins only when a majority of its three holders knows it. One that a majority does not know therefore began at the oldest version, unless a holder came after the others; such a holder names what it cannot rule out. Instances agree on the order by a finding for each service. An instance that does not reach a majority begins streams at the oldest version, or at any if that has no endpoint: nothing goes on at the oldest one then. Services with one version cost nothing, as before.

The unit tests of resumption run the new order of versions; their builder lets instances tell each other findings.

--- a/sycamoreshed/catalog/catalog.py
+++ b/sycamoreshed/catalog/catalog.py
@@ -252,6 +252,11 @@
         """
         return self._software.of_service(service, now)
 
+    @property
+    def services(self):
+        """Names of the services that have endpoints listed."""
+        return {each.service for each in self._endpoints.values()}
+
     def is_cold(self, endpoint, now):
         """Return whether an endpoint has not warmed up yet."""
         service = self.configuration and self.configuration.services.get(
--- a/sycamoreshed/catalog/routes.py
+++ b/sycamoreshed/catalog/routes.py
@@ -34,6 +34,17 @@
         self._by_name = {route.name: route for route in routes}
         for each in self._by_host.values():
             each.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._resumable_services = frozenset(
+            service
+            for route in routes
+            if route.streaming and route.resumable
+            for service, _ in route.services
+        )
+
+    @property
+    def resumable_services(self):
+        """Names of the services whose streams callers may take up."""
+        return self._resumable_services
 
     def named(self, name):
         """Return the route with a name, or None."""
--- a/sycamoreshed/forwarding/candidates.py
+++ b/sycamoreshed/forwarding/candidates.py
@@ -7,7 +7,9 @@
     """Return the endpoints that may get a request, by all restrictions.
 
     They are in a region that its route and team allow and, if it goes on with
-    a stream, have the software version that began the stream.
+    a stream, have the software version that began the stream.  A stream that
+    other instances cannot be told of begins at the version that they take it
+    for, if that has endpoints.
 
     Parameters
     ----------
@@ -20,7 +22,7 @@
     tuple of Endpoint
     """
     available = parts.catalog.endpoints(request.service, now)
-    return _allowed(request, parts, available)
+    return _allowed(request, parts, available, now)
 
 
 def rest_s(request, parts, now):
@@ -39,17 +41,25 @@
     """
     resting = dict(parts.catalog.resting(request.service, now))
     return min(
-        (resting[each] for each in _allowed(request, parts, tuple(resting))),
+        (
+            resting[each]
+            for each in _allowed(request, parts, tuple(resting), now)
+        ),
         default=None,
     )
 
 
-def _allowed(request, parts, available):
+def _allowed(request, parts, available, now):
     in_region = parts.residency.select(request, available)
-    if request.origin is None:
+    if request.origin is not None:
+        return _of_version(in_region, request.origin.software_version)
+    version = parts.resumption.required_version(request, now)
+    if version is None:
         return in_region
+    return _of_version(in_region, version) or in_region
+
+
+def _of_version(available, version):
     return tuple(
-        each
-        for each in in_region
-        if each.software_version == request.origin.software_version
+        each for each in available if each.software_version == version
     )
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -23,6 +23,14 @@
 MIN_FIRST_EVENT_S = 0.5
 
 
+# Of a stream that other instances would take for one of another version.
+_UNHELD = kinds.Failure(
+    kinds.Kind.NO_ENDPOINT,
+    "no other instance could be told what began the stream",
+    sent=True,
+)
+
+
 class StreamEnd(typing.NamedTuple):
     """How a stream ended.
 
@@ -49,11 +57,13 @@
 class _Break(typing.NamedTuple):
     """Why an engine's part of a stream is not whole.
 
-    ``is_cut_off`` tells whether the engine closed the connection.
+    ``is_cut_off`` tells whether the engine closed the connection, and
+    ``is_final`` whether the engine is sound, but the stream cannot begin.
     """
 
     failure: typing.Any
     is_cut_off: bool = False
+    is_final: bool = False
 
 
 class _Progress:
@@ -105,7 +115,7 @@
             broken = await _forward_part(
                 opened, tries, request, sink, parts, progress, pacing
             )
-            if broken is not None:
+            if broken is not None and not broken.is_final:
                 tries.record_failure(
                     opened.endpoint,
                     broken.failure,
@@ -119,6 +129,8 @@
             tries.record_served(opened.endpoint)
             return _end(None, progress, opened)
         failure = broken.failure
+        if broken.is_final:
+            return _end(failure, progress, opened)
         await tries.settle(opened.endpoint)
         if not request.route.resumable or not tries.try_retry(failure):
             return _end(failure, progress, opened)
@@ -211,13 +223,14 @@
                 f"event {event.event_id} after {progress.last_event_id}"
             )
     if not progress.has_started:
-        progress.has_started = True
-        progress.first_s = parts.clock() - request.started_at
         origin = origins.Origin(
             request.service, opened.endpoint.software_version
         )
+        if not await parts.resumption.record_first_event(request, origin):
+            return _Break(_UNHELD, is_final=True)
+        progress.has_started = True
+        progress.first_s = parts.clock() - request.started_at
         tries.bind_to(origin)
-        parts.resumption.record_first_event(request, origin)
         await sink.begin(opened.response)
     await sink.send(event.raw)
     progress.record_event(event.event_id, parts.clock())
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -191,8 +191,12 @@
         """Return the request."""
         return request
 
-    def record_first_event(self, _request, _origin):
-        """Do nothing."""
+    def required_version(self, _request, _now):
+        """Return None: a stream may begin at any version."""
+
+    async def record_first_event(self, _request, _origin):
+        """Return that the stream may begin."""
+        return True
 
 
 def parts(sender, *, endpoints=4, permits=None, engine=None, clock=None):
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -333,6 +333,18 @@
         "peer, count, why",
         "an instance did not take what began some streams",
     ),
+    "origin_unheld": Event(
+        EventClass.DECISION,
+        "stream, missing",
+        "a stream did not begin, as so many instances more would have to "
+        "know its software version",
+    ),
+    "versions_listed": Event(
+        EventClass.STATE,
+        "service, versions",
+        "this instance told the others which software versions of a service "
+        "may have begun streams, oldest first",
+    ),
     "origin_lost": Event(
         EventClass.DECISION,
         "peer, why",
--- a/sycamoreshed/resumption/holders.py
+++ b/sycamoreshed/resumption/holders.py
@@ -4,7 +4,7 @@
 
 from sycamoreshed.membership import rendezvous
 
-__all__ = ["GROUP_SIZE", "Holders", "order"]
+__all__ = ["GROUP_SIZE", "Holders", "majority", "order"]
 
 # Instances that are to know what began a stream.
 GROUP_SIZE = 3
@@ -59,6 +59,17 @@
     ]
 
 
+def majority(group):
+    """Return how many of a group are more than half of it.
+
+    Examples
+    --------
+    >>> majority("abc"), majority("ab"), majority("a")
+    (2, 2, 1)
+    """
+    return len(group) // 2 + 1
+
+
 class Holders:
     """Control addresses of the instances that hold the origins of streams.
 
@@ -85,11 +96,16 @@
         return [each for each in self._order(stream) if each[0] != self._own]
 
     def group(self, stream):
-        """Return the names of the first `GROUP_SIZE`, with this instance.
+        """Return name and control address of the first `GROUP_SIZE`.
+
+        All instances with the same list of peers return the same ones; this
+        instance may be among them.
 
-        All instances with the same list of peers return the same names.
+        Returns
+        -------
+        list of (str, str)
         """
-        return [name for name, _ in self._order(stream)[:GROUP_SIZE]]
+        return self._order(stream)[:GROUP_SIZE]
 
     def _order(self, stream):
         peers = self._catalog.peers
--- a/sycamoreshed/resumption/lookup.py
+++ b/sycamoreshed/resumption/lookup.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sycamoreshed.errors import kinds
+from sycamoreshed.resumption import holders
 from sycamoreshed.resumption import origins
 
 __all__ = ["MAJORITY", "PATH", "Answer", "Finder", "Found", "Question"]
@@ -68,18 +69,18 @@
         Name of this instance.
     table : OriginTable
     holders : Holders
-    catalog : Catalog
+    history : VersionHistory
     send : callable
         As for `Replicator`.
     journal : Journal
     clock : callable
     """
 
-    def __init__(self, *, own, table, holders, catalog, send, journal, clock):
+    def __init__(self, *, own, table, holders, history, send, journal, clock):
         self._own = own
         self._table = table
         self._holders = holders
-        self._catalog = catalog
+        self._history = history
         self._send = send
         self._journal = journal
         self._clock = clock
@@ -90,8 +91,7 @@
         origin = self._table.find(question.stream, now)
         if origin is not None or question.service is None:
             return Answer(origin)
-        versions = self._catalog.software_versions(question.service, now)
-        return Answer(None, sorted(versions))
+        return Answer(None, self._history.possible(question.service, now))
 
     async def find(self, question):
         """Return what began a stream.
@@ -160,8 +160,8 @@
     """Answers of the holders of a stream that do not know it."""
 
     def __init__(self, group):
-        self._group = group
-        self._needed = len(group) // 2 + 1
+        self._group = {name for name, _ in group}
+        self._needed = holders.majority(group)
         self._votes = {}
 
     def add(self, name, versions):
--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -9,6 +9,7 @@
 from sycamoreshed.resumption import lookup
 from sycamoreshed.resumption import origins
 from sycamoreshed.resumption import replication
+from sycamoreshed.resumption import versions
 
 __all__ = ["Resumption"]
 
@@ -28,6 +29,7 @@
     own : str
         Name of this instance.
     catalog : Catalog
+    history : VersionHistory
     finder : Finder
     replicator : Replicator
     confirmation : Confirmation
@@ -48,6 +50,7 @@
         *,
         own,
         catalog,
+        history,
         finder,
         replicator,
         confirmation,
@@ -57,6 +60,7 @@
     ):
         self._own = own
         self._catalog = catalog
+        self._history = history
         self._confirmation = confirmation
         self._metrics = metrics
         self.finder = finder
@@ -64,17 +68,44 @@
         self._journal = journal
         self._clock = clock
 
-    def record_first_event(self, request, origin):
-        """Record what began a stream, if its caller may take it up."""
+    def required_version(self, request, now):
+        """Return the only software version at which a stream may begin.
+
+        Parameters
+        ----------
+        request : Request
+        now : float
+
+        Returns
+        -------
+        str or None
+            None if it may begin at any, or the request begins none.
+        """
+        if not request.route.resumable or _goes_on(request):
+            return None
+        listed = self._history.of_service(request.service, now)
+        if len(listed) < 2 or self.replicator.can_record(request.id, now):
+            return None
+        return listed[0]
+
+    async def record_first_event(self, request, origin):
+        """Record what began a stream, if its caller may take it up.
+
+        Returns
+        -------
+        bool
+            Whether the event may be passed on.
+        """
         if not request.route.resumable:
-            return
-        stream = request.id
-        if request.head.last_event_id is not None:
-            if request.head.resumes is None:
-                return
-            stream = request.head.resumes
-        self.replicator.record(
-            stream, origin, is_ambiguous=len(request.route.services) > 1
+            return True
+        stream = request.head.resumes if _goes_on(request) else request.id
+        if stream is None:
+            return True
+        return await self.replicator.record(
+            stream,
+            origin,
+            is_ambiguous=len(request.route.services) > 1,
+            is_new=not _goes_on(request),
         )
 
     async def bind(self, request):
@@ -92,7 +123,7 @@
             service could have: a guess could join what two versions wrote.
         """
         head, route = request.head, request.route
-        if not route.streaming or head.last_event_id is None:
+        if not route.streaming or not _goes_on(request):
             return request
         service = None
         if len(self._services(route)) == 1 == len(route.services):
@@ -131,10 +162,10 @@
         """
         if not await self._confirmation.confirm():
             return failure
-        versions = self._catalog.software_versions(service, self._clock())
-        if len(versions) != 1:
+        listed = self._history.of_service(service, self._clock())
+        if len(listed) != 1:
             return failure
-        (version,) = versions
+        (version,) = listed
         return lookup.Found(origins.Origin(service, version), ONLY_VERSION)
 
     def _record(self, request, found):
@@ -160,6 +191,11 @@
         return OWN if found.source == self._own else PEER
 
 
+def _goes_on(request):
+    """Return whether a request goes on with an earlier one's stream."""
+    return request.head.last_event_id is not None
+
+
 def _rejected(reason):
     return kinds.Failure(
         kinds.Kind.NO_ENDPOINT,
@@ -185,25 +221,47 @@
     await replicator.hand_over()
 
 
+@kernel.plugin(
+    "version_history",
+    needs=("board", "catalog", "findings", "following", "journal", "peers"),
+)
+async def version_history(core):
+    """Provide the `VersionHistory` of all services."""
+    history = versions.VersionHistory(
+        own=core.settings.instance,
+        board=core.part("board"),
+        catalog=core.part("catalog"),
+        peers=core.part("peers"),
+        publish=core.part("findings").publish,
+        journal=core.part("journal"),
+    )
+    core.keep_running(
+        functools.partial(history.run, core.clock, core.unix_ms),
+        name="list software versions",
+    )
+    yield history
+
+
 @kernel.plugin(
     "resumption",
     needs=(
         "catalog",
         "confirmation",
-        "following",
         "gateway_metrics",
         "journal",
         "peers",
+        "version_history",
         "web",
     ),
 )
 async def resumption(core):
     """Provide the `Resumption` of streams."""
-    table = origins.OriginTable()
     own = core.settings.instance
     catalog = core.part("catalog")
     shared = {
-        "table": table,
+        "own": own,
+        "table": origins.OriginTable(),
+        "history": core.part("version_history"),
         "holders": holders.Holders(own=own, catalog=catalog),
         "send": functools.partial(_send, core),
         "journal": core.part("journal"),
@@ -217,10 +275,11 @@
     yield Resumption(
         own=own,
         catalog=catalog,
-        finder=lookup.Finder(**shared, own=own, catalog=catalog),
+        history=shared["history"],
+        finder=lookup.Finder(**shared),
         replicator=replicator,
         confirmation=core.part("confirmation"),
         metrics=core.part("gateway_metrics"),
-        journal=core.part("journal"),
+        journal=shared["journal"],
         clock=core.clock,
     )
--- a/sycamoreshed/resumption/tests/test_resumption.py
+++ b/sycamoreshed/resumption/tests/test_resumption.py
@@ -7,6 +7,7 @@
 
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.errors import kinds
+from sycamoreshed.membership import rendezvous
 from sycamoreshed.resumption import holders
 from sycamoreshed.resumption import lookup
 from sycamoreshed.resumption import origins
@@ -23,7 +24,14 @@
     """Run a scenario with a network in simulated time."""
 
     async def start():
-        return await scenario(builders.Network(**network))
+        built = builders.Network(**network)
+        running = asyncio.create_task(built.run())
+        await asyncio.sleep(COPY_S)
+        built.calls.clear()
+        try:
+            return await scenario(built)
+        finally:
+            running.cancel()
 
     return virtualtime.run(start())
 
@@ -42,7 +50,7 @@
     """Callers of all its streams come to the other instances at once."""
 
     async def scenario(network):
-        network.record("i-0", STREAMS, "v2")
+        await network.record("i-0", STREAMS, "v2")
         await asyncio.sleep(COPY_S)
         network.lost.update(lost)
         others = itertools.cycle(
@@ -61,7 +69,7 @@
     """Instances join and leave between the first event and the caller."""
 
     async def scenario(network):
-        network.record("i-0", STREAMS)
+        await network.record("i-0", STREAMS)
         await asyncio.sleep(COPY_S)
         peers = dict(network.catalog.peers)
         del peers["i-8"]
@@ -77,7 +85,7 @@
     """A rolling restart leaves no instance that was there before."""
 
     async def scenario(network):
-        network.record("i-0", STREAMS)
+        await network.record("i-0", STREAMS)
         await asyncio.sleep(COPY_S)
         for name in sorted(network.instances)[:-1]:
             network.catalog.peers = {
@@ -95,11 +103,11 @@
     """Nearly all streams are of such services."""
 
     async def scenario(network):
-        network.record("i-0", STREAMS)
+        await network.record("i-0", STREAMS)
         await asyncio.sleep(COPY_S)
         return network.calls, await bind(network, "i-1", STREAMS[0])
 
-    calls, bound = run(scenario, versions={"v1"})
+    calls, bound = run(scenario, serving={"v1"})
     assert set(calls) == {lookup.PATH}
     assert len(calls) <= lookup.MAX_ASKED
     assert bound.origin == origins.Origin(builders.SERVICE, "v1")
@@ -109,17 +117,14 @@
     """A stream that began before a release is taken up during it."""
 
     async def scenario(network):
-        task = asyncio.create_task(network.instances["i-0"].replicator.run())
-        network.record("i-0", STREAMS)
+        await network.record("i-0", STREAMS)
         await asyncio.sleep(COPY_S)
-        network.catalog.versions = {"v1", "v2"}
-        network.catalog.changed.fire()
+        network.set_versions({"v1", "v2"})
         await asyncio.sleep(COPY_S)
-        task.cancel()
         network.lost.add("i-0")
         return [await bind(network, "i-1", stream) for stream in STREAMS]
 
-    bound = run(scenario, versions={"v1"})
+    bound = run(scenario, serving={"v1"})
     assert {each.origin.software_version for each in bound} == {"v1"}
 
 
@@ -131,13 +136,11 @@
     """
 
     async def scenario(network):
-        task = asyncio.create_task(network.instances["i-0"].replicator.run())
         network.lost.update(set(network.instances) - {"i-0"})
-        network.record("i-0", STREAMS)
+        await network.record("i-0", STREAMS)
         await asyncio.sleep(after_s)
         network.lost.clear()
         await asyncio.sleep(5.0)
-        task.cancel()
         network.lost.add("i-0")
         return [await bind(network, "i-1", stream) for stream in STREAMS]
 
@@ -148,7 +151,7 @@
     """Each call costs more than what it carries."""
 
     async def scenario(network):
-        network.record("i-0", STREAMS)
+        await network.record("i-0", STREAMS)
         await asyncio.sleep(COPY_S)
         return network.calls
 
@@ -163,7 +166,7 @@
     async def scenario(network):
         return await bind(network, "i-1", "nobody's")
 
-    failure = run(scenario, versions=versions)
+    failure = run(scenario, serving=versions)
     assert failure.kind is kinds.Kind.NO_ENDPOINT
     assert not failure.sent
 
@@ -175,14 +178,14 @@
         services = ((builders.SERVICE, 1.0), ("other", 1.0))
         return await bind(network, "i-1", "nobody's", services=services)
 
-    assert isinstance(run(scenario, versions={"v1"}), kinds.Failure)
+    assert isinstance(run(scenario, serving={"v1"}), kinds.Failure)
 
 
 def test_stream_of_a_service_that_the_route_left_is_rejected():
     """The configuration in force does not allow that service any more."""
 
     async def scenario(network):
-        network.record("i-1", ["s-1"])
+        await network.record("i-1", ["s-1"])
         return await bind(network, "i-1", "s-1", services=(("other", 1.0),))
 
     assert isinstance(run(scenario), kinds.Failure)
@@ -203,7 +206,7 @@
         network.lost.update(network.instances)
         return await bind(network, "i-1", "nobody's")
 
-    result = run(scenario, versions={"v1"})
+    result = run(scenario, serving={"v1"})
     assert isinstance(result, kinds.Failure) is not is_bound
 
 
@@ -215,7 +218,7 @@
         network.lost.update(network.instances)
         return await bind(network, "i-1", "nobody's")
 
-    assert isinstance(run(scenario, versions={"v1"}), kinds.Failure)
+    assert isinstance(run(scenario, serving={"v1"}), kinds.Failure)
 
 
 def test_one_answer_does_not_tell_the_only_version():
@@ -227,12 +230,131 @@
     async def scenario(network):
         network.is_store_reached = False
         stream = STREAMS[0]
-        group = network.instances["i-0"].finder._holders.group(stream)
-        network.lost.update(network.instances.keys() - {group[0], "i-8"})
-        asking = group[0] if group[0] != "i-8" else group[1]
+        order = holders.order(
+            rendezvous.rank("stream", stream) % holders.BUCKETS,
+            network.catalog.peers,
+        )
+        asking, other = order[0], order[holders.GROUP_SIZE]
+        network.lost.update(network.instances.keys() - {asking, other})
         return await bind(network, asking, stream)
 
-    assert isinstance(run(scenario, versions={"v1"}), kinds.Failure)
+    assert isinstance(run(scenario, serving={"v1"}), kinds.Failure)
+
+
+@pytest.mark.parametrize("size", [2, 3, 9])
+def test_stream_of_an_instance_lost_before_a_release_goes_on(size):
+    """Nobody but the lost instance knew its streams.
+
+    They can only have begun at the version that served then.
+    """
+
+    async def scenario(network):
+        await network.record("i-0", STREAMS)
+        network.lost.add("i-0")
+        if size == 2:
+            network.restart("i-0")
+            network.lost.clear()
+        await asyncio.sleep(1.5)
+        network.set_versions({"v1", "v2"})
+        await asyncio.sleep(2.0)
+        others = itertools.cycle(sorted(network.instances)[1:])
+        return [
+            await bind(network, name, stream)
+            for name, stream in zip(others, STREAMS, strict=False)
+        ]
+
+    bound = run(scenario, serving={"v1"}, size=size)
+    assert {
+        each.origin and each.origin.software_version for each in bound
+    } == {"v1"}
+
+
+def test_stream_of_a_later_version_begins_only_if_holders_know_it():
+    """An instance that is cut off begins it, and is lost afterwards.
+
+    Others would take it for one of the older version.
+    """
+
+    async def scenario(network):
+        network.set_versions({"v1", "v2"})
+        await asyncio.sleep(1.0)
+        network.lost.update(set(network.instances) - {"i-0"})
+        first = await network.record("i-0", STREAMS, "v2")
+        required = [
+            network.instances["i-0"].required_version(
+                builders.request(stream), asyncio.get_running_loop().time()
+            )
+            for stream in STREAMS
+        ]
+        return first, required, await network.record("i-0", STREAMS, "v1")
+
+    begun, required, begun_older = run(scenario, serving={"v1"})
+    assert not any(begun)
+    assert set(required) == {"v1"}
+    assert all(begun_older)
+
+
+def test_stream_of_a_later_version_begins_without_endpoints_of_the_older():
+    """Callers need not wait for instances that cannot be reached.
+
+    Where others take it for one of the older version, nothing goes on.
+    """
+
+    async def scenario(network):
+        network.set_versions({"v1", "v2"})
+        await asyncio.sleep(1.0)
+        network.set_versions({"v2"})
+        network.lost.update(set(network.instances) - {"i-0"})
+        return await network.record("i-0", STREAMS, "v2")
+
+    assert all(run(scenario, serving={"v1"}))
+
+
+def test_holder_that_came_after_a_version_does_not_rule_it_out():
+    """It cannot know what was told to others before its start."""
+
+    async def scenario(network):
+        network.set_versions({"v1", "v2"})
+        await asyncio.sleep(1.0)
+        await network.record("i-0", STREAMS, "v2")
+        for name in network.instances:
+            network.restart(name)
+        return [await bind(network, "i-1", stream) for stream in STREAMS]
+
+    bound = run(scenario, serving={"v1"})
+    assert all(isinstance(each, kinds.Failure) for each in bound)
+
+
+def test_instances_agree_which_version_is_the_oldest():
+    """Later ones came in another order than that of their names."""
+
+    async def scenario(network):
+        for serving in ({"v2", "v1"}, {"v1"}, {"v1", "v0"}):
+            network.set_versions(serving)
+            await asyncio.sleep(1.0)
+        now = asyncio.get_running_loop().time()
+        return [
+            each.of_service(builders.SERVICE, now)
+            for each in network.histories.values()
+        ]
+
+    assert run(scenario, serving={"v2"}) == [["v2", "v1", "v0"]] * 9
+
+
+def test_version_is_forgotten_when_its_streams_have_ended():
+    """A service with one version needs no copies."""
+
+    async def scenario(network):
+        network.set_versions({"v1", "v2"})
+        await asyncio.sleep(1.0)
+        network.set_versions({"v2"})
+        await asyncio.sleep(origins.TTL_S + 3.0)
+        network.calls.clear()
+        await network.record("i-0", STREAMS, "v2")
+        await asyncio.sleep(COPY_S)
+        return network.calls
+
+    assert run(scenario, serving={"v1"}) == []
 
 
 def test_streams_are_spread_over_instances():
--- /dev/null
+++ b/sycamoreshed/resumption/versions.py
@@ -0,0 +1,167 @@
+"""Software versions of services, in the order in which they came.
+
+Instances agree on the order by a finding for each service.  What it lists may
+have begun streams that callers still take up.
+"""
+
+import typing
+
+from sycamoreshed.catalog import software
+from sycamoreshed.findings import topics
+from sycamoreshed.membership import rendezvous
+
+__all__ = ["VERSIONS", "VersionHistory"]
+
+VERSIONS = topics.register(topics.Topic("software_versions", 3600.0, 1024))
+# Age at which a list that still holds is told again.
+REFRESH_S = 1200.0
+# Interval between checks of the lists, besides those after changes.
+CHECK_S = 0.3
+# Instances tell a change in an order that they all compute, with this delay
+# between them, so that one of them does unless it cannot.
+TELL_DELAY_S = 0.3
+MAX_TELL_DELAYS = 3
+
+
+class _Change(typing.NamedTuple):
+    versions: list
+    due_at: float
+
+
+class VersionHistory:
+    """Which software versions of services may have begun streams.
+
+    Parameters
+    ----------
+    own : str
+        Name of this instance.
+    board : Board
+    catalog : Catalog
+    peers : PeerDirectory
+    publish : callable
+        Tells all instances a finding.
+    journal : Journal
+    """
+
+    def __init__(self, *, own, board, catalog, peers, publish, journal):
+        self._own = own
+        self._board = board
+        self._catalog = catalog
+        self._peers = peers
+        self._publish = publish
+        self._journal = journal
+        # Versions by service that came before this instance; None until the
+        # instance knows them.
+        self._initial = None
+        self._changes = {}
+        self._absent_since = {}
+
+    def of_service(self, service, now):
+        """Return the versions that may have begun streams, oldest first."""
+        listed = self._listed(service, now)
+        seen = self._catalog.software_versions(service, now)
+        return [*listed, *sorted(seen - set(listed))]
+
+    def possible(self, service, now):
+        """Return the versions that may have begun an unknown stream.
+
+        Streams of the oldest version are not told to other instances before
+        they begin.  Those of a later one are, so that this instance knows
+        them if the version came after its own start.
+        """
+        if self._initial is None:
+            return []
+        initial = self._initial.get(service, ())
+        versions = self.of_service(service, now)
+        return [
+            each for each in versions if each == versions[0] or each in initial
+        ]
+
+    def update(self, now, unix_ms):
+        """Tell changes of the lists that no other instance has told."""
+        if self._initial is None:
+            self._initialise(now)
+        if self._initial is None:
+            return
+        for service in self._catalog.routes.resumable_services:
+            wanted = self._wanted(service, now)
+            if wanted is None:
+                self._changes.pop(service, None)
+                continue
+            change = self._changes.get(service)
+            if change is None or change.versions != wanted:
+                delay_s = self._tell_delay_s(service, now)
+                change = _Change(wanted, now + delay_s)
+                self._changes[service] = change
+            if now >= change.due_at:
+                self._tell(service, wanted, now, unix_ms)
+
+    async def run(self, clock, unix_ms):
+        """Keep the lists up to date until cancelled."""
+        while True:
+            self.update(clock(), unix_ms())
+            await self._catalog.changed.wait(CHECK_S)
+
+    def _initialise(self, now):
+        if not self._catalog.is_ready:
+            return
+        services = {
+            *self._catalog.services,
+            *self._board.entries(VERSIONS.name, now),
+        }
+        self._initial = {
+            service: frozenset(self.of_service(service, now))
+            for service in services
+        }
+
+    def _listed(self, service, now):
+        entry = self._board.find(VERSIONS.name, service, now)
+        return [] if entry is None else entry.value
+
+    def _wanted(self, service, now):
+        """Return a service's list if it has to be told, or None."""
+        entry = self._board.find(VERSIONS.name, service, now)
+        listed = [] if entry is None else entry.value
+        seen = self._catalog.software_versions(service, now)
+        kept = [
+            each
+            for each in listed
+            if not self._is_forgotten(service, each, seen, now)
+        ]
+        wanted = [*kept, *sorted(seen - set(listed))]
+        if not wanted:
+            return None
+        is_current = wanted == listed and now - entry.at < REFRESH_S
+        return None if is_current else wanted
+
+    def _is_forgotten(self, service, version, seen, now):
+        """Return whether no stream of a version is taken up any more."""
+        key = service, version
+        if version in seen or not seen:
+            self._absent_since.pop(key, None)
+            return False
+        absent_since = self._absent_since.setdefault(key, now)
+        return now - absent_since >= software.MEMORY_S
+
+    def _tell_delay_s(self, service, now):
+        names = {
+            name
+            for zone in self._peers.zones()
+            for name in self._peers.of_zone(zone, now)
+        }
+        first = rendezvous.top(
+            f"versions {service}", names, min(len(names), MAX_TELL_DELAYS)
+        )
+        rank = first.index(self._own) if self._own in first else len(first)
+        return TELL_DELAY_S * rank
+
+    def _tell(self, service, versions, now, unix_ms):
+        self._changes.pop(service, None)
+        self._journal.write(
+            "versions_listed", service=service, versions=versions
+        )
+        self._publish(
+            self._board.add(
+                VERSIONS.name, service, versions, now=now, unix_ms=unix_ms
+            )
+        )
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import signal
 import time
 
 import aiohttp
@@ -234,6 +235,34 @@
     assert len(engines.runs) == STREAMS
 
 
+async def test_stream_goes_on_that_was_lost_before_a_version_arrived(
+    store, tmp_path
+):
+    """Its instance lost power, and a release began before anyone noticed.
+
+    No other instance was told what began its streams.
+    """
+    names = [f"s-{number}" for number in range(STREAMS)]
+    async with running(store, tmp_path, ["v1", "v1"], breaks=False) as (
+        engines,
+        instances,
+        session,
+    ):
+        later = Engines(store, ["v2"] * 4, breaks=False, prefix="later")
+        async with begun(session, instances[0], names):
+            instances[0].process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(KNOWN_S)
+            await later.start()
+            await asyncio.sleep(KNOWN_S)
+            results = [
+                await take_up(session, instances[-1], name) for name in names
+            ]
+            await instances[0].kill()
+        await later.stop()
+    assert not later.runs
+    assert results == [(200, harness.event(1))] * STREAMS
+
+
 def cut_off(store, instances, lost):
     """Cut an instance off from the store and from all others."""
     others = [each for each in instances if each is not lost]
