Store what began streams while a service has several versions

Cause: what began a stream is in the memory of instances alone, so that nothing is left after the loss of all of them, and a guess would join what two versions wrote.

Each instance sends what began its streams to one instance of its zone, only while a service has several versions, and that one writes it in one row each quarter of a second at most. An instance that starts while there are several versions reads them once.

--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -16,6 +16,7 @@
 from sycamoreshed.resumption import lookup
 from sycamoreshed.resumption import origins
 from sycamoreshed.resumption import replication
+from sycamoreshed.resumption import stored
 from sycamoreshed.staging import delegation
 from sycamoreshed.staging import pieces
 
@@ -35,6 +36,7 @@
     call_server : CallServer
     finder : Finder
     replicator : Replicator
+    stored_origins : StoredOrigins
     load_sharing : LoadSharing
     metrics : GatewayMetrics
     clock : callable
@@ -53,6 +55,7 @@
         call_server,
         finder,
         replicator,
+        stored_origins,
         load_sharing,
         metrics,
         clock,
@@ -66,6 +69,7 @@
         self._call_server = call_server
         self._finder = finder
         self._replicator = replicator
+        self._stored_origins = stored_origins
         self._load_sharing = load_sharing
         self._metrics = metrics
         self._clock = clock
@@ -150,6 +154,14 @@
         self._replicator.receive(entries)
         return _json(None)
 
+    async def stored_origins(self, http):
+        """Write what began streams of another instance of the zone."""
+        entries = msgspec.json.decode(
+            await http.read(), type=list[origins.Entry]
+        )
+        self._stored_origins.receive(entries)
+        return _json(None)
+
     async def origin(self, http):
         """Return what this instance knows of the origin of a stream."""
         question = msgspec.json.decode(await http.read(), type=lookup.Question)
@@ -267,6 +279,7 @@
         call_server=core.part("call_server"),
         finder=core.part("resumption").finder,
         replicator=core.part("resumption").replicator,
+        stored_origins=core.part("resumption").stored_origins,
         load_sharing=core.part("load_sharing"),
         metrics=core.part("gateway_metrics"),
         clock=core.clock,
@@ -285,6 +298,7 @@
     core.control.router.add_post(delegation.FREE_PATH, handlers.free)
     core.control.router.add_post(replication.PATH, handlers.origins)
     core.control.router.add_post(lookup.PATH, handlers.origin)
+    core.control.router.add_post(stored.PATH, handlers.stored_origins)
     core.control.router.add_post(load_messages.PATH, handlers.engine_load)
     core.control.router.add_get("/metrics", handlers.metrics)
     core.control.router.add_get("/control/status", handlers.status)
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -333,6 +333,23 @@
         "peer, count, why",
         "an instance did not take what began some streams",
     ),
+    "origins_unwritten": Event(
+        EventClass.DECISION,
+        "count, why",
+        "the store did not take what began some streams; they are written "
+        "again",
+    ),
+    "origins_read": Event(
+        EventClass.STATE,
+        "count",
+        "this instance read what began streams before its start",
+    ),
+    "origins_unread": Event(
+        EventClass.DECISION,
+        "why",
+        "what began streams before the start could not be read, or a row of "
+        "it",
+    ),
     "origin_unheld": Event(
         EventClass.DECISION,
         "stream, missing",
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -26,6 +26,8 @@
         "endpoints": names.ENDPOINT_TABLE,
         "peers": "sycamoreshed-instances",
     }
+    # Rows that instances read only when they start.
+    origins_table = "sycamoreshed-origins"
     decode_configuration = staticmethod(records.decode_configuration)
     decode_endpoint = staticmethod(records.decode_endpoint)
     evacuated_zone = staticmethod(records.evacuated_zone)
--- a/sycamoreshed/resumption/replication.py
+++ b/sycamoreshed/resumption/replication.py
@@ -58,6 +58,7 @@
     history : VersionHistory
     holders : Holders
     peers : PeerDirectory
+    stored : StoredOrigins
     send : callable
         Coroutine function of a control address, a path, a body and a timeout
         in seconds; returns a `Reply` or a `Failure`.
@@ -75,6 +76,7 @@
         history,
         holders,
         peers,
+        stored,
         send,
         tasks,
         journal,
@@ -86,12 +88,15 @@
         self._history = history
         self._holders = holders
         self._peers = peers
+        self._stored = stored
         self._send = send
         self._tasks = tasks
         self._journal = journal
         self._clock = clock
         # Streams of this instance that too few others know of.
         self._uncopied = origins.OriginTable()
+        # Streams of this instance that the store need not know of so far.
+        self._unstored = origins.OriginTable()
         self._outboxes = collections.defaultdict(_Batch)
         self._sending = set()
 
@@ -112,8 +117,11 @@
         versions = self._history.of_service(origin.service, now)
         if not is_ambiguous and len(versions) < 2:
             self._uncopied.add(stream, origin, now)
+            self._unstored.add(stream, origin, now)
             return True
-        batches = self._copy(origins.Entry(stream, origin), now)
+        entry = origins.Entry(stream, origin)
+        self._stored.add(entry)
+        batches = self._copy(entry, now)
         if not is_new or self._may_begin_unheld(origin, versions, now):
             return True
         return await self._is_held(stream, batches)
@@ -181,18 +189,27 @@
     def copy_older(self):
         """Send the origins of streams of services that have versions now."""
         now = self._clock()
-        entries = self._uncopied.entries(now)
+        for each in self._take_needed(self._unstored, now):
+            self._stored.add(each)
+        for each in self._take_needed(self._uncopied, now):
+            self._copy(each, now)
+
+    def _take_needed(self, table, now):
+        """Remove and return what others have to know by now."""
+        entries = table.entries(now)
         services = {
             service
             for service in {each.origin.service for each in entries}
             if self._has_versions(service, now)
         }
+        needed = []
         for each in entries:
             if self._table.find(each.stream, now) is None:
-                self._uncopied.remove(each.stream)
+                table.remove(each.stream)
             elif each.origin.service in services:
-                self._uncopied.remove(each.stream)
-                self._copy(each, now)
+                table.remove(each.stream)
+                needed.append(each)
+        return needed
 
     async def hand_over(self):
         """Send all copies to those that hold them without this instance."""
--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -9,6 +9,7 @@
 from sycamoreshed.resumption import lookup
 from sycamoreshed.resumption import origins
 from sycamoreshed.resumption import replication
+from sycamoreshed.resumption import stored
 from sycamoreshed.resumption import versions
 
 __all__ = ["Resumption"]
@@ -32,6 +33,7 @@
     history : VersionHistory
     finder : Finder
     replicator : Replicator
+    stored_origins : StoredOrigins
     confirmation : Confirmation
         Of the copies that name software versions.
     metrics : GatewayMetrics
@@ -42,6 +44,7 @@
     ----------
     finder : Finder
     replicator : Replicator
+    stored_origins : StoredOrigins
         Answer and accept what other instances ask for and tell.
     """
 
@@ -53,6 +56,7 @@
         history,
         finder,
         replicator,
+        stored_origins,
         confirmation,
         metrics,
         journal,
@@ -65,6 +69,7 @@
         self._metrics = metrics
         self.finder = finder
         self.replicator = replicator
+        self.stored_origins = stored_origins
         self._journal = journal
         self._clock = clock
 
@@ -260,6 +265,7 @@
         "gateway_metrics",
         "journal",
         "peers",
+        "platform",
         "version_history",
         "web",
     ),
@@ -277,10 +283,30 @@
         "journal": core.part("journal"),
         "clock": core.clock,
     }
+    stored_origins = stored.StoredOrigins(
+        own=own,
+        zone=core.settings.zone,
+        table=shared["table"],
+        history=shared["history"],
+        peers=core.part("peers"),
+        send=shared["send"],
+        store=core.part("platform").store,
+        store_table=core.part("platform").origins_table,
+        journal=shared["journal"],
+        clock=core.clock,
+        unix_ms=core.unix_ms,
+    )
     replicator = replication.Replicator(
-        **shared, catalog=catalog, peers=core.part("peers"), tasks=core.tasks
+        **shared,
+        catalog=catalog,
+        peers=core.part("peers"),
+        stored=stored_origins,
+        tasks=core.tasks,
     )
     core.keep_running(replicator.run, name="copy origins of streams")
+    core.keep_running(stored_origins.run_sending, name="send origins to write")
+    core.keep_running(stored_origins.run_writing, name="write origins")
+    core.spawn(stored_origins.load_after_start(), name="read origins")
     core.spawn(_hand_over_on_stop(core, replicator), name="hand over origins")
     yield Resumption(
         own=own,
@@ -288,6 +314,7 @@
         history=shared["history"],
         finder=lookup.Finder(**shared),
         replicator=replicator,
+        stored_origins=stored_origins,
         confirmation=core.part("confirmation"),
         metrics=core.part("gateway_metrics"),
         journal=shared["journal"],
--- a/sycamoreshed/resumption/tests/builders.py
+++ b/sycamoreshed/resumption/tests/builders.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import functools
+import itertools
 import types
 
 from sycamoreshed.adapters import web
 from sycamoreshed.catalog import catalog as catalogs
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import signals
+from sycamoreshed.catalog import tablereads
 from sycamoreshed.catalog import types as records
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import board
@@ -18,6 +20,7 @@
 from sycamoreshed.resumption import origins
 from sycamoreshed.resumption import replication
 from sycamoreshed.resumption import resumption
+from sycamoreshed.resumption import stored
 from sycamoreshed.resumption import versions
 from testkit import journals
 
@@ -30,6 +33,7 @@
 )
 # One way between instances.
 DELAY_S = 0.02
+COMPARE_S = 3.0
 
 
 class Catalog:
@@ -64,16 +68,60 @@
         ]
 
 
+class View:
+    """The catalog of one instance, which is old while it is cut off.
+
+    Parameters
+    ----------
+    catalog : Catalog
+        What the store has.
+    """
+
+    def __init__(self, catalog):
+        self._catalog = catalog
+        self._frozen = None
+
+    def __getattr__(self, name):
+        return getattr(self._catalog, name)
+
+    @property
+    def versions(self):
+        """Software versions of the only service."""
+        current = self._catalog.versions
+        return current if self._frozen is None else self._frozen
+
+    def freeze(self):
+        """Learn nothing more from the store."""
+        self._frozen = set(self.versions)
+
+    def thaw(self):
+        """Learn what the store has."""
+        self._frozen = None
+
+    def software_versions(self, _service, _now):
+        """Return the versions of all services."""
+        return self.versions
+
+    def endpoints(self, service, now):
+        """Return an endpoint of each version."""
+        return [
+            each
+            for each in self._catalog.endpoints(service, now)
+            if each.software_version in self.versions
+        ]
+
+
 class _Confirmation:
     """Confirms what the catalog of a network holds, if the store answers."""
 
-    def __init__(self, network):
+    def __init__(self, network, name):
         self._network = network
+        self._name = name
 
     async def confirm(self):
         """Return whether the store answers; takes what it tells."""
         network = self._network
-        if not network.is_store_reached:
+        if not network.is_store_reached or self._name in network.cut:
             return False
         if network.stored_versions is not None:
             network.catalog.versions = network.stored_versions
@@ -108,6 +156,38 @@
         self._retry_at[control] = now + 2.0
 
 
+class Store:
+    """Rows of one table.
+
+    Attributes
+    ----------
+    rows : dict of str to bytes
+    failure : Failure or None
+        Instead of each answer.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.writes = 0
+        self.failure = None
+
+    async def put(self, _table, key, value, *, timeout):
+        """Write a row."""
+        await asyncio.sleep(min(DELAY_S, timeout))
+        if self.failure is None:
+            self.writes += 1
+            self.rows[key] = value
+        return self.failure
+
+    async def read(self, _table, *, timeout):
+        """Return all rows."""
+        await asyncio.sleep(min(DELAY_S, timeout))
+        rows = [
+            tablereads.Row(key, value, 1) for key, value in self.rows.items()
+        ]
+        return self.failure or tablereads.Changes(rows, 1, is_full=True)
+
+
 class Network:
     """Instances in three zones.
 
@@ -123,6 +203,11 @@
         Path of each call between instances.
     lost : set of str
         Names of instances whose links to others are cut.
+    cut : set of str
+        Those of them that do not reach the store either.
+    views : dict of str to View
+    store : Store
+        Of what began streams.
     is_store_reached : bool
     stored_versions : set of str or None
         Those that the store names if they are not those of the copies.
@@ -131,8 +216,14 @@
     def __init__(self, *, size=9, serving=("v1", "v2")):
         self.calls = []
         self.lost = set()
+        self.cut = set()
+        self.views = {}
         self.is_store_reached = True
         self.stored_versions = None
+        self._running = {}
+        self._spawned = []
+        self._is_running = False
+        self.store = Store()
         self.histories = {}
         self._boards = {}
         self._stored = board.Board()
@@ -161,14 +252,64 @@
             )
         )
 
-    async def run(self):
-        """Run the tasks of all instances until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for name in self.instances:
-                group.create_task(self.instances[name].replicator.run())
-                group.create_task(
-                    self.histories[name].run(_clock(), lambda: 0)
-                )
+    def start(self):
+        """Run the tasks of all instances until `stop`."""
+        self._is_running = True
+        for name in self.instances:
+            self._start_tasks(name)
+        self.spawn(self._compare_findings())
+
+    def stop(self):
+        """Cancel all tasks."""
+        for each in self._spawned:
+            each.cancel()
+        for name in list(self._running):
+            self._stop_tasks(name)
+
+    def spawn(self, coroutine):
+        """Run a coroutine in the background until `stop`."""
+        self._spawned.append(asyncio.create_task(coroutine))
+
+    def _start_tasks(self, name):
+        instance = self.instances[name]
+        self._running[name] = [
+            asyncio.create_task(each)
+            for each in (
+                instance.replicator.run(),
+                instance.stored_origins.run_sending(),
+                instance.stored_origins.run_writing(),
+                self.histories[name].run(_clock(), _unix_ms),
+            )
+        ]
+
+    def _stop_tasks(self, name):
+        for each in self._running.pop(name, ()):
+            each.cancel()
+
+    async def _compare_findings(self):
+        """Let each instance learn at intervals what another one knows."""
+        while True:
+            await asyncio.sleep(COMPARE_S)
+            linked = [each for each in self._boards if each not in self.lost]
+            now = _clock()()
+            for name, other in itertools.pairwise([*linked, *linked[:1]]):
+                findings = self._boards[other].findings(now)
+                self._boards[name].merge(findings, now)
+
+    def cut_off(self, names):
+        """Cut instances off from the store and from all others."""
+        for name in names:
+            self.views[name].freeze()
+        self.cut.update(names)
+        self.lost.update(names)
+
+    def heal(self):
+        """Restore all links."""
+        for view in self.views.values():
+            view.thaw()
+        self.cut.clear()
+        self.lost.clear()
+        self.catalog.changed.fire()
 
     def set_versions(self, versions):
         """Change the software versions that serve."""
@@ -177,44 +318,63 @@
 
     def restart(self, name):
         """Start an instance anew, which remembers nothing."""
+        self._stop_tasks(name)
         self.instances[name] = self._make(name)
+        if self._is_running:
+            self._start_tasks(name)
 
     def _make(self, name):
         clock = _clock()
         journal = journals.Journal()
-        peers = _Peers(self.catalog)
+        catalog = self.views.setdefault(name, View(self.catalog))
+        peers = _Peers(catalog)
         self._boards[name] = board.Board()
         self.histories[name] = versions.VersionHistory(
             own=name,
             board=self._boards[name],
-            catalog=self.catalog,
+            catalog=catalog,
             peers=peers,
             publish=functools.partial(self._publish, name),
             load=functools.partial(self._load, name),
             journal=journal,
         )
-        self.histories[name].update(clock(), 0)
+        self.histories[name].update(clock(), _unix_ms())
         shared = {
             "own": name,
             "table": origins.OriginTable(),
             "history": self.histories[name],
-            "holders": holders.Holders(own=name, catalog=self.catalog),
+            "holders": holders.Holders(own=name, catalog=catalog),
             "send": functools.partial(self._send, name),
             "journal": journal,
             "clock": clock,
         }
+        stored_origins = stored.StoredOrigins(
+            own=name,
+            zone=self.catalog.peers[name].zone,
+            table=shared["table"],
+            history=shared["history"],
+            peers=peers,
+            send=shared["send"],
+            store=self.store,
+            store_table="origins",
+            journal=journal,
+            clock=clock,
+            unix_ms=_unix_ms,
+        )
         return resumption.Resumption(
             own=name,
-            catalog=self.catalog,
+            catalog=catalog,
             history=self.histories[name],
             finder=lookup.Finder(**shared),
             replicator=replication.Replicator(
                 **shared,
-                catalog=self.catalog,
+                catalog=catalog,
                 peers=peers,
+                stored=stored_origins,
                 tasks=self._tasks,
             ),
-            confirmation=_Confirmation(self),
+            stored_origins=stored_origins,
+            confirmation=_Confirmation(self, name),
             metrics=metrics.GatewayMetrics(),
             journal=journal,
             clock=clock,
@@ -245,6 +405,9 @@
         instance = self.instances[control]
         if path == lookup.PATH:
             return web.Reply(200, instance.finder.answer(body), 0)
+        if path == stored.PATH:
+            instance.stored_origins.receive(body)
+            return web.Reply(200, None, 0)
         instance.replicator.receive(body)
         return web.Reply(200, None, 0)
 
@@ -253,6 +416,10 @@
     return asyncio.get_running_loop().time
 
 
+def _unix_ms():
+    return int(1000 * _clock()())
+
+
 def request(stream, *, resumes=None, services=((SERVICE, 1.0),)):
     """Return a request for a stream, or one that goes on with a stream."""
     return _Request(
--- a/sycamoreshed/resumption/tests/test_resumption.py
+++ b/sycamoreshed/resumption/tests/test_resumption.py
@@ -28,13 +28,13 @@
 
     async def start():
         built = builders.Network(**network)
-        running = asyncio.create_task(built.run())
+        built.start()
         await asyncio.sleep(COPY_S)
         built.calls.clear()
         try:
             return await scenario(built)
         finally:
-            running.cancel()
+            built.stop()
 
     return virtualtime.run(start())
 
@@ -77,8 +77,8 @@
         peers = dict(network.catalog.peers)
         del peers["i-8"]
         peers["i-9"] = catalogs.Peer("i-9", "north-a", "i-9")
-        network.instances["i-9"] = network._make("i-9")
         network.catalog.peers = peers
+        network.restart("i-9")
         return [await bind(network, "i-9", stream) for stream in STREAMS]
 
     assert all(each.origin for each in run(scenario))
--- a/sycamoreshed/resumption/versions.py
+++ b/sycamoreshed/resumption/versions.py
@@ -66,6 +66,18 @@
         self._changes = {}
         self._absent_since = {}
 
+    @property
+    def is_loaded(self):
+        """Whether this instance knows which versions came before it."""
+        return self._initial is not None
+
+    def has_several(self, now):
+        """Return whether any service has several versions."""
+        return any(
+            len(self.of_service(service, now)) > 1
+            for service in self._catalog.routes.resumable_services
+        )
+
     def load(self):
         """Take the lists that the copy of the store's table holds."""
         self._load()
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -296,6 +296,28 @@
     assert {len(set(each)) for each in engines.runs.values()} == {1}
 
 
+async def test_stream_goes_on_after_a_restart_of_all(store, tmp_path):
+    """All instances are killed while engines of two versions serve on.
+
+    Nobody is left who knew what began the streams.
+    """
+    names = [f"s-{number}" for number in range(STREAMS)]
+    async with running(
+        store, tmp_path, ["v1", "v1", "v2", "v2"], breaks=False
+    ) as (engines, instances, session):
+        async with begun(session, instances[0], names):
+            await asyncio.sleep(KNOWN_S)
+            await kill_all(instances)
+        await start_all(instances)
+        await asyncio.sleep(KNOWN_S)
+        results = [
+            await take_up(session, instances[number % len(instances)], name)
+            for number, name in enumerate(names)
+        ]
+    assert {len(set(each)) for each in engines.runs.values()} == {1}
+    assert results == [(200, harness.event(1))] * STREAMS
+
+
 async def test_stream_goes_on_after_a_restart_of_all_and_a_release(
     store, tmp_path
 ):
