Begin streams at a version only once the store lists it

A list was trusted as soon as it was told. The store is what outlasts all instances, so an instance whose list is stored now tells the others, and only then do streams begin at a version that is new in it.

--- a/sycamoreshed/findings/stored.py
+++ b/sycamoreshed/findings/stored.py
@@ -75,6 +75,7 @@
         self._clock = clock
         self._unix_ms = unix_ms
         self._unsaved = {}
+        self._on_saved = {}
         self._wake = asyncio.Event()
         self._loaded = None
 
@@ -84,6 +85,16 @@
             self._unsaved[_row_key(each.topic, each.key)] = each
         self._wake.set()
 
+    def on_saved(self, topic, func):
+        """Call `func` with key and value once a finding of a topic is stored.
+
+        Parameters
+        ----------
+        topic : str
+        func : callable
+        """
+        self._on_saved[topic] = func
+
     def load(self):
         """Accept the findings of the catalog's copy of the table."""
         rows = self._catalog.findings
@@ -120,12 +131,20 @@
                 entry = self._board.find(
                     finding.topic, finding.key, self._clock()
                 )
-                if entry is None or await self._write(key, entry):
+                if entry is None:
                     self._unsaved.pop(key, None)
+                elif await self._write(key, entry):
+                    self._unsaved.pop(key, None)
+                    self._tell_saved(finding, entry)
             if self._unsaved:
                 await asyncio.sleep(random.uniform(*RETRY_S))
                 self._wake.set()
 
+    def _tell_saved(self, finding, entry):
+        func = self._on_saved.get(finding.topic)
+        if func is not None:
+            func(finding.key, entry.value)
+
     async def run_checking(self):
         """Check the rows of the table until cancelled."""
         while True:
--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -156,10 +156,10 @@
 
     async def stored_origins(self, http):
         """Write what began streams of another instance of the zone."""
-        entries = msgspec.json.decode(
-            await http.read(), type=list[origins.Entry]
+        groups = msgspec.json.decode(
+            await http.read(), type=list[stored.Group]
         )
-        self._stored_origins.receive(entries)
+        self._stored_origins.receive(groups)
         return _json(None)
 
     async def origin(self, http):
--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -88,7 +88,7 @@
         """
         if not request.route.resumable or _goes_on(request):
             return []
-        listed = self._history.listed(request.service, now)
+        listed = self._history.stored(request.service, now)
         if len(listed) < 2 or self.replicator.can_record(request.id, now):
             return listed
         return listed[:1]
@@ -250,6 +250,12 @@
         load=core.part("stored_findings").load,
         journal=core.part("journal"),
     )
+    core.part("stored_findings").on_saved(
+        versions.VERSIONS.name,
+        lambda service, listed: history.record_stored(
+            service, listed, core.clock(), core.unix_ms()
+        ),
+    )
     core.keep_running(
         functools.partial(history.run, core.clock, core.unix_ms),
         name="list software versions",
--- a/sycamoreshed/resumption/stored.py
+++ b/sycamoreshed/resumption/stored.py
@@ -18,7 +18,7 @@
 from sycamoreshed.membership import rendezvous
 from sycamoreshed.resumption import origins
 
-__all__ = ["PATH", "StoredOrigins"]
+__all__ = ["PATH", "Group", "StoredOrigins"]
 
 PATH = "/control/origins/stored"
 # A zone writes one row in each slot of time.
@@ -40,8 +40,15 @@
 CHECK_S = 0.05
 
 
-class _Group(typing.NamedTuple):
-    """Streams of the same origin."""
+class Group(typing.NamedTuple):
+    """Streams of the same origin, as they are sent and stored.
+
+    Parameters
+    ----------
+    origin : Origin
+    streams : list of str
+        Ids of the requests that brought their first events.
+    """
 
     origin: origins.Origin
     streams: list[str]
@@ -49,7 +56,7 @@
 
 class _Row(typing.NamedTuple):
     written_at_ms: int
-    groups: list[_Group]
+    groups: list[Group]
 
 
 class StoredOrigins:
@@ -109,9 +116,17 @@
         self._unsent.append(entry)
         self._has_unsent.set()
 
-    def receive(self, entries):
-        """Write origins that an instance of this zone has sent."""
-        self._unwritten.extend(entries)
+    def receive(self, groups):
+        """Write origins that an instance of this zone has sent.
+
+        Parameters
+        ----------
+        groups : list of Group
+        """
+        for group in groups:
+            self._unwritten.extend(
+                origins.Entry(stream, group.origin) for stream in group.streams
+            )
         self._has_unwritten.set()
 
     async def run_sending(self):
@@ -162,15 +177,16 @@
 
     async def _send_to_writer(self, entries, members):
         """Return whether the instance that writes for the zone took them."""
+        groups = _group(entries)
         if not members:
-            self.receive(entries)
+            self.receive(groups)
             return True
         (name,) = rendezvous.top(f"origins {self._zone}", members, 1)
         if name == self._own:
-            self.receive(entries)
+            self.receive(groups)
             return True
         control = members[name]
-        reply = await self._send(control, PATH, entries, SEND_TIMEOUT_S)
+        reply = await self._send(control, PATH, groups, SEND_TIMEOUT_S)
         if not isinstance(reply, kinds.Failure):
             return True
         self._peers.record_failure(control, self._clock(), reply.reason)
@@ -180,14 +196,11 @@
         return False
 
     async def _write(self, slot, entries):
-        by_origin = collections.defaultdict(list)
-        for each in entries:
-            by_origin[each.origin].append(each.stream)
-        groups = list(itertools.starmap(_Group, by_origin.items()))
+        row = _Row(self._unix_ms(), _group(entries))
         failure = await self._store.put(
             self._store_table,
             f"{self._zone}/{slot:03}",
-            msgspec.json.encode(_Row(self._unix_ms(), groups)),
+            msgspec.json.encode(row),
             timeout=WRITE_TIMEOUT_S,
         )
         if failure is not None:
@@ -203,23 +216,34 @@
         if isinstance(result, kinds.Failure):
             self._journal.write("origins_unread", why=result.reason)
             return False
-        count = sum(self._take(row) for row in result.rows)
+        rows = [self._decode(row) for row in result.rows]
+        # The table of origins keeps the latest ones if there are too many.
+        rows = sorted(each for each in rows if each is not None)
+        count = sum(map(self._take, rows))
         self._journal.write("origins_read", count=count)
         return True
 
-    def _take(self, row):
-        """Add the origins of a row; return how many there are."""
+    def _decode(self, row):
         try:
-            decoded = msgspec.json.decode(row.value, type=_Row)
+            return msgspec.json.decode(row.value, type=_Row)
         except msgspec.MsgspecError as err:
             self._journal.write("origins_unread", why=f"{row.key}: {err}")
-            return 0
-        age_s = (self._unix_ms() - decoded.written_at_ms) / 1000
-        if age_s >= origins.TTL_S:
+            return None
+
+    def _take(self, row):
+        """Add the origins of a row; return how many there are."""
+        if self._unix_ms() - row.written_at_ms >= 1000 * origins.TTL_S:
             return 0
         now = self._clock()
-        for group in decoded.groups:
+        for group in row.groups:
             for stream in group.streams:
                 if self._table.find(stream, now) is None:
                     self._table.add(stream, group.origin, now)
-        return sum(len(group.streams) for group in decoded.groups)
+        return sum(len(group.streams) for group in row.groups)
+
+
+def _group(entries):
+    by_origin = collections.defaultdict(list)
+    for each in entries:
+        by_origin[each.origin].append(each.stream)
+    return list(itertools.starmap(Group, by_origin.items()))
--- a/sycamoreshed/resumption/tests/builders.py
+++ b/sycamoreshed/resumption/tests/builders.py
@@ -13,6 +13,7 @@
 from sycamoreshed.catalog import types as records
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import board
+from sycamoreshed.findings import topics
 from sycamoreshed.gateway import metrics
 from sycamoreshed.kernel import tasks
 from sycamoreshed.resumption import holders
@@ -34,6 +35,8 @@
 # One way between instances.
 DELAY_S = 0.02
 COMPARE_S = 3.0
+# Between attempts to reach the store.
+RETRY_S = 0.5
 
 
 class Catalog:
@@ -381,14 +384,26 @@
         )
 
     def _publish(self, name, finding):
-        if self.is_store_reached and name not in self.lost:
-            self._stored.merge([finding], _clock()())
+        if topics.find(finding.topic).is_durable:
+            self.spawn(self._save(name, self._boards[name], finding))
         for other, each in self._boards.items():
             if self._is_linked(name, other):
                 asyncio.get_running_loop().call_later(
                     DELAY_S, each.merge, [finding], _clock()()
                 )
 
+    async def _save(self, name, findings, finding):
+        """Store a finding as soon as its instance reaches the store."""
+        while not self.is_store_reached or name in self.cut:
+            await asyncio.sleep(RETRY_S)
+        await asyncio.sleep(DELAY_S)
+        if findings is self._boards[name]:
+            now = _clock()()
+            self._stored.merge([finding], now)
+            self.histories[name].record_stored(
+                finding.key, finding.value, now, _unix_ms()
+            )
+
     def _load(self, name):
         now = _clock()()
         self._boards[name].merge(self._stored.findings(now), now)
--- a/sycamoreshed/resumption/tests/test_random_orders.py
+++ b/sycamoreshed/resumption/tests/test_random_orders.py
@@ -10,7 +10,7 @@
 from sycamoreshed.resumption.tests import builders
 from testkit import virtualtime
 
-SEEDS = range(60)
+SEEDS = [*range(60), 486]
 STEPS = 150
 MAX_PAUSE_S = 1.5
 # Streams that begin together.
--- a/sycamoreshed/resumption/tests/test_resumption.py
+++ b/sycamoreshed/resumption/tests/test_resumption.py
@@ -364,10 +364,43 @@
     } == {"v1"}
 
 
+def test_version_that_the_store_does_not_list_begins_no_streams():
+    """All instances are lost before the store takes its list.
+
+    Those that start would take its streams for ones of the older version.
+    """
+
+    async def scenario(network):
+        await asyncio.sleep(LISTED_S)
+        network.is_store_reached = False
+        network.set_versions({"v1", "v2"})
+        await asyncio.sleep(LISTED_S)
+        preferred = [
+            each.preferred_versions(
+                builders.request(STREAMS[0]), asyncio.get_running_loop().time()
+            )
+            for each in network.instances.values()
+        ]
+        network.is_store_reached = True
+        await asyncio.sleep(LISTED_S)
+        later = [
+            each.preferred_versions(
+                builders.request(STREAMS[0]), asyncio.get_running_loop().time()
+            )
+            for each in network.instances.values()
+        ]
+        return preferred, later
+
+    preferred, later = run(scenario, serving={"v1"})
+    assert preferred == [["v1"]] * 9
+    assert later == [["v1", "v2"]] * 9
+
+
 def test_instances_agree_which_version_is_the_oldest():
     """Later ones came in another order than that of their names."""
 
     async def scenario(network):
+        await asyncio.sleep(LISTED_S)
         for serving in ({"v2", "v1"}, {"v1"}, {"v1", "v0"}):
             network.set_versions(serving)
             await asyncio.sleep(LISTED_S)
--- a/sycamoreshed/resumption/versions.py
+++ b/sycamoreshed/resumption/versions.py
@@ -11,11 +11,13 @@
 from sycamoreshed.findings import topics
 from sycamoreshed.membership import rendezvous
 
-__all__ = ["VERSIONS", "VersionHistory"]
+__all__ = ["STORED", "VERSIONS", "VersionHistory"]
 
 VERSIONS = topics.register(
     topics.Topic("software_versions", 3600.0, 1024, is_durable=True)
 )
+# The same lists once they are in the store.
+STORED = topics.register(topics.Topic("stored_versions", 3600.0, 1024))
 # Age at which a list that still holds is told again.
 REFRESH_S = 1200.0
 # Interval between checks of the lists, besides those after changes.
@@ -62,6 +64,7 @@
         # Versions by service that came before this instance; None until the
         # instance knows them.
         self._initial = None
+        self._stored_before = {}
         self._settled_at = float("inf")
         self._changes = {}
         self._absent_since = {}
@@ -84,17 +87,27 @@
 
     def of_service(self, service, now):
         """Return the versions that may have begun streams, oldest first."""
-        listed = self.listed(service, now)
+        listed = self._listed(service, now)
         seen = self._catalog.software_versions(service, now)
         return [*listed, *sorted(seen - set(listed))]
 
-    def listed(self, service, now):
-        """Return the versions that all instances know, oldest first.
+    def stored(self, service, now):
+        """Return the versions that the store lists, oldest first.
 
         A stream that begins at another one may outlast what is known of it.
         """
-        entry = self._board.find(VERSIONS.name, service, now)
-        return [] if entry is None else entry.value
+        entry = self._board.find(STORED.name, service, now)
+        if entry is not None:
+            return entry.value
+        return self._stored_before.get(service, [])
+
+    def record_stored(self, service, versions, now, unix_ms):
+        """Tell all instances that the store has a list."""
+        self._publish(
+            self._board.add(
+                STORED.name, service, versions, now=now, unix_ms=unix_ms
+            )
+        )
 
     def possible(self, service, now):
         """Return the versions that may have begun an unknown stream.
@@ -125,7 +138,7 @@
             change = self._changes.get(service)
             if change is None or change.versions != wanted:
                 due_at = now + self._tell_delay_s(service, now)
-                if self.listed(service, now):
+                if self._listed(service, now):
                     due_at = max(due_at, self._settled_at)
                 change = self._changes[service] = _Change(wanted, due_at)
             if now >= change.due_at:
@@ -137,6 +150,10 @@
             self.update(clock(), unix_ms())
             await self._catalog.changed.wait(CHECK_S)
 
+    def _listed(self, service, now):
+        entry = self._board.find(VERSIONS.name, service, now)
+        return [] if entry is None else entry.value
+
     def _initialise(self, now):
         if not self._catalog.is_ready or not self._catalog.has_peers:
             return
@@ -145,19 +162,20 @@
             *self._catalog.services,
             *self._board.entries(VERSIONS.name, now),
         }
+        self._stored_before = {
+            service: self._listed(service, now) for service in services
+        }
         # A version that is not listed has begun no streams yet.
         self._initial = {
-            service: frozenset(
-                self.listed(service, now) or self.of_service(service, now)
-            )
-            for service in services
+            service: frozenset(listed or self.of_service(service, now))
+            for service, listed in self._stored_before.items()
         }
         self._settled_at = now + SETTLE_S
 
     def _wanted(self, service, now):
         """Return a service's list if it has to be told, or None."""
         entry = self._board.find(VERSIONS.name, service, now)
-        listed = self.listed(service, now)
+        listed = self._listed(service, now)
         seen = self._catalog.software_versions(service, now)
         kept = [
             each
