Remember crashes under a request over the loss of all instances

Callers lost streams to a request that had crashed four engines before all processes were killed, and crashed six more afterwards: three are allowed.

Cause: findings of crashes are not stored, and a rejection only when the request comes once more after the verdict. Ruled out: a stored rejection that is not read.

One instance, which the endpoint selects, stores a summary of a crash once a request is blamed for two crashes or rejected. It has whole requests only: what clears a part of prompts is not stored, and parts that all prompts share would be rejected after a restart. Verdicts use a summary where no instance's own finding is left.

Tests: test_crashes_before_a_rejection_outlast_all_instances fails without the part that writes summaries; unit tests for crashes before and after a verdict, requests that were served, and endpoints that crash by themselves.

--- a/sycamoreshed/findings/blame.py
+++ b/sycamoreshed/findings/blame.py
@@ -8,7 +8,7 @@
 
 import typing
 
-__all__ = ["Crash", "Suspect", "Verdict", "judge"]
+__all__ = ["Crash", "Suspect", "Verdict", "judge", "unserved"]
 
 # Crashes after which a request is rejected, and how many of them it must have
 # been the only likely cause of.
@@ -96,7 +96,7 @@
     set()
     """
     suspects_of = [
-        _unserved(each, served_at)
+        unserved(each, served_at)
         for each in sorted(crashes, key=lambda each: each.at)
     ]
     rejected = set(rejected)
@@ -128,7 +128,7 @@
         self.alone[name] = self.alone.get(name, 0) + is_alone
 
 
-def _unserved(crash, served_at):
+def unserved(crash, served_at):
     """Return a crash's suspects by fingerprint, without those served."""
     return {
         each.fingerprint: each
--- a/sycamoreshed/findings/crashes.py
+++ b/sycamoreshed/findings/crashes.py
@@ -10,7 +10,7 @@
 from sycamoreshed.findings import topics
 from sycamoreshed.kernel import kernel
 
-__all__ = ["REJECTIONS", "CrashRecords"]
+__all__ = ["CRASHES", "REJECTIONS", "SERVED", "CrashRecords"]
 
 # Long enough to recognize a request that comes once in a few minutes.
 CRASHES = topics.register(topics.Topic("crash", 600.0, 1024))
@@ -22,6 +22,14 @@
 REJECTIONS = topics.register(
     topics.Topic("rejection", 3600.0, 1024, is_durable=True)
 )
+# Crashes of which a request may be the cause, one finding for each endpoint;
+# they outlast all instances.
+SUMMARIES = topics.register(
+    topics.Topic("crash_summary", 600.0, 256, is_durable=True)
+)
+# Crashes that a request is blamed for before they are summarised: endpoints
+# crash by themselves as well.
+SUMMARISE_AFTER = 2
 # Bounds the size of a finding; those that were sent last are kept.
 MAX_SUSPECTS = 64
 # After which a verdict is reached again, without the findings that expired.
@@ -52,6 +60,16 @@
     overload_suspects: typing.NotRequired[list[blame.Suspect]]
 
 
+class CrashSummary(typing.TypedDict):
+    """Value of a finding of topic "crash_summary".
+
+    ``suspects`` are requests, without the parts of their prompts: what clears
+    a part does not outlast the instances.
+    """
+
+    suspects: list[blame.Suspect]
+
+
 class CrashRecords:
     """Requests that are suspected of crashing endpoints, or known to.
 
@@ -73,7 +91,9 @@
         # Decoded findings by key, with their stamps.
         self._decoded = {}
         self._sound_at = {}
-        for topic in (CRASHES, SERVED, SOUND, REJECTIONS):
+        # Crashes that no rejected part explains, by endpoint.
+        self._unexplained = {}
+        for topic in (CRASHES, SERVED, SOUND, SUMMARIES, REJECTIONS):
             board.listen(topic.name, self._mark_outdated)
 
     def record_crash(
@@ -257,6 +277,51 @@
             )
         return made
 
+    def summarise(self, *, now, unix_ms, is_responsible):
+        """Return new findings that hold crashes for the store.
+
+        Parameters
+        ----------
+        now : float
+        unix_ms : int
+        is_responsible : callable
+            Returns whether this instance summarises the crash of an endpoint
+            with a name.
+
+        Returns
+        -------
+        list of Finding
+        """
+        verdict = self._current_verdict(now)
+        served_at = self._answered_at(SERVED, now)
+        made = []
+        for name, crash in self._unexplained.items():
+            suspects = blame.unserved(crash, served_at).values()
+            is_suspicious = any(
+                each.fingerprint in verdict.rejected
+                or verdict.blamed.get(each.fingerprint, 0) >= SUMMARISE_AFTER
+                for each in suspects
+            )
+            if not is_suspicious or not is_responsible(name):
+                continue
+            # Those that crash what runs them have been sent last.
+            first = sorted(suspects, key=lambda e: (e.has_begun, e.age_s))
+            value = CrashSummary(suspects=[list(e) for e in first])
+            value["suspects"] = value["suspects"][:MAX_SUSPECTS]
+            known = self._board.find(SUMMARIES.name, name, now)
+            if known is None or known.value != value:
+                made.append(
+                    self._board.add(
+                        SUMMARIES.name,
+                        name,
+                        value,
+                        now=now,
+                        unix_ms=unix_ms,
+                        age_s=now - crash.at,
+                    )
+                )
+        return made
+
     def blamed(self, fingerprint, now):
         """Return the number of crashes that a request is blamed for."""
         blamed = self._current_verdict(now).blamed
@@ -338,7 +403,8 @@
         return self._verdict
 
     def _judge(self, now):
-        crashes = self._crashes(now)
+        by_endpoint = self._crashes(now)
+        crashes = list(by_endpoint.values())
         known = {
             key
             for key in self._board.entries(REJECTIONS.name, now)
@@ -351,8 +417,16 @@
         # A request beside one with a rejected part may have been blamed
         # before the part was.
         cleared = _requests(explained) - _requests(others)
+        self._unexplained = {
+            name: _of_requests(each)
+            for name, each in by_endpoint.items()
+            if each in others and not each.is_overload
+        }
         self._verdict = blame.judge(
-            [_of_requests(each) for each in others if not each.is_overload],
+            [
+                *self._unexplained.values(),
+                *self._summarised(by_endpoint, now),
+            ],
             self._answered_at(SERVED, now),
             known - cleared,
         )
@@ -373,7 +447,7 @@
         return answered_at
 
     def _crashes(self, now):
-        """Return a `Crash` for each endpoint, with all its suspects."""
+        """Return a `Crash` with all its suspects for each endpoint's name."""
         crashed_at = {}
         suspects = {}
         overloaded = set()
@@ -391,10 +465,28 @@
             if "overload_suspects" in value:
                 suspects[name] += value["overload_suspects"]
                 overloaded.add(name)
-        return [
-            blame.Crash(crashed_at[name], tuple(each), name in overloaded)
+        return {
+            name: blame.Crash(
+                crashed_at[name], tuple(each), name in overloaded
+            )
             for name, each in suspects.items()
-        ]
+        }
+
+    def _summarised(self, known, now):
+        """Return crashes of which only summaries are left."""
+        crashes = []
+        for name, entry in self._board.entries(SUMMARIES.name, now).items():
+            if name in known:
+                continue
+            try:
+                value = msgspec.convert(entry.value, CrashSummary)
+            except msgspec.ValidationError as err:
+                self._journal.write(
+                    "finding_bad", topic=SUMMARIES.name, why=str(err)
+                )
+                continue
+            crashes.append(blame.Crash(entry.at, tuple(value["suspects"])))
+        return crashes
 
     def _decode(self, key, entry):
         """Return the stamp and the `CrashValue` of a finding, or None."""
--- a/sycamoreshed/findings/tests/test_crashes.py
+++ b/sycamoreshed/findings/tests/test_crashes.py
@@ -4,6 +4,7 @@
 from sycamoreshed.findings import blame
 from sycamoreshed.findings import board
 from sycamoreshed.findings import crashes as crash_records
+from sycamoreshed.findings import topics
 from sycamoreshed.findings.tests import crashworld
 from testkit import journals
 from testkit import virtualtime
@@ -102,3 +103,104 @@
     records.record_rejection("x", now=1.0, unix_ms=1000)
     assert records.is_rejected("x", 3600.0)
     assert not records.is_rejected("x", 3700.0)
+
+
+def make_records(instance, findings=(), now=0.0):
+    """Return records of an instance that starts with some findings."""
+    shared = board.Board()
+    records = crash_records.CrashRecords(
+        board=shared, instance=instance, journal=journals.Journal()
+    )
+    shared.merge(list(findings), now)
+    return records
+
+
+def crash_beside_others(records, numbers, now):
+    """Record crashes by request "x", each beside two others."""
+    for number in numbers:
+        endpoint = types.Endpoint(f"e{number}", "s", "", "north-a", 4)
+        beside = [
+            blame.Suspect(f"other-{number}-{each}", 0.05) for each in "ab"
+        ]
+        records.record_crash(
+            endpoint,
+            [blame.Suspect("x/part", 0.3), *beside],
+            now=now + number,
+            unix_ms=int(1000 * (now + number)),
+        )
+
+
+def test_crashes_before_a_verdict_are_known_after_a_restart_of_all():
+    """Instances that started again counted a request's crashes from zero."""
+    records = make_records("i-0")
+    crash_beside_others(records, range(4), 0.0)
+    assert not records.is_rejected("x", 5.0)
+    stored = records.summarise(
+        now=5.0, unix_ms=5000, is_responsible=lambda _name: True
+    )
+    assert all(topics.find(each.topic).is_durable for each in stored)
+    started = make_records("i-0", stored, now=20.0)
+    assert started.blamed("x/part", 20.0) == 4
+    crash_beside_others(started, [4], 20.0)
+    assert started.is_rejected("x/part", 25.0)
+
+
+def test_request_that_was_rejected_already_is_known_after_a_restart_of_all():
+    """Its rejection is stored only when it comes once more."""
+    records = make_records("i-0")
+    for number in range(3):
+        endpoint = types.Endpoint(f"e{number}", "s", "", "north-a", 4)
+        records.record_crash(
+            endpoint,
+            [blame.Suspect("x/part", 0.3)],
+            now=float(number),
+            unix_ms=1000 * number,
+        )
+    assert records.is_rejected("x/part", 3.0)
+    stored = records.summarise(
+        now=3.0, unix_ms=3000, is_responsible=lambda _name: True
+    )
+    started = make_records("i-0", stored, now=20.0)
+    assert started.is_rejected("x/part", 20.0)
+
+
+def test_requests_that_were_served_are_not_blamed_after_a_restart():
+    """Requests beside those that crash are repeated, and answered."""
+    records = make_records("i-0")
+    crash_beside_others(records, range(4), 0.0)
+    records.record_served("other-3-a", now=4.5, unix_ms=4500)
+    stored = records.summarise(
+        now=5.0, unix_ms=5000, is_responsible=lambda _name: True
+    )
+    started = make_records("i-0", stored, now=20.0)
+    assert started.blamed("other-3-a", 20.0) == 0
+
+
+def test_crashes_of_different_requests_are_not_summarised():
+    """Endpoints that crash by themselves would cost writes to the store."""
+    records = make_records("i-0")
+    for number in range(5):
+        endpoint = types.Endpoint(f"e{number}", "s", "", "north-a", 4)
+        records.record_crash(
+            endpoint,
+            [blame.Suspect(f"r-{number}", 0.1)],
+            now=float(number),
+            unix_ms=1000 * number,
+        )
+    assert not records.summarise(
+        now=5.0, unix_ms=5000, is_responsible=lambda _name: True
+    )
+
+
+def test_summary_is_written_once_by_one_instance():
+    """Each instance wrote what all of them know."""
+    records = make_records("i-0")
+    crash_beside_others(records, range(4), 0.0)
+    first = records.summarise(
+        now=5.0, unix_ms=5000, is_responsible=lambda name: name < "e2"
+    )
+    again = records.summarise(
+        now=6.0, unix_ms=6000, is_responsible=lambda name: name < "e2"
+    )
+    assert {each.key for each in first} == {"e0@0", "e1@0"}
+    assert not again
--- a/sycamoreshed/forwarding/crashes.py
+++ b/sycamoreshed/forwarding/crashes.py
@@ -261,6 +261,7 @@
         "catalog",
         "clearing",
         "crash_records",
+        "crash_summaries",
         "findings",
         "journal",
         "link_checker",
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -26,6 +26,7 @@
 from sycamoreshed import exceptions
 from sycamoreshed.findings import clearing  # noqa: F401
 from sycamoreshed.findings import crashes as crash_records  # noqa: F401
+from sycamoreshed.findings import crashsummaries  # noqa: F401
 from sycamoreshed.findings import departures  # noqa: F401
 from sycamoreshed.findings import exchange  # noqa: F401
 from sycamoreshed.findings import limits  # noqa: F401
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -18,6 +18,8 @@
 MAX_RUNS = 3 + 3
 RUN_S = 0.05
 REPETITIONS = 16
+# Within which what a crash tells is in the store.
+STORED_S = 1.0
 
 _request_ids = itertools.count()
 
@@ -104,6 +106,29 @@
         assert runs(fleet) <= MAX_RUNS
 
 
+async def test_crashes_before_a_rejection_outlast_all_instances(
+    store, tmp_path
+):
+    """All instances are killed before the request comes once more.
+
+    Those that started again crashed as many endpoints as before.
+    """
+    async with system(store, tmp_path, engines=12) as deployment:
+        instances, session, fleet = deployment
+        await send(session, instances[0], POISON)
+        crashed = runs(fleet)
+        await asyncio.sleep(STORED_S)
+        for each in instances:
+            await each.kill()
+        for each in instances:
+            await each.start()
+        for each in instances:
+            await each.wait_ready()
+        await send_repeatedly(session, instances)
+        assert crashed == 3
+        assert runs(fleet) == crashed
+
+
 async def test_crashing_request_is_known_after_all_instances_restart(
     store, tmp_path
 ):
