Limit brittle endpoints before they reject a request

Callers lost the engines of a service in the first second of a burst: six engines that survive four rejections a second fell over 4 to 8 times.

Cause: what a brittle endpoint can take was learnt from its rejections alone, and its header was read in these only. Until other instances hear of the first one, requests of some tenths of a second are on their way. Evidence: no event before the first rejection although all answers named the header, and `endpoint_overloaded` at six instances within 0.3 s then. Ruled out: that the header is not read at all.

All answers count. From the endpoint's slots and from how long requests take there follows what it can run; all instances together send it 0.85 of that, evenly spaced, by the permits that limits use. Streams and stages are limited after their first rejection, as before.

Tests: test_first_burst_at_endpoints_that_reject_nothing_before fails before with 24 rejections in a second where four are survived.

--- /dev/null
+++ b/sycamoreshed/findings/brittleness.py
@@ -0,0 +1,141 @@
+"""Endpoints that say that they fail if they have to reject too many requests.
+
+A first rejection shows too late what they can take: until all instances know
+of it, many more requests are on their way.  What an endpoint can run follows
+from its slots and from how long requests take there.
+"""
+
+import typing
+
+import msgspec
+
+from sycamoreshed.findings import topics
+from sycamoreshed.kernel import kernel
+
+__all__ = ["BrittleRecords"]
+
+# Endpoints say so in each answer; without further ones it is forgotten.
+BRITTLE = topics.register(topics.Topic("brittle", 10.0, 1024))
+# Age at which an instance tells the rate again.
+REFRESH_S = 2.0
+# Share of what an endpoint can run that it may get, as requests take more or
+# less time than usual.
+CAPACITY_SHARE = 0.85
+# Requests from which an instance tells how long they take, and the weight of
+# each further one in their mean.
+MIN_RUNS = 4
+WEIGHT = 0.2
+# Endpoints of which an instance measures this; the oldest is forgotten first.
+MAX_ENDPOINTS = 1024
+
+
+class _Runs(typing.NamedTuple):
+    """How long requests took at an endpoint."""
+
+    count: int
+    mean_s: float
+
+
+class BrittleRecords:
+    """Rates up to which brittle endpoints run what they get.
+
+    Parameters
+    ----------
+    board : Board
+    journal : Journal
+
+    Examples
+    --------
+    >>> from sycamoreshed.catalog import types
+    >>> from sycamoreshed.findings import board
+    >>> from testkit import journals
+    >>> records = BrittleRecords(
+    ...     board=board.Board(), journal=journals.Journal()
+    ... )
+    >>> endpoint = types.Endpoint("e", "s", "", "z", 4)
+    >>> for at in range(4):
+    ...     _ = records.record_run(
+    ...         endpoint, 0.5, 3.0, now=float(at), unix_ms=1000 * at
+    ...     )
+    >>> round(records.rate(endpoint, 4.0), 1), records.rate(endpoint, 20.0)
+    (6.8, None)
+    """
+
+    def __init__(self, *, board, journal):
+        self._board = board
+        self._journal = journal
+        self._runs = {}
+
+    def rate(self, endpoint, now):
+        """Return how many requests a second an endpoint may get, or None."""
+        entry = self._board.find(BRITTLE.name, endpoint.boot, now)
+        if entry is None:
+            return None
+        try:
+            return msgspec.convert(entry.value, float | None)
+        except msgspec.ValidationError as err:
+            # Another version of the program may tell more.
+            self._journal.write(
+                "finding_bad", topic=BRITTLE.name, why=str(err)
+            )
+            return None
+
+    def record_run(self, endpoint, seconds, tolerated, *, now, unix_ms):
+        """Record that a brittle endpoint ran a request; return a `Finding`.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+        seconds : float
+            From when it was sent to the end of the answer.
+        tolerated : float
+            Rejections per second that the endpoint survives.
+        now : float
+        unix_ms : int
+
+        Returns
+        -------
+        Finding or None
+            None if the rate was told a moment ago, or is not known yet.
+        """
+        runs = self._add_run(endpoint.boot, seconds)
+        entry = self._board.find(BRITTLE.name, endpoint.boot, now)
+        if runs.count < MIN_RUNS or not runs.mean_s:
+            return None
+        if entry is not None and now - entry.at < REFRESH_S:
+            return None
+        rate = CAPACITY_SHARE * endpoint.slots / runs.mean_s
+        if tolerated >= rate:
+            # It survives what instances send before they know of it.
+            return None
+        if entry is None:
+            self._journal.write(
+                "endpoint_brittle",
+                endpoint=endpoint.id,
+                tolerated=tolerated,
+                rate=round(rate, 2),
+            )
+        return self._board.add(
+            BRITTLE.name, endpoint.boot, rate, now=now, unix_ms=unix_ms
+        )
+
+    def _add_run(self, boot, seconds):
+        earlier = self._runs.pop(boot, None)
+        runs = _Runs(1, seconds)
+        if earlier is not None:
+            count = earlier.count + 1
+            weight = max(WEIGHT, 1 / count)
+            mean_s = earlier.mean_s + weight * (seconds - earlier.mean_s)
+            runs = _Runs(count, mean_s)
+        self._runs[boot] = runs
+        while len(self._runs) > MAX_ENDPOINTS:
+            del self._runs[next(iter(self._runs))]
+        return runs
+
+
+@kernel.plugin("brittle_records", needs=("board", "journal"))
+async def brittle_records(core):
+    """Provide the rates of brittle endpoints."""
+    yield BrittleRecords(
+        board=core.part("board"), journal=core.part("journal")
+    )
--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -119,6 +119,7 @@
             return Exchanged(Opened(endpoint, response, answer), is_counted)
     else:
         answer = await client.read_full(response, timeout_s=timeout_s)
+    _record_run(endpoint, answer, verdict, parts, sent_at)
     if isinstance(answer, kinds.Failure):
         if verdict in _NOT_RUN:
             answer = answer._replace(sent=False)
@@ -130,6 +131,15 @@
     )
 
 
+def _record_run(endpoint, answer, verdict, parts, sent_at):
+    """Record how long a brittle endpoint took for a request that it ran."""
+    if isinstance(answer, kinds.Failure) or verdict != "done":
+        return
+    survived = parts.codec.survived_rejections(answer.headers)
+    if survived is not None:
+        parts.limiter.record_run(endpoint, parts.clock() - sent_at, survived)
+
+
 def _record_limit(endpoint, response, verdict, parts, sent_at):
     """Record what an answer tells of the load that an endpoint takes."""
     tolerated = parts.codec.tolerated_rejections(
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -42,6 +42,7 @@
     ----------
     records : LimitRecords
     overloads : OverloadRecords
+    brittle : BrittleRecords
     rates : EndpointRates
     publish : callable
         Tells other instances findings, which may be None.
@@ -62,6 +63,7 @@
         *,
         records,
         overloads,
+        brittle,
         rates,
         publish,
         peers,
@@ -74,6 +76,7 @@
     ):
         self._records = records
         self._overloads = overloads
+        self._brittle = brittle
         self._rates = rates
         self._publish = publish
         self._peers = peers
@@ -114,6 +117,18 @@
         )
         self._publish(finding)
 
+    def record_run(self, endpoint, seconds, survived):
+        """Record a run of a brittle endpoint; see `BrittleRecords`."""
+        self._publish(
+            self._brittle.record_run(
+                endpoint,
+                seconds,
+                survived,
+                now=self._clock(),
+                unix_ms=self._unix_ms(),
+            )
+        )
+
     def is_limited(self, endpoint, now):
         """Return whether an endpoint takes a limited rate."""
         return self._rates.find(endpoint, now) is not None
@@ -167,10 +182,7 @@
             rate,
             max_wait_s,
             self._own,
-            # It has to reject what comes at once.
-            0.0
-            if self._overloads.is_overloaded(endpoint, now)
-            else permits.BURST_S,
+            0.0 if self._rejects_bursts(endpoint, now) else permits.BURST_S,
         )
         permit = await self._ask(endpoint, request)
         if permit.is_granted:
@@ -187,6 +199,13 @@
         self._answer_count_at_failure = None
         return self._issuer.issue(request, self._clock())
 
+    def _rejects_bursts(self, endpoint, now):
+        """Return whether requests that come at once harm an endpoint."""
+        return (
+            self._overloads.is_overloaded(endpoint, now)
+            or self._brittle.rate(endpoint, now) is not None
+        )
+
     def _wait_s(self, endpoint, now):
         refusal = self._refusals.get(endpoint.id)
         if refusal is None or self._rates.find(endpoint, now) is None:
@@ -262,6 +281,7 @@
 @kernel.plugin(
     "limiter",
     needs=(
+        "brittle_records",
         "findings",
         "journal",
         "limit_records",
@@ -276,6 +296,7 @@
     yield Limiter(
         records=core.part("limit_records"),
         overloads=core.part("overload_records"),
+        brittle=core.part("brittle_records"),
         rates=core.part("rates"),
         publish=core.part("findings").publish,
         peers=core.part("peers"),
--- a/sycamoreshed/forwarding/rates.py
+++ b/sycamoreshed/forwarding/rates.py
@@ -36,16 +36,25 @@
     ----------
     records : LimitRecords
     overloads : OverloadRecords
+    brittle : BrittleRecords
     catalog : Catalog
     cold_overrun, cold_tolerance : float
         See `cold_rate`.
     """
 
     def __init__(
-        self, *, records, overloads, catalog, cold_overrun, cold_tolerance
+        self,
+        *,
+        records,
+        overloads,
+        brittle,
+        catalog,
+        cold_overrun,
+        cold_tolerance,
     ):
         self._records = records
         self._overloads = overloads
+        self._brittle = brittle
         self._catalog = catalog
         self._cold_overrun = cold_overrun
         self._cold_tolerance = cold_tolerance
@@ -55,6 +64,7 @@
         rates = (
             self._records.rate(endpoint, now),
             self._overloads.rate(endpoint, now),
+            self._brittle.rate(endpoint, now),
             self._cold_rate(endpoint, now),
         )
         return min((each for each in rates if each is not None), default=None)
@@ -75,13 +85,17 @@
         )
 
 
-@kernel.plugin("rates", needs=("catalog", "limit_records", "overload_records"))
+@kernel.plugin(
+    "rates",
+    needs=("brittle_records", "catalog", "limit_records", "overload_records"),
+)
 async def rates(core):
     """Provide the `EndpointRates`."""
     settings = core.settings
     yield EndpointRates(
         records=core.part("limit_records"),
         overloads=core.part("overload_records"),
+        brittle=core.part("brittle_records"),
         catalog=core.part("catalog"),
         cold_overrun=settings.cold_overrun,
         cold_tolerance=settings.cold_tolerance,
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -193,6 +193,12 @@
         "an answer named another limit than before: requests a second from "
         "all instances together, or none",
     ),
+    "endpoint_brittle": Event(
+        EventClass.STATE,
+        "endpoint, tolerated, rate",
+        "an endpoint says that it fails beyond so many rejections a second; "
+        "all instances together send it no more than this rate",
+    ),
     "endpoint_overloaded": Event(
         EventClass.STATE,
         "endpoint, tolerated, rate",
--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -26,6 +26,7 @@
     "rest_s",
     "response_headers",
     "shorten_deadline",
+    "survived_rejections",
     "tolerated_rejections",
 ]
 
@@ -337,6 +338,19 @@
         return None
     if status not in _FULL_STATUSES:
         return None
+    return survived_rejections(headers)
+
+
+def survived_rejections(headers):
+    """Return how many rejections a second an endpoint survives, or None.
+
+    None if its answer, whichever it is, does not say so.
+
+    Examples
+    --------
+    >>> survived_rejections({"Server-Brittle": "4"}), survived_rejections({})
+    (4.0, None)
+    """
     return _parse_rate(headers.get(names.MAX_REJECTIONS, ""))
 
 
--- a/sycamoreshed/platform/platform.py
+++ b/sycamoreshed/platform/platform.py
@@ -42,6 +42,7 @@
     rest_s = staticmethod(calls.rest_s)
     tells_load = staticmethod(toldloads.tells_load)
     told_load = staticmethod(toldloads.told_load)
+    survived_rejections = staticmethod(calls.survived_rejections)
     tolerated_rejections = staticmethod(calls.tolerated_rejections)
     piece_call = staticmethod(calls.piece_call)
     decode_piece_results = staticmethod(calls.decode_piece_results)
--- a/testkit/limiters.py
+++ b/testkit/limiters.py
@@ -37,6 +37,9 @@
         """Record what a rejection names."""
         self.rejections.append((endpoint.id, tolerated))
 
+    def record_run(self, endpoint, seconds, survived):
+        """Record nothing: how long a brittle endpoint took."""
+
     def is_limited(self, endpoint, _now):
         """Return whether the test limits an endpoint."""
         return endpoint.id in self._permits
--- a/tests/integration/test_overloaded_endpoints.py
+++ b/tests/integration/test_overloaded_endpoints.py
@@ -24,20 +24,25 @@
 LULL_S = 1.5
 # More than the three endpoints can run, 24 a second.
 LOAD_PER_S = 45
+# Fewer than they can run.
+CALM_PER_S = 10
 
 _request_ids = itertools.count()
 
 
 class FragileEndpoint:
-    """An endpoint without a queue, and when it rejected requests."""
+    """An endpoint, by default without a queue, and when it rejected."""
 
     def __init__(self):
         self.endpoint = scripted.Endpoint(self._script)
         self.rejected_at = []
+        self.has_queue = False
         self._running = 0
 
     def _script(self, _received):
         named = {"Server-Brittle": str(TOLERATED)}
+        while self._running == SLOTS and self.has_queue:
+            yield 0.01
         if self._running == SLOTS:
             self.rejected_at.append(time.monotonic())
             headers = {"X-Sycamoreshed-Not-Executed": "1", **named}
@@ -136,3 +141,38 @@
         await asyncio.gather(*tasks)
     for each in fragile:
         assert each.most_in_a_second(started_at + STABLE_S) <= TOLERATED
+
+
+async def test_first_burst_at_endpoints_that_reject_nothing_before(
+    store, tmp_path
+):
+    """Instances learned what endpoints can take from their rejections only.
+
+    Endpoints that say that they are brittle let fewer requests wait later,
+    and many callers come at once.
+    """
+    async with system(store, tmp_path, max_attempts=2) as running:
+        instances, session, fragile = running
+        tasks = []
+
+        def start(number):
+            instance = instances[number % len(instances)]
+            tasks.append(asyncio.create_task(send(session, instance)))
+
+        for each in fragile:
+            each.has_queue = True
+        for number in range(int(CALM_PER_S * (STABLE_S + 2.0))):
+            start(number)
+            await asyncio.sleep(1 / CALM_PER_S)
+        for each in fragile:
+            each.has_queue = False
+        started_at = time.monotonic()
+        for _ in range(BURSTS):
+            for number in range(LOAD_PER_S):
+                start(number)
+            await asyncio.sleep(LULL_S)
+        answers = await asyncio.gather(*tasks)
+    for each in fragile:
+        assert each.most_in_a_second(started_at) <= TOLERATED
+    statuses = [status for status, *_ in answers]
+    assert set(statuses) == {200, 503}
