Check lists of versions that other instances tell

Another version of the program may tell a finding of another form; it is logged and ignored, as for other topics. A route with several services may record the origin of a stream whose service has no versions left.

An integration test shows that an instance which is cut off from the others begins streams at the older version: the first ones may end with 503 before an event, all later ones begin.

--- a/sycamoreshed/resumption/lookup.py
+++ b/sycamoreshed/resumption/lookup.py
@@ -50,7 +50,7 @@
     """
 
     origin: origins.Origin | None
-    versions: list[str] = []
+    versions: list[str] = ()
 
 
 class Found(typing.NamedTuple):
--- a/sycamoreshed/resumption/replication.py
+++ b/sycamoreshed/resumption/replication.py
@@ -141,7 +141,7 @@
         A stream that no holder knows is taken for one of the oldest version,
         and is not taken up where that has no endpoints.
         """
-        if origin.software_version == versions[0]:
+        if not versions or origin.software_version == versions[0]:
             return True
         return not any(
             each.software_version == versions[0]
--- a/sycamoreshed/resumption/versions.py
+++ b/sycamoreshed/resumption/versions.py
@@ -7,6 +7,8 @@
 
 import typing
 
+import msgspec
+
 from sycamoreshed.catalog import software
 from sycamoreshed.findings import topics
 from sycamoreshed.membership import rendezvous
@@ -96,9 +98,9 @@
 
         A stream that begins at another one may outlast what is known of it.
         """
-        entry = self._board.find(STORED.name, service, now)
-        if entry is not None:
-            return entry.value
+        told = self._find(STORED, service, now)
+        if told is not None:
+            return told
         return self._stored_before.get(service, [])
 
     def record_stored(self, service, versions, now, unix_ms):
@@ -151,8 +153,19 @@
             await self._catalog.changed.wait(CHECK_S)
 
     def _listed(self, service, now):
-        entry = self._board.find(VERSIONS.name, service, now)
-        return [] if entry is None else entry.value
+        return self._find(VERSIONS, service, now) or []
+
+    def _find(self, topic, service, now):
+        """Return the list that a finding holds, or None."""
+        entry = self._board.find(topic.name, service, now)
+        if entry is None:
+            return None
+        try:
+            return msgspec.convert(entry.value, list[str])
+        except msgspec.ValidationError as err:
+            # Another version of the program may tell more.
+            self._journal.write("finding_bad", topic=topic.name, why=str(err))
+            return None
 
     def _initialise(self, now):
         if not self._catalog.is_ready or not self._catalog.has_peers:
--- a/tests/integration/test_stream_versions.py
+++ b/tests/integration/test_stream_versions.py
@@ -22,6 +22,9 @@
 STREAMS = 16
 # Within which the other instances know where a stream began.
 KNOWN_S = 0.5
+# Within which streams begin at a version that has come, also at instances that
+# have just started.
+LISTED_S = 3.0
 # Longer than any test waits for an engine that is silent in a stream.
 PAUSE_MS = 20000
 DEADLINE_MS = "15000"
@@ -385,6 +388,48 @@
     assert not later.runs.keys() & engines.runs.keys()
 
 
+async def begin_one(session, instance, stream):
+    """Begin a stream; return its status once an event has come, or not."""
+    url = yarl.URL(harness.URL.format(instance.public), encoded=True)
+    async with session.post(url, headers=head(stream)) as answer:
+        if answer.status == 200:
+            await answer.content.readuntil(b"\n\n")
+        return answer.status
+
+
+async def test_instance_that_is_cut_off_begins_streams_at_the_older_version(
+    store, tmp_path
+):
+    """Others would take its streams at a later version for older ones."""
+    async with running(
+        store,
+        tmp_path,
+        ["v1", "v1"],
+        breaks=False,
+        program=partitioned.PROGRAM,
+    ) as (engines, instances, session):
+        later = Engines(store, ["v2"] * 4, breaks=False, prefix="later")
+        await later.start()
+        await asyncio.sleep(LISTED_S)
+        cut_off(store, instances, instances[-1])
+        rounds = [
+            await asyncio.gather(
+                *(
+                    begin_one(session, instances[-1], f"s-{start + number}")
+                    for number in range(STREAMS)
+                )
+            )
+            for start in (0, STREAMS)
+        ]
+        await later.stop()
+    # The first ones show that the others cannot be reached.
+    assert set(rounds[0]) <= {200, 503}
+    assert rounds[1] == [200] * STREAMS
+    second = {f"s-{STREAMS + number}" for number in range(STREAMS)}
+    assert second <= engines.runs.keys()
+    assert not second & later.runs.keys()
+
+
 async def test_stream_of_unknown_version_is_rejected_at_once(store, tmp_path):
     """A guess would join what two versions wrote."""
     async with running(store, tmp_path, ["v1", "v2"], breaks=False) as (
