Limit brittle endpoints that have just started like their service

What limits an engine was known only of those that had answered four requests. One that replaces a fallen engine had answered none, got its whole share of the burst and fell again.

How long requests take is told for the service as well, and holds for those of its endpoints that have not answered enough of them. Tests: test_brittleness.py. Why the first ones fell in that run was not traced.

--- a/sycamoreshed/findings/brittleness.py
+++ b/sycamoreshed/findings/brittleness.py
@@ -2,7 +2,8 @@
 
 A first rejection shows too late what they can take: until all instances know
 of it, many more requests are on their way.  What an endpoint can run follows
-from its slots and from how long requests take there.
+from its slots and from how long requests take there, or at the others of its
+service while it has just started.
 """
 
 import typing
@@ -14,9 +15,10 @@
 
 __all__ = ["BrittleRecords"]
 
-# Endpoints say so in each answer; without further ones it is forgotten.
+# Seconds that requests take at an endpoint or service.  Endpoints say in each
+# answer that they are brittle; without further ones it is forgotten.
 BRITTLE = topics.register(topics.Topic("brittle", 10.0, 1024))
-# Age at which an instance tells the rate again.
+# Age at which an instance tells them again.
 REFRESH_S = 2.0
 # Share of what an endpoint can run that it may get, as requests take more or
 # less time than usual.
@@ -25,19 +27,20 @@
 # each further one in their mean.
 MIN_RUNS = 4
 WEIGHT = 0.2
-# Endpoints of which an instance measures this; the oldest is forgotten first.
-MAX_ENDPOINTS = 1024
+# Endpoints and services of which an instance measures this; the one that
+# answered longest ago is forgotten first.
+MAX_MEASURED = 1024
 
 
 class _Runs(typing.NamedTuple):
-    """How long requests took at an endpoint."""
+    """How long requests took at an endpoint or service."""
 
     count: int
     mean_s: float
 
 
 class BrittleRecords:
-    """Rates up to which brittle endpoints run what they get.
+    """Rates up to which endpoints of brittle services run what they get.
 
     Parameters
     ----------
@@ -59,6 +62,9 @@
     ...     )
     >>> round(records.rate(endpoint, 4.0), 1), records.rate(endpoint, 20.0)
     (6.8, None)
+    >>> started = types.Endpoint("e2", "s", "", "z", 2)
+    >>> round(records.rate(started, 4.0), 1)
+    3.4
     """
 
     def __init__(self, *, board, journal):
@@ -68,20 +74,13 @@
 
     def rate(self, endpoint, now):
         """Return how many requests a second an endpoint may get, or None."""
-        entry = self._board.find(BRITTLE.name, endpoint.boot, now)
-        if entry is None:
-            return None
-        try:
-            return msgspec.convert(entry.value, float | None)
-        except msgspec.ValidationError as err:
-            # Another version of the program may tell more.
-            self._journal.write(
-                "finding_bad", topic=BRITTLE.name, why=str(err)
-            )
-            return None
+        mean_s = self._mean_s(endpoint.boot, now)
+        if mean_s is None:
+            mean_s = self._mean_s(_service_key(endpoint), now)
+        return None if not mean_s else _rate(endpoint, mean_s)
 
     def record_run(self, endpoint, seconds, tolerated, *, now, unix_ms):
-        """Record that a brittle endpoint ran a request; return a `Finding`.
+        """Record that a brittle endpoint ran a request; return new findings.
 
         Parameters
         ----------
@@ -95,44 +94,71 @@
 
         Returns
         -------
-        Finding or None
-            None if the rate was told a moment ago, or is not known yet.
+        list of Finding
+            Empty if all was told a moment ago, or is not known yet.
         """
-        runs = self._add_run(endpoint.boot, seconds)
-        entry = self._board.find(BRITTLE.name, endpoint.boot, now)
-        if runs.count < MIN_RUNS or not runs.mean_s:
-            return None
-        if entry is not None and now - entry.at < REFRESH_S:
-            return None
-        rate = CAPACITY_SHARE * endpoint.slots / runs.mean_s
-        if tolerated >= rate:
-            # It survives what instances send before they know of it.
-            return None
+        made = []
+        for key in (endpoint.boot, _service_key(endpoint)):
+            runs = self._add_run(key, seconds)
+            entry = self._board.find(BRITTLE.name, key, now)
+            if runs.count < MIN_RUNS or not runs.mean_s:
+                continue
+            if entry is not None and now - entry.at < REFRESH_S:
+                continue
+            rate = _rate(endpoint, runs.mean_s)
+            if tolerated >= rate:
+                # It survives what is sent before instances know of it.
+                continue
+            if entry is None:
+                self._journal.write(
+                    "endpoint_brittle",
+                    endpoint=endpoint.id,
+                    tolerated=tolerated,
+                    rate=round(rate, 2),
+                )
+            made.append(
+                self._board.add(
+                    BRITTLE.name, key, runs.mean_s, now=now, unix_ms=unix_ms
+                )
+            )
+        return made
+
+    def _mean_s(self, key, now):
+        entry = self._board.find(BRITTLE.name, key, now)
         if entry is None:
+            return None
+        try:
+            return msgspec.convert(entry.value, float)
+        except msgspec.ValidationError as err:
+            # Another version of the program may tell more.
             self._journal.write(
-                "endpoint_brittle",
-                endpoint=endpoint.id,
-                tolerated=tolerated,
-                rate=round(rate, 2),
+                "finding_bad", topic=BRITTLE.name, why=str(err)
             )
-        return self._board.add(
-            BRITTLE.name, endpoint.boot, rate, now=now, unix_ms=unix_ms
-        )
+            return None
 
-    def _add_run(self, boot, seconds):
-        earlier = self._runs.pop(boot, None)
+    def _add_run(self, key, seconds):
+        # Keeps the order of the dict that of the latest answers.
+        earlier = self._runs.pop(key, None)
         runs = _Runs(1, seconds)
         if earlier is not None:
             count = earlier.count + 1
             weight = max(WEIGHT, 1 / count)
             mean_s = earlier.mean_s + weight * (seconds - earlier.mean_s)
             runs = _Runs(count, mean_s)
-        self._runs[boot] = runs
-        while len(self._runs) > MAX_ENDPOINTS:
+        self._runs[key] = runs
+        while len(self._runs) > MAX_MEASURED:
             del self._runs[next(iter(self._runs))]
         return runs
 
 
+def _service_key(endpoint):
+    return f"service/{endpoint.service}"
+
+
+def _rate(endpoint, mean_s):
+    return CAPACITY_SHARE * endpoint.slots / mean_s
+
+
 @kernel.plugin("brittle_records", needs=("board", "journal"))
 async def brittle_records(core):
     """Provide the rates of brittle endpoints."""
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -120,7 +120,7 @@
     def record_run(self, endpoint, seconds, survived):
         """Record a run of a brittle endpoint; see `BrittleRecords`."""
         self._publish(
-            self._brittle.record_run(
+            *self._brittle.record_run(
                 endpoint,
                 seconds,
                 survived,
