Log no error for a caller that leaves within a response

It does so only while the connection is open. test_peer_that_leaves_within_a_response_is_no_error fails before.

--- a/sycamoreshed/entry/limitedserver.py
+++ b/sycamoreshed/entry/limitedserver.py
@@ -53,10 +53,12 @@
         """
         is_other = not getattr(response, "prepared", False)
         if is_other and request.writer.output_size > 0:
-            logger.bind(path=request.path).error(
-                "an error response came within a response"
-            )
-            truncation.truncate(request)
+            # Handlers may return anything for a peer that has left.
+            if self.transport is not None and not self.transport.is_closing():
+                logger.bind(path=request.path).error(
+                    "an error response came within a response"
+                )
+                truncation.truncate(request)
             return response, True
         try:
             return await super().finish_response(request, response, start_time)
