--- a/sycamoreshed/findings/brittleness.py
+++ b/sycamoreshed/findings/capacities.py
@@ -13,11 +13,11 @@
 from sycamoreshed.findings import topics
 from sycamoreshed.kernel import kernel
 
-__all__ = ["BrittleRecords"]
+__all__ = ["CapacityRecords"]
 
 # Seconds that requests take at an endpoint or service.  Endpoints say in each
-# answer that they are brittle; without further ones it is forgotten.
-BRITTLE = topics.register(topics.Topic("brittle", 10.0, 1024))
+# answer that they are fragile; without further ones it is forgotten.
+RUN_TIMES = topics.register(topics.Topic("run_time", 10.0, 1024))
 # Age at which an instance tells them again.
 REFRESH_S = 2.0
 # Share of what an endpoint can run that it may get, as requests take more or
@@ -39,8 +39,8 @@
     mean_s: float
 
 
-class BrittleRecords:
-    """Rates up to which endpoints of brittle services run what they get.
+class CapacityRecords:
+    """Rates up to which endpoints of fragile services run what they get.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
     >>> from sycamoreshed.catalog import types
     >>> from sycamoreshed.findings import board
     >>> from testkit import journals
-    >>> records = BrittleRecords(
+    >>> records = CapacityRecords(
     ...     board=board.Board(), journal=journals.Journal()
     ... )
     >>> endpoint = types.Endpoint("e", "s", "", "z", 4)
@@ -80,7 +80,7 @@
         return None if not mean_s else _rate(endpoint, mean_s)
 
     def record_run(self, endpoint, seconds, tolerated, *, now, unix_ms):
-        """Record that a brittle endpoint ran a request; return new findings.
+        """Record that a fragile endpoint ran a request; return new findings.
 
         Parameters
         ----------
@@ -100,7 +100,7 @@
         made = []
         for key in (endpoint.boot, _service_key(endpoint)):
             runs = self._add_run(key, seconds)
-            entry = self._board.find(BRITTLE.name, key, now)
+            entry = self._board.find(RUN_TIMES.name, key, now)
             if runs.count < MIN_RUNS or not runs.mean_s:
                 continue
             if entry is not None and now - entry.at < REFRESH_S:
@@ -111,20 +111,20 @@
                 continue
             if entry is None:
                 self._journal.write(
-                    "endpoint_brittle",
+                    "endpoint_capacity",
                     endpoint=endpoint.id,
                     tolerated=tolerated,
                     rate=round(rate, 2),
                 )
             made.append(
                 self._board.add(
-                    BRITTLE.name, key, runs.mean_s, now=now, unix_ms=unix_ms
+                    RUN_TIMES.name, key, runs.mean_s, now=now, unix_ms=unix_ms
                 )
             )
         return made
 
     def _mean_s(self, key, now):
-        entry = self._board.find(BRITTLE.name, key, now)
+        entry = self._board.find(RUN_TIMES.name, key, now)
         if entry is None:
             return None
         try:
@@ -132,7 +132,7 @@
         except msgspec.ValidationError as err:
             # Another version of the program may tell more.
             self._journal.write(
-                "finding_bad", topic=BRITTLE.name, why=str(err)
+                "finding_bad", topic=RUN_TIMES.name, why=str(err)
             )
             return None
 
@@ -159,9 +159,9 @@
     return CAPACITY_SHARE * endpoint.slots / mean_s
 
 
-@kernel.plugin("brittle_records", needs=("board", "journal"))
-async def brittle_records(core):
-    """Provide the rates of brittle endpoints."""
-    yield BrittleRecords(
+@kernel.plugin("capacity_records", needs=("board", "journal"))
+async def capacity_records(core):
+    """Provide the rates of fragile endpoints."""
+    yield CapacityRecords(
         board=core.part("board"), journal=core.part("journal")
     )
--- a/sycamoreshed/findings/tests/test_brittleness.py
+++ b/sycamoreshed/findings/tests/test_capacities.py
@@ -1,16 +1,16 @@
-"""What brittle endpoints may get before they have to reject anything."""
+"""What fragile endpoints may get before they have to reject anything."""
 
 import pytest
 
 from sycamoreshed.catalog import types
 from sycamoreshed.findings import board
-from sycamoreshed.findings import brittleness
+from sycamoreshed.findings import capacities
 from testkit import journals
 
 
 def make_records(*, runs, seconds=0.5, tolerated=3.0):
     """Return records of runs at an endpoint "e" with four slots."""
-    records = brittleness.BrittleRecords(
+    records = capacities.CapacityRecords(
         board=board.Board(), journal=journals.Journal()
     )
     endpoint = types.Endpoint("e", "desk", "", "north-a", 4)
@@ -48,7 +48,7 @@
 
 
 def test_limit_ends_with_answers_that_name_it():
-    """Endpoints are brittle for a time only."""
+    """Endpoints are fragile for a time only."""
     records = make_records(runs=8)
     endpoint = types.Endpoint("e", "desk", "", "north-a", 4)
     assert records.rate(endpoint, 30.0) is None
--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -132,7 +132,7 @@
 
 
 def _record_run(endpoint, answer, verdict, parts, sent_at):
-    """Record how long a brittle endpoint took for a request that it ran."""
+    """Record how long a fragile endpoint took for a request that it ran."""
     if isinstance(answer, kinds.Failure) or verdict != "done":
         return
     survived = parts.codec.survived_rejections(answer.headers)
--- a/sycamoreshed/forwarding/limiting.py
+++ b/sycamoreshed/forwarding/limiting.py
@@ -42,7 +42,7 @@
     ----------
     records : LimitRecords
     overloads : OverloadRecords
-    brittle : BrittleRecords
+    capacities : CapacityRecords
     rates : EndpointRates
     publish : callable
         Tells other instances findings, which may be None.
@@ -63,7 +63,7 @@
         *,
         records,
         overloads,
-        brittle,
+        capacities,
         rates,
         publish,
         peers,
@@ -76,7 +76,7 @@
     ):
         self._records = records
         self._overloads = overloads
-        self._brittle = brittle
+        self._capacities = capacities
         self._rates = rates
         self._publish = publish
         self._peers = peers
@@ -118,9 +118,9 @@
         self._publish(finding)
 
     def record_run(self, endpoint, seconds, survived):
-        """Record a run of a brittle endpoint; see `BrittleRecords`."""
+        """Record a run of a fragile endpoint; see `CapacityRecords`."""
         self._publish(
-            *self._brittle.record_run(
+            *self._capacities.record_run(
                 endpoint,
                 seconds,
                 survived,
@@ -203,7 +203,7 @@
         """Return whether requests that come at once harm an endpoint."""
         return (
             self._overloads.is_overloaded(endpoint, now)
-            or self._brittle.rate(endpoint, now) is not None
+            or self._capacities.rate(endpoint, now) is not None
         )
 
     def _wait_s(self, endpoint, now):
@@ -281,7 +281,7 @@
 @kernel.plugin(
     "limiter",
     needs=(
-        "brittle_records",
+        "capacity_records",
         "findings",
         "journal",
         "limit_records",
@@ -296,7 +296,7 @@
     yield Limiter(
         records=core.part("limit_records"),
         overloads=core.part("overload_records"),
-        brittle=core.part("brittle_records"),
+        capacities=core.part("capacity_records"),
         rates=core.part("rates"),
         publish=core.part("findings").publish,
         peers=core.part("peers"),
--- a/sycamoreshed/forwarding/rates.py
+++ b/sycamoreshed/forwarding/rates.py
@@ -36,7 +36,7 @@
     ----------
     records : LimitRecords
     overloads : OverloadRecords
-    brittle : BrittleRecords
+    capacities : CapacityRecords
     catalog : Catalog
     cold_overrun, cold_tolerance : float
         See `cold_rate`.
@@ -47,14 +47,14 @@
         *,
         records,
         overloads,
-        brittle,
+        capacities,
         catalog,
         cold_overrun,
         cold_tolerance,
     ):
         self._records = records
         self._overloads = overloads
-        self._brittle = brittle
+        self._capacities = capacities
         self._catalog = catalog
         self._cold_overrun = cold_overrun
         self._cold_tolerance = cold_tolerance
@@ -64,7 +64,7 @@
         rates = (
             self._records.rate(endpoint, now),
             self._overloads.rate(endpoint, now),
-            self._brittle.rate(endpoint, now),
+            self._capacities.rate(endpoint, now),
             self._cold_rate(endpoint, now),
         )
         return min((each for each in rates if each is not None), default=None)
@@ -87,7 +87,7 @@
 
 @kernel.plugin(
     "rates",
-    needs=("brittle_records", "catalog", "limit_records", "overload_records"),
+    needs=("capacity_records", "catalog", "limit_records", "overload_records"),
 )
 async def rates(core):
     """Provide the `EndpointRates`."""
@@ -95,7 +95,7 @@
     yield EndpointRates(
         records=core.part("limit_records"),
         overloads=core.part("overload_records"),
-        brittle=core.part("brittle_records"),
+        capacities=core.part("capacity_records"),
         catalog=core.part("catalog"),
         cold_overrun=settings.cold_overrun,
         cold_tolerance=settings.cold_tolerance,
--- a/sycamoreshed/forwarding/tests/limitedzone.py
+++ b/sycamoreshed/forwarding/tests/limitedzone.py
@@ -12,7 +12,7 @@
 from sycamoreshed.catalog import types
 from sycamoreshed.errors import kinds
 from sycamoreshed.findings import board
-from sycamoreshed.findings import brittleness
+from sycamoreshed.findings import capacities
 from sycamoreshed.findings import limits
 from sycamoreshed.findings import overloads
 from sycamoreshed.forwarding import limiting
@@ -83,7 +83,7 @@
         overload_records = overloads.OverloadRecords(
             board=findings, journal=journal
         )
-        brittle_records = brittleness.BrittleRecords(
+        capacity_records = capacities.CapacityRecords(
             board=findings, journal=journal
         )
         self.peers[name] = peers.PeerDirectory(
@@ -97,11 +97,11 @@
         self._limiters[name] = limiting.Limiter(
             records=records,
             overloads=overload_records,
-            brittle=brittle_records,
+            capacities=capacity_records,
             rates=rates.EndpointRates(
                 records=records,
                 overloads=overload_records,
-                brittle=brittle_records,
+                capacities=capacity_records,
                 catalog=self._catalog,
                 cold_overrun=1.0,
                 cold_tolerance=0.0,
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -24,7 +24,7 @@
 from sycamoreshed.engineload import wiring as load_wiring  # noqa: F401
 from sycamoreshed.entry import sockets  # noqa: F401
 from sycamoreshed import exceptions
-from sycamoreshed.findings import brittleness  # noqa: F401
+from sycamoreshed.findings import capacities  # noqa: F401
 from sycamoreshed.findings import clearing  # noqa: F401
 from sycamoreshed.findings import crashes as crash_records  # noqa: F401
 from sycamoreshed.findings import crashsummaries  # noqa: F401
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -193,7 +193,7 @@
         "an answer named another limit than before: requests a second from "
         "all instances together, or none",
     ),
-    "endpoint_brittle": Event(
+    "endpoint_capacity": Event(
         EventClass.STATE,
         "endpoint, tolerated, rate",
         "an endpoint says that it fails beyond so many rejections a second; "
--- a/testkit/limiters.py
+++ b/testkit/limiters.py
@@ -38,7 +38,7 @@
         self.rejections.append((endpoint.id, tolerated))
 
     def record_run(self, endpoint, seconds, survived):
-        """Record nothing: how long a brittle endpoint took."""
+        """Record nothing: how long a fragile endpoint took."""
 
     def is_limited(self, endpoint, _now):
         """Return whether the test limits an endpoint."""
