--- a/sycamoreshed/resumption/lookup.py
+++ b/sycamoreshed/resumption/lookup.py
@@ -16,9 +16,9 @@
 # Instances that are asked; more than hold an origin, as the list of instances
 # may have changed since the stream began.
 MAX_ASKED = 6
-# As for findings: several round trips between regions and a new connection to
-# an instance that is busy, and a part of the time for which callers wait.
-TIMEOUT_S = 0.5
+# Several round trips between regions, and a small part of the time for which
+# callers wait for the next event.
+TIMEOUT_S = 0.3
 # Source of an origin that follows from what a majority of holders lacks.
 MAJORITY = "majority"
 
