Test crowds of clients that do not behave, alone and one at a time

Callers saw a process end: it ran out of memory under clients that send heads over the limit or without end. No test measured what a client makes a process keep before its request is complete.

Checked is that the process lives, that its memory with the unread bytes of its connections stays under 160 MB, that descriptors come back, that one ordinary request is answered afterwards, and that the log is short and has no error of ours.

make test runs them after the others, without a second worker.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,8 @@
 	$(PY) -m ruff format .
 
 test: lint
-	$(PY) -m pytest -n $(JOBS) --dist worksteal
+	$(PY) -m pytest -n $(JOBS) --dist worksteal --ignore tests/isolated
+	$(PY) -m pytest tests/isolated
 
 demo: setup
 	$(PY) -m examples.demo
--- /dev/null
+++ b/testkit/held.py
@@ -0,0 +1,66 @@
+"""What a running process holds: memory, unread bytes and descriptors."""
+
+import asyncio
+import contextlib
+import pathlib
+
+__all__ = ["Watch", "descriptors", "peak_memory_mb", "unread_mb"]
+
+MB = 1e6
+SAMPLE_INTERVAL_S = 0.1
+# Of `/proc/net/tcp`: a socket that listens.
+LISTENING = "0A"
+
+
+def _status_mb(pid, name):
+    text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    (line,) = [e for e in text.splitlines() if e.startswith(name)]
+    return int(line.split()[1]) * 1024 / MB
+
+
+def peak_memory_mb(pid):
+    """Return the most memory that a process has had in use, in MB."""
+    return _status_mb(pid, "VmHWM")
+
+
+def descriptors(pid):
+    """Return how many descriptors a process has open."""
+    return len(list(pathlib.Path(f"/proc/{pid}/fd").iterdir()))
+
+
+def unread_mb(port):
+    """Return what arrived for a local port and was not read, in MB."""
+    size = 0
+    for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
+        _, local, _, state, queues, *_ = line.split()
+        if int(local.partition(":")[2], 16) == port and state != LISTENING:
+            size += int(queues.partition(":")[2], 16)
+    return size / MB
+
+
+class Watch:
+    """Samples the memory of a process with the bytes that it has not read.
+
+    Parameters
+    ----------
+    pid : int
+    port : int
+        Local port of the connections.
+
+    Attributes
+    ----------
+    peak_mb : float
+    """
+
+    def __init__(self, *, pid, port):
+        self._pid = pid
+        self._port = port
+        self.peak_mb = 0.0
+
+    async def run(self):
+        """Sample until cancelled."""
+        while True:
+            with contextlib.suppress(FileNotFoundError, ValueError):
+                held = _status_mb(self._pid, "VmRSS") + unread_mb(self._port)
+                self.peak_mb = max(self.peak_mb, held)
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
--- a/testkit/processes.py
+++ b/testkit/processes.py
@@ -99,6 +99,11 @@
         """Source address of its connections."""
         return self.document["control"].rpartition(":")[0]
 
+    @property
+    def log(self):
+        """Path of the log."""
+        return self._log
+
     @property
     def lines(self):
         """Decoded log lines so far."""
--- /dev/null
+++ b/tests/isolated/conftest.py
@@ -0,0 +1,3 @@
+"""Fixtures of the tests that run alone."""
+
+from tests.integration.conftest import store  # noqa: F401
