Bound what a connection makes a process keep before a handler has it

Callers saw a process end under clients that send heads over the limit or without end, trailers or arbitrary bytes, and ordinary requests got 503 beside bodies in chunks of one byte.

Cause: nothing stood between a connection and the HTTP library, whose limits are for each field and their number. A head could take 4 MB, what followed a request was parsed and queued while that was served, errors with up to 256 kB of what was sent were queued and logged with a traceback, input counted in no budget, and Limits.header_bytes was read and never used. A connection whose input was not read did not notice that its caller had left.

sycamoreshed.intake takes the place of the library's parser, for each listener of both daemons. A head is parsed once it is whole and within the limit in force: the request line, and all fields together. Empty lines, trailers and extensions of chunks count against the same limit. The next request is parsed after the response to the one before; 16 kB are read ahead. What all connections hold counts in one allowance, an eighth of memory_mb; those with most waiting input yield. Bodies that the library reads for handlers count in a budget and have 10 s. Framing of bodies in chunks is paced. Refusals are problem details, not run, and hold nothing of what was sent; the log has their number by kind.

Each piece that is parsed ends where a message may end, so that the library parses the same bytes in the same order as before; a test feeds six requests in pieces of each size from 1 to 39.

--- a/sycamoreshed/buffering/budget.py
+++ b/sycamoreshed/buffering/budget.py
@@ -3,9 +3,14 @@
 import collections
 import enum
 
-from sycamoreshed.kernel import kernel
-
-__all__ = ["SMALL_BYTES", "BufferBudget", "Content", "Hold", "max_bytes"]
+__all__ = [
+    "SMALL_BYTES",
+    "BodyHold",
+    "BufferBudget",
+    "Content",
+    "Hold",
+    "max_bytes",
+]
 
 MB = 10**6
 # Share of an instance's memory that bodies and answers may use.  The rest is
@@ -17,6 +22,9 @@
 # A body or answer up to this size is always taken: how many there are is
 # limited by the number of connections.
 SMALL_BYTES = 16 * 1024
+# Memory that a body takes for each of its bytes while the library reads it
+# and a handler decodes it.
+READ_COST = 3
 
 
 class Content(enum.StrEnum):
@@ -166,12 +174,21 @@
         self._sizes.clear()
 
 
-@kernel.plugin("buffers", needs=("gateway_metrics",))
-async def buffers(core):
-    """Provide the `BufferBudget` of this instance."""
-    part = BufferBudget(max_bytes=max_bytes(core.settings.memory_mb))
-    for content in Content:
-        core.part("gateway_metrics").export_held_bytes(
-            content, lambda content=content: part.held(content)
-        )
-    yield part
+class BodyHold:
+    """Bodies that the HTTP library reads for handlers.
+
+    Parameters
+    ----------
+    budget : BufferBudget
+    """
+
+    def __init__(self, *, budget):
+        self._hold = budget.open()
+
+    def try_add(self, size):
+        """Add a part of a body if the budget allows it."""
+        return self._hold.try_add(Content.BODY, size * READ_COST)
+
+    def release(self):
+        """Remove all parts."""
+        self._hold.release()
--- a/sycamoreshed/entry/connections.py
+++ b/sycamoreshed/entry/connections.py
@@ -10,6 +10,7 @@
 __all__ = [
     "ConnectionTable",
     "DescriptorShares",
+    "Limits",
     "descriptor_shares",
     "max_descriptors",
 ]
@@ -79,6 +80,24 @@
     )
 
 
+class Limits(typing.NamedTuple):
+    """What a peer may send, and how long it may take.
+
+    Parameters
+    ----------
+    idle_s : float
+        Seconds without a byte of a request.
+    head_s : float
+        Seconds from the first byte of a request to the end of its head.
+    header_bytes : int
+        Of the request line, and of all header fields together.
+    """
+
+    idle_s: float
+    head_s: float
+    header_bytes: int
+
+
 class ConnectionTable:
     """Open connections by what they wait for.
 
--- a/sycamoreshed/entry/guard.py
+++ b/sycamoreshed/entry/guard.py
@@ -5,6 +5,7 @@
 
 from sycamoreshed.entry import problems
 from sycamoreshed.errors import kinds
+from sycamoreshed.intake import refusals
 from sycamoreshed.kernel import kernel
 
 __all__ = ["handle_errors", "internal_failure", "is_disconnected"]
@@ -35,6 +36,8 @@
         if "Allow" in err.headers:
             answer.headers["Allow"] = err.headers["Allow"]
         return answer
+    except web.RequestPayloadError as err:
+        return problems.response(refusals.failure_of(err))
     except Exception as err:
         if is_disconnected(http):
             # No caller is left to receive an answer.  If raised again, the
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import functools
+import socket
 
 from aiohttp import web
 from loguru import logger
 
+from sycamoreshed.buffering import budget
+from sycamoreshed.buffering import sockets as buffering
 from sycamoreshed.entry import connections
 from sycamoreshed.entry import limitedserver
+from sycamoreshed.entry import problems
+from sycamoreshed.intake import allowance as allowances
+from sycamoreshed.intake import pacing
 from sycamoreshed.kernel import kernel
 
 __all__ = ["drain"]
@@ -15,13 +21,15 @@
 POLL_INTERVAL_S = 0.05
 # Time to write the answers of requests that end at their deadline.
 DEADLINE_MARGIN_S = 1.0
+# Of the request line, and of all header fields together.
 MAX_HEADER_BYTES = 16384
 # For connections without a request, and for the head of a request.
 IDLE_S = 120.0
 HEAD_S = 10.0
+LIMITS = connections.Limits(IDLE_S, HEAD_S, MAX_HEADER_BYTES)
 
 
-async def listen(core, name, max_connections):
+async def listen(core, name, max_connections, *, bodies, pacer):
     """Serve an application on its bound socket and return its runner.
 
     Parameters
@@ -30,23 +38,34 @@
     name : str
         Of the listener, and of its application in `core`.
     max_connections : int
+    bodies : BufferBudget
+    pacer : Pacer
     """
     runner = limitedserver.LimitedAppRunner(
         getattr(core, name),
         make_server=functools.partial(
             limitedserver.LimitedServer,
             max_connections=max_connections,
-            limits=lambda: (IDLE_S, HEAD_S),
+            limits=lambda: LIMITS,
+            allowance=core.part("allowance"),
+            pacer=pacer,
+            make_bodies=functools.partial(budget.BodyHold, budget=bodies),
+            make_refusal=problems.response,
+            report_refused=functools.partial(_report_refused, name),
             report_full=functools.partial(_report_full, name),
             clock=core.clock,
             handler_cancellation=True,
             access_log=None,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
         ),
     )
     await runner.setup()
-    await web.SockSite(runner, core.part("sockets")[name]).start()
+    listening = core.part("sockets")[name]
+    if core.settings.memory_mb is not None:
+        # Connections inherit it.
+        buffering.set_sizes(
+            listening, buffering.BUFFER_BYTES, [socket.SO_RCVBUF]
+        )
+    await web.SockSite(runner, listening).start()
     core.keep_running(
         runner.server.run_sweeping, name=f"close idle {name} connections"
     )
@@ -57,8 +76,13 @@
     logger.bind(listener=name, **counts).warning("too many connections")
 
 
+def _report_refused(name, counts):
+    logger.bind(listener=name, counts=counts).warning("requests refused")
+
+
 @kernel.plugin(
-    "servers", needs=("callers", "note_routes", "operators", "sockets")
+    "servers",
+    needs=("allowance", "callers", "note_routes", "operators", "sockets"),
 )
 async def servers(core):
     """Provide the listening servers, after all routes are added."""
@@ -67,8 +91,20 @@
         functools.partial(_close_when_stopping, core)
     )
     shares = connections.descriptor_shares(connections.max_descriptors())
-    control = await listen(core, "control", shares.instances)
-    public = await listen(core, "public", shares.callers)
+    memory = allowances.memory_bytes(settings.memory_mb)
+    fitting = allowances.max_connections(memory)
+    shared = {
+        "bodies": budget.BufferBudget(
+            max_bytes=int(memory * budget.BUFFER_SHARE)
+        ),
+        "pacer": pacing.Pacer(),
+    }
+    control = await listen(
+        core, "control", min(fitting, shares.instances), **shared
+    )
+    public = await listen(
+        core, "public", min(fitting, shares.callers), **shared
+    )
     logger.bind(public=settings.public, control=settings.control).info(
         "serving"
     )
--- a/sycamoreshed/entry/tests/test_limitedserver.py
+++ b/sycamoreshed/entry/tests/test_limitedserver.py
@@ -1,15 +1,23 @@
 """What a server sends for its handlers."""
 
 import asyncio
+import contextlib
 
+from aiohttp import base_protocol
 from aiohttp import web
+from aiohttp import web_protocol
 import loguru
 import pytest
 
+from sycamoreshed.entry import connections
 from sycamoreshed.entry import guard
 from sycamoreshed.entry import limitedserver
+from sycamoreshed.entry import problems
+from sycamoreshed.intake import allowance
+from sycamoreshed.intake import pacing
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+HEADER_BYTES = 16384
 
 
 async def _begin(http, *, length=None):
@@ -45,12 +53,17 @@
     raise KeyError("broken part")
 
 
-async def exchange(handler, request=REQUEST, *, handler_cancellation=True):
-    """Return what a server sends until it closes the connection."""
+@contextlib.asynccontextmanager
+async def serving(handler, *, handler_cancellation=True):
+    """Run a server; yield it and its address."""
     server = limitedserver.LimitedServer(
         handler,
         max_connections=8,
-        limits=lambda: (60.0, 60.0),
+        limits=lambda: connections.Limits(60.0, 60.0, HEADER_BYTES),
+        allowance=allowance.Allowance(max_bytes=1 << 20),
+        pacer=pacing.Pacer(),
+        make_refusal=problems.response,
+        report_refused=lambda _counts: None,
         report_full=lambda **_counts: None,
         clock=asyncio.get_running_loop().time,
         handler_cancellation=handler_cancellation,
@@ -58,19 +71,29 @@
     runner = web.ServerRunner(server)
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", 0).start()
-    host, port = runner.addresses[0]
-    reader, writer = await asyncio.open_connection(host, port)
-    raw, was_reset = b"", False
     try:
-        writer.write(request)
-        async with asyncio.timeout(5.0):
-            while data := await reader.read(65536):
-                raw += data
-    except ConnectionResetError:
-        was_reset = True
+        yield server, runner.addresses[0]
     finally:
-        writer.close()
         await runner.cleanup()
+
+
+async def exchange(handler, request=REQUEST, *, handler_cancellation=True):
+    """Return what a server sends until it closes the connection."""
+    raw, was_reset = b"", False
+    async with serving(handler, handler_cancellation=handler_cancellation) as (
+        _,
+        address,
+    ):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(request)
+            async with asyncio.timeout(5.0):
+                while data := await reader.read(65536):
+                    raw += data
+        except ConnectionResetError:
+            was_reset = True
+        finally:
+            writer.close()
     return raw, was_reset
 
 
@@ -109,3 +132,97 @@
     raw, was_reset = await exchange(return_other, b"GET / HTTP/1.0\r\n\r\n")
     assert raw.count(b"HTTP/1.") == 1
     assert was_reset
+
+
+async def answer(_http):
+    """Answer a request."""
+    return web.Response(text="whole")
+
+
+@pytest.mark.parametrize(
+    "sent, status",
+    [
+        (b"\x16\x03\x01" + bytes(100), 400),
+        (b"GET / HTTP/9.9\r\n\r\n", 400),
+        (REQUEST[:-2] + b"X: " + 3 * HEADER_BYTES * b"a", 431),
+        (REQUEST[:-2] + 3 * HEADER_BYTES * b"a:b\r\n", 431),
+    ],
+    ids=["other protocol", "version", "field", "fields"],
+)
+async def test_refusal_tells_its_kind_and_nothing_that_was_sent(sent, status):
+    """Refusals and their tracebacks repeated up to 100 kB of the input."""
+    logged = []
+    sink = loguru.logger.add(logged.append, level="WARNING")
+    raw, was_reset = await exchange(answer, sent)
+    loguru.logger.remove(sink)
+    head, _, body = raw.partition(b"\r\n\r\n")
+    assert int(head.split()[1]) == status
+    assert b"keep-alive" not in head.lower()
+    assert b"application/problem+json" in head
+    assert b"aaaa" not in body
+    assert len(raw) < 1000
+    assert not was_reset
+    assert logged == []
+
+
+async def test_request_is_answered_whatever_follows_it():
+    """Bytes after a request cost its response."""
+    raw, _ = await exchange(answer, REQUEST + b"\x00\x01 no request\r\n\r\n")
+    assert raw.startswith(b"HTTP/1.1 200 ")
+    assert raw.endswith(b"whole")
+
+
+async def test_requests_sent_ahead_are_all_answered():
+    """Input that is read ahead is bounded, and nothing of it is lost."""
+    count = 2000
+    raw, _ = await exchange(
+        answer, count * REQUEST + REQUEST[:-2] + b"Connection: close\r\n\r\n"
+    )
+    assert raw.count(b"HTTP/1.1 200 ") == count + 1
+
+
+@pytest.mark.parametrize("leave", ["close", "abort"])
+async def test_peer_that_leaves_while_it_is_not_read_is_noticed(leave):
+    """Connections whose input was not read stayed open without a peer."""
+    ended = asyncio.Event()
+
+    async def wait(_http):
+        try:
+            await asyncio.sleep(60.0)
+        finally:
+            ended.set()
+
+    async with serving(wait) as (server, address):
+        sweeping = asyncio.create_task(server.run_sweeping())
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(2000 * REQUEST)
+        await asyncio.sleep(0.2)
+        assert server.open_count == 1
+        getattr(writer.transport, leave)()
+        async with asyncio.timeout(10.0):
+            await ended.wait()
+        sweeping.cancel()
+        await asyncio.gather(sweeping, return_exceptions=True)
+
+
+def test_library_has_the_hooks_that_are_used():
+    """Another version of the library would silently skip them."""
+    handler = web_protocol.RequestHandler
+    for name in (
+        "connection_lost",
+        "connection_made",
+        "data_received",
+        "finish_response",
+        "force_close",
+        "handle_error",
+    ):
+        assert name in vars(handler)
+    assert {"_close", "_messages"} <= set(handler.__slots__)
+    base = base_protocol.BaseProtocol
+    assert {
+        "_buffer_paused",
+        "_parser",
+        "_reading_paused",
+    } <= set(base.__slots__)
+    assert hasattr(base, "_pause_transport_reading")
+    assert hasattr(base, "_resume_transport_reading")
--- a/sycamoreshed/errors/kinds.py
+++ b/sycamoreshed/errors/kinds.py
@@ -26,6 +26,7 @@
 
     BAD_REQUEST = "bad-request"
     TOO_LARGE = "too-large"
+    HEAD_TOO_LARGE = "head-too-large"
     # Of the caller: an unknown API key.
     UNKNOWN_KEY = "unknown-key"
     UNKNOWN_TEAM = "unknown-team"
@@ -127,6 +128,9 @@
 ANSWERS = {
     Kind.BAD_REQUEST: Answer(400, "Bad request", Outcome.NOT_RUN),
     Kind.TOO_LARGE: Answer(413, "Request too large", Outcome.NOT_RUN),
+    Kind.HEAD_TOO_LARGE: Answer(
+        431, "Request head too large", Outcome.NOT_RUN
+    ),
     Kind.UNKNOWN_KEY: Answer(401, "Unknown key", Outcome.NOT_RUN),
     Kind.UNKNOWN_TEAM: Answer(403, "Unknown team", Outcome.NOT_RUN),
     Kind.NOT_ASSIGNED: Answer(
--- a/sycamoreshed/gateway/callerbodies.py
+++ b/sycamoreshed/gateway/callerbodies.py
@@ -6,6 +6,7 @@
 
 from sycamoreshed.buffering import budget
 from sycamoreshed.errors import kinds
+from sycamoreshed.intake import refusals
 
 __all__ = ["read"]
 
@@ -43,6 +44,6 @@
                 chunks.append(chunk)
     except TimeoutError:
         return kinds.Failure(kinds.Kind.LATE, "the body did not come")
-    except web.RequestPayloadError:
-        return kinds.Failure(kinds.Kind.BAD_REQUEST, "body is not whole")
+    except web.RequestPayloadError as err:
+        return refusals.failure_of(err)
     return b"".join(chunks)
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -8,9 +8,8 @@
 import time
 
 from sycamoreshed.adapters import web  # noqa: F401
-from sycamoreshed.buffering import budget as buffer_budget  # noqa: F401
+from sycamoreshed.buffering import buffers  # noqa: F401
 from sycamoreshed.buffering import slowreaders  # noqa: F401
-from sycamoreshed.buffering import sockets as socket_buffers  # noqa: F401
 from sycamoreshed.catalog import catalog  # noqa: F401
 from sycamoreshed.catalog import confirming  # noqa: F401
 from sycamoreshed.catalog import following  # noqa: F401
--- a/sycamoreshed/gateway/error_responses.py
+++ b/sycamoreshed/gateway/error_responses.py
@@ -21,6 +21,7 @@
     (
         kinds.Kind.BAD_REQUEST,
         kinds.Kind.TOO_LARGE,
+        kinds.Kind.HEAD_TOO_LARGE,
         kinds.Kind.UNKNOWN_KEY,
         kinds.Kind.UNKNOWN_PATH,
     )
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import functools
+import socket
 
 from aiohttp import web
 
+from sycamoreshed.buffering import budget
 from sycamoreshed.buffering import sockets as buffering
 from sycamoreshed.catalog import types
 from sycamoreshed.entry import connections
 from sycamoreshed.entry import limitedserver
+from sycamoreshed.gateway import error_responses
+from sycamoreshed.gateway import handler
+from sycamoreshed.intake import allowance as allowances
+from sycamoreshed.intake import pacing
 from sycamoreshed.kernel import kernel
 
 __all__ = ["drain"]
@@ -20,8 +26,8 @@
 PEER_HEAD_S = 5.0
 # The load balancer has one connection open at a time.
 MAX_READINESS_CONNECTIONS = 16
-# Of the request line, and of each header field.
-MAX_HEADER_BYTES = 32768
+# Of the request line, and of all header fields of another instance.
+PEER_HEADER_BYTES = 32768
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 ACCEPT_S = 3.2
@@ -36,6 +42,8 @@
 @kernel.plugin(
     "listeners",
     needs=(
+        "allowance",
+        "buffers",
         "catalog",
         "gateway_metrics",
         "handler",
@@ -52,27 +60,42 @@
         core.settings.max_descriptors
     )
     shares = connections.descriptor_shares(max_descriptors)
+    fitting = allowances.max_connections(
+        allowances.memory_bytes(core.settings.memory_mb)
+    )
     # Connections inherit them.
-    buffering.set_sizes(sockets["public"], core.part("socket_buffers"))
+    buffer_bytes = core.part("socket_buffers")
+    buffering.set_sizes(sockets["public"], buffer_bytes)
+    for name in ("control", "ready"):
+        # Instances send each other tables, which may be long.
+        buffering.set_sizes(sockets[name], buffer_bytes, [socket.SO_RCVBUF])
     options = {}
     if core.settings.memory_mb is not None:
         options["read_bufsize"] = READ_AHEAD_BYTES
 
-    def make_server(name, max_connections, limits):
+    journal = core.part("journal")
+    pacer = pacing.Pacer()
+
+    def make_server(name, max_connections, limits, make_bodies=None):
         return functools.partial(
             limitedserver.LimitedServer,
-            max_connections=max_connections,
+            max_connections=min(max_connections, fitting),
             limits=limits,
+            allowance=core.part("allowance"),
+            pacer=pacer,
+            make_bodies=make_bodies,
+            make_refusal=_refusal,
+            report_refused=lambda counts: journal.write(
+                "requests_refused", listener=name, counts=counts
+            ),
             report_full=functools.partial(
-                core.part("journal").write, "connections_full", listener=name
+                journal.write, "connections_full", listener=name
             ),
             clock=core.clock,
             handler_cancellation=True,
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
             auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
             **options,
         )
 
@@ -80,7 +103,14 @@
     runners = {
         "control": limitedserver.LimitedAppRunner(
             core.control,
-            make_server=make_server("control", shares.instances, _peer_limits),
+            make_server=make_server(
+                "control",
+                shares.instances,
+                _peer_limits,
+                make_bodies=functools.partial(
+                    budget.BodyHold, budget=core.part("buffers")
+                ),
+            ),
             shutdown_timeout=0,
         ),
         "public": web.ServerRunner(
@@ -116,14 +146,25 @@
 
 
 def _caller_limits(catalog):
-    """Return the seconds that callers may be idle, and send a head."""
+    """Return the limits of callers in the configuration in force."""
     configuration = catalog.configuration
     limits = configuration.limits if configuration else types.Limits()
-    return limits.idle_s, limits.head_s
+    return connections.Limits(
+        idle_s=limits.idle_s,
+        head_s=limits.head_s,
+        header_bytes=limits.header_bytes,
+    )
 
 
 def _peer_limits():
-    return KEEPALIVE_S, PEER_HEAD_S
+    return connections.Limits(KEEPALIVE_S, PEER_HEAD_S, PEER_HEADER_BYTES)
+
+
+def _refusal(failure):
+    """Return the response to a request that no handler has."""
+    return error_responses.error_response(
+        failure, None, handler.MIN_RETRY_AFTER_S
+    )
 
 
 def _readiness(core):
@@ -150,19 +191,19 @@
     """
     await core.stopping.wait()
     started_at = core.clock()
-    handler = core.part("handler")
+    requests = core.part("handler")
     journal = core.part("journal")
-    journal.write("stop", in_flight=handler.in_flight)
+    journal.write("stop", in_flight=requests.in_flight)
     deadline = started_at + core.settings.grace_s - WRITE_MARGIN_S
     core.part("stop_deadline").set(deadline)
     await asyncio.sleep(min(ACCEPT_S, core.settings.grace_s / 2))
-    await handler.wait_until_read()
-    handler.is_accepting = False
+    await requests.wait_until_read()
+    requests.is_accepting = False
     control = core.part("inner")
-    while handler.in_flight + control.in_flight and core.clock() < deadline:
+    while requests.in_flight + control.in_flight and core.clock() < deadline:
         await asyncio.sleep(POLL_S)
     journal.write(
         "stopped",
-        in_flight=handler.in_flight,
+        in_flight=requests.in_flight,
         took_s=round(core.clock() - started_at, 3),
     )
--- /dev/null
+++ b/sycamoreshed/intake/__init__.py
@@ -0,0 +1,1 @@
+"""What connections make a process keep before a handler reads it."""
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -50,6 +50,13 @@
         "a listener has as many connections as it may; how many were closed "
         "for new ones, or as they came, since the last such line",
     ),
+    "requests_refused": Event(
+        EventClass.STATE,
+        "listener, counts",
+        "requests were refused before a handler had them: how many since the "
+        "last such line, by kind of failure; `no-memory` counts connections "
+        "that had to yield as well",
+    ),
     "reload": Event(
         EventClass.STATE,
         "taken, after_restart",
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -90,6 +90,7 @@
     order_look_s: typing.NotRequired[NonNegative]
     loads_at_once: typing.NotRequired[PositiveInt]
     weight_rate: typing.NotRequired[NonNegative]
+    memory_mb: typing.NotRequired[PositiveInt]
     log_level: typing.NotRequired[LogLevel]
 
 
@@ -157,6 +158,8 @@
     weight_rate : float
         Maximum bytes per second that a zone loads from the weight store;
         zero for no limit.
+    memory_mb : int or None
+        Memory that this instance may use; that of the machine if not set.
     log_level : str
         Lowest level that is logged.
     """
@@ -192,6 +195,7 @@
     order_look_s: float = 15.0
     loads_at_once: int = 4
     weight_rate: float = 0.0
+    memory_mb: int | None = None
     log_level: str = "INFO"
 
 
--- a/tests/isolated/test_misbehaving_clients.py
+++ b/tests/isolated/test_misbehaving_clients.py
@@ -14,6 +14,7 @@
 from standins import platformstore
 from testkit import held
 from testkit import misbehaving
+from testkit import processes
 from testkit import wiredata
 from tests.integration import harness
 
@@ -62,6 +63,10 @@
     ask: typing.Callable
 
 
+def _target(address, path, **headers):
+    return misbehaving.Target(address, path, {"Host": address, **headers})
+
+
 async def _status(session, address, path):
     async with session.get(f"http://{address}{path}") as answer:
         await answer.read()
@@ -109,11 +114,39 @@
     await store.stop()
 
 
-DAEMONS = {"forwarding": forwarding}
+@contextlib.asynccontextmanager
+async def pipelines(listener, folder):
+    """Run a daemon of pipelines; yield a `Subject`."""
+    async with processes.cluster(memory_mb=MEMORY_MB) as cluster:
+        daemon = cluster.daemons[0]
+        await daemon.wait_ready()
+        address = daemon.document[listener]
+
+        async def ask():
+            if listener == "public":
+                status, _, _ = await cluster.call(0, "catalogue", {"input": 1})
+                return status
+            return await _status(cluster.session, address, "/control/status")
+
+        path = {
+            "public": "/v1/pipelines/catalogue",
+            "control": "/control/notes",
+        }[listener]
+        yield Subject(
+            daemon.process,
+            _target(address, path, Team="gaucho"),
+            daemon.log,
+            ask,
+        )
+
+
+DAEMONS = {"forwarding": forwarding, "pipelines": pipelines}
 CASES = [
     *(("forwarding", "public", form) for form in CALLERS_FORMS),
     *(("forwarding", "control", form) for form in OTHER_FORMS),
     *(("forwarding", "ready", form) for form in OTHER_FORMS),
+    *(("pipelines", "public", form) for form in OTHER_FORMS),
+    *(("pipelines", "control", form) for form in OTHER_FORMS),
 ]
 
 
