Count numbers as missing that are too large for any header

A caller that sent a deadline of 400 digits got status 500 and a closed connection, and so did one with 5,000 digits in its prompt's parts.

Cause: an integer too large for a float raised OverflowError, one of more than 4,300 digits ValueError, in the head of a request and outside of what handles errors there. The traceback was logged, and the number of requests in flight stayed too high, so that a stop waited until its deadline.

Numbers of more than 15 digits count as missing, as others do that cannot be parsed. The first 256 parts of a prompt are looked at, with ids up to 64 characters, since what they make an instance keep is not counted; what is forwarded stays as it was sent.

--- a/sycamoreshed/platform/calls.py
+++ b/sycamoreshed/platform/calls.py
@@ -38,6 +38,12 @@
 # Statuses of an endpoint without room.
 _FULL_STATUSES = (429, 503)
 _MIN_FAILED_STATUS = 500
+# Of the numbers in a request's headers.
+MAX_DIGITS = 15
+# Of the ids of parts of a prompt, and of the parts that are used to choose an
+# engine; what is forwarded has no such limit.
+MAX_PART_CHARS = 64
+MAX_PARTS = 256
 
 
 class Head(typing.NamedTuple):
@@ -99,8 +105,9 @@
 def parse_head(headers):
     """Parse the headers of a request into a `Head`.
 
-    Numbers that cannot be parsed count as missing, and invalid parts of a
-    prefix are skipped: the endpoint checks the forwarded headers too.
+    Numbers that cannot be parsed, or are larger than any number of tokens or
+    milliseconds, count as missing, and invalid parts of a prefix are skipped:
+    the endpoint checks the forwarded headers too.
     """
     authorization = headers.get(names.AUTHORIZATION, "")
     key = None
@@ -125,17 +132,22 @@
 
 
 def _parse_numbers(text):
+    parts = [part.strip() for part in text.split(",")]
+    if max(map(len, parts)) > MAX_DIGITS:
+        return ()
     try:
-        return tuple(int(part) for part in text.split(",") if part.strip())
+        return tuple(int(part) for part in parts if part)
     except ValueError:
         return ()
 
 
 def _parse_prefix(text):
     parts = []
-    for part in text.split(","):
+    for part in text.split(",", MAX_PARTS)[:MAX_PARTS]:
         name, _, tokens = part.strip().partition(":")
-        if name and tokens.isdecimal():
+        if not 0 < len(name) <= MAX_PART_CHARS:
+            continue
+        if tokens.isdecimal() and len(tokens) <= MAX_DIGITS:
             parts.append((name, int(tokens)))
     return tuple(parts)
 
--- a/sycamoreshed/platform/tests/test_calls.py
+++ b/sycamoreshed/platform/tests/test_calls.py
@@ -4,6 +4,7 @@
 import pytest
 
 from sycamoreshed.platform import calls
+from sycamoreshed.platform import names
 from sycamoreshed.staging import pieces
 from testkit import wiredata
 
@@ -136,3 +137,30 @@
     """Any answer with the header took an endpoint out of use."""
     headers = multidict.CIMultiDict({"Retry-After": "3"})
     assert (calls.rest_s(status, headers, 0.0) is not None) == is_rest
+
+
+@pytest.mark.parametrize(
+    "text", ["9" * 400, "9" * 5000, "1,nine", "1e400", "nan"]
+)
+def test_numbers_that_cannot_be_used_count_as_missing(text):
+    """An error in the head of a request was logged as one of ours."""
+    head = calls.parse_head(
+        {
+            names.DEADLINE_MS: text,
+            names.TOKENS: text,
+            names.PIECES: text,
+            names.PREFIX: f"a1:{text},b2:7",
+        }
+    )
+    assert head.deadline_s is None
+    assert (head.prompt_tokens, head.pieces) == (0, ())
+    assert head.prefix[-1] == ("b2", 7)
+    assert all(tokens < 10**15 for _, tokens in head.prefix)
+
+
+def test_prefix_of_many_parts_takes_little():
+    """Ids and numbers of parts were kept, however many and long."""
+    parts = [f"{number:x}:1" for number in range(3000)]
+    head = calls.parse_head({names.PREFIX: ",".join(["f" * 200, *parts])})
+    assert len(head.prefix) < 300
+    assert max(len(name) for name, _ in head.prefix) <= 64
