Shorten log lines that are long because of what a caller sent

Each of several lines for a request repeated an id of 15 kB: 15,217 bytes a line, as many as the caller liked.

Cause: lines hold values of requests as they are. What endpoints get does not change.

--- a/sycamoreshed/observe/journal.py
+++ b/sycamoreshed/observe/journal.py
@@ -15,6 +15,7 @@
 
 from sycamoreshed.kernel import kernel
 from sycamoreshed.observe import events
+from sycamoreshed.observe import shortening
 
 __all__ = ["Journal"]
 
@@ -38,6 +39,8 @@
 # Delay after a write that the reader did not fully accept.
 BLOCKED_RETRY_S = 0.5
 DROPPED_REPORT_INTERVAL_S = 5.0
+# Lines that are longer are shortened.
+MAX_LINE_BYTES = 2048
 
 _encode = msgspec.json.Encoder(enc_hook=str).encode
 
@@ -97,14 +100,15 @@
         if self._buffered_bytes > BUFFER_BYTES * BUFFER_SHARES[event_class]:
             self._dropped[event_class.name] += 1
             return
-        line = _encode(
-            {
-                "t": round(self._clock(), 4),
-                "at": self._instance,
-                "event": name,
-                **fields,
-            }
-        )
+        document = {
+            "t": round(self._clock(), 4),
+            "at": self._instance,
+            "event": name,
+            **fields,
+        }
+        line = _encode(document)
+        if len(line) > MAX_LINE_BYTES:
+            line = _encode(shortening.shorten(document))
         self._lines.append(line + b"\n")
         self._buffered_bytes += len(line) + 1
         if event_class >= events.EventClass.FAILURE:
--- a/sycamoreshed/observe/logs.py
+++ b/sycamoreshed/observe/logs.py
@@ -7,12 +7,15 @@
 import msgspec
 
 from sycamoreshed.kernel import kernel
+from sycamoreshed.observe import shortening
 
 __all__ = ["DecisionLog", "set_up"]
 
 # Writing a line for each decision of a burst would slow down the requests.
 # Lines beyond this rate are counted, and the count is logged instead.
 LINES_PER_SECOND = 2000
+# Lines that are longer are shortened.
+MAX_LINE_BYTES = 4096
 
 # Levels passed to loguru by name, others by number.
 _NAMED_LEVELS = {logging.WARNING, logging.ERROR, logging.CRITICAL}
@@ -27,7 +30,10 @@
     }
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
-    return msgspec.json.encode(line, enc_hook=str).decode()
+    encoded = msgspec.json.encode(line, enc_hook=str)
+    if len(encoded) > MAX_LINE_BYTES:
+        encoded = msgspec.json.encode(shortening.shorten(line), enc_hook=str)
+    return encoded.decode()
 
 
 def _sink(message):
--- a/sycamoreshed/observe/tests/test_journal.py
+++ b/sycamoreshed/observe/tests/test_journal.py
@@ -103,3 +103,15 @@
         fields = [field.strip() for field in event.fields.split(",")]
         assert len(fields) == len(set(fields)), name
         assert event.when
+
+
+async def test_long_values_make_no_long_lines():
+    """Each line of a request repeated an id of 16 kB."""
+    reader, writer = pipe()
+    log = journal.Journal(instance="edge-1", fd=writer, clock=lambda: 7.0)
+    log.write("start", boot="b" * 16_000, pid=[["p" * 9000] * 200])
+    log.flush()
+    (line,) = read_lines(reader)
+    assert line["event"] == "start"
+    assert line["boot"].startswith("bbb")
+    assert len(json.dumps(line)) < 16_000
--- a/sycamoreshed/observe/tests/test_logs.py
+++ b/sycamoreshed/observe/tests/test_logs.py
@@ -78,3 +78,11 @@
     assert (line["level"], line["library"]) == ("ERROR", "aiohttp.server")
     assert line["message"] == "Error handling {request}"
     assert "{broken}" in line["exception"]
+
+
+def test_long_values_make_no_long_lines(lines):
+    """A line repeated all that a caller had sent."""
+    logs.logger.bind(path="/" + "p" * 16_000).warning("x" * 16_000)
+    (line,) = lines()
+    assert line["path"].startswith("/ppp")
+    assert len(json.dumps(line)) < 1000
