Answer 400 to messages between instances that cannot be decoded

Whoever sent a malformed message to the control address got status 500, and each such message wrote a traceback to the log.

Cause: errors of decoding, a missing parameter and a table that is not there were not expected. They are the sender's errors now: 400, and 413 for a body that is too large, without a line in the log.

--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from aiohttp import web
+from sycamoreshed.adapters import bodies
 from sycamoreshed.adapters import decoding
 from sycamoreshed.adapters import positions
 from sycamoreshed.catalog import following
@@ -79,9 +80,11 @@
 
     async def table_update(self, http):
         """Return what is newer than the requester's copy of a table."""
-        table = http.query["table"]
+        table = _query(http, "table")
+        if table not in self._catalog.tables:
+            raise web.HTTPBadRequest(text=f"no table {table[:80]!r}")
         try:
-            after = positions.parse(http.query["after"])
+            after = positions.parse(_query(http, "after"))
         except ValueError as err:
             # An instance of another version of the program may ask so.
             raise web.HTTPBadRequest(text=str(err)) from err
@@ -118,7 +121,7 @@
             return _json(
                 await self._stages.run_locally(
                     job,
-                    http.query["zone"],
+                    _query(http, "zone"),
                     delegation.decode_origin(http.query),
                 )
             )
@@ -138,7 +141,7 @@
         freed = decoding.decode(
             await http.read(), list[delegation.FreedResult]
         )
-        self._stages.free_locally(http.query["zone"], freed)
+        self._stages.free_locally(_query(http, "zone"), freed)
         return web.Response(status=204)
 
     async def origins(self, http):
@@ -173,6 +176,27 @@
         return _json(self._status())
 
 
+@web.middleware
+async def reject_malformed(http, handler):
+    """Answer 400 to what is no message of another instance."""
+    try:
+        return await handler(http)
+    except (msgspec.MsgspecError, web.RequestPayloadError) as err:
+        raise web.HTTPBadRequest(text="malformed message") from err
+    except bodies.BodyTooLargeError as err:
+        raise web.HTTPRequestEntityTooLarge(
+            bodies.MAX_BODY_BYTES, http.content_length
+        ) from err
+
+
+def _query(http, name):
+    """Return a parameter of a request's address."""
+    try:
+        return http.query[name]
+    except KeyError as err:
+        raise web.HTTPBadRequest(text=f"no {name!r} in the query") from err
+
+
 def _json(document):
     return web.Response(
         body=msgspec.json.encode(document), content_type="application/json"
@@ -277,6 +301,7 @@
         status=status,
     )
     _export_gauges(core)
+    core.control.middlewares.append(reject_malformed)
     core.control.router.add_get(following.PATH, handlers.table_update)
     core.control.router.add_post(relay.PATH, handlers.watch)
     core.control.router.add_post(exchanges.PATH, handlers.findings)
