Refuse requests for more pieces than an engine could be told of

A request for a million pieces got 503 and a time to come back, though it can never be served, and one for -1 pieces got 502, which says that it may have run.

Cause: the number of pieces was only compared with the number of stages, and the rest was left to the estimates of the stages' work. Over 10,000 pieces of a request, whose results would not fit into the head of a request to an engine, or a negative number, are answered with 400, not run.

Ruled out: that the pieces are planned one by one; nine million took no memory (50 MB before and after).

Evidence: test_request_for_too_many_pieces_is_refused failed before (503).

--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -32,6 +32,9 @@
 # Rounds of stages and attempts: results may expire before an engine fetches
 # them.  Stage runs for a retry within a round are not counted.
 MAX_ROUNDS = 2
+# Pieces of all stages of a request; the results of that many cannot be named
+# in the head of a request to an engine.
+MAX_PIECES = 10_000
 
 
 class _Plan(typing.NamedTuple):
@@ -316,6 +319,10 @@
             return kinds.Failure(
                 kinds.Kind.BAD_REQUEST, "pieces do not match the stages"
             )
+        if min(counts) < 0 or sum(counts) > MAX_PIECES:
+            return kinds.Failure(
+                kinds.Kind.BAD_REQUEST, "too many pieces, or a negative number"
+            )
         now = self._parts.clock()
         stages_target_s = request.route.target_s * STAGES_TARGET_SHARE
         target_s = (
--- a/tests/isolated/test_limits_of_requests.py
+++ b/tests/isolated/test_limits_of_requests.py
@@ -229,7 +229,7 @@
 
 
 async def test_request_for_too_many_pieces_is_refused(store, tmp_path):
-    """A few digits made an instance plan a million pieces of work."""
+    """Callers were told to come again, or that it may have run."""
     stages = [{"service": "first", "after": [], "size_bytes": 8000}]
     route = wiredata.route(stages=stages, timeout_ms=15_000)
     services = [wiredata.service(), wiredata.piece_service("first")]
