Keep and tell long ids of streams as a digest

An instance keeps what began each of up to 50,000 streams, by the id of its first request, and tells it to others. Ids may be as long as a head, so that 16 kB ids would take 800 MB. By reading; not reproduced with processes.

Ids over 128 characters are known by a digest of 128 bits. Others stay as they are, in messages and rows as well.

--- a/sycamoreshed/resumption/origins.py
+++ b/sycamoreshed/resumption/origins.py
@@ -3,12 +3,16 @@
 import collections
 import typing
 
-__all__ = ["Entry", "Origin", "OriginTable"]
+import xxhash
+
+__all__ = ["Entry", "Origin", "OriginTable", "stream_key"]
 
 # Longer than the deadline of any caller of a stream.
 TTL_S = 60.0
 # The oldest entries are dropped above this number.
 MAX_ENTRIES = 50_000
+# Longer ids of streams are kept and told as a digest.
+MAX_ID_CHARS = 128
 
 
 class Origin(typing.NamedTuple):
@@ -39,6 +43,23 @@
     origin: Origin
 
 
+def stream_key(request_id):
+    """Return what a stream is known by, given the id of its first request.
+
+    Examples
+    --------
+    >>> stream_key("9c41d07be2a35f68")
+    '9c41d07be2a35f68'
+    >>> len(stream_key(16_000 * "a"))
+    32
+    """
+    if len(request_id) <= MAX_ID_CHARS:
+        return request_id
+    return xxhash.xxh3_128_hexdigest(
+        request_id.encode("utf-8", "surrogateescape")
+    )
+
+
 class _Known(typing.NamedTuple):
     origin: Origin
     expires_at: float
--- a/sycamoreshed/resumption/resumption.py
+++ b/sycamoreshed/resumption/resumption.py
@@ -89,7 +89,8 @@
         if not request.route.resumable or _goes_on(request):
             return []
         listed = self._history.stored(request.service, now)
-        if len(listed) > 1 and not self.replicator.can_record(request.id, now):
+        stream = origins.stream_key(request.id)
+        if len(listed) > 1 and not self.replicator.can_record(stream, now):
             return listed[:1]
         serving = self._catalog.software_versions(request.service, now)
         return [] if serving.issubset(listed) else listed
@@ -108,7 +109,7 @@
         if stream is None:
             return True
         return await self.replicator.record(
-            stream,
+            origins.stream_key(stream),
             origin,
             is_ambiguous=len(request.route.services) > 1,
             is_new=not _goes_on(request),
@@ -137,7 +138,7 @@
         found = kinds.Failure(kinds.Kind.REFUSED, "no request is named")
         if head.resumes is not None:
             found = await self.finder.find(
-                lookup.Question(head.resumes, service)
+                lookup.Question(origins.stream_key(head.resumes), service)
             )
         if (
             isinstance(found, kinds.Failure)
