Take a body that is nested too deeply for a malformed one

Callers of a pipeline got status 500, and each such body wrote an error to the log.

Cause: the decoder raises RecursionError for it, which is no DecodeError. The check of documents uses the one decoder that raises one kind of error.

--- a/sycamoreshed/settings/checking.py
+++ b/sycamoreshed/settings/checking.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from sycamoreshed.adapters import decoding
 from sycamoreshed import exceptions
 
 __all__ = ["convert", "decode", "read"]
@@ -57,7 +58,7 @@
         With the path in the document and what was expected there.
     """
     try:
-        document = msgspec.json.decode(raw)
+        document = decoding.decode(raw)
     except msgspec.DecodeError as err:
         raise exceptions.CheckError(
             source=source, path="$", expected=f"expected JSON ({err})"
