Count bodies by what the library makes of them

A compressed body of a kilobyte takes a megabyte at the daemon of pipelines, whose library decompresses bodies, and counted as a kilobyte.

With it comes a test that a body which does not come is refused and its memory released.

--- a/sycamoreshed/entry/tests/test_limitedserver.py
+++ b/sycamoreshed/entry/tests/test_limitedserver.py
@@ -9,6 +9,7 @@
 import loguru
 import pytest
 
+from sycamoreshed.buffering import budget
 from sycamoreshed.entry import connections
 from sycamoreshed.entry import guard
 from sycamoreshed.entry import limitedserver
@@ -54,7 +55,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(handler, *, handler_cancellation=True):
+async def serving(handler, *, handler_cancellation=True, make_bodies=None):
     """Run a server; yield it and its address."""
     server = limitedserver.LimitedServer(
         handler,
@@ -62,6 +63,7 @@
         limits=lambda: connections.Limits(60.0, 60.0, HEADER_BYTES),
         allowance=allowance.Allowance(max_bytes=1 << 20),
         pacer=pacing.Pacer(),
+        make_bodies=make_bodies,
         make_refusal=problems.response,
         report_refused=lambda _counts: None,
         report_full=lambda **_counts: None,
@@ -220,6 +222,33 @@
         await asyncio.gather(sweeping, return_exceptions=True)
 
 
+async def test_body_that_does_not_come_is_refused(monkeypatch):
+    """A body without end kept its connection and what had come of it."""
+    monkeypatch.setattr(limitedserver, "BODY_S", 0.1)
+
+    async def read(http):
+        return web.Response(body=await http.read())
+
+    bodies = budget.BufferBudget(max_bytes=1 << 20)
+    async with serving(
+        read, make_bodies=lambda: budget.BodyHold(budget=bodies)
+    ) as (server, address):
+        sweeping = asyncio.create_task(server.run_sweeping())
+        reader, writer = await asyncio.open_connection(*address)
+        length = b"Content-Length: 100000\r\n\r\n"
+        writer.write(REQUEST[:-2] + length + 50_000 * b"b")
+        async with asyncio.timeout(10.0):
+            raw = await reader.readuntil(b"\r\n\r\n")
+        assert int(raw.split()[1]) == 400
+        writer.close()
+        async with asyncio.timeout(10.0):
+            while server.open_count:
+                await asyncio.sleep(0.05)
+        assert bodies.held(budget.Content.BODY) == 0
+        sweeping.cancel()
+        await asyncio.gather(sweeping, return_exceptions=True)
+
+
 def test_library_has_the_hooks_that_are_used():
     """Another version of the library would silently skip them."""
     handler = web_protocol.RequestHandler
--- a/sycamoreshed/intake/parsing.py
+++ b/sycamoreshed/intake/parsing.py
@@ -171,7 +171,7 @@
         self._is_paced = False
 
     def drop(self):
-        """Drop what waits, and all further input."""
+        """Drop what waits, and all further input, without an answer to it."""
         self.is_done = True
         self._pending.clear()
         # It keeps the fields of a head or of trailers that are not whole.
@@ -324,7 +324,8 @@
 
     def _feed_body(self, piece):
         payload = self._payload
-        before = payload.total_raw_bytes
+        raw_before = payload.total_raw_bytes
+        before = payload.total_bytes
         try:
             self._feed(piece)
         except refusals.HeadRefused as err:
@@ -335,8 +336,10 @@
             self.drop()
             payload.feed_eof()
             return
-        arrived = payload.total_raw_bytes - before
-        if self._bodies is not None and not self._bodies.try_add(arrived):
+        arrived = payload.total_raw_bytes - raw_before
+        # More if the library decompresses it.
+        size = max(arrived, payload.total_bytes - before)
+        if self._bodies is not None and not self._bodies.try_add(size):
             self._refuse_body(refusals.NO_MEMORY)
         if self._is_chunked and not self.is_done:
             self._check_framing(piece, arrived)
--- a/sycamoreshed/intake/tests/builders.py
+++ b/sycamoreshed/intake/tests/builders.py
@@ -39,9 +39,18 @@
         Whether costly input has to wait.
     bodies : object, optional
         As for `BoundedParser`.
+    auto_decompress : bool
+        Whether the library decompresses bodies.
     """
 
-    def __init__(self, *, max_bytes=1 << 20, pauses=False, bodies=None):
+    def __init__(
+        self,
+        *,
+        max_bytes=1 << 20,
+        pauses=False,
+        bodies=None,
+        auto_decompress=False,
+    ):
         self.held = (0, 0)
         self.units = 0
         self._pauses = pauses
@@ -55,7 +64,7 @@
                 max_field_size=parsing.LIBRARY_MAX,
                 max_headers=parsing.LIBRARY_MAX,
                 payload_exception=web_protocol.RequestPayloadError,
-                auto_decompress=False,
+                auto_decompress=auto_decompress,
                 max_msg_queue_size=32,
             ),
             max_head_bytes=lambda: HEADER_BYTES,
--- a/sycamoreshed/intake/tests/test_parsing.py
+++ b/sycamoreshed/intake/tests/test_parsing.py
@@ -1,5 +1,7 @@
 """What a connection may make a parser keep."""
 
+import gzip
+
 import pytest
 
 from sycamoreshed.intake import refusals
@@ -179,6 +181,18 @@
     assert caught.value.failure is refusals.NO_MEMORY
 
 
+async def test_decompressed_body_is_counted():
+    """A body of a few bytes may become one of megabytes."""
+    made = builders.make_input(bodies=Bodies(100_000), auto_decompress=True)
+    body = gzip.compress(bytes(1_000_000))
+    head = b"POST /z HTTP/1.1\r\nHost: h\r\nContent-Encoding: gzip\r\n"
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    ((_, payload),) = made.parser.feed_data(head + length + body)[0]
+    with pytest.raises(refusals.BodyRefused) as caught:
+        await payload.read()
+    assert caught.value.failure is refusals.NO_MEMORY
+
+
 async def test_body_of_tiny_chunks_is_paced():
     """Chunks of one byte took all of the processor's time."""
     made = builders.make_input(pauses=True)
