Read longer heads while no configuration is known

Until an instance knows a configuration it took the default limit of heads for the operator's: a caller with a longer head would get 431 and not come again, in place of 503. Heads of up to 64 kB are read until then.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -28,6 +28,8 @@
 MAX_READINESS_CONNECTIONS = 16
 # Of the request line, and of all header fields of another instance.
 PEER_HEADER_BYTES = 32768
+# The same of callers, while no configuration is known.
+UNKNOWN_HEADER_BYTES = 65536
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 ACCEPT_S = 3.2
@@ -148,7 +150,11 @@
 def _caller_limits(catalog):
     """Return the limits of callers in the configuration in force."""
     configuration = catalog.configuration
-    limits = configuration.limits if configuration else types.Limits()
+    if configuration is None:
+        # Callers are told so, rather than that their head is too large.
+        limits = types.Limits(header_bytes=UNKNOWN_HEADER_BYTES)
+    else:
+        limits = configuration.limits
     return connections.Limits(
         idle_s=limits.idle_s,
         head_s=limits.head_s,
--- a/sycamoreshed/gateway/tests/test_listeners.py
+++ b/sycamoreshed/gateway/tests/test_listeners.py
@@ -3,6 +3,7 @@
 
 import pytest
 
+from sycamoreshed.catalog import types as catalog_types
 from sycamoreshed.gateway import listeners
 
 
@@ -32,3 +33,13 @@
     """An instance without one of its tasks would serve by an old state."""
     check_readiness = listeners._readiness(make_core(**state))
     assert (await check_readiness(None)).status == status
+
+
+def test_long_head_is_read_while_no_configuration_is_known():
+    """Callers were told that it is too large, and did not come again."""
+    catalog = types.SimpleNamespace(configuration=None)
+    unknown = listeners._caller_limits(catalog)
+    limits = catalog_types.Limits(header_bytes=20_000)
+    catalog.configuration = types.SimpleNamespace(limits=limits)
+    known = listeners._caller_limits(catalog)
+    assert known.header_bytes == 20_000 < unknown.header_bytes
