Add tests of requests that are cut off at the end of a stop

What callers see: a request that a stopping instance takes late in its grace period is cut in the middle of its answer when the process is killed, if the instance knows nothing of its route, or if the route's answers were short so far; an attempt at an idempotent one is given up for another attempt that is cut off.

--- a/testkit/stopcallers.py
+++ b/testkit/stopcallers.py
@@ -5,7 +5,7 @@
 import time
 import typing
 
-__all__ = ["Outcome", "StopCallers"]
+__all__ = ["Outcome", "StopCallers", "send"]
 
 RETRY_S = 0.02
 
@@ -83,27 +83,58 @@
     async def _send(self, reader, writer):
         """Send one request; return whether to go on with its connection."""
         request = f"r-{next(self._numbers)}"
-        sent_at = time.monotonic()
-        status = None
-        is_reset = goes_on = False
-        try:
-            length = f"Content-Length: {len(self._body)}\r\n\r\n"
-            writer.write(self._head(request) + length.encode() + self._body)
-            raw = await reader.readuntil(b"\r\n\r\n")
-            fields = raw.lower()
-            found = int(raw.split(b" ")[1])
-            _, _, size = fields.partition(b"content-length:")
-            if b"transfer-encoding: chunked" in fields:
-                await reader.readuntil(b"\r\n0\r\n\r\n")
-            else:
-                await reader.readexactly(int(size.split()[0]))
-            status = found
-            goes_on = b"connection: close" not in fields
-        except asyncio.IncompleteReadError:
-            pass
-        except OSError:
-            is_reset = True
-        self.outcomes.append(
-            Outcome(request, sent_at, time.monotonic(), status, is_reset)
+        outcome, goes_on = await _exchange(
+            reader, writer, request, self._head(request), self._body
         )
+        self.outcomes.append(outcome)
         return goes_on
+
+
+async def send(address, request, head, body=b""):
+    """Send a request on a new connection; return its `Outcome`.
+
+    Parameters
+    ----------
+    address : str
+    request : str
+    head : bytes
+        Without ``Content-Length`` and the empty line.
+    body : bytes
+    """
+    host, _, port = address.rpartition(":")
+    sent_at = time.monotonic()
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return Outcome(request, sent_at, time.monotonic(), None, True)
+    try:
+        outcome, _ = await _exchange(reader, writer, request, head, body)
+    finally:
+        writer.transport.abort()
+    return outcome
+
+
+async def _exchange(reader, writer, request, head, body):
+    """Return the `Outcome`, and whether the connection can be used again."""
+    sent_at = time.monotonic()
+    status = None
+    is_reset = goes_on = False
+    try:
+        length = f"Content-Length: {len(body)}\r\n\r\n"
+        writer.write(head + length.encode() + body)
+        raw = await reader.readuntil(b"\r\n\r\n")
+        fields = raw.lower()
+        found = int(raw.split(b" ")[1])
+        _, _, size = fields.partition(b"content-length:")
+        if b"transfer-encoding: chunked" in fields:
+            await reader.readuntil(b"\r\n0\r\n\r\n")
+        else:
+            await reader.readexactly(int(size.split()[0]))
+        status = found
+        goes_on = b"connection: close" not in fields
+    except asyncio.IncompleteReadError:
+        pass
+    except OSError:
+        is_reset = True
+    ended_at = time.monotonic()
+    return Outcome(request, sent_at, ended_at, status, is_reset), goes_on
--- /dev/null
+++ b/tests/integration/test_stop_unknown_routes.py
@@ -0,0 +1,158 @@
+"""Stops of an instance that knows little of how long requests last."""
+
+import asyncio
+import time
+
+import pytest
+
+from standins import scripted
+from testkit import stopcallers
+from testkit import wiredata
+from tests.integration import harness
+
+# From SIGTERM to SIGKILL.
+GRACE_S = 4.0
+# More than is left of the grace period when a late request is sent.
+LONG_S = 2.6
+LATE_S = 1.8
+SHORT_S = 0.3
+KINDS = {
+    "safe": {"route_kind": "safe"},
+    "unsafe": {"route_kind": "unsafe"},
+    "stream": {"route_kind": "streaming"},
+    "resumable stream": {"route_kind": "streaming", "resumable": True},
+}
+
+
+def route(**changes):
+    """Return a configuration with one route, whose timeout is long."""
+    settings = {
+        "timeout_ms": 9000,
+        "target_latency_ms": 1000,
+        "itl_target_ms": 2000,
+        **changes,
+    }
+    return wiredata.configuration(2, routes=[wiredata.route(**settings)])
+
+
+def answering(seconds, *, is_stream=False):
+    """Return the script of an endpoint whose answers last so long."""
+
+    def script(_received):
+        if is_stream:
+            yield scripted.stream_head(**{harness.SEAL: "proof"})
+            yield harness.event(0)
+        yield seconds
+        if is_stream:
+            yield harness.event(1)
+        else:
+            yield scripted.answer(200, b"whole", **{harness.SEAL: "proof"})
+
+    return script
+
+
+async def send(gateway, number):
+    """Send a request on a new connection; return its `Outcome`."""
+    fields = wiredata.head(f"r-{number}", deadline_ms="9000")
+    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+    head = "".join(["POST /lookup/1 HTTP/1.1\r\n", *lines]).encode()
+    return await stopcallers.send(gateway.public, f"r-{number}", head)
+
+
+async def send_in_stop(gateway, *delays_s):
+    """Stop a daemon as the platform does; send requests after SIGTERM.
+
+    Returns
+    -------
+    list of Outcome
+    """
+
+    async def send_after(number, delay_s):
+        await asyncio.sleep(delay_s)
+        return await send(gateway, number)
+
+    gateway.process.terminate()
+    sending = [
+        asyncio.create_task(send_after(number, delay_s))
+        for number, delay_s in enumerate(delays_s)
+    ]
+    try:
+        async with asyncio.timeout(GRACE_S):
+            await gateway.process.wait()
+    except TimeoutError:
+        await gateway.kill()
+    return await asyncio.gather(*sending)
+
+
+@pytest.mark.parametrize("name", KINDS)
+async def test_late_request_of_an_unknown_route_is_not_cut_at_the_end(
+    store, tmp_path, name
+):
+    """It was taken, as nothing was known of its route, and cut off."""
+    store.put("op", "config", route(**KINDS[name]))
+    script = answering(LONG_S, is_stream="stream" in name)
+    async with (
+        harness.endpoints(store, script, script),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        began_at = time.monotonic()
+        (late,) = await send_in_stop(gateway, LATE_S)
+    assert late.status == 503
+    assert late.ended_at - began_at < LATE_S + SHORT_S
+
+
+@pytest.mark.parametrize("name", KINDS)
+async def test_early_request_of_an_unknown_route_is_served_in_a_stop(
+    store, tmp_path, name
+):
+    """A stopping instance must not reject what ends long before it does."""
+    store.put("op", "config", route(target_latency_ms=500, **KINDS[name]))
+    script = answering(SHORT_S, is_stream="stream" in name)
+    async with (
+        harness.endpoints(store, script, script),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        outcomes = await send_in_stop(gateway, 0.1, 0.8, 1.5)
+    assert [each.status for each in outcomes] == [200, 200, 200]
+
+
+async def test_repeat_that_cannot_end_is_not_begun_in_a_stop(store, tmp_path):
+    """An attempt was given up for another one, which was cut off."""
+    store.put("op", "config", route(target_latency_ms=500))
+    # Twice the target is over before the answer, and less than that is left.
+    script = answering(2.2)
+    async with (
+        harness.endpoints(store, script, script, script) as endpoints,
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        (outcome,) = await send_in_stop(gateway, 1.0)
+        arrivals = sum(len(each.seen) for each in endpoints)
+    assert outcome.status == 200
+    assert arrivals == 1
+
+
+@pytest.mark.parametrize("name", KINDS)
+async def test_late_request_is_not_cut_though_earlier_ones_were_short(
+    store, tmp_path, name
+):
+    """What lasted longer since the stop did not count, as it had not ended."""
+    store.put("op", "config", route(**KINDS[name]))
+    seconds = [0.05]
+
+    def script(received):
+        is_stream = "stream" in name
+        yield from answering(seconds[0], is_stream=is_stream)(received)
+
+    async with (
+        harness.endpoints(store, script, script, slots=100),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        for number in range(24):
+            assert (await send(gateway, f"early-{number}")).status == 200
+        seconds[0] = LONG_S
+        outcomes = await send_in_stop(
+            gateway, 0.1, 0.2, 0.3, 0.4, 0.5, LATE_S, LATE_S + 0.05
+        )
+    *early, first, second = [each.status for each in outcomes]
+    assert set(early) == {200}
+    assert (first, second) == (503, 503)
