Estimate which requests end before a stopping instance, with little known

In a series of stops an instance has often run for seconds and has had no request of a route.

Cause: the estimate was the longest of the last 32 durations that the process had seen. It allowed everything where there were none, or where answers became longer; after one long answer it rejected nearly everything. Class of fault: a limit that rests on what one process happens to have seen.

Change: the package `stopping` replaces `forwarding/stops.py`. What holds whatever has been seen comes first: a request whose deadline is over before the end is allowed. A route without any answer is taken for one that lasts three times its target. A stream that tells its length is estimated by that and the service's time for a token. Each check is logged with its inputs (`stop_checked`).

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -50,6 +50,7 @@
         Ids of endpoints with a limit that does not allow it for now.
     sends : Repeats, optional
         Earlier sends of the request.
+    measurement : Measurement, optional
 
     Attributes
     ----------
@@ -70,12 +71,14 @@
         permitted=(),
         refused=(),
         sends=None,
+        measurement=None,
     ):
         self._request = request
         self._parts = parts
         self._sends = sends or repeats.Repeats(
             service=request.service, spending=parts.budget
         )
+        self._measurement = measurement or parts.stop_deadline.measure(request)
         self._inputs = inputs
         self._release = release
         self._rerun_stages = rerun_stages
@@ -188,6 +191,7 @@
 
     def record_answer_start(self):
         """Free the inputs, as an endpoint has begun its answer."""
+        self._measurement.record_first_event(self._parts.clock())
         if self._release is not None:
             self._release.free_now()
 
@@ -373,6 +377,7 @@
             last_event_id=last_event_id,
         )
         started_at = parts.clock()
+        self._measurement.begin_attempt(started_at)
         self._occupancy.begin(
             endpoint,
             started_at,
--- a/sycamoreshed/forwarding/engineroom.py
+++ b/sycamoreshed/forwarding/engineroom.py
@@ -15,9 +15,9 @@
 from sycamoreshed.engineload import work
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import roomforecast
-from sycamoreshed.forwarding import stops
 from sycamoreshed.kernel import kernel
 from sycamoreshed.membership import rendezvous
+from sycamoreshed.stopping import measuring
 
 __all__ = ["EngineRoom"]
 
@@ -267,7 +267,7 @@
     def _why_ends(self, waiter, now, ahead):
         wanted = waiter.wanted
         if not self._stop_deadline.allows(
-            wanted.request.route.name, stops.Phase.ATTEMPTS, now
+            wanted.request, measuring.Phase.ATTEMPT, now
         ):
             return roomforecast.NoRoom.STOPPING
         if self._forecast.left_s(wanted, now) <= 0.0:
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -12,11 +12,11 @@
 from sycamoreshed.forwarding import input_release
 from sycamoreshed.forwarding import rejections
 from sycamoreshed.forwarding import roomforecast
-from sycamoreshed.forwarding import stops
 from sycamoreshed.forwarding import streams
 from sycamoreshed.kernel import kernel
 from sycamoreshed.retries import repeats
 from sycamoreshed.staging import pieces
+from sycamoreshed.stopping import measuring
 
 __all__ = ["Forwarder", "Outcome", "pick_service"]
 
@@ -147,9 +147,16 @@
         sends = repeats.Repeats(
             service=request.service, spending=self._parts.budget
         )
+        measurement = self._parts.stop_deadline.measure(request)
+        outcome = None
         try:
-            return await self._run(request, sink, results, sends)
+            outcome = await self._run(
+                request, sink, results, sends, measurement
+            )
+            return outcome
         finally:
+            is_whole = outcome is not None and outcome.failure is None
+            measurement.end(self._parts.clock(), is_whole=is_whole)
             sends.close()
             self._stages.free(results)
 
@@ -173,7 +180,7 @@
             return None
         return rejections.over_limit(endpoints, self._parts, now)
 
-    async def _run(self, request, sink, results, sends):
+    async def _run(self, request, sink, results, sends, measurement):
         plan = await self._plan(request)
         for _ in range(MAX_ROUNDS):
             inputs = await self._run_stages(request, results, plan.zone)
@@ -198,26 +205,17 @@
                 permitted=plan.permitted,
                 refused=plan.refused,
                 sends=sends,
+                measurement=measurement,
             )
-            now = self._parts.clock()
-            if not self._parts.stop_deadline.allows(
-                request.route.name, stops.Phase.ATTEMPTS, now
-            ):
-                return Outcome(
-                    failure=kinds.Failure(
-                        kinds.Kind.DRAINING, "this instance stops too soon"
-                    )
-                )
+            rejected = self._parts.stop_deadline.check(
+                request, measuring.Phase.ATTEMPT, self._parts.clock()
+            )
+            if rejected is not None:
+                return Outcome(failure=rejected)
             try:
                 outcome = await self._attempt(request, tries, sink)
             finally:
                 release.cancel()
-            if outcome.failure is None:
-                self._parts.stop_deadline.record(
-                    request.route.name,
-                    stops.Phase.ATTEMPTS,
-                    self._parts.clock() - now,
-                )
             if outcome.failure is None or outcome.has_started:
                 return outcome
             if not tries.inputs_missing or tries.may_have_run:
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -19,13 +19,14 @@
 from sycamoreshed.forwarding import parts as shared
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import requests
-from sycamoreshed.forwarding import stops
 from sycamoreshed.gateway import metrics
 from sycamoreshed.intake import pacing
 from sycamoreshed.platform import calls
 from sycamoreshed.platform import names
 from sycamoreshed.platform import platform
 from sycamoreshed.residency import residency
+from sycamoreshed.stopping import deadline
+from sycamoreshed.stopping import durations
 from testkit import crashes
 from testkit import journals
 from testkit import limiters
@@ -217,7 +218,9 @@
     catalog = _Catalog(available, engine)
     view = views.LoadView(ledger=ledgers.Ledger())
     learnt = speeds.Speeds()
-    stop_deadline = stops.StopDeadline()
+    stop_deadline = deadline.StopDeadline(
+        known=durations.Durations(), journal=journal, clock=clock
+    )
     placer = placement.Placer(
         zone="north-a",
         regions={},
--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -42,7 +42,6 @@
 from sycamoreshed.forwarding import parts  # noqa: F401
 from sycamoreshed.forwarding import placement  # noqa: F401
 from sycamoreshed.forwarding import rates  # noqa: F401
-from sycamoreshed.forwarding import stops  # noqa: F401
 from sycamoreshed.gateway import control  # noqa: F401
 from sycamoreshed.gateway import handler  # noqa: F401
 from sycamoreshed.gateway import listeners
@@ -62,6 +61,7 @@
 from sycamoreshed.resumption import resumption  # noqa: F401
 from sycamoreshed.retries import spending  # noqa: F401
 from sycamoreshed.staging import wiring  # noqa: F401
+from sycamoreshed.stopping import deadline  # noqa: F401
 
 __all__ = ["serve"]
 
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -12,7 +12,6 @@
 from sycamoreshed.findings import fingerprints
 from sycamoreshed.forwarding import forwarder
 from sycamoreshed.forwarding import requests
-from sycamoreshed.forwarding import stops
 from sycamoreshed.gateway import callerbodies
 from sycamoreshed.gateway import deadline_history
 from sycamoreshed.gateway import error_responses
@@ -20,6 +19,7 @@
 from sycamoreshed.kernel import kernel
 from sycamoreshed.kernel import timeouts
 from sycamoreshed.residency import residency
+from sycamoreshed.stopping import measuring
 
 __all__ = ["Handler"]
 
@@ -176,6 +176,29 @@
             deadline_s = DEFAULT_DEADLINE_S
         waited_s = self._deadline_history.observe(route.name, deadline_s)
         deadline = started_at + min(deadline_s, route.timeout_s)
+        regions = residency.common_regions(
+            route.allowed_regions, team.allowed_regions if team else ()
+        )
+        priority = requests.Priority(
+            (team and team.priority) or 0, route.priority
+        )
+        request = requests.Request(
+            id=head.request_id,
+            route=route,
+            service=forwarder.pick_service(route),
+            team=team,
+            priority=priority,
+            head=head,
+            method=http.method,
+            target=target,
+            headers=http.headers,
+            body=b"",
+            fingerprint="",
+            started_at=started_at,
+            waited_s=waited_s,
+            deadline=deadline,
+            hold=hold,
+        )
         body = await callerbodies.read(
             http,
             configuration.limits.body_bytes,
@@ -186,18 +209,11 @@
             return body
         if not self.is_accepting:
             return kinds.Failure(kinds.Kind.DRAINING, "this instance stops")
-        if not self._stop_deadline.allows(
-            route.name, stops.Phase.REQUEST, self._clock()
-        ):
-            return kinds.Failure(
-                kinds.Kind.DRAINING, "this instance stops too soon"
-            )
-        regions = residency.common_regions(
-            route.allowed_regions, team.allowed_regions if team else ()
-        )
-        priority = requests.Priority(
-            (team and team.priority) or 0, route.priority
+        rejected = self._stop_deadline.check(
+            request, measuring.Phase.REQUEST, self._clock()
         )
+        if rejected is not None:
+            return rejected
         fingerprint = fingerprints.fingerprint(
             method=http.method,
             host=http.headers.get("Host", ""),
@@ -218,23 +234,7 @@
             priority=priority,
             left_s=round(deadline - started_at, 3),
         )
-        return requests.Request(
-            id=head.request_id,
-            route=route,
-            service=forwarder.pick_service(route),
-            team=team,
-            priority=priority,
-            head=head,
-            method=http.method,
-            target=target,
-            headers=http.headers,
-            body=body,
-            fingerprint=fingerprint,
-            started_at=started_at,
-            waited_s=waited_s,
-            deadline=deadline,
-            hold=hold,
-        )
+        return request._replace(body=body, fingerprint=fingerprint)
 
     async def _serve(self, http, request, sink, started_at):
         remaining_s = max(0.0, request.deadline - self._clock())
@@ -278,9 +278,6 @@
             max_gap_s=round(outcome.max_gap_s, 4),
         )
         self._metrics.record_answered(request.route, outcome, now - started_at)
-        self._stop_deadline.record(
-            request.route.name, stops.Phase.REQUEST, now - started_at
-        )
         return response
 
     @property
--- a/sycamoreshed/gateway/tests/test_handler.py
+++ b/sycamoreshed/gateway/tests/test_handler.py
@@ -9,10 +9,11 @@
 from sycamoreshed.buffering import budget
 from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import types as records
-from sycamoreshed.forwarding import stops
 from sycamoreshed.gateway import handler
 from sycamoreshed.gateway import metrics
 from sycamoreshed.platform import platform
+from sycamoreshed.stopping import deadline
+from sycamoreshed.stopping import durations
 from testkit import journals
 
 ROUTE = records.Route("r", "h", "/", (("writer", 1.0),), streaming=True)
@@ -55,7 +56,11 @@
         forwarder=forwarder,
         journal=journals.Journal(),
         metrics=metrics.GatewayMetrics(),
-        stop_deadline=stops.StopDeadline(),
+        stop_deadline=deadline.StopDeadline(
+            known=durations.Durations(),
+            journal=journals.Journal(),
+            clock=asyncio.get_running_loop().time,
+        ),
         clock=asyncio.get_running_loop().time,
         stopping=asyncio.Event(),
         buffers=budget.BufferBudget(),
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -469,6 +469,14 @@
         "request, status, endpoint, first_s, took_s, events, max_gap_s",
         "a whole answer was passed on",
     ),
+    "stop_checked": Event(
+        EventClass.DECISION,
+        "request, route, begins, is_allowed, left_s, needed_s, deadline_s, "
+        "ended, others",
+        "a stopping instance decided whether a request, or an attempt at it, "
+        "ends in time; by how many requests of its route that ended, and how "
+        "many that were given up or still run",
+    ),
     "failed": Event(
         EventClass.FAILURE,
         "request, route, status, kind, why, sent, took_s, version, age_s",
--- /dev/null
+++ b/sycamoreshed/stopping/__init__.py
@@ -0,0 +1,1 @@
+"""Planned stops: which requests end before this instance does."""
--- /dev/null
+++ b/sycamoreshed/stopping/deadline.py
@@ -0,0 +1,255 @@
+"""Whether requests end before this instance does, once it stops.
+
+A request that still runs at the end of the grace period is cut off, whereas
+one that is rejected in time is served by another instance.
+"""
+
+import asyncio
+import contextlib
+import math
+
+from sycamoreshed.errors import kinds
+from sycamoreshed.kernel import kernel
+from sycamoreshed.stopping import durations
+from sycamoreshed.stopping import measuring
+
+__all__ = ["StopDeadline", "TOO_SOON"]
+
+# Share of requests that may last longer than is estimated: a rejection costs
+# its caller one more try, whereas what is cut off may be lost.
+MAX_RISK = 0.05
+# As long as an answer of a route that has had none may take, as a multiple of
+# the route's target time.
+UNKNOWN_FACTOR = 3.0
+# From so many streams of a service on, the length that a request tells counts.
+MIN_STREAMS = 5
+# The rest of a stream lasts at least this share of a whole one.
+MIN_REST_SHARE = 0.25
+# An estimate is used for so long: many requests may wait.
+ESTIMATE_TTL_S = 0.05
+
+TOO_SOON = kinds.Failure(
+    kinds.Kind.DRAINING, "this instance stops too soon", sent=False
+)
+
+
+class StopDeadline:
+    """When this instance ends, and which requests end before.
+
+    Parameters
+    ----------
+    known : Durations
+        How long requests last.
+    journal : Journal
+    clock : callable
+    """
+
+    def __init__(self, *, known, journal, clock):
+        self._durations = known
+        self._journal = journal
+        self._clock = clock
+        self._ends_at = math.inf
+        self._gives_up_at = math.inf
+        # Times by which waits have to be over, by their timers.
+        self._timers = {}
+        self._quantiles = {}
+
+    @property
+    def ends_at(self):
+        """Monotonic time by which answers have to be whole; inf if unknown."""
+        return self._ends_at
+
+    def set(self, ends_at, *, gives_up_at=None):
+        """Set when this instance ends.
+
+        Parameters
+        ----------
+        ends_at : float
+            Monotonic time by which responses have to be complete.
+        gives_up_at : float, optional
+            When those that are not are given up.
+        """
+        self._ends_at = ends_at
+        self._gives_up_at = ends_at if gives_up_at is None else gives_up_at
+        for timer, limit in self._timers.items():
+            self._schedule(timer, limit)
+
+    def is_over(self, now):
+        """Return whether what has not ended is given up."""
+        return now >= self._gives_up_at
+
+    def measure(self, request):
+        """Return the `Measurement` of a request."""
+        return measuring.Measurement(
+            durations=self._durations, request=request
+        )
+
+    def begin_by(
+        self, request, phase, now, *, delivered_s=0.0, at_least_s=0.0
+    ):
+        """Return until when a phase of a request may begin.
+
+        Parameters
+        ----------
+        request : Request
+        phase : Phase
+        now : float
+        delivered_s : float
+            For how long events of its stream have come.
+        at_least_s : float
+            What is known of it otherwise.
+
+        Returns
+        -------
+        float
+            Monotonic time.
+        """
+        if self._ends_at == math.inf or request.deadline <= self._ends_at:
+            return math.inf
+        needed_s = self._needed_s(request, phase, now)
+        if delivered_s:
+            rest_s = MIN_REST_SHARE * needed_s
+            needed_s = max(needed_s - delivered_s, rest_s)
+        return self._ends_at - max(needed_s, at_least_s)
+
+    def allows(self, request, phase, now, **known):
+        """Return whether a request that begins a phase now likely ends.
+
+        Takes the keyword arguments of `begin_by`.
+        """
+        return now <= self.begin_by(request, phase, now, **known)
+
+    def check(self, request, phase, now, *, delivered_s=0.0):
+        """Return the `Failure` of a request that would not end, or None.
+
+        Logs what decided it.
+        """
+        if self._ends_at == math.inf:
+            return None
+        begin_by = self.begin_by(request, phase, now, delivered_s=delivered_s)
+        self._log(request, phase, now, begin_by)
+        return None if now <= begin_by else TOO_SOON
+
+    async def wait_for(self, waiting, request, phase, *, delivered_s=None):
+        """Await what comes before a phase of a request.
+
+        Parameters
+        ----------
+        waiting : coroutine
+        request : Request
+        phase : Phase
+        delivered_s : callable, optional
+            Takes the time, returns for how long events of its stream have
+            come.
+
+        Returns
+        -------
+        object or Failure
+            What was awaited, or `TOO_SOON` once the phase must not begin.
+        """
+
+        def limit():
+            now = self._clock()
+            return self.begin_by(
+                request,
+                phase,
+                now,
+                delivered_s=delivered_s(now) if delivered_s else 0.0,
+            )
+
+        if self._clock() > limit():
+            waiting.close()
+            self._log(request, phase, self._clock(), limit())
+            return TOO_SOON
+        try:
+            async with asyncio.timeout(None) as timer:
+                with self._scheduled(timer, limit):
+                    return await waiting
+        except TimeoutError:
+            if not timer.expired():
+                raise
+            self._log(request, phase, self._clock(), limit())
+            return TOO_SOON
+
+    @contextlib.asynccontextmanager
+    async def time_limit(self):
+        """End a block with `TimeoutError` once this instance has no time."""
+        async with asyncio.timeout(None) as timer:
+            with self._scheduled(timer, lambda: self._gives_up_at):
+                yield
+
+    @contextlib.contextmanager
+    def _scheduled(self, timer, limit):
+        self._timers[timer] = limit
+        if self._ends_at != math.inf:
+            self._schedule(timer, limit)
+        try:
+            yield
+        finally:
+            del self._timers[timer]
+
+    def _schedule(self, timer, limit):
+        left_s = limit() - self._clock()
+        if left_s == math.inf:
+            return
+        loop = asyncio.get_running_loop()
+        timer.reschedule(loop.time() + max(0.0, left_s))
+
+    def _needed_s(self, request, phase, now):
+        """Return how long a phase of a request and what follows may last."""
+        route = request.route
+        unknown_s = UNKNOWN_FACTOR * route.target_s
+        tokens = measuring.output_tokens(request)
+        if tokens:
+            token_key = measuring.token_key(request.service)
+            if self._durations.count_ended(token_key) >= MIN_STREAMS:
+                first_event = measuring.Part.FIRST_EVENT
+                key = measuring.Key(first_event, phase, route.name)
+                first_s = self._quantile(key, now, unknown_s)
+                return first_s + tokens * self._quantile(token_key, now)
+        key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
+        return self._quantile(key, now, unknown_s)
+
+    def _quantile(self, key, now, unknown=0.0):
+        at, value = self._quantiles.get(key, (-math.inf, 0.0))
+        if not 0.0 <= now - at < ESTIMATE_TTL_S:
+            samples = self._durations.samples(key, now)
+            value = 0.0
+            if samples:
+                value = durations.quantile(samples, MAX_RISK)
+            if not self._durations.count_ended(key):
+                value = max(value, unknown)
+            self._quantiles[key] = now, value
+        return value
+
+    def _log(self, request, phase, now, begin_by):
+        route = request.route
+        key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
+        samples = self._durations.samples(key, now)
+        ended = self._durations.count_ended(key)
+        self._journal.write(
+            "stop_checked",
+            request=request.id,
+            route=route.name,
+            begins=phase.value,
+            is_allowed=now <= begin_by,
+            left_s=round(self._ends_at - now, 3),
+            needed_s=(
+                None
+                if begin_by == math.inf
+                else round(self._ends_at - begin_by, 3)
+            ),
+            deadline_s=round(request.deadline - now, 3),
+            ended=ended,
+            others=len(samples) - ended,
+        )
+
+
+@kernel.plugin("stop_deadline", needs=("durations", "journal"))
+async def stop_deadline(core):
+    """Provide the `StopDeadline`."""
+    yield StopDeadline(
+        known=core.part("durations"),
+        journal=core.part("journal"),
+        clock=core.clock,
+    )
--- a/testkit/enginepool.py
+++ b/testkit/enginepool.py
@@ -19,8 +19,9 @@
 from sycamoreshed.forwarding import placement
 from sycamoreshed.forwarding import requests
 from sycamoreshed.forwarding import roomforecast
-from sycamoreshed.forwarding import stops
 from sycamoreshed.gateway import metrics
+from sycamoreshed.stopping import deadline
+from sycamoreshed.stopping import durations
 from testkit import journals
 
 __all__ = ["TOKEN_S", "Arrival", "Pool", "Record", "route"]
@@ -114,7 +115,9 @@
             placer=self.placer,
             engine_load=self.view,
             engine_speeds=speeds,
-            stop_deadline=stops.StopDeadline(),
+            stop_deadline=deadline.StopDeadline(
+                known=durations.Durations(), journal=journal, clock=clock
+            ),
             journal=journal,
             metrics=metrics.GatewayMetrics(),
             clock=clock,
