Do not begin an attempt in a stop that would not end before it

What callers saw: an attempt at an idempotent request, or at a stream that may be resumed, was given up after its time limit while the instance stopped, and another one was begun however late; it was cut when the process was killed. Requests that waited in queues were passed on unasked.

Cause: only the first attempt asked whether it would end, before its waits. Class of fault: a limit that is checked where work is taken, not where it is begun.

Change: each attempt, first, repeated or resumed, asks directly before it is sent.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -15,6 +15,8 @@
 from sycamoreshed.forwarding import rejections
 from sycamoreshed.forwarding import selecting
 from sycamoreshed.retries import repeats
+from sycamoreshed.stopping import durations
+from sycamoreshed.stopping import measuring
 
 __all__ = ["Attempts"]
 
@@ -170,6 +172,14 @@
                 choice.endpoint, now
             ):
                 continue
+            rejected = self._parts.stop_deadline.check(
+                request,
+                measuring.Phase.ATTEMPT,
+                now,
+                delivered_s=self._measurement.delivered_s(now),
+            )
+            if rejected is not None:
+                return self._unsent(rejected) if last is None else last
             self._selection.log(choice, now)
             result = await self._send(
                 choice,
@@ -299,6 +309,8 @@
             why = "no attempts left"
         elif now >= request.deadline:
             why = "no time left"
+        elif not self._ends_before_stop(now):
+            why = "this instance stops too soon"
         else:
             why = await self._sends.admit()
         parts.journal.write(
@@ -311,6 +323,33 @@
         )
         return why is None
 
+    def may_give_up(self, timeout_s):
+        """Return whether an attempt may be given up for another one.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds from now after which it would be given up.
+
+        Notes
+        -----
+        While this instance stops, the other attempt has to end before it
+        does.  It may take longer than the first one would have taken.
+        """
+        return self._ends_before_stop(
+            self._parts.clock() + timeout_s,
+            at_least_s=durations.AGE_FACTOR * timeout_s,
+        )
+
+    def _ends_before_stop(self, begins_at, at_least_s=0.0):
+        return self._parts.stop_deadline.allows(
+            self._request,
+            measuring.Phase.ATTEMPT,
+            begins_at,
+            delivered_s=self._measurement.delivered_s(begins_at),
+            at_least_s=at_least_s,
+        )
+
     def _timeout(self, remaining_s, choice):
         """Return the seconds until an attempt is abandoned for another.
 
@@ -322,6 +361,8 @@
         if last or not self._request.can_rerun or choice.healthy_count < 2:
             return remaining_s
         timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_TARGET_FACTOR * route.target_s)
+        if not self.may_give_up(timeout_s):
+            return remaining_s
         return min(remaining_s, timeout_s)
 
     def _with_rest(self, answered, now):
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -16,7 +16,6 @@
 from sycamoreshed.kernel import kernel
 from sycamoreshed.retries import repeats
 from sycamoreshed.staging import pieces
-from sycamoreshed.stopping import measuring
 
 __all__ = ["Forwarder", "Outcome", "pick_service"]
 
@@ -207,11 +206,6 @@
                 sends=sends,
                 measurement=measurement,
             )
-            rejected = self._parts.stop_deadline.check(
-                request, measuring.Phase.ATTEMPT, self._parts.clock()
-            )
-            if rejected is not None:
-                return Outcome(failure=rejected)
             try:
                 outcome = await self._attempt(request, tries, sink)
             finally:
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -240,7 +240,9 @@
     while True:
         began_at = parts.clock()
         try:
-            async with timeouts.time_limit(_timeout(request, parts, progress)):
+            async with timeouts.time_limit(
+                _timeout(request, tries, parts, progress)
+            ):
                 data = await response.content.readany()
             if not data and not buffer.rest_size:
                 protocol.check_whole(response)
@@ -326,19 +328,21 @@
     return None
 
 
-def _timeout(request, parts, progress):
+def _timeout(request, tries, parts, progress):
     """Return the seconds after which an unresponsive engine is abandoned."""
-    remaining_s = max(0.001, request.deadline - parts.clock())
+    now = parts.clock()
+    remaining_s = max(0.001, request.deadline - now)
     if not request.route.resumable:
         return remaining_s
     if progress.has_started:
-        return min(
-            remaining_s, TIMEOUT_PAUSE_FACTOR * request.route.max_event_gap_s
+        timeout_s = TIMEOUT_PAUSE_FACTOR * request.route.max_event_gap_s
+    else:
+        timeout_s = max(
+            MIN_FIRST_EVENT_S, FIRST_EVENT_SHARE * request.route.target_s
         )
-    first_event_s = max(
-        MIN_FIRST_EVENT_S, FIRST_EVENT_SHARE * request.route.target_s
-    )
-    return min(remaining_s, first_event_s)
+    if not tries.may_give_up(timeout_s):
+        return remaining_s
+    return min(remaining_s, timeout_s)
 
 
 def _broken(reason, *, is_cut_off=False):
