Reject what waits in a stop as soon as it would not end any more

What callers saw: a request whose body, stages or engine came late in a stop waited until then, and was rejected only afterwards, or cut without an answer when the process was killed.

Cause: whether a request ends in time was asked at single moments. Class of fault: a wait that does not know the limit of what follows it.

Change: reading a body, running stages, waiting for room at an engine and for a permit are bounded by the moment from which the attempt would not end in time. The limit moves when the stop begins, and what waits then gets "not run" at once, for another instance to serve.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -130,8 +130,10 @@
             )
             if rejected is not None:
                 return rejected
-            choice = await self._selection.find(
-                now, begin_by=self._begin_by(last_event_id, now)
+            choice = await self._wait_for(
+                self._selection.find(
+                    now, begin_by=self._begin_by(last_event_id, now)
+                )
             )
             if isinstance(choice, kinds.Failure):
                 return self._unsent(choice) if last is None else last
@@ -147,19 +149,23 @@
                     request, parts, now, sent=self._may_have_run
                 )
             if self._needs_inputs(now):
-                inputs = await self._rerun_stages(request, remaining_s)
+                inputs = await self._wait_for(
+                    self._rerun_stages(request, remaining_s)
+                )
                 if isinstance(inputs, kinds.Failure):
                     return inputs._replace(sent=self._may_have_run)
                 self._inputs = inputs
                 self._release.freed = False
                 # Endpoints may have joined or left meanwhile.
                 continue
-            choice = await self._selection.acquire(
-                choice,
-                now,
-                rejections.MAX_WAIT_SHARE * remaining_s,
-                permitted=self._permitted,
-                refused=self._refused,
+            choice = await self._wait_for(
+                self._selection.acquire(
+                    choice,
+                    now,
+                    rejections.MAX_WAIT_SHARE * remaining_s,
+                    permitted=self._permitted,
+                    refused=self._refused,
+                )
             )
             if isinstance(choice, kinds.Failure):
                 return self._unsent(choice) if last is None else last
@@ -365,6 +371,15 @@
             return remaining_s
         return min(remaining_s, timeout_s)
 
+    async def _wait_for(self, waiting):
+        """Await what precedes an attempt; a `Failure` if it takes too long."""
+        return await self._parts.stop_deadline.wait_for(
+            waiting,
+            self._request,
+            measuring.Phase.ATTEMPT,
+            delivered_s=self._measurement.delivered_s,
+        )
+
     def _with_rest(self, answered, now):
         """Add the time after which an endpoint rests no more, if all rest."""
         if candidates.endpoints(self._request, self._parts, now):
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from sycamoreshed.kernel import kernel
 from sycamoreshed.retries import repeats
 from sycamoreshed.staging import pieces
+from sycamoreshed.stopping import measuring
 
 __all__ = ["Forwarder", "Outcome", "pick_service"]
 
@@ -182,7 +183,11 @@
     async def _run(self, request, sink, results, sends, measurement):
         plan = await self._plan(request)
         for _ in range(MAX_ROUNDS):
-            inputs = await self._run_stages(request, results, plan.zone)
+            inputs = await self._parts.stop_deadline.wait_for(
+                self._run_stages(request, results, plan.zone),
+                request,
+                measuring.Phase.ATTEMPT,
+            )
             if isinstance(inputs, kinds.Failure):
                 # Stages are not a run of the request itself: they have no
                 # effects and may be repeated.
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -199,11 +199,15 @@
             deadline=deadline,
             hold=hold,
         )
-        body = await callerbodies.read(
-            http,
-            configuration.limits.body_bytes,
-            hold,
-            timeout_s=deadline - self._clock(),
+        body = await self._stop_deadline.wait_for(
+            callerbodies.read(
+                http,
+                configuration.limits.body_bytes,
+                hold,
+                timeout_s=deadline - self._clock(),
+            ),
+            request,
+            measuring.Phase.REQUEST,
         )
         if isinstance(body, kinds.Failure):
             return body
--- a/tests/integration/test_stop_unknown_routes.py
+++ b/tests/integration/test_stop_unknown_routes.py
@@ -51,9 +51,9 @@
     return script
 
 
-async def send(gateway, number):
+async def send(gateway, number, **more):
     """Send a request on a new connection; return its `Outcome`."""
-    fields = wiredata.head(f"r-{number}", deadline_ms="9000")
+    fields = wiredata.head(f"r-{number}", deadline_ms="9000", **more)
     lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
     head = "".join(["POST /lookup/1 HTTP/1.1\r\n", *lines]).encode()
     return await stopcallers.send(gateway.public, f"r-{number}", head)
@@ -156,3 +156,67 @@
     *early, first, second = [each.status for each in outcomes]
     assert set(early) == {200}
     assert (first, second) == (503, 503)
+
+
+async def test_upload_that_arrives_too_late_in_a_stop_is_rejected_at_once(
+    store, tmp_path
+):
+    """Its caller sent on until the connection was cut without an answer."""
+    store.put("op", "config", route(route_kind="unsafe"))
+    async with (
+        harness.endpoints(store, harness.answer_ok) as (endpoint,),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        host, _, port = gateway.public.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        fields = wiredata.head("r-1", deadline_ms="9000")
+        lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+        lines.append("Content-Length: 1000\r\n\r\n")
+        head = "".join(["POST /lookup/1 HTTP/1.1\r\n", *lines])
+        writer.write(head.encode() + b"a part")
+        await asyncio.sleep(0.2)
+        gateway.process.terminate()
+        async with asyncio.timeout(GRACE_S / 2):
+            raw = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        async with asyncio.timeout(GRACE_S):
+            assert await gateway.process.wait() == 0
+    assert raw.startswith(b"HTTP/1.1 503 ")
+    assert b"Retry-After: 0" in raw
+    assert endpoint.seen == []
+
+
+async def test_request_is_rejected_as_soon_as_its_stages_take_too_long(
+    store, tmp_path
+):
+    """It waited for its stages to end, and was rejected only then."""
+    stages = [{"service": "first", "after": [], "size_bytes": 8000}]
+    document = route(stages=stages, target_latency_ms=4000)
+    document["services"] = [
+        wiredata.service(),
+        wiredata.piece_service("first", call_ms=200.0),
+    ]
+    store.put("op", "config", document)
+
+    def run_pieces(received):
+        if received.target != "/v1/stage-free":
+            yield 30.0
+        yield scripted.answer(200)
+
+    first = scripted.Endpoint(run_pieces)
+    await first.start()
+    store.put("servers", "i-9", wiredata.beat(first.address, service="first"))
+    fields = {"pieces": "1", "piece_key": "k"}
+    async with (
+        harness.endpoints(store, harness.answer_ok) as (engine,),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        sending = asyncio.create_task(send(gateway, 1, **fields))
+        await asyncio.sleep(0.2)
+        began_at = time.monotonic()
+        await send_in_stop(gateway)
+        outcome = await sending
+    await first.stop()
+    assert outcome.status == 503
+    assert outcome.ended_at - began_at < GRACE_S / 2
+    assert engine.seen == []
