End what a stop leaves unfinished before the process is killed

What callers saw: a request that outlasted the grace period lost its connection without an answer, and the process was killed each time, although it stops waiting 0.6 s earlier.

Cause: the listeners were closed with a time limit of zero for handlers that still run, which the HTTP library takes for no limit. Class of fault: a value that a library reads in another sense.

Change: what has not ended a quarter of a second before the end is given up: a request without an answer gets one that does not say "not run", and a stream is cut where it is. Then the listeners close, with a limit of their own, and the process ends by itself.

--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -243,15 +243,22 @@
     async def _serve(self, http, request, sink, started_at):
         remaining_s = max(0.0, request.deadline - self._clock())
         try:
-            async with timeouts.time_limit(remaining_s):
+            async with (
+                timeouts.time_limit(remaining_s),
+                self._stop_deadline.time_limit(),
+            ):
                 outcome = await self._forwarder.forward(request, sink)
         except TimeoutError:
             # A call that was sent has been cancelled, but may have run.
+            failure = kinds.Failure(
+                kinds.Kind.LATE, "deadline passed", sent=True
+            )
+            if self._stop_deadline.is_over(self._clock()):
+                failure = kinds.Failure(
+                    kinds.Kind.DRAINING, "this instance ends", sent=True
+                )
             outcome = forwarder.Outcome(
-                failure=kinds.Failure(
-                    kinds.Kind.LATE, "deadline passed", sent=True
-                ),
-                has_started=sink.response is not None,
+                failure=failure, has_started=sink.response is not None
             )
         return await self._finish(http, request, sink, outcome, started_at)
 
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -38,6 +38,13 @@
 READ_AHEAD_BYTES = 32 * 1024
 # Part of the grace period that is reserved for writing the last responses.
 WRITE_MARGIN_S = 0.6
+# What has not ended by then is given up, with a response if it has none yet.
+GIVE_UP_MARGIN_S = 0.25
+# For the responses to what was given up.
+LAST_WRITES_S = 0.1
+# For handlers that still run when the listeners close.  The HTTP library would
+# wait for them without a limit if it were zero.
+CLOSE_S = 0.02
 POLL_S = 0.02
 
 
@@ -113,19 +120,19 @@
                     budget.BodyHold, budget=core.part("buffers")
                 ),
             ),
-            shutdown_timeout=0,
+            shutdown_timeout=CLOSE_S,
         ),
         "public": web.ServerRunner(
             make_server("public", shares.callers, of_callers)(
                 core.part("handler")
             ),
-            shutdown_timeout=0,
+            shutdown_timeout=CLOSE_S,
         ),
         "ready": web.ServerRunner(
             make_server("ready", MAX_READINESS_CONNECTIONS, of_callers)(
                 _readiness(core)
             ),
-            shutdown_timeout=0,
+            shutdown_timeout=CLOSE_S,
         ),
     }
     metrics = core.part("gateway_metrics")
@@ -200,13 +207,19 @@
     requests = core.part("handler")
     journal = core.part("journal")
     journal.write("stop", in_flight=requests.in_flight)
-    deadline = started_at + core.settings.grace_s - WRITE_MARGIN_S
-    core.part("stop_deadline").set(deadline)
-    await asyncio.sleep(min(ACCEPT_S, core.settings.grace_s / 2))
+    grace_s = core.settings.grace_s
+    gives_up_at = started_at + max(0.0, grace_s - GIVE_UP_MARGIN_S)
+    core.part("stop_deadline").set(
+        started_at + grace_s - WRITE_MARGIN_S, gives_up_at=gives_up_at
+    )
+    await asyncio.sleep(min(ACCEPT_S, grace_s / 2))
     await requests.wait_until_read()
     requests.is_accepting = False
     control = core.part("inner")
-    while requests.in_flight + control.in_flight and core.clock() < deadline:
+    last_write_at = gives_up_at + LAST_WRITES_S
+    while requests.in_flight + control.in_flight:
+        if core.clock() >= last_write_at:
+            break
         await asyncio.sleep(POLL_S)
     journal.write(
         "stopped",
--- a/tests/integration/test_stop_unknown_routes.py
+++ b/tests/integration/test_stop_unknown_routes.py
@@ -220,3 +220,41 @@
     assert outcome.status == 503
     assert outcome.ended_at - began_at < GRACE_S / 2
     assert engine.seen == []
+
+
+@pytest.mark.parametrize("name", ["safe", "unsafe"])
+async def test_request_that_outlasts_the_stop_gets_an_answer(
+    store, tmp_path, name
+):
+    """Its connection was cut, and the process had to be killed."""
+    store.put("op", "config", route(**KINDS[name]))
+    script = answering(30.0)
+    async with (
+        harness.endpoints(store, script, script),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        sending = asyncio.create_task(send(gateway, 1))
+        await asyncio.sleep(0.2)
+        await send_in_stop(gateway)
+        outcome = await sending
+        assert gateway.process.returncode == 0
+    # Neither of them tells that it has not run.
+    assert outcome.status in (502, 504)
+
+
+async def test_stream_that_outlasts_the_stop_does_not_look_whole(
+    store, tmp_path
+):
+    """The process had to be killed, as it waited for a stream that went on."""
+    store.put("op", "config", route(**KINDS["stream"]))
+    script = answering(30.0, is_stream=True)
+    async with (
+        harness.endpoints(store, script, script),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        sending = asyncio.create_task(send(gateway, 1))
+        await asyncio.sleep(0.2)
+        await send_in_stop(gateway)
+        outcome = await sending
+        assert gateway.process.returncode == 0
+    assert outcome.status is None
