Ask other instances how long requests last when one stops

What callers saw: an instance that had served nothing of a route took its requests as if they were usual ones, and gave up those that lasted longer; routes that it never served were rejected though they are short.

Cause: each process knows only what it has seen itself, and in a series of stops that is next to nothing.

Nothing is sent before a stop.

Evidence: a test with three instances failed on the commit before (the request was taken and got no whole answer) and passes.

--- a/sycamoreshed/gateway/daemon.py
+++ b/sycamoreshed/gateway/daemon.py
@@ -62,6 +62,7 @@
 from sycamoreshed.retries import spending  # noqa: F401
 from sycamoreshed.staging import wiring  # noqa: F401
 from sycamoreshed.stopping import deadline  # noqa: F401
+from sycamoreshed.stopping import telling  # noqa: F401
 
 __all__ = ["serve"]
 
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -54,6 +54,7 @@
         "allowance",
         "buffers",
         "catalog",
+        "duration_exchange",
         "gateway_metrics",
         "handler",
         "inner",
@@ -212,6 +213,9 @@
     core.part("stop_deadline").set(
         started_at + grace_s - WRITE_MARGIN_S, gives_up_at=gives_up_at
     )
+    core.spawn(
+        core.part("duration_exchange").ask(started_at), name="ask durations"
+    )
     await asyncio.sleep(min(ACCEPT_S, grace_s / 2))
     await requests.wait_until_read()
     requests.is_accepting = False
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -469,6 +469,12 @@
         "request, status, endpoint, first_s, took_s, events, max_gap_s",
         "a whole answer was passed on",
     ),
+    "durations_told": Event(
+        EventClass.STATE,
+        "peer, samples, why",
+        "a stopping instance asked another one how long requests last; how "
+        "many of the samples that it was told are used, or why none",
+    ),
     "stop_checked": Event(
         EventClass.DECISION,
         "request, route, begins, is_allowed, left_s, needed_s, deadline_s, "
--- a/tests/integration/test_stop_unknown_routes.py
+++ b/tests/integration/test_stop_unknown_routes.py
@@ -258,3 +258,27 @@
         outcome = await sending
         assert gateway.process.returncode == 0
     assert outcome.status is None
+
+
+async def test_instance_that_served_nothing_stops_by_what_others_have_seen(
+    store, tmp_path
+):
+    """It took a request of a route whose answers others knew to be long."""
+    store.put("op", "config", route(target_latency_ms=500))
+    script = answering(LONG_S)
+    async with (
+        harness.endpoints(store, script, slots=100),
+        harness.serving_in_zones(store, tmp_path, grace_s=GRACE_S) as (
+            (known, other, new),
+            _,
+        ),
+    ):
+        for gateway in (known, other):
+            served = [send(gateway, f"early-{n}") for n in range(4)]
+            outcomes = await asyncio.gather(*served)
+            assert {each.status for each in outcomes} == {200}
+        # Less is left than that, and more than nothing known would need.
+        (late,) = await send_in_stop(new, 1.2)
+        told = new.events("durations_told")
+    assert late.status == 503
+    assert sum(each["samples"] for each in told) > 0
