Decide when a time limit fires whether an attempt is given up in a stop

What callers saw: an idempotent request that was under way when the stop began got 504 after twice its target, although its answer would have come in time; another attempt was refused, as it would not have ended.

Cause: the time limit was set before the stop, and asked for another attempt only after it had given up the first one.

Change: `timeouts.time_limit` asks once the time has passed whether to go on. An attempt, and a part of a stream that may be resumed, goes on if another attempt would not end before this instance does.

--- a/sycamoreshed/forwarding/answers.py
+++ b/sycamoreshed/forwarding/answers.py
@@ -26,7 +26,7 @@
     body: bytes
 
 
-async def read_start(response, hold, *, timeout_s):
+async def read_start(response, hold, *, timeout_s, extend=None):
     """Read an answer as far as it may be held.
 
     Parameters
@@ -35,6 +35,8 @@
         It is closed unless a `Start` is returned.
     hold : Hold
     timeout_s : float
+    extend : callable, optional
+        See `timeouts.time_limit`.
 
     Returns
     -------
@@ -47,7 +49,7 @@
     chunks = []
     is_begun = False
     try:
-        async with timeouts.time_limit(max(timeout_s, 0.001)):
+        async with timeouts.time_limit(max(timeout_s, 0.001), extend=extend):
             while not _is_long(response, sum(map(len, chunks)), hold):
                 data = await response.content.read(CHUNK_BYTES)
                 if not data:
--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -8,6 +8,8 @@
 route allows.
 """
 
+import functools
+
 from sycamoreshed.errors import kinds
 from sycamoreshed.forwarding import candidates
 from sycamoreshed.forwarding import exchanges
@@ -329,23 +331,24 @@
         )
         return why is None
 
-    def may_give_up(self, timeout_s):
-        """Return whether an attempt may be given up for another one.
+    def extension_s(self, timeout_s):
+        """Return for how long to go on waiting after a time limit.
 
         Parameters
         ----------
         timeout_s : float
-            Seconds from now after which it would be given up.
+            The limit, after which an attempt is given up for another one.
 
         Notes
         -----
         While this instance stops, the other attempt has to end before it
         does.  It may take longer than the first one would have taken.
         """
-        return self._ends_before_stop(
-            self._parts.clock() + timeout_s,
-            at_least_s=durations.AGE_FACTOR * timeout_s,
-        )
+        now = self._parts.clock()
+        at_least_s = durations.AGE_FACTOR * timeout_s
+        if self._ends_before_stop(now, at_least_s):
+            return 0.0
+        return max(0.0, self._request.deadline - now)
 
     def _ends_before_stop(self, begins_at, at_least_s=0.0):
         return self._parts.stop_deadline.allows(
@@ -367,8 +370,6 @@
         if last or not self._request.can_rerun or choice.healthy_count < 2:
             return remaining_s
         timeout_s = max(MIN_TIMEOUT_S, TIMEOUT_TARGET_FACTOR * route.target_s)
-        if not self.may_give_up(timeout_s):
-            return remaining_s
         return min(remaining_s, timeout_s)
 
     async def _wait_for(self, waiting):
@@ -449,7 +450,12 @@
         has_arrived = True
         try:
             exchanged = await exchanges.exchange(
-                endpoint, request, headers, parts, timeout_s=timeout_s
+                endpoint,
+                request,
+                headers,
+                parts,
+                timeout_s=timeout_s,
+                extend=functools.partial(self.extension_s, timeout_s),
             )
             result = exchanged.result
             has_arrived = exchanged.has_arrived
--- a/sycamoreshed/forwarding/client.py
+++ b/sycamoreshed/forwarding/client.py
@@ -100,7 +100,17 @@
                 break
         return response
 
-    async def send(self, method, address, target, headers, body, *, timeout_s):
+    async def send(
+        self,
+        method,
+        address,
+        target,
+        headers,
+        body,
+        *,
+        timeout_s,
+        extend=None,
+    ):
         """Send a request and return once the head of the answer arrives.
 
         Parameters
@@ -111,18 +121,27 @@
         body : bytes
         timeout_s : float
             Time limit for the head of the answer.
+        extend : callable, optional
+            See `timeouts.time_limit`.
 
         Returns
         -------
         aiohttp.ClientResponse or Failure
             The caller must close a response.
         """
-        return await self._send(
-            self._session, method, address, target, headers, body, timeout_s
-        )
+        call = method, address, target, headers, body
+        return await self._send(self._session, *call, timeout_s, extend)
 
     async def _send(
-        self, session, method, address, target, headers, body, timeout_s
+        self,
+        session,
+        method,
+        address,
+        target,
+        headers,
+        body,
+        timeout_s,
+        extend=None,
     ):
         try:
             url = yarl.URL(f"http://{address}{target}", encoded=True)
@@ -134,7 +153,9 @@
         if self._saves_memory and len(body) > payloads.SLICE_BYTES:
             data = payloads.SlicedPayload(body)
         try:
-            async with timeouts.time_limit(max(timeout_s, 0.001)):
+            async with timeouts.time_limit(
+                max(timeout_s, 0.001), extend=extend
+            ):
                 return await session.request(
                     method,
                     url,
@@ -157,10 +178,10 @@
             return _failure(kinds.Kind.REFUSED, err, sent=True)
 
 
-async def read_full(response, *, timeout_s):
+async def read_full(response, *, timeout_s, extend=None):
     """Read a response; return a `FullAnswer` or a `Failure`."""
     try:
-        async with timeouts.time_limit(max(timeout_s, 0.001)):
+        async with timeouts.time_limit(max(timeout_s, 0.001), extend=extend):
             body = await bodies.read(response)
     except TimeoutError:
         return kinds.Failure(kinds.Kind.LATE, "answer not whole", sent=True)
--- a/sycamoreshed/forwarding/exchanges.py
+++ b/sycamoreshed/forwarding/exchanges.py
@@ -70,7 +70,9 @@
     inputs_missing: bool = False
 
 
-async def exchange(endpoint, request, headers, parts, *, timeout_s):
+async def exchange(
+    endpoint, request, headers, parts, *, timeout_s, extend=None
+):
     """Send a request to an endpoint; return an `Exchanged`.
 
     Parameters
@@ -82,6 +84,8 @@
     parts : Parts
     timeout_s : float
         Seconds until the head of the answer, and again for its body.
+    extend : callable, optional
+        See `timeouts.time_limit`.
     """
     sent_at = parts.clock()
     response = await parts.sender.send(
@@ -91,6 +95,7 @@
         headers,
         request.body,
         timeout_s=timeout_s,
+        extend=extend,
         context=wire.Context(
             request.id,
             (request.fingerprint,),
@@ -117,14 +122,16 @@
     may_pass_on = verdict == "done" and not request.route.streaming
     if may_pass_on and request.hold.is_limited:
         answer = await answers.read_start(
-            response, request.hold, timeout_s=timeout_s
+            response, request.hold, timeout_s=timeout_s, extend=extend
         )
         if isinstance(answer, answers.Start):
             return Exchanged(
                 Opened(endpoint, response, answer), True, is_counted
             )
     else:
-        answer = await client.read_full(response, timeout_s=timeout_s)
+        answer = await client.read_full(
+            response, timeout_s=timeout_s, extend=extend
+        )
     _record_run(endpoint, answer, verdict, parts, sent_at)
     if isinstance(answer, kinds.Failure):
         if verdict in _NOT_RUN:
--- a/sycamoreshed/forwarding/streams.py
+++ b/sycamoreshed/forwarding/streams.py
@@ -1,6 +1,7 @@
 """Forwarding of event streams, which resume at another engine on failure."""
 
 import asyncio
+import functools
 import typing
 
 from sycamoreshed.adapters import protocol
@@ -239,9 +240,11 @@
     short_bytes = 0
     while True:
         began_at = parts.clock()
+        timeout_s = _timeout(request, parts, progress)
         try:
             async with timeouts.time_limit(
-                _timeout(request, tries, parts, progress)
+                timeout_s,
+                extend=functools.partial(tries.extension_s, timeout_s),
             ):
                 data = await response.content.readany()
             if not data and not buffer.rest_size:
@@ -328,10 +331,9 @@
     return None
 
 
-def _timeout(request, tries, parts, progress):
+def _timeout(request, parts, progress):
     """Return the seconds after which an unresponsive engine is abandoned."""
-    now = parts.clock()
-    remaining_s = max(0.001, request.deadline - now)
+    remaining_s = max(0.001, request.deadline - parts.clock())
     if not request.route.resumable:
         return remaining_s
     if progress.has_started:
@@ -340,8 +342,6 @@
         timeout_s = max(
             MIN_FIRST_EVENT_S, FIRST_EVENT_SHARE * request.route.target_s
         )
-    if not tries.may_give_up(timeout_s):
-        return remaining_s
     return min(remaining_s, timeout_s)
 
 
--- a/sycamoreshed/forwarding/tests/builders.py
+++ b/sycamoreshed/forwarding/tests/builders.py
@@ -127,6 +127,7 @@
         self._script = iter(script)
         self.sent = []
         self.timeouts_s = []
+        self.extensions = []
 
     async def send(
         self,
@@ -137,12 +138,14 @@
         _body,
         *,
         timeout_s,
+        extend=None,
         context=None,
     ):
         """Answer with the next outcome."""
         outcome = next(self._script, OUTCOMES["done"])
         self.sent.append((endpoint.address, outcome))
         self.timeouts_s.append(timeout_s)
+        self.extensions.append(extend)
         if outcome.status is None:
             return kinds.Failure(
                 kinds.Kind.REFUSED, "no answer", sent=outcome.is_sent
--- a/sycamoreshed/forwarding/tests/test_stop_attempts.py
+++ b/sycamoreshed/forwarding/tests/test_stop_attempts.py
@@ -79,7 +79,11 @@
     """An answer that would have come in time was given up in a stop."""
     sender = builders.ScriptedSender([])
     parts = builders.parts(sender)
-    parts.stop_deadline.set(3.0)
     request = builders.request(target_s=0.9, idempotent=True)
     await attempts.Attempts(request=request, parts=parts).open()
-    assert sender.timeouts_s == [pytest.approx(request.deadline)]
+    assert sender.timeouts_s == [pytest.approx(1.8)]
+    (extend,) = sender.extensions
+    assert extend() == 0.0
+    # The stop may begin while the attempt is under way.
+    parts.stop_deadline.set(3.0)
+    assert extend() == request.deadline
--- a/sycamoreshed/kernel/tests/test_timeouts.py
+++ b/sycamoreshed/kernel/tests/test_timeouts.py
@@ -63,3 +63,14 @@
         pass
     async with timeouts.time_limit(None):
         await asyncio.sleep(0.1)
+
+
+async def test_limit_that_is_extended_goes_on():
+    """A call was given up although its limit had been extended."""
+    extensions = [0.05, 0.0]
+    began_at = time.monotonic()
+    with pytest.raises(TimeoutError):
+        async with timeouts.time_limit(0.01, extend=lambda: extensions.pop(0)):
+            await asyncio.sleep(30.0)
+    assert time.monotonic() - began_at >= 0.06
+    assert extensions == []
--- a/sycamoreshed/kernel/timeouts.py
+++ b/sycamoreshed/kernel/timeouts.py
@@ -13,13 +13,15 @@
 
 
 @contextlib.asynccontextmanager
-async def time_limit(seconds):
+async def time_limit(seconds, *, extend=None):
     """End a block with `TimeoutError` after a time, like `asyncio.timeout`.
 
     Parameters
     ----------
     seconds : float or None
         None for no limit.
+    extend : callable, optional
+        Called when the time has passed; returns the seconds to go on for.
 
     Notes
     -----
@@ -49,7 +51,13 @@
         deadline = loop.time() + seconds
 
         def expire():
+            nonlocal deadline, handle
             now = loop.time()
+            extension_s = 0.0 if extend is None else extend()
+            if extension_s > 0:
+                deadline = now + extension_s
+                handle = loop.call_at(deadline, expire)
+                return
             delayed = now - deadline > MAX_TIMER_DELAY_S
             timer.reschedule(now + READ_GRACE_S if delayed else now)
 
--- a/sycamoreshed/links/sending.py
+++ b/sycamoreshed/links/sending.py
@@ -52,6 +52,7 @@
         body,
         *,
         timeout_s,
+        extend=None,
         context=_NO_CONTEXT,
     ):
         """Send a request and return once the head of the answer arrives.
@@ -66,6 +67,8 @@
         body : bytes
         timeout_s : float
             Time limit for the head of the answer.
+        extend : callable, optional
+            See `timeouts.time_limit`; not for calls through others.
         context : Context
 
         Returns
@@ -85,6 +88,7 @@
             headers,
             body,
             timeout_s=timeout_s,
+            extend=extend,
             context=context,
         )
         if not isinstance(response, kinds.Failure):
@@ -92,7 +96,16 @@
         return response
 
     async def _send(
-        self, method, endpoint, target, headers, body, *, timeout_s, context
+        self,
+        method,
+        endpoint,
+        target,
+        headers,
+        body,
+        *,
+        timeout_s,
+        extend,
+        context,
     ):
         started_at = self._clock()
 
@@ -106,7 +119,9 @@
 
         call = method, endpoint, target, body
         if not self._reachability.is_cut_off:
-            response = await self._send_directly(*call, **remaining())
+            response = await self._send_directly(
+                *call, **remaining(), extend=extend
+            )
             if not _is_unsent(response) or not self._reachability.is_cut_off:
                 return response
         response = await self._send_indirectly(
@@ -165,7 +180,7 @@
         )
 
     async def _send_directly(
-        self, method, endpoint, target, body, *, headers, timeout_s
+        self, method, endpoint, target, body, *, headers, timeout_s, extend
     ):
         sent_at = self._clock()
         response = await self._client.send(
@@ -175,6 +190,7 @@
             headers,
             body,
             timeout_s=timeout_s,
+            extend=extend,
         )
         if not isinstance(response, kinds.Failure):
             self._reachability.record_success(endpoint.id, sent_at=sent_at)
--- a/tests/integration/test_stop_unknown_routes.py
+++ b/tests/integration/test_stop_unknown_routes.py
@@ -285,3 +285,22 @@
         told = new.events("durations_told")
     assert late.status == 503
     assert sum(each["samples"] for each in told) > 0
+
+
+async def test_attempt_before_the_stop_is_not_given_up_within_it(
+    store, tmp_path
+):
+    """It was given up by its time limit, though no other could be made."""
+    store.put("op", "config", route(target_latency_ms=800))
+    script = answering(LONG_S)
+    async with (
+        harness.endpoints(store, script, script, script) as endpoints,
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        sending = asyncio.create_task(send(gateway, 1))
+        await asyncio.sleep(0.1)
+        await send_in_stop(gateway)
+        outcome = await sending
+        arrivals = sum(len(each.seen) for each in endpoints)
+    assert outcome.status == 200
+    assert arrivals == 1
