Take late requests in a stop only if all known ones would end

The estimate leaves a share of 0.05 in any case.

Change: from the time on at which no new connections are expected, a request is taken only if the longest one that is known would end within half of the time that is left. Rejecting it costs one try, and its caller has other instances. What is short is served as before.

Evidence: a unit test, which fails on the commit before.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -32,6 +32,7 @@
 UNKNOWN_HEADER_BYTES = 65536
 # The load balancer checks readiness once a second and reacts to two failed
 # checks, so new connections arrive for up to three seconds after SIGTERM.
+NEW_CONNECTIONS_S = 3.0
 ACCEPT_S = 3.2
 # Bytes that are read ahead of a caller's body, if this instance's memory is
 # limited.
@@ -211,7 +212,9 @@
     grace_s = core.settings.grace_s
     gives_up_at = started_at + max(0.0, grace_s - GIVE_UP_MARGIN_S)
     core.part("stop_deadline").set(
-        started_at + grace_s - WRITE_MARGIN_S, gives_up_at=gives_up_at
+        started_at + grace_s - WRITE_MARGIN_S,
+        gives_up_at=gives_up_at,
+        late_from=started_at + NEW_CONNECTIONS_S,
     )
     core.spawn(
         core.part("duration_exchange").ask(started_at), name="ask durations"
--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -18,6 +18,9 @@
 # Share of requests that may last longer than is estimated: a rejection costs
 # its caller one more try, whereas what is cut off may be lost.
 MAX_RISK = 0.05
+# Callers that come late know other instances.  All requests that are known
+# have to last less than this share of the time that is left for theirs.
+LATE_SHARE = 0.5
 # As long as an answer of a route that has had none may take, as a multiple of
 # the route's target time.
 UNKNOWN_FACTOR = 3.0
@@ -50,6 +53,7 @@
         self._clock = clock
         self._ends_at = math.inf
         self._gives_up_at = math.inf
+        self._late_from = math.inf
         # Times by which waits have to be over, by their timers.
         self._timers = {}
         self._quantiles = {}
@@ -59,7 +63,7 @@
         """Monotonic time by which answers have to be whole; inf if unknown."""
         return self._ends_at
 
-    def set(self, ends_at, *, gives_up_at=None):
+    def set(self, ends_at, *, gives_up_at=None, late_from=math.inf):
         """Set when this instance ends.
 
         Parameters
@@ -68,8 +72,11 @@
             Monotonic time by which responses have to be complete.
         gives_up_at : float, optional
             When those that are not are given up.
+        late_from : float
+            From when on no new connections are expected.
         """
         self._ends_at = ends_at
+        self._late_from = late_from
         self._gives_up_at = ends_at if gives_up_at is None else gives_up_at
         for timer, limit in self._timers.items():
             self._schedule(timer, limit)
@@ -102,7 +109,11 @@
         """
         if self._ends_at == math.inf or request.deadline <= self._ends_at:
             return math.inf
-        needed_s = self._needed_s(request, phase, now)
+        is_late = request.started_at > self._late_from
+        risk = 0.0 if is_late else MAX_RISK
+        needed_s = self._needed_s(request, phase, now, risk)
+        if is_late:
+            needed_s /= LATE_SHARE
         if delivered_s:
             rest_s = MIN_REST_SHARE * needed_s
             needed_s = max(needed_s - delivered_s, rest_s)
@@ -194,7 +205,7 @@
         loop = asyncio.get_running_loop()
         timer.reschedule(loop.time() + max(0.0, left_s))
 
-    def _needed_s(self, request, phase, now):
+    def _needed_s(self, request, phase, now, risk):
         """Return how long a phase of a request and what follows may last."""
         route = request.route
         unknown_s = UNKNOWN_FACTOR * route.target_s
@@ -204,21 +215,21 @@
             if self._durations.count_ended(token_key) >= MIN_STREAMS:
                 first_event = measuring.Part.FIRST_EVENT
                 key = measuring.Key(first_event, phase, route.name)
-                first_s = self._quantile(key, now, unknown_s)
-                return first_s + tokens * self._quantile(token_key, now)
+                first_s = self._quantile(key, now, risk, unknown_s)
+                return first_s + tokens * self._quantile(token_key, now, risk)
         key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
-        return self._quantile(key, now, unknown_s)
+        return self._quantile(key, now, risk, unknown_s)
 
-    def _quantile(self, key, now, unknown=0.0):
-        at, value = self._quantiles.get(key, (-math.inf, 0.0))
+    def _quantile(self, key, now, risk, unknown=0.0):
+        at, value = self._quantiles.get((key, risk), (-math.inf, 0.0))
         if not 0.0 <= now - at < ESTIMATE_TTL_S:
             samples = self._durations.samples(key, now)
             value = 0.0
             if samples:
-                value = durations.quantile(samples, MAX_RISK)
+                value = durations.quantile(samples, risk)
             if not self._durations.count_ended(key):
                 value = max(value, unknown)
-            self._quantiles[key] = now, value
+            self._quantiles[key, risk] = now, value
         return value
 
     def _log(self, request, phase, now, begin_by):
--- a/sycamoreshed/stopping/durations.py
+++ b/sycamoreshed/stopping/durations.py
@@ -26,12 +26,10 @@
         Seconds, or seconds for each token.
     has_ended : bool
         Whether it lasted for so long, rather than longer.
-    weight : float
     """
 
     value: float
     has_ended: bool = True
-    weight: float = 1.0
 
 
 def quantile(samples, risk):
@@ -65,16 +63,16 @@
     ordered = sorted(
         samples, key=lambda each: (each.value, not each.has_ended)
     )
-    remaining = sum(each.weight for each in ordered)
     survival = 1.0
     longest = 0.0
-    for each in ordered:
+    for remaining, each in zip(
+        range(len(ordered), 0, -1), ordered, strict=True
+    ):
         if each.has_ended:
-            survival *= 1.0 - each.weight / remaining
+            survival *= 1.0 - 1.0 / remaining
             longest = each.value
             if survival <= risk:
                 return longest
-        remaining -= each.weight
     return max(longest, AGE_FACTOR * ordered[-1].value)
 
 
--- a/sycamoreshed/stopping/tests/test_deadline.py
+++ b/sycamoreshed/stopping/tests/test_deadline.py
@@ -141,6 +141,18 @@
     assert needed_s(stopping, builders.request(on)) > 2.0
 
 
+def test_late_request_is_allowed_only_if_all_known_ones_would_end():
+    """Of many late requests a few were cut off, as the estimate tells."""
+    stopping = builders.make_deadline()
+    for seconds in [0.2] * 60 + [2.0]:
+        builders.measure(stopping, builders.request(), seconds)
+    stopping.set(13.0, late_from=3.0)
+    early, late = builders.request(started_at=3.0), builders.request()
+    late.started_at = 3.1
+    assert needed_s(stopping, early) < 1.0
+    assert needed_s(stopping, late) == pytest.approx(4.0)
+
+
 def test_routes_and_phases_are_told_apart():
     """Short requests were rejected because others last long."""
     stopping = builders.make_deadline()
