Leave more time to close connections at the end of a stop

In one of 128 plays of stops, at load 12, the process was killed although nothing was in flight: closing connections and sessions took more than the quarter of a second that was left. What is unfinished is given up 0.4 s before the end now.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -40,7 +40,8 @@
 # Part of the grace period that is reserved for writing the last responses.
 WRITE_MARGIN_S = 0.6
 # What has not ended by then is given up, with a response if it has none yet.
-GIVE_UP_MARGIN_S = 0.25
+# Closing connections takes time as well.
+GIVE_UP_MARGIN_S = 0.4
 # For the responses to what was given up.
 LAST_WRITES_S = 0.1
 # For handlers that still run when the listeners close.  The HTTP library would
