--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -200,7 +200,7 @@
 
     def _schedule(self, timer, limit):
         left_s = limit() - self._clock()
-        if left_s == math.inf:
+        if left_s == math.inf or timer.expired():
             return
         loop = asyncio.get_running_loop()
         timer.reschedule(loop.time() + max(0.0, left_s))
