Measure only some phases of a request if asked to

A call that an instance sends for another one begins when it is sent: what its request waited before, the other instance knows. Its duration tells how long attempts last, and nothing about requests from their arrival.

The test could not be written before: measurements always had both phases.

--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -81,10 +81,10 @@
         for timer, limit in self._timers.items():
             self._schedule(timer, limit)
 
-    def measure(self, request):
-        """Return the `Measurement` of a request."""
+    def measure(self, request, *, phases=tuple(measuring.Phase)):
+        """Return the `Measurement` of some phases of a request."""
         return measuring.Measurement(
-            durations=self._durations, request=request
+            durations=self._durations, request=request, phases=phases
         )
 
     def begin_by(
--- a/sycamoreshed/stopping/measuring.py
+++ b/sycamoreshed/stopping/measuring.py
@@ -69,11 +69,14 @@
     ----------
     durations : Durations
     request : Request
+    phases : iterable of Phase, optional
+        Those that are measured.
     """
 
-    def __init__(self, *, durations, request):
+    def __init__(self, *, durations, request, phases=tuple(Phase)):
         self._durations = durations
         self._request = request
+        self._phases = phases
         self._tokens = output_tokens(request)
         self._attempt_at = None
         self._first_event_at = None
@@ -128,6 +131,8 @@
         _end_all(self._of_request, now, has_ended=has_ended)
 
     def _begin(self, phase, now):
+        if phase not in self._phases:
+            return {}
         route = self._request.route
         parts = [Part.WHOLE]
         if route.streaming:
--- a/sycamoreshed/stopping/tests/test_deadline.py
+++ b/sycamoreshed/stopping/tests/test_deadline.py
@@ -220,3 +220,15 @@
         with pytest.raises(TimeoutError):
             await running
     assert limits[0].expired()
+
+
+def test_calls_for_others_do_not_count_from_the_arrival_of_requests():
+    """Requests that wait first were taken to last as long as such calls."""
+    stopping = builders.make_deadline()
+    measurement = stopping.measure(builders.request(), phases=(ATTEMPT,))
+    measurement.begin_attempt(0.0)
+    measurement.end(0.2, is_whole=True)
+    stopping.set(10.0)
+    assert needed_s(stopping, builders.request(), ATTEMPT) < 1.0
+    unknown_s = deadlines.UNKNOWN_FACTOR
+    assert needed_s(stopping, builders.request()) == pytest.approx(unknown_s)
