Send calls for others that end before a stopping instance does

An instance that is cut off from all endpoints has others send its calls. One that stops refused all of them from SIGTERM on, also those that would have ended seconds before it did; what it had taken before went on until the process ended, and the endpoint then counted as broken at both instances.

The instance decides as it does on requests of its own: by the deadline of the call and by how long attempts on its route last, to which calls for others count now. What cannot end is refused as not sent, with the kind that says why. When the instance has no time left, a call whose answer has not begun is answered with a failure that may have run, and one whose answer has begun is cut off; neither says anything of the endpoint.

--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -14,7 +14,9 @@
 from sycamoreshed.buffering import slowreaders
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
+from sycamoreshed.links import calltimes
 from sycamoreshed.links import wire
+from sycamoreshed.stopping import measuring
 
 __all__ = ["CallServer"]
 
@@ -22,6 +24,12 @@
 # This is for an instance that does not.
 PATIENCE_FACTOR = 1.5
 
+# This instance stops before the call would end.
+_STOPS = wire.Refusal(
+    kinds.Kind.DRAINING, "instance stops", sent=False, try_others=True
+)
+_ENDS = wire.Refusal(kinds.Kind.DRAINING, "instance ends", sent=True)
+
 
 class CallServer:
     """Handles the calls that other instances want to have sent.
@@ -39,7 +47,7 @@
     crashes : CrashDetector
     reachability : Reachability
     notices : Notices
-    stopping : asyncio.Event
+    stop_deadline : StopDeadline
     journal : Journal
     clock : callable
     buffers : BufferBudget
@@ -57,7 +65,7 @@
         crashes,
         reachability,
         notices,
-        stopping,
+        stop_deadline,
         journal,
         clock,
         buffers,
@@ -70,7 +78,7 @@
         self._crashes = crashes
         self._reachability = reachability
         self._notices = notices
-        self._stopping = stopping
+        self._stop_deadline = stop_deadline
         self._journal = journal
         self._clock = clock
         self._buffers = buffers
@@ -92,14 +100,30 @@
         refusal = self._reject(call, endpoint)
         if refusal is not None:
             return self._refuse(call, refusal)
+        request = calltimes.as_request(
+            call,
+            endpoint,
+            catalog=self._catalog,
+            codec=self._codec,
+            now=self._clock(),
+        )
+        if self._stop_deadline.check(
+            request, measuring.Phase.ATTEMPT, self._clock()
+        ):
+            return self._refuse(call, _STOPS)
         if call.is_cleanup:
             return await self._clean_up(call, endpoint, body)
+        measurement = self._stop_deadline.measure(
+            request, phases=(measuring.Phase.ATTEMPT,)
+        )
         calls = [
             self._crashes.record_start(endpoint, each)
             for each in call.fingerprints
         ]
         try:
-            return await self._send(http, call, endpoint, body, calls)
+            return await self._send(
+                http, call, endpoint, body, calls, measurement
+            )
         finally:
             for number in calls:
                 self._crashes.record_end(endpoint, number)
@@ -107,8 +131,6 @@
     def _reject(self, call, endpoint):
         """Return the `Refusal` of a call that must not be sent, or None."""
         now = self._clock()
-        if self._stopping.is_set():
-            return _not_sent("instance stops", try_others=True)
         if self._reachability.is_cut_off:
             return _not_sent("instance is cut off as well", try_others=True)
         if endpoint is None or endpoint.started_at_ms != call.started_at_ms:
@@ -151,16 +173,42 @@
             status=answer.status, body=answer.body, headers=headers
         )
 
-    async def _send(self, http, call, endpoint, body, calls):
+    async def _send(self, http, call, endpoint, body, calls, measurement):
+        measurement.begin_attempt(self._clock())
+        is_whole = False
+        try:
+            response = await self._open(call, endpoint, body)
+            if isinstance(response, wire.Refusal):
+                return self._refuse(call, response)
+            try:
+                answer = await self._pass_on(
+                    http, call, endpoint, response, calls, measurement
+                )
+            finally:
+                response.close()
+            verdict = self._codec.classify_response(
+                response.status, response.headers
+            )
+            is_whole = verdict.value == "done"
+            return answer
+        finally:
+            measurement.end(self._clock(), is_whole=is_whole)
+
+    async def _open(self, call, endpoint, body):
+        """Send a call; return the head of the answer or a `Refusal`."""
         sent_at = self._clock()
-        response = await self._client.send(
-            call.method,
-            endpoint.address,
-            call.target,
-            multidict.CIMultiDict(call.headers),
-            body,
-            timeout_s=call.timeout_s,
-        )
+        try:
+            async with self._stop_deadline.time_limit():
+                response = await self._client.send(
+                    call.method,
+                    endpoint.address,
+                    call.target,
+                    multidict.CIMultiDict(call.headers),
+                    body,
+                    timeout_s=call.timeout_s,
+                )
+        except TimeoutError:
+            return _ENDS
         if isinstance(response, kinds.Failure):
             if not response.sent:
                 self._reachability.record_failure(
@@ -168,15 +216,14 @@
                 )
             elif response.kind is kinds.Kind.REFUSED:
                 await self._record_break(endpoint)
-            return self._refuse(call, _of_failure(response))
+            return _of_failure(response)
         self._reachability.record_success(endpoint.id, sent_at=sent_at)
         self._notices.record(endpoint, response)
-        try:
-            return await self._pass_on(http, call, endpoint, response, calls)
-        finally:
-            response.close()
+        return response
 
-    async def _pass_on(self, http, call, endpoint, response, calls):
+    async def _pass_on(
+        self, http, call, endpoint, response, calls, measurement
+    ):
         """Pass an endpoint's answer on as it arrives."""
         answer = web.StreamResponse(
             status=response.status,
@@ -195,20 +242,25 @@
         )
         why = None
         size = 0
+        is_over = False
         try:
-            async for data in response.content.iter_any():
-                for number in calls:
-                    self._crashes.record_data(endpoint, number)
-                size += len(data)
-                await peer.write(answer, data, patience_s=self._patience_s)
-            protocol.check_whole(response)
+            async with self._stop_deadline.time_limit():
+                async for data in response.content.iter_any():
+                    for number in calls:
+                        self._crashes.record_data(endpoint, number)
+                    size += len(data)
+                    measurement.record_first_event(self._clock())
+                    await peer.write(answer, data, patience_s=self._patience_s)
+                protocol.check_whole(response)
         except adapters.TRANSPORT_ERRORS as err:
-            why = adapters.describe(err)
+            is_over = self._stop_deadline.is_over(self._clock())
+            why = _ENDS.reason if is_over else adapters.describe(err)
         self._log(call, endpoint, response.status, why, size)
         if why is None:
             await answer.write_eof()
             return answer
-        await self._record_break(endpoint)
+        if not is_over:
+            await self._record_break(endpoint)
         truncation.truncate(http)
         raise asyncio.CancelledError
 
@@ -272,6 +324,7 @@
         "platform",
         "reachability",
         "slow_readers",
+        "stop_deadline",
     ),
 )
 async def call_server(core):
@@ -283,7 +336,7 @@
         crashes=core.part("crashes"),
         reachability=core.part("reachability"),
         notices=core.part("notices"),
-        stopping=core.stopping,
+        stop_deadline=core.part("stop_deadline"),
         journal=core.part("journal"),
         clock=core.clock,
         buffers=core.part("buffers"),
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -10,6 +10,7 @@
 from standins import scripted
 from sycamoreshed.buffering import budget
 from sycamoreshed.catalog import rests
+from sycamoreshed.catalog import routes
 from sycamoreshed.catalog import types
 from sycamoreshed.engineload import told
 from sycamoreshed.findings import board
@@ -23,11 +24,15 @@
 from sycamoreshed.links import serving
 from sycamoreshed.platform import names
 from sycamoreshed.platform import platform
+from sycamoreshed.stopping import deadline
+from sycamoreshed.stopping import measuring
+from sycamoreshed.stopping.tests import builders as deadlines
 from testkit import crashes
 from testkit import journals
 
 __all__ = [
     "REGIONS",
+    "ROUTE",
     "Helper",
     "Peers",
     "running",
@@ -36,6 +41,10 @@
 
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 ZONE = "north-a"
+QUICK_ANSWERS = 40
+QUICK_S = 0.05
+# Its answers usually take a second.
+ROUTE = types.Route("r", "h", "/", (("desk", 1.0),), target_s=1.0)
 
 
 class Peers:
@@ -66,6 +75,8 @@
         self.known = {each.id: each for each in endpoints}
         self.usable = tuple(endpoints)
         self.rests = rests.Rests()
+        self.configuration = None
+        self.routes = routes.RouteTable(routes=[ROUTE])
 
     def endpoint(self, key):
         """Return the endpoint with an id, or None."""
@@ -90,7 +101,7 @@
     ----------
     catalog : Catalog
     crashes : Crashes
-    stopping : asyncio.Event
+    stop_deadline : StopDeadline
     journal : Journal
     """
 
@@ -98,7 +109,9 @@
         self.journal = journals.Journal()
         self.catalog = Catalog(endpoint)
         self.crashes = crashes.Crashes()
-        self.stopping = asyncio.Event()
+        self.stop_deadline = deadline.StopDeadline(
+            journal=self.journal, clock=asyncio.get_running_loop().time
+        )
         codec = platform.Platform(store=None)
         self.server = serving.CallServer(
             catalog=self.catalog,
@@ -107,7 +120,7 @@
             crashes=self.crashes,
             reachability=reachability.Reachability(journal=self.journal),
             notices=make_notices(codec, self.journal, self.catalog),
-            stopping=self.stopping,
+            stop_deadline=self.stop_deadline,
             journal=self.journal,
             clock=asyncio.get_running_loop().time,
             buffers=budget.BufferBudget(),
@@ -119,6 +132,21 @@
         """Cut the instance off from all endpoints."""
         self.server._reachability = cut_off_links(self.journal)
 
+    def end_in(self, seconds):
+        """Have the instance stop, and end in so many seconds."""
+        now = asyncio.get_running_loop().time()
+        self.stop_deadline.set(now + seconds)
+
+    def serve_quickly(self):
+        """Record short answers to requests of the route."""
+        phases = (measuring.Phase.ATTEMPT,)
+        for _ in range(QUICK_ANSWERS):
+            measurement = self.stop_deadline.measure(
+                deadlines.request(ROUTE), phases=phases
+            )
+            measurement.begin_attempt(0.0)
+            measurement.end(QUICK_S, is_whole=True)
+
     def freeze(self):
         """Make the instance take calls and do nothing."""
         self.server._client = _FrozenClient()
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -20,6 +20,8 @@
 SOUTH = frozenset(("south",))
 LONG_S = 30.0
 AT_ONCE_S = 0.3
+# Until the end of an instance that stops, of which calls may last longer.
+SOON_S = 0.5
 MANY = indirect.MAX_REFUSALS
 MAX_CHECKS = 2000
 
@@ -137,7 +139,7 @@
     """A request was lost with an instance that was about to end."""
     async with builders.running(answer) as system:
         first, second, _ = system.helpers
-        first.stopping.set()
+        first.end_in(SOON_S)
         second.cut_off()
         for _ in range(3):
             response = await builders.send(system)
@@ -152,6 +154,64 @@
     )
 
 
+async def test_instance_that_stops_sends_calls_that_end_before_it_does():
+    """Instances were of no use to others from the begin of their stop on."""
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            # The caller's deadline is nearer.
+            each.end_in(LONG_S)
+        response = await builders.send(system)
+        whole = await clients.read_full(response, timeout_s=5.0)
+    assert whole.body == b"whole"
+    assert len(names_of(system)) == 1
+
+
+@pytest.mark.parametrize("is_known", [True, False])
+async def test_instance_that_stops_sends_what_usually_ends_in_time(is_known):
+    """Calls with late deadlines were sent and cut off, or all refused."""
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            if is_known:
+                each.serve_quickly()
+            each.end_in(SOON_S)
+        result = await builders.send(system)
+        if is_known:
+            whole = await clients.read_full(result, timeout_s=5.0)
+            assert whole.body == b"whole"
+        else:
+            assert not result.sent
+            assert not system.server.seen
+
+
+@pytest.mark.parametrize("has_begun", [True, False])
+async def test_call_that_lasts_beyond_the_end_of_its_instance_fails(has_begun):
+    """An endpoint counted as broken that was cut off by an instance's end."""
+
+    def wait(_received):
+        if has_begun:
+            yield scripted.stream_head() + b"part"
+        yield LONG_S
+
+    async with builders.running(wait) as system:
+        call = asyncio.create_task(builders.send(system, timeout_s=LONG_S))
+        while not system.server.seen:
+            await asyncio.sleep(0.01)
+        if has_begun:
+            response = await call
+        for each in system.helpers:
+            each.end_in(AT_ONCE_S)
+        async with asyncio.timeout(5.0):
+            if has_begun:
+                failure = await clients.read_full(response, timeout_s=LONG_S)
+            else:
+                failure = await call
+        assert isinstance(failure, kinds.Failure) and failure.sent
+        if not has_begun:
+            assert failure.kind is kinds.Kind.DRAINING
+        assert not any(each.crashes.broken for each in system.helpers)
+        assert len(system.server.seen) == 1
+
+
 async def test_a_call_that_may_have_arrived_is_not_sent_again():
     """A request that may run once only ran at two endpoints."""
 
@@ -261,7 +321,7 @@
 async def test_calls_that_one_instance_loses_do_not_end_the_search():
     """Requests failed while other instances could have sent them."""
     async with builders.running(answer) as system:
-        system.helpers[0].stopping.set()
+        system.helpers[0].end_in(SOON_S)
         calls = [builders.send(system) for _ in range(3 * MANY)]
         results = await asyncio.gather(*calls)
         for each in results:
