Do not count instances that stop against the search for one that sends

A request at an instance that is cut off from all endpoints was lost when the three instances that it asked first were all stopping, and a few such refusals paused all indirect sending for half a second, though nobody had sent the request and other instances could. A stopping instance that had refused a long call was also avoided for short ones, which it does send.

What is refused because an instance stops counts neither as an attempt nor as a sign that all may be cut off; for one call it is bounded by a number of its own. Such instances are asked last by later calls, as are silent ones, and before the last choice of a zone the other zones are asked.

Both new tests failed before: the request got no instance.

--- a/sycamoreshed/links/indirect.py
+++ b/sycamoreshed/links/indirect.py
@@ -21,6 +21,9 @@
 PATH = "/control/calls"
 # Instances that are asked in turn to send a call.
 MAX_ATTEMPTS = 3
+# Those of them do not count that refuse it because they stop, up to so many:
+# during a series of stops the next one may refuse it as well.
+MAX_STOPPING = 12
 # If so many different instances in a row cannot send a call, none is asked for
 # a while: all may be cut off, or all endpoints down.
 MAX_REFUSALS = 6
@@ -61,10 +64,11 @@
         self._journal = journal
         self._clock = clock
         self._rng = rng or random.Random()
-        # Instances that cannot send calls, and those that gave no answer: the
-        # latter may merely wait for a slow endpoint, and are the last choice.
+        # Instances that cannot send calls, and those that gave no answer or
+        # stop.  The latter are the last choice: they may merely wait for a
+        # slow endpoint, and send what ends before they do.
         self._avoidance = avoidance.Avoidance()
-        self._silent = avoidance.Avoidance()
+        self._last_choice = avoidance.Avoidance()
         # Zones of which an instance could not send a call, and when.
         self._zone_failures = {}
         self._refusals = 0
@@ -88,10 +92,12 @@
             send the call.
         """
         started_at = self._clock()
-        for _ in range(MAX_ATTEMPTS):
+        attempts = 0
+        stopping = set()
+        while attempts < MAX_ATTEMPTS and len(stopping) < MAX_STOPPING:
             now = self._clock()
             remaining_s = call.timeout_s - (now - started_at)
-            selected = self._select(endpoint.zone, regions, now)
+            selected = self._select(endpoint.zone, regions, now, stopping)
             if selected is None or remaining_s <= 0:
                 return None
             zone, name, control = selected
@@ -104,17 +110,25 @@
             result = await self._send_through(
                 control, call._replace(timeout_s=remaining_s), body
             )
+            if _is_stopping(result):
+                # The next call may be shorter.
+                stopping.add(control)
+                self._last_choice.add(control, self._clock())
+                self._log_lost(name, result, call)
+                continue
+            attempts += 1
             if not _is_lost(result):
                 self._refusals = 0
                 self._zone_failures.pop(zone, None)
                 if isinstance(result, kinds.Failure):
-                    self._silent.add(control, self._clock())
+                    self._last_choice.add(control, self._clock())
                     self._zone_failures[zone] = self._clock()
                 return _as_failure(result)
-            self._record_lost(zone, name, control, result, call)
+            self._record_lost(zone, name, control)
+            self._log_lost(name, result, call)
         return None
 
-    def _select(self, endpoint_zone, regions, now):
+    def _select(self, endpoint_zone, regions, now, stopping):
         """Return zone, name and address of an instance, or None."""
         if now < self._paused_until:
             return None
@@ -131,15 +145,26 @@
                 each,
             )
         )
+        last_choice = None
         for zone in zones:
             members = self._peers.of_zone(zone, now)
             members.pop(self._own, None)
+            members = {
+                name: control
+                for name, control in members.items()
+                if control not in stopping
+            }
             members = self._avoidance.available(members, now)
-            members = self._silent.available(members, now) or members
-            if members:
-                name = self._rng.choice(sorted(members))
-                return zone, name, members[name]
-        return None
+            preferred = self._last_choice.available(members, now)
+            if preferred:
+                return self._pick(zone, preferred)
+            if members and last_choice is None:
+                last_choice = zone, members
+        return last_choice and self._pick(*last_choice)
+
+    def _pick(self, zone, members):
+        name = self._rng.choice(sorted(members))
+        return zone, name, members[name]
 
     def _way_cost(self, zone, other):
         if zone == other:
@@ -177,7 +202,7 @@
         except msgspec.MsgspecError as err:
             return kinds.Failure(kinds.Kind.REFUSED, str(err), sent=True)
 
-    def _record_lost(self, zone, name, control, result, call):
+    def _record_lost(self, zone, name, control):
         now = self._clock()
         # Calls that were under way at the same time tell nothing new.
         is_new = bool(self._avoidance.available({name: control}, now))
@@ -187,6 +212,8 @@
         if self._refusals >= MAX_REFUSALS:
             self._refusals = 0
             self._paused_until = now + PAUSE_S
+
+    def _log_lost(self, name, result, call):
         self._journal.write(
             "indirect_lost",
             request=call.request,
@@ -195,6 +222,11 @@
         )
 
 
+def _is_stopping(result):
+    """Return whether an instance has not sent a call because it stops."""
+    return _is_lost(result) and result.kind is kinds.Kind.DRAINING
+
+
 def _is_lost(result):
     """Return whether another instance may send the call instead.
 
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -40,6 +40,7 @@
 ]
 
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+HELPERS = len(REGIONS)
 ZONE = "north-a"
 QUICK_ANSWERS = 40
 QUICK_S = 0.05
@@ -176,7 +177,7 @@
     ----------
     sender : EndpointSender
     helpers : list of Helper
-        One in each zone of `REGIONS`.
+        The first ones are in the zones of `REGIONS`, in order.
     server : scripted.Endpoint
     endpoint : Endpoint
     journal : Journal
@@ -219,8 +220,15 @@
 
 
 @contextlib.asynccontextmanager
-async def running(script):
-    """Run an endpoint with a script, and helpers of a cut-off sender."""
+async def running(script, *, helpers=HELPERS):
+    """Run an endpoint with a script, and helpers of a cut-off sender.
+
+    Parameters
+    ----------
+    script : callable
+    helpers : int
+        They are spread over the zones of `REGIONS`.
+    """
     clock = asyncio.get_running_loop().time
     journal = journals.Journal()
     server = scripted.Endpoint(script)
@@ -228,13 +236,13 @@
     endpoint = types.Endpoint("e1", "desk", server.address, "south-a", 4)
     codec = platform.Platform(store=None)
     async with clients.open_client() as client:
-        helpers = [Helper(client, endpoint) for _ in REGIONS]
-        for each in helpers:
+        running_helpers = [Helper(client, endpoint) for _ in range(helpers)]
+        members = {zone: {} for zone in REGIONS}
+        for number, each in enumerate(running_helpers):
             await each.start()
-        members = {
-            zone: {f"edge-{zone}": helper.control}
-            for zone, helper in zip(REGIONS, helpers, strict=True)
-        }
+            zone = list(REGIONS)[number % len(REGIONS)]
+            suffix = "" if number < len(REGIONS) else f"-{number}"
+            members[zone][f"edge-{zone}{suffix}"] = each.control
         catalog = Catalog(endpoint)
         sender = sending.EndpointSender(
             catalog=catalog,
@@ -253,8 +261,8 @@
             codec=codec,
             clock=clock,
         )
-        yield System(sender, helpers, server, endpoint, journal)
-        for each in helpers:
+        yield System(sender, running_helpers, server, endpoint, journal)
+        for each in running_helpers:
             await each.stop()
     await server.stop()
 
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -330,6 +330,33 @@
     assert events.count("sent_for_other") == 3 * MANY
 
 
+async def test_refusals_of_instances_that_stop_do_not_end_the_search():
+    """Three instances that stopped lost a request that nobody had sent."""
+    count = indirect.MAX_STOPPING
+    async with builders.running(answer, helpers=count) as system:
+        for each in system.helpers[:-1]:
+            each.end_in(SOON_S)
+        for _ in range(3):
+            response = await builders.send(system)
+            response.close()
+        assert len(system.server.seen) == 3
+        # Those that stop are not asked again while others send calls.
+        assert len(names_of(system)) <= count + 2
+
+
+async def test_all_instances_that_stop_are_asked_again_for_shorter_calls():
+    """An instance that had refused a long call got no short ones either."""
+    async with builders.running(answer) as system:
+        for each in system.helpers:
+            each.end_in(1.0)
+        refused = await builders.send(system)
+        assert not refused.sent
+        assert not system.server.seen
+        response = await builders.send(system, timeout_s=0.4)
+        response.close()
+        assert len(system.server.seen) == 1
+
+
 async def test_an_instance_that_is_frozen_gets_no_second_call():
     """Each request waited for an instance that did not answer."""
     async with builders.running(answer) as system:
