Have other instances run the stages that a stopping one has no time for

An instance that coordinates stages accepted every job until it ended, and what was running then was cut. The other instances, which learn from the store that one stops, went on to delegate jobs to it while the store was away; a job that it could not run was tried there three times and lost.

A coordinator now runs what ends before its instance does: a job whose time limit is nearer, or for which twice the time is left that the queue lets expect; the latter with its limit lowered. Anything else, any job that turns out to need more time, and any stage or repeat of pieces that cannot end, is refused with a header that says so. The instance that delegated the job skips the stopping one from then on, for all it does, and asks the next one at once, without counting an attempt; if none is left it runs the job itself.

Eight of the new tests, all that are about refusals, failed before; the two about jobs that have time hold what already was so.

--- a/sycamoreshed/gateway/control.py
+++ b/sycamoreshed/gateway/control.py
@@ -10,6 +10,7 @@
 from sycamoreshed.catalog import relay
 from sycamoreshed.catalog import updates
 from sycamoreshed.engineload import messages as load_messages
+from sycamoreshed.errors import kinds
 from sycamoreshed.findings import exchange as exchanges
 from sycamoreshed.forwarding import limiting
 from sycamoreshed.forwarding import permits
@@ -118,15 +119,18 @@
         job = decoding.decode(await http.read(), pieces.Job)
         self.in_flight += 1
         try:
-            return _json(
-                await self._stages.run_locally(
-                    job,
-                    _query(http, "zone"),
-                    delegation.decode_origin(http.query),
-                )
+            outcome = await self._stages.run_locally(
+                job,
+                _query(http, "zone"),
+                delegation.decode_origin(http.query),
             )
         finally:
             self.in_flight -= 1
+        if isinstance(outcome, kinds.Failure):
+            return web.Response(
+                status=503, headers={delegation.STOPPING_HEADER: "1"}
+            )
+        return _json(outcome)
 
     async def call(self, http):
         """Send a call to an endpoint for an instance that cannot."""
--- a/sycamoreshed/observe/events.py
+++ b/sycamoreshed/observe/events.py
@@ -409,6 +409,12 @@
         "request, zone, pieces, aim_s, until_s, is_late, backlog_s",
         "the stages of a request were taken on, or refused as too late",
     ),
+    "stage_stopped": Event(
+        EventClass.DECISION,
+        "request, zone, left_s, expected_s",
+        "a stopping instance did not take on the stages of a request, or gave "
+        "them up, so that another instance runs them",
+    ),
     "batch": Event(
         EventClass.DETAIL,
         "endpoint, service, requests, pieces, waited_s, queued, room_mb",
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -8,6 +8,7 @@
 from sycamoreshed.retries import repeats
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import scheduling
+from sycamoreshed.stopping import deadline
 
 __all__ = ["Coordinator"]
 
@@ -23,6 +24,9 @@
 # Allowance for the transfer of a result to where it is needed, subtracted from
 # the deadline of its piece.
 FETCH_S = 0.02
+# A job that may last beyond the end of this instance is run if as many times
+# its expected time is left.
+STOP_FACTOR = 2.0
 
 
 class _Run(typing.NamedTuple):
@@ -49,6 +53,7 @@
         Takes `Service`, endpoints and `Scheduler`, returns a `Batcher`.
     crashes : CrashDetector
     budget : RetrySpending
+    stop_deadline : StopDeadline
     journal : Journal
     clock : callable
     """
@@ -62,6 +67,7 @@
         make_batcher,
         crashes,
         budget,
+        stop_deadline,
         journal,
         clock,
     ):
@@ -71,6 +77,7 @@
         self._make_batcher = make_batcher
         self._crashes = crashes
         self._budget = budget
+        self._stop_deadline = stop_deadline
         self._journal = journal
         self._clock = clock
         self._batchers = {}
@@ -81,17 +88,62 @@
         )
 
     async def run(self, job, origin=pieces.NO_ORIGIN):
-        """Run a job; return its `JobOutcome`.
+        """Run a job.
 
         Parameters
         ----------
         job : Job
         origin : Origin
+
+        Returns
+        -------
+        JobOutcome or Failure
+            A failure if this instance stops before the job would be done, so
+            that another one has to run it.
         """
         now = self._clock()
         names = {s.service for s in job.stages if s.count}
         if not all(map(self._find_service, names)):
             return self._failed_outcome("a service takes no pieces", False)
+        fitting = self._fit(job, now)
+        if fitting is None:
+            self._log_stop(job)
+            return deadline.TOO_SOON
+        try:
+            async with self._stop_deadline.time_limit():
+                outcome = await self._run(fitting, origin, now)
+        except TimeoutError:
+            self._log_stop(job)
+            return deadline.TOO_SOON
+        if not isinstance(outcome, kinds.Failure):
+            is_shortened = fitting is not job
+            if not is_shortened or not outcome.is_late:
+                return outcome
+        self._log_stop(job)
+        return deadline.TOO_SOON
+
+    def _fit(self, job, now):
+        """Return a job that ends before this instance does, or None."""
+        left_s = self._stop_deadline.ends_at - now
+        min_s = pieces.min_job_s(job.stages, self._find_spec)
+        if pieces.time_limit_s(job, min_s) + GRACE_S <= left_s:
+            return job
+        if STOP_FACTOR * self._scheduler.expected_s(job, now) > left_s:
+            return None
+        return job._replace(hard_limit_s=left_s - GRACE_S)
+
+    def _log_stop(self, job):
+        self._journal.write(
+            "stage_stopped",
+            request=job.request,
+            zone=self._zone,
+            left_s=round(self._stop_deadline.ends_at - self._clock(), 3),
+            expected_s=round(
+                self._scheduler.expected_s(job, self._clock()), 3
+            ),
+        )
+
+    async def _run(self, job, origin, now):
         admitted = self._scheduler.admit(job, now)
         self._log_admission(job, admitted)
         if admitted is None:
@@ -115,6 +167,8 @@
             self._scheduler.remove(admitted)
             for batcher in self._batchers.values():
                 batcher.wake()
+        if result is deadline.TOO_SOON:
+            return result
         if isinstance(result, kinds.Failure):
             late = result.kind is kinds.Kind.HOPELESS
             return self._failed_outcome(result.reason, late)
@@ -228,6 +282,9 @@
         self._budget.record_requests(stage.service)
         sends = repeats.Repeats(service=stage.service, spending=self._budget)
         for attempt in range(1, MAX_ATTEMPTS + 1):
+            if not self._ends_in_time(run, index):
+                self._batcher(stage.service).free(list(filter(None, refs)))
+                return deadline.TOO_SOON
             missing = self._missing_pieces(run, index, inputs, refs)
             outcomes = await self._batcher(stage.service).run_pieces(
                 run.admitted, missing, stage.result_bytes
@@ -246,6 +303,15 @@
                 self._batcher(stage.service).free(list(filter(None, refs)))
                 return failure
 
+    def _ends_in_time(self, run, index):
+        """Return whether a stage that begins now may end before a stop."""
+        stages = run.admitted.job.stages
+        stage = stages[index]
+        needed_s = pieces.stage_s(
+            stage, run.specs[stage.service]
+        ) + pieces.min_remaining_s(stages, index, run.specs)
+        return self._clock() + needed_s <= self._stop_deadline.ends_at
+
     def _missing_pieces(self, run, index, inputs, refs):
         job = run.admitted.job
         remaining_s = (
--- a/sycamoreshed/staging/delegation.py
+++ b/sycamoreshed/staging/delegation.py
@@ -19,6 +19,7 @@
 __all__ = [
     "FREE_PATH",
     "RUN_PATH",
+    "STOPPING_HEADER",
     "FreedResult",
     "StageRunner",
     "decode_origin",
@@ -27,6 +28,8 @@
 
 RUN_PATH = "/control/stages"
 FREE_PATH = "/control/results/free"
+# Of the answer of an instance that does not run a job as it stops.
+STOPPING_HEADER = "Instance-Stops"
 # Added to a job's time limit for the timeout of a call to another instance.
 CALL_EXTRA_S = 0.3
 FREE_TIMEOUT_S = 0.5
@@ -118,9 +121,11 @@
         if not any(stage.count for stage in job.stages):
             return []
         avoid = set()
+        stopping = set()
         started_at = self._clock()
         failure = None
-        for _ in range(MAX_ATTEMPTS):
+        attempts = 0
+        while attempts < MAX_ATTEMPTS:
             now = self._clock()
             zone = self._selector.choose(
                 job, now, engine_zone, avoid, origin.regions
@@ -137,7 +142,11 @@
             remaining = _after(job, now - started_at)
             if remaining.hard_limit_s <= 0:
                 return kinds.Failure(kinds.Kind.HOPELESS, "no time for stages")
-            outcome = await self._run_in_zone(remaining, zone, origin)
+            outcome = await self._run_in_zone(
+                remaining, zone, origin, stopping
+            )
+            if outcome is None:
+                return failure
             if not isinstance(outcome, kinds.Failure):
                 self._selector.record_backlog(
                     zone, outcome.backlog_s, self._clock()
@@ -148,6 +157,8 @@
                     )
                 avoid.add(zone)
             failure = _earlier_return(failure, _failure(outcome))
+            # The next instance runs a job as if it were the first one.
+            attempts += failure.kind is not kinds.Kind.DRAINING
             if failure.kind is kinds.Kind.HOPELESS:
                 if not _is_rejection(failure):
                     return failure
@@ -162,7 +173,13 @@
         return failure
 
     async def run_locally(self, job, zone, origin=pieces.NO_ORIGIN):
-        """Run a job with the endpoints of a zone, by this instance."""
+        """Run a job with the endpoints of a zone, by this instance.
+
+        Returns
+        -------
+        JobOutcome or Failure
+            See `Coordinator.run`.
+        """
         return await self._coordinator(zone).run(job, origin)
 
     def free(self, handles):
@@ -219,9 +236,21 @@
         handles += recorded
         return recorded
 
-    def _coordinating_instance(self, zone, now):
-        """Return name and address of the instance that coordinates a zone."""
-        candidates = self._peers.eligible(zone, now)
+    def _coordinating_instance(self, zone, now, without=()):
+        """Return name and address of the instance that coordinates a zone.
+
+        Parameters
+        ----------
+        zone : str
+        now : float
+        without : collection of str
+            Names of instances that are not to be asked.
+        """
+        candidates = {
+            name: control
+            for name, control in self._peers.eligible(zone, now).items()
+            if name not in without
+        }
         if not candidates:
             # No instance is eligible, so this one coordinates the zone: if
             # others do the same, too many queues are still better than
@@ -230,10 +259,40 @@
         (name,) = rendezvous.top(zone, candidates, 1)
         return name, candidates[name]
 
-    async def _run_in_zone(self, job, zone, origin):
-        name, control = self._coordinating_instance(zone, self._clock())
+    async def _run_in_zone(self, job, zone, origin, stopping):
+        """Run a job at the instance that coordinates a zone.
+
+        Parameters
+        ----------
+        job : Job
+        zone : str
+        origin : Origin
+        stopping : set of str
+            Names of instances that did not run it as they stop; the name of
+            the instance is added if it does not either.
+
+        Returns
+        -------
+        JobOutcome, Failure or None
+            None if no other instance is left.
+        """
+        name, control = self._coordinating_instance(
+            zone, self._clock(), stopping
+        )
+        if name in stopping:
+            return None
         if name == self._instance:
-            return await self.run_locally(job, zone, origin)
+            outcome = await self.run_locally(job, zone, origin)
+        else:
+            outcome = await self._run_remotely(
+                job, zone, origin, name, control
+            )
+        if isinstance(outcome, kinds.Failure):
+            if outcome.kind is kinds.Kind.DRAINING:
+                stopping.add(name)
+        return outcome
+
+    async def _run_remotely(self, job, zone, origin, name, control):
         self._journal.write(
             "delegated", request=job.request, zone=zone, instance=name
         )
@@ -250,6 +309,10 @@
         if isinstance(reply, kinds.Failure):
             self._peers.record_failure(control, self._clock(), reply.reason)
             return reply
+        if STOPPING_HEADER in reply.headers:
+            why = "instance stops"
+            self._peers.record_failure(control, self._clock(), why)
+            return kinds.Failure(kinds.Kind.DRAINING, why)
         if reply.status != 200:
             return kinds.Failure(
                 kinds.Kind.NO_ENDPOINT, f"instance answered {reply.status}"
--- a/sycamoreshed/staging/pieces.py
+++ b/sycamoreshed/staging/pieces.py
@@ -15,6 +15,7 @@
     "final_stages",
     "min_job_s",
     "min_remaining_s",
+    "stage_s",
     "time_limit_s",
 ]
 
--- a/sycamoreshed/staging/scheduling.py
+++ b/sycamoreshed/staging/scheduling.py
@@ -243,6 +243,18 @@
             0.0, self.expected_end(candidate, now) - candidate.target_at
         )
 
+    def expected_s(self, job, now):
+        """Return the seconds after which a new job should be done."""
+        candidate = AdmittedJob(
+            job,
+            now + job.target_s,
+            now,
+            job.priority,
+            False,
+            self._sequence + 1,
+        )
+        return self.expected_end(candidate, now) - now
+
     def record_completion(self, admitted, now):
         """Adjust the wait factor by a job whose results are complete."""
         if not admitted.will_miss_target:
--- a/sycamoreshed/staging/tests/test_coordinator.py
+++ b/sycamoreshed/staging/tests/test_coordinator.py
@@ -1,13 +1,16 @@
 """Tests of jobs that run through all their stages."""
 
 import asyncio
+import math
 
 import pytest
 
 from sycamoreshed.catalog import types
+from sycamoreshed.errors import kinds
 from sycamoreshed.staging import coordinator
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging.tests import builders
+from sycamoreshed.stopping.tests import builders as deadlines
 from testkit import crashes
 from testkit import journals
 from testkit import retries
@@ -23,12 +26,13 @@
         self.stored_bytes = 0
         self.freed = []
         self.calls = 0
+        self.call_s = 0.01
         self._script = script
 
     async def run_pieces(self, _admitted, requested, _result_bytes):
         """Return the outcomes of pieces, after a moment."""
         self.calls += 1
-        await asyncio.sleep(0.01)
+        await asyncio.sleep(self.call_s)
         return [self._script(piece) for piece in requested]
 
     def free(self, refs):
@@ -52,6 +56,17 @@
 
 def build_coordinator(**scripts):
     """Return a coordinator, and its batchers by service."""
+    return build_stopping(math.inf, **scripts)[:2]
+
+
+def build_stopping(seconds, **scripts):
+    """Return a coordinator, its batchers, and its `StopDeadline`.
+
+    The instance ends in so many seconds.
+    """
+    clock = asyncio.get_running_loop().time
+    stop_deadline = deadlines.make_deadline(clock)
+    stop_deadline.set(clock() + seconds)
     batchers = {name: Batcher(name, each) for name, each in scripts.items()}
     zone_coordinator = coordinator.Coordinator(
         zone="north-a",
@@ -64,10 +79,11 @@
         ],
         crashes=crashes.Crashes(),
         budget=retries.Spending(ratio=1.0, slack=9),
+        stop_deadline=stop_deadline,
         journal=journals.Journal(),
-        clock=asyncio.get_running_loop().time,
+        clock=clock,
     )
-    return zone_coordinator, batchers
+    return zone_coordinator, batchers, stop_deadline
 
 
 def job(*stages):
@@ -176,3 +192,78 @@
 
     batchers = virtualtime.run(scenario())
     assert batchers["first"].freed == ["0/0"]
+
+
+@pytest.mark.parametrize("left_s", [0.1, 0.3])
+async def test_job_that_may_not_end_before_the_instance_is_refused(left_s):
+    """A stopping instance took on stages, which ended with it."""
+    zone_coordinator, batchers, _ = build_stopping(
+        left_s, first=succeed, second=succeed
+    )
+    outcome = await zone_coordinator.run(
+        job(("first", (), 2), ("second", (0,), 2))
+    )
+    assert outcome.kind is kinds.Kind.DRAINING
+    assert not outcome.sent
+    assert not batchers["first"].calls
+
+
+@pytest.mark.parametrize("left_s", [1.0, 20.0])
+async def test_job_that_ends_before_the_instance_is_run(left_s):
+    """A stopping instance refused all stages, though it had time for them."""
+    zone_coordinator, *_ = build_stopping(
+        left_s, first=succeed, second=succeed
+    )
+    outcome = await zone_coordinator.run(
+        job(("first", (), 2), ("second", (0,), 2))
+    )
+    assert [ref.handle for ref in outcome.results] == ["1/0", "1/1"]
+
+
+@pytest.mark.parametrize("has_begun", [True, False])
+def test_job_that_lasts_too_long_is_given_up_before_the_instance_ends(
+    has_begun,
+):
+    """It was cut off with the instance, and its results were kept."""
+
+    async def scenario():
+        zone_coordinator, batchers, stop_deadline = build_stopping(
+            math.inf if has_begun else 0.9, first=succeed, second=succeed
+        )
+        batchers["second"].call_s = 60.0
+        running = asyncio.create_task(
+            zone_coordinator.run(job(("first", (), 1), ("second", (0,), 1)))
+        )
+        await asyncio.sleep(0.05)
+        now = asyncio.get_running_loop().time()
+        if has_begun:
+            stop_deadline.set(now + 0.9)
+        async with asyncio.timeout(1.0):
+            outcome = await running
+        return outcome, batchers["first"].freed
+
+    outcome, freed = virtualtime.run(scenario())
+    assert outcome.kind is kinds.Kind.DRAINING
+    assert freed == ["0/0"]
+
+
+async def test_no_pieces_are_sent_that_cannot_end_before_the_instance():
+    """A stopping instance repeated pieces until the end, and began stages."""
+
+    def stop(piece):
+        stop_deadline.set(asyncio.get_running_loop().time() + 0.1)
+        if piece.index:
+            return pieces.PieceOutcome(None, "error", sent=True)
+        return succeed(piece)
+
+    for count in (1, 2):
+        zone_coordinator, batchers, stop_deadline = build_stopping(
+            math.inf, first=stop, second=succeed
+        )
+        outcome = await zone_coordinator.run(
+            job(("first", (), count), ("second", (0,), 1))
+        )
+        assert outcome.kind is kinds.Kind.DRAINING
+        assert batchers["first"].calls == 1
+        assert not batchers["second"].calls
+        assert batchers["first"].freed == ["0/0"]
--- a/sycamoreshed/staging/tests/test_delegation.py
+++ b/sycamoreshed/staging/tests/test_delegation.py
@@ -1,7 +1,12 @@
 """Tests of the zone in which a request's stages run."""
 
+import contextlib
+import types as namespaces
 import urllib.parse
 
+import aiohttp
+from aiohttp import web
+import msgspec
 import pytest
 
 from sycamoreshed.catalog import types
@@ -13,6 +18,7 @@
 from sycamoreshed.staging import pieces
 from sycamoreshed.staging import selection
 from sycamoreshed.staging.tests import builders
+from sycamoreshed.stopping import deadline
 from testkit import journals
 
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -30,6 +36,11 @@
 
     def __init__(self, *places):
         self.places = places
+        services = {
+            name: types.Service(name, "/", 9, None, builders.spec())
+            for name, _ in places
+        }
+        self.configuration = namespaces.SimpleNamespace(services=services)
 
     def endpoints(self, service, _now):
         """Return the endpoints of a service."""
@@ -41,11 +52,27 @@
 
 
 class Peers:
-    """No other instance: the one under test coordinates everything."""
+    """Instances of all zones; the one under test if there are no others.
+
+    Parameters
+    ----------
+    names : iterable of str
+    """
+
+    def __init__(self, names=()):
+        self._names = names
+        self.lost = []
 
     def eligible(self, _zone, _now):
-        """Return no instance."""
-        return {}
+        """Return all instances, whose addresses are their names."""
+        return {name: name for name in self._names if name not in self.lost}
+
+    def record_failure(self, control, _now, _why):
+        """Record an instance that did not answer."""
+        self.lost.append(control)
+
+    def record_success(self, control):
+        """Do nothing."""
 
 
 class Coordinator:
@@ -82,14 +109,14 @@
     )
 
 
-def build_runner(catalog, zone="north-a", coordinators=None):
+def build_runner(catalog, zone="north-a", coordinators=None, peers=()):
     """Return the runner of an instance in a zone."""
     return delegation.StageRunner(
         instance="edge-1",
         zone=zone,
         catalog=catalog,
         selector=build_selector(catalog, zone),
-        peers=Peers(),
+        peers=Peers(peers),
         session=None,
         make_coordinator=coordinators and coordinators.__getitem__,
         journal=journals.Journal(),
@@ -98,6 +125,41 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def instances(stopping, done):
+    """Run instances of which some stop; yield their addresses.
+
+    Parameters
+    ----------
+    stopping, done : int
+        How many run no jobs, and how many do.
+    """
+
+    async def run(http):
+        asked.append(http.headers["Host"])
+        if http.headers["Host"] in refusing:
+            return web.Response(
+                status=503, headers={delegation.STOPPING_HEADER: "1"}
+            )
+        return web.Response(body=msgspec.json.encode(DONE))
+
+    asked, refusing = [], set()
+    app = web.Application()
+    app.router.add_post(delegation.RUN_PATH, run)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    addresses = []
+    for number in range(stopping + done):
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = site._server.sockets[0].getsockname()[:2]
+        addresses.append(f"{host}:{port}")
+        if number < stopping:
+            refusing.add(addresses[-1])
+    yield addresses, asked
+    await runner.cleanup()
+
+
 def everywhere():
     """Return a catalog with endpoints of both services in all zones."""
     return Catalog(*((s, z) for s in ("first", "second") for z in REGIONS))
@@ -187,3 +249,46 @@
     failure = await runner.run(builders.job(), [], engine_zone="north-a")
     assert failure.kind is kinds.Kind.HOPELESS
     assert not coordinators["north-b"].jobs
+
+
+async def test_instances_that_stop_do_not_use_up_the_attempts_of_a_job():
+    """A job went to one stopping instance three times, and was lost."""
+    count = delegation.MAX_ATTEMPTS + 2
+    async with (
+        instances(count, 1) as (addresses, asked),
+        aiohttp.ClientSession() as session,
+    ):
+        runner = build_runner(everywhere(), peers=addresses)
+        runner._session = session
+        for _ in range(2):
+            results = await runner.run(
+                builders.job(), [], engine_zone="north-a"
+            )
+            assert results == ["h"] * 4
+    # Those that stop are known after the first job.
+    assert len(asked) <= count + 2
+    assert len(set(asked)) == len(asked) - 1
+
+
+async def test_job_is_run_here_if_all_other_instances_stop():
+    """A job was lost, though this instance could have run it."""
+    coordinators = {zone: Coordinator(DONE) for zone in REGIONS}
+    async with (
+        instances(4, 0) as (addresses, asked),
+        aiohttp.ClientSession() as session,
+    ):
+        runner = build_runner(everywhere(), "north-a", coordinators, addresses)
+        runner._session = session
+        results = await runner.run(builders.job(), [], engine_zone="north-a")
+    assert results == ["h"] * 4
+    assert sorted(asked) == sorted(addresses)
+
+
+async def test_job_that_nobody_has_time_for_is_rejected_at_once():
+    """It was tried again and again at the same stopping instance."""
+    coordinators = {zone: Coordinator(deadline.TOO_SOON) for zone in REGIONS}
+    runner = build_runner(everywhere(), coordinators=coordinators)
+    failure = await runner.run(builders.job(), [], engine_zone="north-a")
+    assert failure.kind is kinds.Kind.DRAINING
+    assert not failure.sent
+    assert [len(each.jobs) for each in coordinators.values()] == [1, 0, 0]
--- a/sycamoreshed/staging/wiring.py
+++ b/sycamoreshed/staging/wiring.py
@@ -67,6 +67,7 @@
         make_batcher=make_batcher,
         crashes=core.part("crashes"),
         budget=core.part("budget"),
+        stop_deadline=core.part("stop_deadline"),
         journal=core.part("journal"),
         clock=core.clock,
     )
@@ -86,6 +87,7 @@
         "placer",
         "platform",
         "residency",
+        "stop_deadline",
         "told_loads",
         "web",
     ),
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -15,6 +15,7 @@
 from sycamoreshed.staging import batching
 from sycamoreshed.staging import coordinator
 from sycamoreshed.staging import pieces
+from sycamoreshed.stopping import deadline
 from testkit import crashes
 from testkit import journals
 from testkit import limiters
@@ -172,6 +173,9 @@
             make_batcher=self._batcher,
             crashes=crashes.Crashes(),
             budget=retries.Spending(ratio=0.2, slack=50, clock=loop.time),
+            stop_deadline=deadline.StopDeadline(
+                journal=journals.Journal(), clock=loop.time
+            ),
             journal=journals.Journal(),
             clock=loop.time,
         )
--- a/testkit/stagezones.py
+++ b/testkit/stagezones.py
@@ -105,7 +105,7 @@
             coordinator = self._simulated[stored.zone].coordinator
             coordinator.free([(stored.service, stored.ref)])
 
-    async def _run_in_zone(self, job, zone, origin):
+    async def _run_in_zone(self, job, zone, origin, _stopping):
         way_s = WAY_S[self._distance(zone)]
         await asyncio.sleep(way_s)
         outcome = await self._simulated[zone].coordinator.run(job, origin)
