Write the row of a stopping instance until the store takes it

Other instances learn from its row that an instance stops, and leave it out when they delegate stages, ask for permits, copy origins of streams or have calls sent. The row was written once; if the store was away at that moment, they used the instance until it ended, and then lost what it had.

It is written again, after a short random pause, until the store takes it or the instance ends. The new test failed before: no such row within two seconds after an outage of half a second that began with the stop.

--- a/sycamoreshed/catalog/registering.py
+++ b/sycamoreshed/catalog/registering.py
@@ -22,6 +22,9 @@
 # tells whether this instance was registered before.
 MAX_TABLE_WAIT_S = 1.0
 WRITE_TIMEOUT_S = 2.0
+# Range of the delay before the row of a stopping instance is written again;
+# random for the same reason.
+RETRY_S = (0.1, 0.4)
 
 
 @kernel.plugin(
@@ -69,7 +72,8 @@
                 await core.stopping.wait()
     # Other instances take over this one's work for the zone before it stops.
     core.part("peers").is_draining = True
-    await _write_row(core, row._replace(is_draining=True))
+    while not await _write_row(core, row._replace(is_draining=True)):
+        await asyncio.sleep(random.uniform(*RETRY_S))
 
 
 async def _remove_dead_rows(core):
@@ -89,6 +93,7 @@
 
 
 async def _write_row(core, row):
+    """Return whether the row was written."""
     codec = core.part("platform")
     failure = await codec.store.put(
         codec.tables["peers"],
@@ -100,3 +105,4 @@
         core.part("journal").write(
             "store_lost", table="peers", why=failure.reason, age_s=None
         )
+    return failure is None
--- a/tests/integration/test_gateway_store.py
+++ b/tests/integration/test_gateway_store.py
@@ -10,6 +10,10 @@
 from testkit import wiredata
 from tests.integration import harness
 
+# From SIGTERM on: an outage of the store, and the end of the instance.
+OUTAGE_S = 0.5
+STOP_S = 2.5
+
 
 async def test_nothing_is_served_before_a_configuration_is_known(tmp_path):
     """A process without peers starts while the store answers 503.
@@ -62,6 +66,37 @@
     await store.stop()
 
 
+async def test_instance_that_stops_tells_so_after_an_outage_of_the_store(
+    store, tmp_path
+):
+    """Others used an instance until it ended, as one write had failed."""
+
+    def wait(received):
+        yield STOP_S
+        yield from harness.answer_ok(received)
+
+    table = "sycamoreshed-instances"
+    store.put("op", "config", wiredata.configuration())
+    async with (
+        harness.endpoints(store, wait) as (endpoint,),
+        harness.serving(store, tmp_path) as (gateway, session),
+    ):
+        async with asyncio.timeout(5):
+            while "edge-1" not in store.rows(table):
+                await asyncio.sleep(0.05)
+        call = asyncio.create_task(harness.call(session, gateway))
+        while not endpoint.seen:
+            await asyncio.sleep(0.01)
+        store.mood = platformstore.Mood(status=503)
+        gateway.process.terminate()
+        await asyncio.sleep(OUTAGE_S)
+        store.mood = platformstore.Mood()
+        async with asyncio.timeout(STOP_S - OUTAGE_S):
+            while store.rows(table)["edge-1"][-1] is not True:
+                await asyncio.sleep(0.05)
+        assert (await call)[0] == 200
+
+
 async def test_a_revoked_key_reaches_who_the_store_turns_away(tmp_path):
     """The store rejects one instance while the operator revokes a key.
 
