Free what a stage had computed when its job is given up

A stopping instance gives up the stages of requests that it has no time for, as does one whose caller leaves or whose other branch fails. Results of stages that were complete were freed, but not those of a stage of which some pieces were still missing: they stayed at their endpoints until they expired, and filled memory that the repeat at another instance needs.

The pieces of a stage are awaited together; when the wait is cancelled, what has come is freed, and so is what an earlier attempt at the stage had brought. No pieces are sent after that, which was so before.

--- a/sycamoreshed/staging/batching.py
+++ b/sycamoreshed/staging/batching.py
@@ -128,7 +128,8 @@
         Raises
         ------
         asyncio.CancelledError
-            If the caller is cancelled; queued pieces are dropped.
+            If the caller is cancelled; queued pieces are dropped, and the
+            results that there are freed.
         """
         loop = asyncio.get_running_loop()
         now = self._clock()
@@ -146,6 +147,15 @@
         self._ensure_worker()
         try:
             return list(await asyncio.gather(*futures))
+        except asyncio.CancelledError:
+            # Those of calls in progress are freed once these have ended.
+            ended = [
+                each.result()
+                for each in futures
+                if each.done() and not each.cancelled()
+            ]
+            self.free([each.ref for each in ended if each.ref])
+            raise
         finally:
             self._queue.discard(*key)
             self._admitted.pop(key, None)
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -279,11 +279,22 @@
         """Process the pieces of a stage; return its results or a failure."""
         stage = run.admitted.job.stages[index]
         refs = [None] * stage.count
+        is_complete = False
+        try:
+            failure = await self._attempt_pieces(run, index, inputs, refs)
+            is_complete = failure is None
+        finally:
+            if not is_complete:
+                self._batcher(stage.service).free(list(filter(None, refs)))
+        return refs if is_complete else failure
+
+    async def _attempt_pieces(self, run, index, inputs, refs):
+        """Fill `refs` with the results of a stage, or return a `Failure`."""
+        stage = run.admitted.job.stages[index]
         self._budget.record_requests(stage.service)
         sends = repeats.Repeats(service=stage.service, spending=self._budget)
         for attempt in range(1, MAX_ATTEMPTS + 1):
             if not self._ends_in_time(run, index):
-                self._batcher(stage.service).free(list(filter(None, refs)))
                 return deadline.TOO_SOON
             missing = self._missing_pieces(run, index, inputs, refs)
             outcomes = await self._batcher(stage.service).run_pieces(
@@ -296,11 +307,10 @@
                 refs[piece.index] = outcome.ref
             failure = _stage_failure(outcomes)
             if failure is None:
-                return refs
+                return None
             if attempt == MAX_ATTEMPTS or not await self._may_retry(
                 run, stage, failure, sends
             ):
-                self._batcher(stage.service).free(list(filter(None, refs)))
                 return failure
 
     def _ends_in_time(self, run, index):
--- a/sycamoreshed/staging/tests/test_coordinator.py
+++ b/sycamoreshed/staging/tests/test_coordinator.py
@@ -14,6 +14,7 @@
 from testkit import crashes
 from testkit import journals
 from testkit import retries
+from testkit import stagezone
 from testkit import virtualtime
 
 
@@ -267,3 +268,59 @@
         assert batchers["first"].calls == 1
         assert not batchers["second"].calls
         assert batchers["first"].freed == ["0/0"]
+
+
+@pytest.mark.parametrize("after_s", [0.1, 0.25, 0.4, 0.6])
+def test_job_that_is_given_up_leaves_no_results_and_sends_no_pieces(after_s):
+    """Results of a stage that was not done yet stayed until they expired."""
+
+    async def scenario():
+        zone = stagezone.Zone(
+            specs={"first": builders.spec(), "second": builders.spec()},
+            endpoints={"first": 1, "second": 1},
+            sizes={0: 100, 1: 10},
+        )
+        sent = []
+        send = zone.send
+
+        async def record_and_send(method, endpoint, path, headers, body, **to):
+            sent.append(path)
+            return await send(method, endpoint, path, headers, body, **to)
+
+        zone.send = record_and_send
+        running = asyncio.create_task(
+            zone.coordinator.run(builders.job(counts=(6, 6)))
+        )
+        await asyncio.sleep(after_s)
+        assert not running.done()
+        running.cancel()
+        before = len(sent)
+        await asyncio.sleep(1.0)
+        return len(sent) - before, [
+            each.stored_count for each in zone.endpoints.values()
+        ]
+
+    assert virtualtime.run(scenario()) == (0, [0, 0])
+
+
+async def test_results_are_freed_when_a_job_is_given_up_within_a_repeat():
+    """What the first attempt had computed stayed until it expired."""
+    again = asyncio.Event()
+
+    def fail_second(piece):
+        if piece.index:
+            batchers["first"].call_s = 60.0
+            again.set()
+            return pieces.PieceOutcome(None, "error", sent=True)
+        return succeed(piece)
+
+    zone_coordinator, batchers = build_coordinator(first=fail_second)
+    running = asyncio.create_task(zone_coordinator.run(job(("first", (), 2))))
+    await again.wait()
+    while batchers["first"].calls < 2:
+        await asyncio.sleep(0.01)
+    running.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await running
+    await asyncio.sleep(0.05)
+    assert batchers["first"].freed == ["0/0"]
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -104,6 +104,11 @@
         self._lock = asyncio.Lock()
         self._stored = {}
 
+    @property
+    def stored_count(self):
+        """Number of results that are stored."""
+        return len(self._stored)
+
     async def process(self, items):
         """Process a call; return its results."""
         async with self._lock:
