--- a/sycamoreshed/links/serving.py
+++ b/sycamoreshed/links/serving.py
@@ -244,7 +244,7 @@
         size = 0
         is_over = False
         try:
-            async with self._stop_deadline.time_limit():
+            async with self._stop_deadline.time_limit() as stop:
                 async for data in response.content.iter_any():
                     for number in calls:
                         self._crashes.record_data(endpoint, number)
@@ -253,7 +253,7 @@
                     await peer.write(answer, data, patience_s=self._patience_s)
                 protocol.check_whole(response)
         except adapters.TRANSPORT_ERRORS as err:
-            is_over = self._stop_deadline.is_over(self._clock())
+            is_over = stop.expired()
             why = _ENDS.reason if is_over else adapters.describe(err)
         self._log(call, endpoint, response.status, why, size)
         if why is None:
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -25,6 +25,7 @@
 from sycamoreshed.platform import names
 from sycamoreshed.platform import platform
 from sycamoreshed.stopping import deadline
+from sycamoreshed.stopping import durations
 from sycamoreshed.stopping import measuring
 from sycamoreshed.stopping.tests import builders as deadlines
 from testkit import crashes
@@ -111,7 +112,9 @@
         self.catalog = Catalog(endpoint)
         self.crashes = crashes.Crashes()
         self.stop_deadline = deadline.StopDeadline(
-            journal=self.journal, clock=asyncio.get_running_loop().time
+            known=durations.Durations(),
+            journal=self.journal,
+            clock=asyncio.get_running_loop().time,
         )
         codec = platform.Platform(store=None)
         self.server = serving.CallServer(
--- a/testkit/stagezone.py
+++ b/testkit/stagezone.py
@@ -16,6 +16,7 @@
 from sycamoreshed.staging import coordinator
 from sycamoreshed.staging import pieces
 from sycamoreshed.stopping import deadline
+from sycamoreshed.stopping import durations
 from testkit import crashes
 from testkit import journals
 from testkit import limiters
@@ -179,7 +180,9 @@
             crashes=crashes.Crashes(),
             budget=retries.Spending(ratio=0.2, slack=50, clock=loop.time),
             stop_deadline=deadline.StopDeadline(
-                journal=journals.Journal(), clock=loop.time
+                known=durations.Durations(),
+                journal=journals.Journal(),
+                clock=loop.time,
             ),
             journal=journals.Journal(),
             clock=loop.time,
