Count requests as late sooner if the grace period is short

What callers saw: in a soak with a grace period of 4 s, requests sent 1.5 to 2 s after SIGTERM were taken and cut: as late ones counted only those of more than three seconds after it, when nothing is taken any more.

Change: new connections are expected for three eighths of a grace period at most.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -34,6 +34,9 @@
 # checks, so new connections arrive for up to three seconds after SIGTERM.
 NEW_CONNECTIONS_S = 3.0
 ACCEPT_S = 3.2
+# The same as shares of a grace period that is short.
+NEW_CONNECTIONS_SHARE = 0.375
+ACCEPT_SHARE = 0.5
 # Bytes that are read ahead of a caller's body, if this instance's memory is
 # limited.
 READ_AHEAD_BYTES = 32 * 1024
@@ -215,12 +218,13 @@
     core.part("stop_deadline").set(
         started_at + grace_s - WRITE_MARGIN_S,
         gives_up_at=gives_up_at,
-        late_from=started_at + NEW_CONNECTIONS_S,
+        late_from=started_at
+        + min(NEW_CONNECTIONS_S, NEW_CONNECTIONS_SHARE * grace_s),
     )
     core.spawn(
         core.part("duration_exchange").ask(started_at), name="ask durations"
     )
-    await asyncio.sleep(min(ACCEPT_S, grace_s / 2))
+    await asyncio.sleep(min(ACCEPT_S, ACCEPT_SHARE * grace_s))
     await requests.wait_until_read()
     requests.is_accepting = False
     control = core.part("inner")
