Let deadlines of requests that ended hold up no drain

What callers and operators saw: a daemon of pipelines that stops waits for what is in flight until the latest deadline of any request it ever parsed. One request with a deadline of ten minutes that ended at once let anything else, such as a body that does not end, hold up the stop for as long.

Cause: `Callers.latest_deadline` only ever rose. It is now that of the parsed requests in flight, runs with a key included.

Evidence: both cases of the test fail on the code before (the deadline is still told after the answer) and pass now.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers."""
 
 import asyncio
+import contextlib
 
 from aiohttp import web
 from loguru import logger
@@ -44,7 +45,8 @@
         self._open_requests = 0
         self._received = 0
         self._keyed_runs = set()
-        self._latest_deadline = 0.0
+        # Deadlines of the parsed requests in flight, by their ids.
+        self._deadlines = {}
         self.accepting = True
 
     @property
@@ -62,8 +64,11 @@
 
     @property
     def latest_deadline(self):
-        """Latest deadline of any parsed request, monotonic seconds."""
-        return self._latest_deadline
+        """Latest deadline of the parsed requests in flight.
+
+        Monotonic seconds; zero without such a request.
+        """
+        return max(self._deadlines.values(), default=0.0)
 
     async def wait_until_read(self):
         """Wait until the requests that have arrived are read."""
@@ -90,9 +95,6 @@
             parsed = await self._read(http, started_at)
             if isinstance(parsed, kinds.Failure):
                 return self._reject_unparsed(parsed, http)
-            self._latest_deadline = max(
-                self._latest_deadline, parsed.request.deadline
-            )
             return await self._answer(http, parsed, started_at)
         finally:
             self._open_requests -= 1
@@ -177,11 +179,23 @@
             self._keyed_runs.add(task)
             task.add_done_callback(self._keyed_runs.discard)
             return await asyncio.shield(task)
-        return await self._admit_and_run(http, parsed, started_at)
+        with self._track_deadline(request):
+            return await self._admit_and_run(http, parsed, started_at)
+
+    @contextlib.contextmanager
+    def _track_deadline(self, request):
+        self._deadlines[request.id] = request.deadline
+        try:
+            yield
+        finally:
+            del self._deadlines[request.id]
 
     async def _run_keyed(self, http, parsed, started_at):
         request = parsed.request
-        with self._once.track_in_progress(request):
+        with (
+            self._track_deadline(request),
+            self._once.track_in_progress(request),
+        ):
             try:
                 early_answer = await self._once.answer_before_admission(
                     request
--- a/sycamoreshed/entry/tests/test_callers.py
+++ b/sycamoreshed/entry/tests/test_callers.py
@@ -163,6 +163,24 @@
     assert runner.finished == 1
 
 
+@pytest.mark.parametrize(
+    "pipeline, result", [("summary", COMPLETE), ("ballot", b"{}")]
+)
+async def test_deadline_of_a_request_that_has_ended_delays_no_drain(
+    pipeline, result
+):
+    """One with a late deadline let slow callers hold up a stop for minutes."""
+    client, handlers, runner = await serve(result)
+    runner.gate.clear()
+    async with client:
+        call = asyncio.create_task(ask(client, pipeline))
+        await runner.started.wait()
+        assert handlers.latest_deadline > handlers._core.clock()
+        runner.gate.set()
+        await call
+        assert handlers.latest_deadline == 0.0
+
+
 async def test_arriving_body_delays_a_drain():
     """A request is arriving when the instance stops accepting."""
     client, handlers, _ = await serve(COMPLETE)
