Reject requests whose body is still arriving as a drain ends

What callers saw: a request whose body was on its way when the drain of a stopping daemon ended got "400 bad request: body came too slowly" up to ten seconds later, also if its body had come meanwhile. No client sends such a request to another instance, and the process ended ten seconds late.

Cause: the drain ends when its time is over, without a word to the handlers that still read. The HTTP library drops what arrives from then on, so that the read ends by its time limit.

Why it works: the drain lets each read of a body end at once, and the request is answered as not run, kind `draining`. A body that becomes whole at that moment is not run either.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -24,6 +24,7 @@
 # Metric label in place of an outcome for an admitted run that is cancelled,
 # or that raises after its caller disconnected.
 DISCONNECTED = "gone"
+STOPPING = kinds.Failure(kinds.Kind.DRAINING, "stopping")
 
 
 class Callers:
@@ -47,6 +48,9 @@
         self._keyed_runs = set()
         # Deadlines of the parsed requests in flight, by their ids.
         self._deadlines = {}
+        # Timers of the bodies that are arriving.
+        self._body_timers = set()
+        self._is_reading_over = False
         self.accepting = True
 
     @property
@@ -74,6 +78,14 @@
         """Wait until the requests that have arrived are read."""
         await backlog.wait_until_read(lambda: self._received, self._core.clock)
 
+    def end_reading(self):
+        """Reject the requests whose bodies are still arriving."""
+        self._is_reading_over = True
+        now = asyncio.get_running_loop().time()
+        for timer in self._body_timers:
+            if not timer.expired():
+                timer.reschedule(now)
+
     def routes(self):
         """Return the routes of the interface."""
         return [
@@ -107,7 +119,7 @@
         """Report whether callers should be sent to this instance."""
         failure = None
         if self._core.stopping.is_set():
-            failure = kinds.Failure(kinds.Kind.DRAINING, "stopping")
+            failure = STOPPING
         elif not self._notes.is_ready:
             failure = kinds.Failure(
                 kinds.Kind.NOT_READY, "no configuration is known"
@@ -126,7 +138,7 @@
 
     def _check_accepting(self):
         if not self.accepting:
-            return kinds.Failure(kinds.Kind.DRAINING, "stopping")
+            return STOPPING
         if not self._notes.is_ready:
             return kinds.Failure(
                 kinds.Kind.NOT_READY, "no configuration is known"
@@ -147,9 +159,10 @@
 
     async def _read(self, http, now):
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                body = await http.read()
+            body = await self._read_body(http)
         except TimeoutError:
+            if self._is_reading_over:
+                return STOPPING
             return kinds.Failure(
                 kinds.Kind.BAD_REQUEST, "body came too slowly"
             )
@@ -158,6 +171,8 @@
             return kinds.Failure(
                 kinds.Kind.TOO_LARGE, f"more than {limit} bytes"
             )
+        if self._is_reading_over:
+            return STOPPING
         return parsing.parse(
             http.headers,
             http.match_info["pipeline"],
@@ -167,6 +182,14 @@
             now=now,
         )
 
+    async def _read_body(self, http):
+        async with asyncio.timeout(BODY_TIMEOUT_S) as timer:
+            self._body_timers.add(timer)
+            try:
+                return await http.read()
+            finally:
+                self._body_timers.discard(timer)
+
     async def _answer(self, http, parsed, started_at):
         request = parsed.request
         if request.key is not None:
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -131,8 +131,9 @@
     The second wait has a time limit.
 
     Requests that arrive during the grace period are served, even if the
-    process reads them only later.  Requests after that are answered with
-    kind ``draining``, on new and on open connections.
+    process reads them only later.  Requests after that, and those whose body
+    is still arriving as the drain ends, are answered with kind ``draining``,
+    on new and on open connections.
 
     Notes
     -----
@@ -156,4 +157,5 @@
         ):
             break
         await asyncio.sleep(POLL_INTERVAL_S)
+    callers.end_reading()
     logger.bind(left=callers.in_flight).info("stopped")
--- a/sycamoreshed/entry/tests/test_servers.py
+++ b/sycamoreshed/entry/tests/test_servers.py
@@ -16,6 +16,12 @@
         self._clock = clock
         self.latest_deadline = deadline
         self.accepting = True
+        self.is_reading = True
+
+    def end_reading(self):
+        """Reject the requests that are still arriving."""
+        assert not self.accepting
+        self.is_reading = False
 
     async def wait_until_read(self):
         """Return at once: no request is waiting to be read."""
@@ -79,4 +85,5 @@
     assert end == pytest.approx(ends, abs=0.2)
     assert sleeps[0] == (0.0, True)
     assert not callers.accepting
+    assert not callers.is_reading
     assert not any(accepting for _, accepting in sleeps[1:])
