End a stop soon after its drain, with answers written

What operators saw: a daemon of pipelines that stops waited two minutes for one caller that did not read its answer; what kills it earlier cuts off whatever else is left.

Cause: a request counted as in flight until its handler returned, so that the drain did not know of answers that were still being written. They were left to the HTTP library's cleanup, which waits a minute for handlers, and a minute more once it has cancelled them.

The drain then waits, for a limited time, until no connection has a request in progress or bytes to be written, and the cleanup, of both listeners at once, needs a second at most.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -1,7 +1,6 @@
 """HTTP interface for callers."""
 
 import asyncio
-import contextlib
 
 from aiohttp import web
 from loguru import logger
@@ -46,7 +45,7 @@
         self._open_requests = 0
         self._received = 0
         self._keyed_runs = set()
-        # Deadlines of the parsed requests in flight, by their ids.
+        # Of the open requests that are parsed, and of the runs with a key.
         self._deadlines = {}
         # Timers of the bodies that are arriving.
         self._body_timers = set()
@@ -59,7 +58,8 @@
 
         Notes
         -----
-        A run with a key counts twice while its caller is connected.
+        A request is open until its answer is written.  A run with a key
+        counts twice while its caller is connected.
         Includes more than admission counts: a request whose body is still
         arriving is not admitted yet, and one whose caller disconnected may
         still run.  A drain that ignored them would abort them.
@@ -107,7 +107,7 @@
             parsed = await self._read(http, started_at)
             if isinstance(parsed, kinds.Failure):
                 return self._reject_unparsed(parsed, http)
-            return await self._answer(http, parsed, started_at)
+            return await self._serve(http, parsed, started_at)
         finally:
             self._open_requests -= 1
 
@@ -157,6 +157,18 @@
             failure._replace(earlier_may_have_run=may_have_run)
         )
 
+    async def _serve(self, http, parsed, started_at):
+        request = parsed.request
+        self._deadlines[request.id] = request.deadline
+        try:
+            response = await self._answer(http, parsed, started_at)
+            # Otherwise the HTTP library would write it, unknown to a drain.
+            await response.prepare(http)
+            await response.write_eof()
+            return response
+        finally:
+            del self._deadlines[request.id]
+
     async def _read(self, http, now):
         try:
             body = await self._read_body(http)
@@ -200,25 +212,18 @@
                 self._run_keyed(http, parsed, started_at)
             )
             self._keyed_runs.add(task)
-            task.add_done_callback(self._keyed_runs.discard)
+            self._deadlines[task] = request.deadline
+            task.add_done_callback(self._on_keyed_run_done)
             return await asyncio.shield(task)
-        with self._track_deadline(request):
-            return await self._admit_and_run(http, parsed, started_at)
+        return await self._admit_and_run(http, parsed, started_at)
 
-    @contextlib.contextmanager
-    def _track_deadline(self, request):
-        self._deadlines[request.id] = request.deadline
-        try:
-            yield
-        finally:
-            del self._deadlines[request.id]
+    def _on_keyed_run_done(self, task):
+        self._keyed_runs.discard(task)
+        del self._deadlines[task]
 
     async def _run_keyed(self, http, parsed, started_at):
         request = parsed.request
-        with (
-            self._track_deadline(request),
-            self._once.track_in_progress(request),
-        ):
+        with self._once.track_in_progress(request):
             try:
                 early_answer = await self._once.answer_before_admission(
                     request
--- a/sycamoreshed/entry/limitedserver.py
+++ b/sycamoreshed/entry/limitedserver.py
@@ -61,6 +61,15 @@
         if self._left is not None and not self._left.done():
             self._left.set_result(None)
 
+    @property
+    def is_busy(self):
+        """Whether a request is in progress, or bytes are to be written."""
+        if self.transport is None:
+            return False
+        if self._waiter is None or self._waiter.done():
+            return True
+        return self.transport.get_write_buffer_size() > 0
+
     @property
     def awaits_body(self):
         """Whether a body has begun and is not whole."""
@@ -260,6 +269,15 @@
         """Number of open connections."""
         return len(self._table)
 
+    @property
+    def is_busy(self):
+        """Whether a connection has a request in progress, or is closing.
+
+        Also one whose response is not all passed to the system yet, which
+        the end of the process would truncate.
+        """
+        return any(each.is_busy for each in self.connections)
+
     def on_open(self, connection):
         """Count a new connection; close what is beyond the limit."""
         for each in self._table.add(connection, self._clock()):
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -21,6 +21,13 @@
 POLL_INTERVAL_S = 0.05
 # Time to write the answers of requests that end at their deadline.
 DEADLINE_MARGIN_S = 1.0
+# For answers that are not written yet when the drain ends, for callers to read
+# them, and for requests of operators and of other instances.
+LAST_WRITES_S = 3.0
+# For handlers that still run when the listeners close, and again for them to
+# end once they are cancelled.  The HTTP library would wait without a limit if
+# it were zero.
+CLOSE_S = 0.5
 # Of the request line, and of all header fields together.
 MAX_HEADER_BYTES = 16384
 # For connections without a request, and for the head of a request.
@@ -57,6 +64,7 @@
             handler_cancellation=True,
             access_log=None,
         ),
+        shutdown_timeout=CLOSE_S,
     )
     await runner.setup()
     listening = core.part("sockets")[name]
@@ -109,8 +117,7 @@
         "serving"
     )
     yield (public, control)
-    await public.cleanup()
-    await control.cleanup()
+    await asyncio.gather(public.cleanup(), control.cleanup())
 
 
 async def _close_when_stopping(core, _http, answer):
@@ -158,4 +165,9 @@
             break
         await asyncio.sleep(POLL_INTERVAL_S)
     callers.end_reading()
+    last_write_at = core.clock() + LAST_WRITES_S
+    while any(runner.server.is_busy for runner in core.part("servers")):
+        if core.clock() > last_write_at:
+            break
+        await asyncio.sleep(POLL_INTERVAL_S)
     logger.bind(left=callers.in_flight).info("stopped")
--- a/sycamoreshed/entry/tests/test_limitedserver.py
+++ b/sycamoreshed/entry/tests/test_limitedserver.py
@@ -22,6 +22,10 @@
 HEADER_BYTES = 16384
 # Longer than closing a connection takes, whatever the machine does besides.
 CLEANUP_S = 10.0
+# More than the system holds of a response that is not read.
+LARGE_BYTES = 16 << 20
+# For what must not come about.
+QUIET_S = 0.2
 
 
 async def _begin(http, *, length=None):
@@ -309,3 +313,33 @@
             async with asyncio.timeout(CLEANUP_S):
                 await runner.cleanup()
         assert peer.recv(1) == b""
+
+
+async def test_server_is_busy_until_a_response_has_left():
+    """A stop that did not wait for it truncated the response."""
+    gate = asyncio.Event()
+
+    async def answer(_http):
+        await gate.wait()
+        return web.Response(body=bytes(LARGE_BYTES))
+
+    async with serving(answer) as (server, address):
+        reader, writer = await asyncio.open_connection(*address)
+        await asyncio.sleep(QUIET_S)
+        assert server.open_count == 1
+        assert not server.is_busy
+        writer.write(REQUEST)
+        async with asyncio.timeout(CLEANUP_S):
+            while not server.is_busy:
+                await asyncio.sleep(0)
+            writer.transport.pause_reading()
+            gate.set()
+        await asyncio.sleep(QUIET_S)
+        assert server.is_busy
+        writer.transport.resume_reading()
+        async with asyncio.timeout(CLEANUP_S):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(LARGE_BYTES)
+            while server.is_busy:
+                await asyncio.sleep(0)
+        writer.close()
--- a/sycamoreshed/entry/tests/test_servers.py
+++ b/sycamoreshed/entry/tests/test_servers.py
@@ -54,7 +54,7 @@
         stopping=stopping,
         settings=types.SimpleNamespace(grace_s=2.0, drain_s=drain_s),
         clock=lambda: now[0],
-        part={"callers": callers}.get,
+        part={"callers": callers, "servers": ()}.get,
     )
     await servers.drain(core)
     return now[0], callers, sleeps
