Begin nothing that the kill after a stop would cut off

What callers saw: a daemon of pipelines that stops finishes what it has accepted, however late the deadline (up to ten minutes), and accepts such requests until its grace is over. Whoever kills the process sooner cuts all of that off, without an answer. No setting told when that is.

Cause and design: the optional setting `stop_s` tells when the process is killed. Answers have to be whole a second before. A request, a further stage or attempt whose request's deadline is later begins only if the rest of the pipeline's runs, measured from that stage on, likely ends by then; without a run that ended nothing is known, and it is rejected at once as not run, kind `draining`. Requests that wait for a slot are rejected as soon as that holds for them. What still runs at the end is given up with an answer. Without the setting nothing changes.

The new tests fail without it: three integration tests play unary calls, calls with a key and streams against the time of the kill; unit tests cover the estimate, stages, repeats, hedges and moved streams.

--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -14,6 +14,7 @@
 from sycamoreshed.entry import problems
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
+from sycamoreshed.pipeline import stops
 
 __all__ = ["Callers"]
 
@@ -23,7 +24,11 @@
 # Metric label in place of an outcome for an admitted run that is cancelled,
 # or that raises after its caller disconnected.
 DISCONNECTED = "gone"
-STOPPING = kinds.Failure(kinds.Kind.DRAINING, "stopping")
+# Of a run that may have taken effect.
+GIVEN_UP = kinds.Failure(
+    kinds.Kind.DRAINING, "stopped before its end", sent=True
+)
+UNKNOWN = GIVEN_UP._replace(kind=kinds.Kind.OUTCOME_UNKNOWN)
 
 
 class Callers:
@@ -41,6 +46,7 @@
         self._admission = core.part("admission")
         self._runner = core.part("runner")
         self._once = core.part("once")
+        self._stop_limit = core.part("stop_limit")
         self._metrics = core.part("metrics")
         self._open_requests = 0
         self._received = 0
@@ -119,7 +125,7 @@
         """Report whether callers should be sent to this instance."""
         failure = None
         if self._core.stopping.is_set():
-            failure = STOPPING
+            failure = stops.STOPPING
         elif not self._notes.is_ready:
             failure = kinds.Failure(
                 kinds.Kind.NOT_READY, "no configuration is known"
@@ -138,7 +144,7 @@
 
     def _check_accepting(self):
         if not self.accepting:
-            return STOPPING
+            return stops.STOPPING
         if not self._notes.is_ready:
             return kinds.Failure(
                 kinds.Kind.NOT_READY, "no configuration is known"
@@ -174,7 +180,7 @@
             body = await self._read_body(http)
         except TimeoutError:
             if self._is_reading_over:
-                return STOPPING
+                return stops.STOPPING
             return kinds.Failure(
                 kinds.Kind.BAD_REQUEST, "body came too slowly"
             )
@@ -184,7 +190,7 @@
                 kinds.Kind.TOO_LARGE, f"more than {limit} bytes"
             )
         if self._is_reading_over:
-            return STOPPING
+            return stops.STOPPING
         return parsing.parse(
             http.headers,
             http.match_info["pipeline"],
@@ -214,7 +220,12 @@
             self._keyed_runs.add(task)
             self._deadlines[task] = request.deadline
             task.add_done_callback(self._on_keyed_run_done)
-            return await asyncio.shield(task)
+            result = await self._stop_limit.run_to_end(
+                asyncio.shield(task), UNKNOWN
+            )
+            if result is UNKNOWN:
+                result = problems.response(result, request.id)
+            return result
         return await self._admit_and_run(http, parsed, started_at)
 
     def _on_keyed_run_done(self, task):
@@ -243,7 +254,9 @@
 
     async def _admit_and_run(self, http, parsed, started_at):
         request = parsed.request
-        ticket = await self._admission.acquire(request, self._core.clock())
+        ticket = await self._stop_limit.wait_to_begin(
+            self._admission.acquire(request, self._core.clock()), request
+        )
         if isinstance(ticket, kinds.Failure):
             if request.key is not None:
                 ticket = self._once.reject_unread(request, ticket)
@@ -274,7 +287,9 @@
 
     async def _run(self, request):
         if request.key is None:
-            result = await self._runner.run(request)
+            result = await self._stop_limit.run_to_end(
+                self._runner.run(request), GIVEN_UP
+            )
             if not isinstance(result, kinds.Failure):
                 result = answers.encode(request, result)
             return result
@@ -287,7 +302,9 @@
         stream = events.EventStream()
         await stream.prepare(http)
         try:
-            result = await self._runner.run(request, emit=stream.send_token)
+            result = await self._stop_limit.run_to_end(
+                self._runner.run(request, emit=stream.send_token), GIVEN_UP
+            )
         except Exception as err:
             if guard.is_disconnected(http):
                 raise
@@ -329,7 +346,15 @@
 
 @kernel.plugin(
     "callers",
-    needs=("admission", "guard", "metrics", "notes", "once", "runner"),
+    needs=(
+        "admission",
+        "guard",
+        "metrics",
+        "notes",
+        "once",
+        "runner",
+        "stop_limit",
+    ),
 )
 async def callers(core):
     """Provide the HTTP interface for callers."""
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 import socket
 
 from aiohttp import web
@@ -21,6 +22,8 @@
 POLL_INTERVAL_S = 0.05
 # Time to write the answers of requests that end at their deadline.
 DEADLINE_MARGIN_S = 1.0
+# From when answers have to be whole to when the process is killed.
+STOP_MARGIN_S = 1.0
 # For answers that are not written yet when the drain ends, for callers to read
 # them, and for requests of operators and of other instances.
 LAST_WRITES_S = 3.0
@@ -90,7 +93,14 @@
 
 @kernel.plugin(
     "servers",
-    needs=("allowance", "callers", "note_routes", "operators", "sockets"),
+    needs=(
+        "allowance",
+        "callers",
+        "note_routes",
+        "operators",
+        "sockets",
+        "stop_limit",
+    ),
 )
 async def servers(core):
     """Provide the listening servers, after all routes are added."""
@@ -152,6 +162,11 @@
     settings = core.settings
     logger.info("stopping: not ready any more")
     callers = core.part("callers")
+    killed_at = math.inf
+    if settings.stop_s is not None:
+        killed_at = core.clock() + settings.stop_s
+    answers_end = killed_at - STOP_MARGIN_S
+    core.part("stop_limit").set(answers_end)
     await asyncio.sleep(settings.grace_s)
     await callers.wait_until_read()
     callers.accepting = False
@@ -159,13 +174,14 @@
     while callers.in_flight:
         # Each parsed request ends by its deadline, so waiting for the latest
         # deadline aborts none of them, even if ``drain_s`` is shorter.
-        if core.clock() > max(
-            drain_end, callers.latest_deadline + DEADLINE_MARGIN_S
-        ):
+        latest_end = callers.latest_deadline + DEADLINE_MARGIN_S
+        if core.clock() > min(max(drain_end, latest_end), answers_end):
             break
         await asyncio.sleep(POLL_INTERVAL_S)
     callers.end_reading()
-    last_write_at = core.clock() + LAST_WRITES_S
+    last_write_at = min(
+        core.clock() + LAST_WRITES_S, killed_at - STOP_MARGIN_S / 2
+    )
     while any(runner.server.is_busy for runner in core.part("servers")):
         if core.clock() > last_write_at:
             break
--- a/sycamoreshed/entry/tests/test_callers.py
+++ b/sycamoreshed/entry/tests/test_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 import types
 
 from aiohttp import test_utils
@@ -15,6 +16,7 @@
 from sycamoreshed.kernel import kernel
 from sycamoreshed.observe import metrics
 from sycamoreshed.pipeline import requests
+from sycamoreshed.pipeline import stops
 from sycamoreshed.settings import schema
 from testkit import builders
 
@@ -71,6 +73,7 @@
         runner=runner,
         once=runner,
         metrics=metrics.Metrics(),
+        stop_limit=stops.StopLimit(clock=time.monotonic),
     )
     core._parts["admission"] = admission.Admission(
         settings=core.settings, live_count=lambda now: 1, clock=core.clock
--- a/sycamoreshed/entry/tests/test_servers.py
+++ b/sycamoreshed/entry/tests/test_servers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sycamoreshed.entry import servers
+from sycamoreshed.pipeline import stops
 
 
 class Callers:
@@ -31,7 +32,7 @@
         return int(self._clock() < self._busy_until)
 
 
-async def drain(monkeypatch, *, busy_until, deadline, drain_s):
+async def drain(monkeypatch, *, busy_until, deadline, drain_s, stop_s=None):
     """Run a drain on a fake clock.
 
     Return the time of its end, the callers, and for each sleep its time
@@ -50,11 +51,18 @@
     callers = Callers(
         busy_until=busy_until, deadline=deadline, clock=lambda: now[0]
     )
+    parts = {
+        "callers": callers,
+        "servers": (),
+        "stop_limit": stops.StopLimit(clock=lambda: now[0]),
+    }
     core = types.SimpleNamespace(
         stopping=stopping,
-        settings=types.SimpleNamespace(grace_s=2.0, drain_s=drain_s),
+        settings=types.SimpleNamespace(
+            grace_s=2.0, drain_s=drain_s, stop_s=stop_s
+        ),
         clock=lambda: now[0],
-        part={"callers": callers, "servers": ()}.get,
+        part=parts.get,
     )
     await servers.drain(core)
     return now[0], callers, sleeps
@@ -87,3 +95,12 @@
     assert not callers.accepting
     assert not callers.is_reading
     assert not any(accepting for _, accepting in sleeps[1:])
+
+
+async def test_drain_ends_before_the_process_is_killed(monkeypatch):
+    """A request whose deadline is later was cut off by the kill."""
+    end, callers, _ = await drain(
+        monkeypatch, busy_until=999.0, deadline=50.0, drain_s=30.0, stop_s=20.0
+    )
+    assert end == pytest.approx(20.0 - servers.STOP_MARGIN_S, abs=0.2)
+    assert not callers.is_reading
--- a/sycamoreshed/pipeline/hedges.py
+++ b/sycamoreshed/pipeline/hedges.py
@@ -4,7 +4,7 @@
 
 from sycamoreshed.errors import kinds
 
-__all__ = ["MOVED", "FirstTokenTimeout", "first_answer"]
+__all__ = ["MOVED", "FirstTokenTimeout", "allow", "first_answer"]
 
 # Returned for a stream that was ended to continue it, if possible on another
 # endpoint.  It is not reported as evidence of the endpoint's health: in a
@@ -12,6 +12,11 @@
 MOVED = kinds.Failure(kinds.Kind.LATE, "no token for long", sent=True)
 
 
+def allow(_now):
+    """Allow a further attempt, whatever the time."""
+    return True
+
+
 class FirstTokenTimeout:
     """End an attempt whose first chunk is late, so it can move elsewhere.
 
@@ -25,6 +30,8 @@
     budget : RetryBudget
         The attempt is ended only if the budget allows another, which is
         spent at the same time.
+    may_repeat : callable
+        Returns whether another attempt may begin.
 
     Attributes
     ----------
@@ -32,8 +39,9 @@
         Whether the attempt was ended to move elsewhere.
     """
 
-    def __init__(self, *, timer, delay_s, budget):
+    def __init__(self, *, timer, delay_s, budget, may_repeat):
         self._timer = timer
+        self._may_repeat = may_repeat
         self._budget = budget
         self._handle = None
         self._is_disarmed = False
@@ -60,7 +68,7 @@
         return first
 
     def _expire(self):
-        if self._budget.try_spend():
+        if self._may_repeat() and self._budget.try_spend():
             self.moved = True
             self._timer.reschedule(self._loop.time())
 
--- a/sycamoreshed/pipeline/runner.py
+++ b/sycamoreshed/pipeline/runner.py
@@ -1,10 +1,13 @@
 """Run an admitted request through the stages of its pipeline."""
 
+import functools
+
 from sycamoreshed.admission import budget as budgets
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.pipeline import deadlines
 from sycamoreshed.pipeline import requests
+from sycamoreshed.pipeline import stops
 from sycamoreshed.pipeline import streamed
 from sycamoreshed.pipeline import unary
 
@@ -29,13 +32,17 @@
     unary_stage : UnaryStage
     streamed_stage : StreamedStage
     metrics : Metrics
+    stop_limit : StopLimit
     """
 
-    def __init__(self, *, clock, unary_stage, streamed_stage, metrics):
+    def __init__(
+        self, *, clock, unary_stage, streamed_stage, metrics, stop_limit
+    ):
         self._clock = clock
         self._unary = unary_stage
         self._streamed = streamed_stage
         self._metrics = metrics
+        self._stop_limit = stop_limit
         self._stage_times = deadlines.StageTimes()
 
     async def run(self, request, *, emit=None, gate=None):
@@ -61,11 +68,29 @@
             must not be repeated may have run, or, if the pipeline has no
             such stage, whether any stage may have run.
         """
+        spans = []
+        result = None
+        try:
+            result = await self._run(request, spans, emit, gate)
+        finally:
+            is_whole = isinstance(result, requests.Complete)
+            for span in spans:
+                span.end(self._clock(), has_ended=is_whole)
+        return result
+
+    async def _run(self, request, spans, emit, gate):
+        """Run all stages; add a span for each one that is begun."""
         stages = request.spec["stages"]
         unrepeatable = unrepeatable_stage(request.config, request.pipeline)
         payload = request.body
         sent = False
         for index, stage in enumerate(stages):
+            now = self._clock()
+            # Not before the first stage: a streamed answer has begun by then,
+            # so that it has been decided before.
+            if index and not self._stop_limit.allows(request, index, now):
+                return _of_stage(stage, stops.STOPPING, sent=sent)
+            spans.append(self._stop_limit.measure(request, index, now))
             is_last = index + 1 == len(stages)
             is_gated = gate is not None and stage is unrepeatable
             if is_gated:
@@ -80,8 +105,7 @@
             if isinstance(result, kinds.Failure):
                 is_relevant = unrepeatable in (None, stage)
                 sent = sent or (result.sent and is_relevant)
-                reason = f"stage {stage['name']}: {result.reason}"
-                return result._replace(reason=reason, sent=sent)
+                return _of_stage(stage, result, sent=sent)
             sent = sent or unrepeatable in (None, stage)
             payload = result.output
         names = tuple(stage["name"] for stage in stages)
@@ -99,6 +123,7 @@
                 kinds.Kind.LATE, "less time left than it takes"
             )
         budget_s = self._stage_times.budget(*timing)
+        may_repeat = functools.partial(self._stop_limit.allows, request, index)
         service = request.config.entry("services", stage["service"])
         histogram = self._metrics.stage_seconds.labels(
             request.pipeline, stage["name"]
@@ -109,7 +134,12 @@
             # end by their deadline.
             if service["kind"] == "engine":
                 result = await self._streamed.run(
-                    request, stage, payload, now + budget_s, emit=emit
+                    request,
+                    stage,
+                    payload,
+                    now + budget_s,
+                    emit=emit,
+                    may_repeat=may_repeat,
                 )
             else:
                 result = await self._unary.run(
@@ -118,6 +148,7 @@
                     payload,
                     now + budget_s,
                     repeatable=service.get("repeatable", True),
+                    may_repeat=may_repeat,
                 )
         finally:
             ended_at = self._clock()
@@ -129,8 +160,15 @@
         return result
 
 
+def _of_stage(stage, failure, *, sent):
+    """Return a failure that names its stage."""
+    reason = f"stage {stage['name']}: {failure.reason}"
+    return failure._replace(reason=reason, sent=sent)
+
+
 @kernel.plugin(
-    "runner", needs=("endpoints", "membership", "metrics", "router")
+    "runner",
+    needs=("endpoints", "membership", "metrics", "router", "stop_limit"),
 )
 async def runner(core):
     """Provide the pipeline runner."""
@@ -147,4 +185,5 @@
         unary_stage=unary.UnaryStage(**parts),
         streamed_stage=streamed.StreamedStage(**parts),
         metrics=core.part("metrics"),
+        stop_limit=core.part("stop_limit"),
     )
--- a/sycamoreshed/pipeline/streamed.py
+++ b/sycamoreshed/pipeline/streamed.py
@@ -47,13 +47,24 @@
         self._budget = budget
         self._metrics = metrics
 
-    async def run(self, request, stage, payload, deadline, *, emit=None):
+    async def run(
+        self,
+        request,
+        stage,
+        payload,
+        deadline,
+        *,
+        emit=None,
+        may_repeat=hedges.allow,
+    ):
         """Run a stage by `deadline`, emitting tokens as they arrive.
 
         Parameters
         ----------
         emit : coroutine function, optional
             Receives offset and token, in order and without gaps.
+        may_repeat : callable
+            Takes the time; whether a further attempt may begin.
 
         Returns
         -------
@@ -94,7 +105,13 @@
             if len(tried) == 1:
                 hedge_delay_s = self._router.loads.hedge_delay_s(endpoint, now)
             result = await self._attempt(
-                endpoint, call, deadline, tokens, emit, hedge_delay_s
+                endpoint,
+                call,
+                deadline,
+                tokens,
+                emit,
+                hedge_delay_s,
+                may_repeat,
             )
             if not isinstance(result, kinds.Failure):
                 self._metrics.count_cross_region(
@@ -110,13 +127,21 @@
             )
             if (
                 failed_attempts >= MAX_FAILED_ATTEMPTS
+                or not may_repeat(self._clock())
                 or not self._budget.try_spend()
             ):
                 return result._replace(sent=sent)
             self._metrics.retries.labels(stage["name"], result.kind).inc()
 
     async def _attempt(
-        self, endpoint, call, deadline, tokens, emit, hedge_delay_s
+        self,
+        endpoint,
+        call,
+        deadline,
+        tokens,
+        emit,
+        hedge_delay_s,
+        may_repeat,
     ):
         started_at = self._clock()
         self._router.loads.record_start(endpoint)
@@ -131,6 +156,7 @@
                     timer=timer,
                     delay_s=hedge_delay_s,
                     budget=self._budget,
+                    may_repeat=lambda: may_repeat(self._clock()),
                 )
                 result = await self._read(
                     endpoint, call, deadline, tokens, emit, first_token
--- a/sycamoreshed/pipeline/tests/test_hedges.py
+++ b/sycamoreshed/pipeline/tests/test_hedges.py
@@ -61,7 +61,10 @@
     try:
         async with asyncio.timeout(0.2) as timer:
             first_token = hedges.FirstTokenTimeout(
-                timer=timer, delay_s=0.0, budget=budget
+                timer=timer,
+                delay_s=0.0,
+                budget=budget,
+                may_repeat=lambda: True,
             )
             await asyncio.Event().wait()
     except TimeoutError:
@@ -70,6 +73,23 @@
     assert budget.tokens == 0
 
 
+async def test_stream_does_not_move_if_a_repeat_would_not_end():
+    """A stopping instance began repeats that were cut off."""
+    budget = budgets.RetryBudget()
+    tokens = budget.tokens
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2) as timer:
+            first_token = hedges.FirstTokenTimeout(
+                timer=timer,
+                delay_s=0.0,
+                budget=budget,
+                may_repeat=lambda: False,
+            )
+            await asyncio.Event().wait()
+    assert not first_token.moved
+    assert budget.tokens == tokens
+
+
 class SlowFirst:
     """A client whose first endpoint hangs."""
 
@@ -89,14 +109,18 @@
 
 
 @pytest.mark.parametrize(
-    ("repeatable", "reserve", "names"),
+    ("repeatable", "reserve", "may_repeat", "names"),
     [
-        (True, 10.0, ["encoder-1", "encoder-2"]),
-        (True, 0.0, ["encoder-1"]),
-        (False, 10.0, ["encoder-1"]),
+        (True, 10.0, True, ["encoder-1", "encoder-2"]),
+        (True, 0.0, True, ["encoder-1"]),
+        (False, 10.0, True, ["encoder-1"]),
+        # The instance stops too soon for a second call.
+        (True, 10.0, False, ["encoder-1"]),
     ],
 )
-async def test_slow_call_is_hedged_if_allowed(repeatable, reserve, names):
+async def test_slow_call_is_hedged_if_allowed(
+    repeatable, reserve, may_repeat, names
+):
     """One endpoint hangs; without a second call the answer is late."""
     parts = fakes.stage_parts()
     client = parts["client"] = SlowFirst()
@@ -113,6 +137,7 @@
         "in",
         time.monotonic() + 1.0,
         repeatable=repeatable,
+        may_repeat=lambda _now: may_repeat,
     )
     assert client.called == names
     assert isinstance(result, adapters.StageAnswer) is (len(names) == 2)
--- a/sycamoreshed/pipeline/tests/test_runner.py
+++ b/sycamoreshed/pipeline/tests/test_runner.py
@@ -11,6 +11,7 @@
 from sycamoreshed.observe import metrics
 from sycamoreshed.pipeline import requests
 from sycamoreshed.pipeline import runner
+from sycamoreshed.pipeline import stops
 from testkit import builders
 from testkit import fakes
 
@@ -42,13 +43,14 @@
     return state.apply_note(builders.config(), note)
 
 
-async def run(stages, *services):
+async def run(stages, *services, stop_limit=None):
     """Run a pipeline with one stage per service."""
     part = runner.Runner(
         clock=time.monotonic,
         unary_stage=stages,
         streamed_stage=stages,
         metrics=metrics.Metrics(),
+        stop_limit=stop_limit or stops.StopLimit(clock=time.monotonic),
     )
     request = fakes.request(config=config(*services), pipeline="mixed")
     return await part.run(request)
@@ -81,6 +83,42 @@
     assert stages.ran[-1] == failing
 
 
+class StoppingStages(Stages):
+    """Stages during whose first run the instance is told to stop."""
+
+    def __init__(self, *, stop_limit, ends_at):
+        super().__init__()
+        self._stop_limit = stop_limit
+        self._ends_at = ends_at
+
+    async def run(self, *args, **options):
+        result = await super().run(*args, **options)
+        self._stop_limit.set(self._ends_at)
+        return result
+
+
+@pytest.mark.parametrize(
+    "services, sent",
+    [(["encoder", "language"], True), (["encoder", "ballot"], False)],
+)
+async def test_stage_that_may_not_end_is_not_begun(services, sent):
+    """A stopping instance began stages that were cut off."""
+    stop_limit = stops.StopLimit(clock=time.monotonic)
+    ends_at = time.monotonic() + 10.0
+    stages = StoppingStages(stop_limit=stop_limit, ends_at=ends_at)
+    result = await run(stages, *services, stop_limit=stop_limit)
+    assert (result.kind, result.sent) == (kinds.Kind.DRAINING, sent)
+    assert stages.ran == ["s0"]
+
+
+async def test_stage_that_ends_by_its_deadline_is_begun():
+    stop_limit = stops.StopLimit(clock=time.monotonic)
+    ends_at = time.monotonic() + 600.0
+    stages = StoppingStages(stop_limit=stop_limit, ends_at=ends_at)
+    result = await run(stages, "encoder", "language", stop_limit=stop_limit)
+    assert result == requests.Complete("out", ("s0", "s1"))
+
+
 async def test_complete_answer_names_its_stages():
     result = await run(Stages(), "encoder", "language")
     assert result == requests.Complete("out", ("s0", "s1"))
--- a/sycamoreshed/pipeline/tests/test_streamed.py
+++ b/sycamoreshed/pipeline/tests/test_streamed.py
@@ -17,7 +17,7 @@
 chunks = fakes.chunks
 
 
-async def run(parts, *, seconds=60.0, emit=None):
+async def run(parts, *, seconds=60.0, emit=None, **options):
     """Run one stage with a deadline `seconds` from now."""
     return await streamed.StreamedStage(**parts).run(
         fakes.request(seconds=seconds),
@@ -25,6 +25,7 @@
         "input",
         time.monotonic() + seconds,
         emit=emit,
+        **options,
     )
 
 
@@ -132,3 +133,11 @@
     assert streamed.prefix_hash(long + "a") == streamed.prefix_hash(long + "b")
     assert streamed.prefix_hash("a") != streamed.prefix_hash("b")
     assert endpoints.Chunk(0, "a").finish is None
+
+
+async def test_stream_is_not_resumed_if_that_would_not_end():
+    """A stopping instance began repeats that were cut off."""
+    parts = fakes.stage_parts([*chunks(0, 2), CUT], chunks(2, 6, finish=6))
+    result = await run(parts, may_repeat=lambda _now: False)
+    assert (result.kind, result.sent) == (CUT.kind, True)
+    assert len(parts["client"].calls) == 1
--- a/sycamoreshed/pipeline/tests/test_unary.py
+++ b/sycamoreshed/pipeline/tests/test_unary.py
@@ -18,7 +18,7 @@
 LATE = kinds.Kind.LATE
 
 
-async def run(parts, *, seconds=60.0, repeatable=True):
+async def run(parts, *, seconds=60.0, repeatable=True, **options):
     """Run one stage with a deadline `seconds` from now."""
     return await unary.UnaryStage(**parts).run(
         fakes.request(seconds=seconds),
@@ -26,6 +26,7 @@
         "input",
         time.monotonic() + seconds,
         repeatable=repeatable,
+        **options,
     )
 
 
@@ -115,3 +116,11 @@
     await asyncio.sleep(0)
     assert len(parts["client"].cancelled) == 1
     assert not parts["router"].loads._in_flight
+
+
+async def test_call_is_not_repeated_if_that_would_not_end():
+    """A stopping instance began repeats that were cut off."""
+    parts = fakes.stage_parts(BROKEN, GOOD)
+    result = await run(parts, may_repeat=lambda _now: False)
+    assert (result.kind, result.sent) == (BROKEN.kind, True)
+    assert len(parts["client"].calls) == 1
--- a/sycamoreshed/pipeline/unary.py
+++ b/sycamoreshed/pipeline/unary.py
@@ -39,9 +39,28 @@
         self._budget = budget
         self._metrics = metrics
 
-    async def run(self, request, stage, payload, deadline, *, repeatable):
+    async def run(
+        self,
+        request,
+        stage,
+        payload,
+        deadline,
+        *,
+        repeatable,
+        may_repeat=hedges.allow,
+    ):
         """Run a stage by `deadline` (monotonic seconds).
 
+        Parameters
+        ----------
+        request : Request
+        stage : StageSpec
+        payload : object
+        deadline : float
+        repeatable : bool
+        may_repeat : callable
+            Takes the time; whether a further attempt may begin.
+
         Returns
         -------
         StageAnswer or Failure
@@ -68,7 +87,13 @@
                     endpoint,
                 ),
                 functools.partial(
-                    self._hedge, request, stage, payload, deadline, tried
+                    self._hedge,
+                    request,
+                    stage,
+                    payload,
+                    deadline,
+                    tried,
+                    may_repeat,
                 ),
                 delay_s=self._hedge_delay_s(endpoint, now, repeatable),
             )
@@ -77,6 +102,8 @@
             sent = sent or result.sent
             if sent and not repeatable:
                 break
+            if not may_repeat(self._clock()):
+                break
             if not await self._may_retry(stage, result, attempt, deadline):
                 break
         return result._replace(sent=sent)
@@ -86,9 +113,11 @@
             return None
         return self._router.loads.hedge_delay_s(endpoint, now)
 
-    def _hedge(self, request, stage, payload, deadline, tried):
+    def _hedge(self, request, stage, payload, deadline, tried, may_repeat):
         """Return a second attempt, paid for by the budget, or None."""
         now = self._clock()
+        if not may_repeat(now):
+            return None
         if deadline - now < MIN_TIME_S or self._budget.tokens < 1:
             return None
         endpoint = self._router.choose(request, stage, now, avoid=tried)
--- a/sycamoreshed/settings/schema.py
+++ b/sycamoreshed/settings/schema.py
@@ -27,6 +27,8 @@
     "objects",
     "instance_list",
 )
+# From when new requests are rejected to when the process is killed.
+MIN_STOP_S = 3.0
 LogLevel = typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"]
 
 
@@ -79,6 +81,7 @@
     queue: typing.NotRequired[PositiveInt]
     grace_s: typing.NotRequired[NonNegative]
     drain_s: typing.NotRequired[NonNegative]
+    stop_s: typing.NotRequired[NonNegative]
     max_body_bytes: typing.NotRequired[PositiveInt]
     max_control_bytes: typing.NotRequired[PositiveInt]
     record_ttl_s: typing.NotRequired[NonNegative]
@@ -134,6 +137,9 @@
     drain_s : float
         Seconds for requests in flight to finish after that; longer if one
         of them has a later deadline.
+    stop_s : float or None
+        Seconds from a stop until the process is killed; None if it is not.
+        Requests that may not end by then are rejected.
     max_body_bytes, max_control_bytes : int
         Maximum body size of requests to ``public`` and to ``control``.
     record_ttl_s : float
@@ -184,6 +190,7 @@
     queue: int = 1024
     grace_s: float = 1.0
     drain_s: float = 30.0
+    stop_s: float | None = None
     max_body_bytes: int = 1 << 20
     max_control_bytes: int = 1 << 26
     record_ttl_s: float = 86400.0
@@ -229,6 +236,13 @@
     document.setdefault("advertise", document["control"])
     settings = Settings(**document)
     check_addresses(settings, ADDRESS_FIELDS, source=source)
+    least_s = settings.grace_s + MIN_STOP_S
+    if settings.stop_s is not None and settings.stop_s < least_s:
+        raise exceptions.CheckError(
+            source=source,
+            path="$.stop_s",
+            expected=f"expected at least {MIN_STOP_S:g} more than grace_s",
+        )
     for index, peer in enumerate(settings.peers):
         check_address(peer, source=source, path=f"$.peers[{index}]")
     return settings
--- a/tests/integration/test_serve_stop.py
+++ b/tests/integration/test_serve_stop.py
@@ -6,6 +6,8 @@
 import socket
 import time
 
+import pytest
+
 from testkit import processes
 from testkit import rawcalls
 
@@ -22,6 +24,12 @@
 LARGE = {"max_body_bytes": 2 * LARGE_BYTES}
 # Within which it ends after the deadline of its last request.
 LARGE_END_S = 10.0
+# A daemon that is killed after a stop, and deadlines before and after that.
+KILLED = {"grace_s": 1.0, "drain_s": 0.0, "stop_s": 4.0}
+SOON_S = 1.0
+LATE_S = 60.0
+TOKEN_S = 0.05
+OPEN = "outcome-unknown"
 
 
 async def connect(daemon, *, receive_bytes=None):
@@ -44,6 +52,13 @@
     return sum(each["served"] for each in counts)
 
 
+async def in_flight(cluster):
+    """Return the number of requests in flight at the first daemon."""
+    url = f"http://{cluster.daemons[0].control}/control/status"
+    async with cluster.session.get(url) as answer:
+        return (await answer.json())["in_flight"]
+
+
 async def begin(daemon):
     """Send all but the last byte of a request; return its connection."""
     reader, writer = await connect(daemon)
@@ -154,3 +169,102 @@
     assert answer.is_whole
     assert answer.status == 200
     assert code == 0
+
+
+async def wait_stopping(cluster):
+    """Wait until the first daemon is not ready any more."""
+    url = f"http://{cluster.daemons[0].public}/readyz"
+    while True:
+        async with cluster.session.get(url) as answer:
+            if answer.status != 200:
+                return
+        await asyncio.sleep(0.01)
+
+
+async def test_request_that_may_not_end_before_the_kill_is_not_run():
+    """Requests with late deadlines were begun and cut off by the kill."""
+    async with processes.cluster(**KILLED) as cluster:
+        daemon = cluster.daemons[0]
+
+        async def call(pipeline, deadline_s):
+            status, _, body = await cluster.call(
+                0,
+                pipeline,
+                {"input": 1},
+                Deadline_Ms=str(int(deadline_s * 1000)),
+            )
+            return status, body["outcome"], body.get("type")
+
+        # Shows how long the pipeline takes.
+        assert (await call("catalogue", LATE_S))[0] == 200
+        stopping = asyncio.create_task(stop(daemon))
+        await wait_stopping(cluster)
+        assert await call("summary", LATE_S) == NOT_RUN
+        assert (await call("catalogue", LATE_S))[0] == 200
+        assert (await call("summary", SOON_S))[0] == 200
+        code, seconds = await stopping
+    assert code == 0
+    assert seconds < KILLED["stop_s"]
+
+
+@pytest.mark.parametrize(
+    "pipeline, outcome", [("catalogue", "failed"), ("ballot", OPEN)]
+)
+async def test_run_that_does_not_end_before_the_kill_is_answered(
+    pipeline, outcome
+):
+    """Callers of runs that were cut off by the kill got no answer."""
+    async with processes.cluster(**KILLED) as cluster:
+        daemon = cluster.daemons[0]
+        call = asyncio.create_task(
+            cluster.call(
+                0,
+                pipeline,
+                {"input": {"take_s": LATE_S}},
+                Deadline_Ms=str(int(LATE_S * 1000)),
+                Idempotency_Key="k",
+            )
+        )
+        while not await in_flight(cluster):
+            await asyncio.sleep(0.01)
+        code, seconds = await stop(daemon)
+        status, headers, body = await call
+    assert (status // 100, body["outcome"]) == (5, outcome)
+    assert headers["Connection"] == "close"
+    assert code == 0
+    assert seconds < KILLED["stop_s"]
+
+
+async def test_stream_that_does_not_end_before_the_kill_ends_with_an_error():
+    """Callers could not tell a stream that was cut off from a whole one."""
+    specs = [
+        *processes.endpoint_specs(1)[:3],
+        {
+            "kind": "engine",
+            "name": "language-1",
+            "tokens": int(LATE_S / TOKEN_S),
+            "token_s": TOKEN_S,
+        },
+    ]
+    async with processes.cluster(specs=specs, **KILLED) as cluster:
+        daemon = cluster.daemons[0]
+        url = f"http://{daemon.public}/v1/pipelines/summary"
+        headers = {"Team": "gaucho", "Deadline-Ms": str(int(LATE_S * 1000))}
+        stream = {"input": 1, "stream": True}
+        async with cluster.session.post(
+            url, json=stream, headers=headers
+        ) as answer:
+            await answer.content.readuntil(b"\n\n")
+            stopping = asyncio.create_task(stop(daemon))
+            await wait_stopping(cluster)
+            async with cluster.session.post(
+                url, json=stream, headers=headers
+            ) as rejected:
+                assert rejected.status == 503
+            rest = await answer.text()
+        code, seconds = await stopping
+    event, data = rest.rstrip().splitlines()[-2:]
+    assert event == "event: error"
+    assert json.loads(data.removeprefix("data: "))["outcome"] == "failed"
+    assert code == 0
+    assert seconds < KILLED["stop_s"]
