Finish what operators send as an instance stops

What operators saw: a note whose body was on its way as a daemon of pipelines stopped was not taken, and its command got no answer or a rejection ten seconds later.

Cause: the drain waits only for the requests of callers. Those on the control address were left to the cleanup of the HTTP library, which drops what still arrives.

Why it works: the wait for busy connections, which comes last, takes as long as the drain may, and ends as before where nothing is in progress.

--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -179,8 +179,10 @@
             break
         await asyncio.sleep(POLL_INTERVAL_S)
     callers.end_reading()
+    # Requests of operators have no deadline.
     last_write_at = min(
-        core.clock() + LAST_WRITES_S, killed_at - STOP_MARGIN_S / 2
+        max(core.clock(), drain_end) + LAST_WRITES_S,
+        killed_at - STOP_MARGIN_S / 2,
     )
     while any(runner.server.is_busy for runner in core.part("servers")):
         if core.clock() > last_write_at:
--- a/tests/integration/test_serve_stop.py
+++ b/tests/integration/test_serve_stop.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from testkit import builders
 from testkit import processes
 from testkit import rawcalls
 
@@ -32,9 +33,9 @@
 OPEN = "outcome-unknown"
 
 
-async def connect(daemon, *, receive_bytes=None):
+async def connect(address, *, receive_bytes=None):
     """Open a connection; return its reader and its writer."""
-    host, _, port = daemon.public.rpartition(":")
+    host, _, port = address.rpartition(":")
     sock = socket.socket()
     sock.setblocking(False)
     if receive_bytes is not None:
@@ -61,7 +62,7 @@
 
 async def begin(daemon):
     """Send all but the last byte of a request; return its connection."""
-    reader, writer = await connect(daemon)
+    reader, writer = await connect(daemon.public)
     writer.write(HEAD % len(BODY) + BODY[:-1])
     return reader, writer
 
@@ -121,7 +122,7 @@
 async def call_slowly(daemon, deadline_ms):
     """Request a large answer; return its connection, which is not read."""
     body = json.dumps({"input": "x" * LARGE_BYTES}).encode()
-    reader, writer = await connect(daemon, receive_bytes=RECEIVE_BYTES)
+    reader, writer = await connect(daemon.public, receive_bytes=RECEIVE_BYTES)
     writer.transport.pause_reading()
     writer.write(
         HEAD.replace(b"\r\n\r\n", b"\r\nDeadline-Ms: %d\r\n\r\n")
@@ -268,3 +269,45 @@
     assert json.loads(data.removeprefix("data: "))["outcome"] == "failed"
     assert code == 0
     assert seconds < KILLED["stop_s"]
+
+
+async def test_request_of_an_operator_is_served_within_the_drain():
+    """Notes that were being sent as an instance stopped were rejected."""
+    async with processes.cluster(drain_s=2 * LARGE_END_S) as cluster:
+        daemon = cluster.daemons[0]
+        body = json.dumps(builders.note(1)).encode()
+        reader, writer = await connect(daemon.control)
+        head = b"POST /control/notes/check HTTP/1.1\r\nHost: a\r\n"
+        writer.write(head + b"Content-Length: %d\r\n\r\n" % len(body))
+        writer.write(body[:-1])
+        # Until its head is read.
+        assert (await cluster.call(0, "catalogue", {"input": 1}))[0] == 200
+        stopping = asyncio.create_task(stop(daemon))
+        await wait_stopping(cluster)
+        await asyncio.sleep(END_S)
+        writer.write(body[-1:])
+        async with asyncio.timeout(END_S):
+            answer = rawcalls.parse(await reader.read())
+        code, _ = await stopping
+    assert (answer.status, answer.is_whole) == (200, True)
+    assert code == 0
+
+
+async def test_further_signals_change_nothing():
+    """A second one must not end the process with requests in flight."""
+    async with processes.cluster(drain_s=0.0) as cluster:
+        daemon = cluster.daemons[0]
+        call = asyncio.create_task(
+            cluster.call(0, "catalogue", {"input": {"take_s": SOON_S}})
+        )
+        while not await in_flight(cluster):
+            await asyncio.sleep(0.01)
+        stopping = asyncio.create_task(stop(daemon))
+        await wait_stopping(cluster)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGINT):
+            daemon.send_signal(number)
+            await asyncio.sleep(SOON_S / 10)
+        assert (await call)[0] == 200
+        code, seconds = await stopping
+    assert code == 0
+    assert seconds < END_S
