Wait for a reset after early answers without length

What callers saw: while 1 MB was uploaded, an endpoint answered at once with a 200 without length or chunks, sent a part of its body, ended its side and reset the connection 0.3 s later; the part was passed on as a whole answer, in 12 of 12 plays on routes of each of four kinds.

Cause: the end of such a body counted as soon as the server's system had acknowledged the whole request. A server that gives a request up does so a moment later, when everything is in its buffers.

Why it works: a head that comes before the request is taken marks the response as early. Its end counts once the request is taken and the connection has stayed without a reset for a second. Answers with a length or chunks, and those whose head came later, do not wait.

--- a/sycamoreshed/adapters/protocol.py
+++ b/sycamoreshed/adapters/protocol.py
@@ -19,6 +19,10 @@
 HEAD_SHARE = 0.0625
 # Between checks whether a server has taken the rest of a request.
 WRITE_POLL_S = 0.02
+# A server that gives up a request after it has ended its side resets the
+# connection within a few round trips and the time to clean up; deadlines of
+# requests are longer.
+EARLY_END_WAIT_S = 1.0
 
 
 class ResponseIntake(typing.NamedTuple):
@@ -54,9 +58,10 @@
     then a plain end of file, and does not read the pending socket error.
     The error is therefore read here, while the socket is open.
 
-    A server may end its side of the connection while it is still being sent
-    the request.  A response that ends so is whole only if the server takes
-    the rest of the request.
+    A server may begin a response before it has taken the whole request, and
+    end it by ending its side of the connection.  Such a response is whole only
+    if the server takes the rest of the request and does not reset the
+    connection soon afterwards.
 
     The HTTP library has no public hooks for this; a test fails if the
     methods that are overridden here change.
@@ -66,6 +71,11 @@
         super().__init__(loop=loop)
         self._intake = intake
         self._is_request_written = False
+        # Whether the head of a response without length or chunks came before
+        # the request was taken.
+        self._is_early = False
+        # When an early response that has ended counts as whole.
+        self._whole_at = None
         self.was_reset = False
 
     def set_response_params(self, **params):
@@ -77,11 +87,14 @@
         params["max_headers"] = heads.MAX_FIELDS
         super().set_response_params(**params)
         self._is_request_written = False
+        self._is_early = False
+        self._whole_at = None
         self._parser = responses.BoundedResponseParser(
             parser=self._parser,
             update=self._update_held,
             has_room=self._intake.allowance.has_room,
             pause=self._pause_for,
+            report_unframed=self._record_unframed,
             # The connection is not used again.
             report_surplus=self.force_close,
         )
@@ -97,12 +110,10 @@
         """Handle the end of the data from the peer."""
         self._check_reset()
         super().eof_received()
-        parser = self._parser
-        ends_body = parser is not None and parser.ends_with_connection
-        if not ends_body or self.was_reset or self._is_request_taken():
+        if self.was_reset or not self._is_early:
             return False
         # The event loop leaves the connection open for writing.
-        self._loop.call_later(WRITE_POLL_S, self._close_when_taken)
+        self._loop.call_later(WRITE_POLL_S, self._close_when_whole)
         return True
 
     def connection_lost(self, error):
@@ -148,6 +159,10 @@
         if peer.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
             self.was_reset = True
 
+    def _record_unframed(self):
+        """Take note of the head of a response that ends its connection."""
+        self._is_early = not self._is_request_taken()
+
     def _is_request_taken(self):
         """Return whether the peer has all that was to be sent."""
         if not self._is_request_written:
@@ -160,16 +175,20 @@
             # `SlowReaders` reports it if the system does not tell.
             return True
 
-    def _close_when_taken(self):
+    def _close_when_whole(self):
         if self.transport is None or self.transport.is_closing():
             return
         self._check_reset()
         if self.was_reset:
             self.transport.abort()
-        elif self._is_request_taken():
+            return
+        now = self._loop.time()
+        if self._whole_at is None and self._is_request_taken():
+            self._whole_at = now + EARLY_END_WAIT_S
+        if self._whole_at is not None and now >= self._whole_at:
             self.transport.close()
         else:
-            self._loop.call_later(WRITE_POLL_S, self._close_when_taken)
+            self._loop.call_later(WRITE_POLL_S, self._close_when_whole)
 
 
 class Response(aiohttp.ClientResponse):
--- a/sycamoreshed/adapters/tests/test_protocol.py
+++ b/sycamoreshed/adapters/tests/test_protocol.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from standins import earlyanswers
 from standins import scripted
 from sycamoreshed.adapters import protocol
 from sycamoreshed.adapters import web
@@ -12,6 +15,11 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKS = 200_000
 TIMEOUT_S = 30.0
+STEP = earlyanswers.Step
+# Until a server reads a request; its head has arrived by then.
+READ_S = 0.3
+# More than the buffers between a client and a server hold.
+UPLOAD = "u" * 4_000_000
 
 
 async def fetch(script, intake):
@@ -62,3 +70,69 @@
 
     reply = await fetch(script, intake)
     assert reply.body == "a" * CHUNKS
+
+
+async def fetch_early(answer, then, *, timeout_s=TIMEOUT_S):
+    """Upload to a server that answers early; return what it is read as."""
+    async with (
+        earlyanswers.EarlyAnswers(sent=answer, then=then) as server,
+        web.open_session(web.Connector()) as session,
+    ):
+        return await web.fetch(
+            session,
+            "POST",
+            server.address,
+            "/",
+            timeout=timeout_s,
+            body=UPLOAD,
+        )
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05, 0.3])
+@pytest.mark.parametrize("begin", [(), (READ_S, STEP.READ)])
+async def test_early_part_that_is_reset_soon_is_a_failure(begin, pause_s):
+    """A part of a number was taken for the whole, of any server called."""
+    then = [STEP.END_SIDE, *begin, pause_s, STEP.RESET]
+    result = await fetch_early(OK + b"\r\n12", then)
+    assert isinstance(result, kinds.Failure) and result.sent
+
+
+@pytest.mark.parametrize("then", [[STEP.CLOSE], []])
+async def test_early_answer_without_a_reset_is_whole(then):
+    """A server may answer early, if it reads the request after all."""
+    then = [STEP.END_SIDE, READ_S, STEP.READ, *then]
+    assert (await fetch_early(OK + b"\r\n12", then)).body == 12
+
+
+async def test_early_answer_to_a_request_that_is_not_read_is_late():
+    """A server that ends its side and reads nothing kept its client."""
+    result = await fetch_early(OK + b"\r\n12", [STEP.END_SIDE], timeout_s=1.5)
+    assert (result.kind, result.sent) == (kinds.Kind.LATE, True)
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"Content-Length: 2\r\n\r\n12",
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n",
+    ],
+)
+async def test_early_answer_with_an_end_does_not_wait(monkeypatch, answer):
+    """All early answers took the time that those without an end need."""
+    monkeypatch.setattr(protocol, "EARLY_END_WAIT_S", 10 * TIMEOUT_S)
+    then = [STEP.END_SIDE, 0.3, STEP.RESET]
+    assert (await fetch_early(OK + answer, then)).body == 12
+
+
+async def test_answer_after_the_request_does_not_wait(monkeypatch):
+    """An answer without length was late though it was no early one."""
+    monkeypatch.setattr(protocol, "EARLY_END_WAIT_S", 10 * TIMEOUT_S)
+    server = scripted.Endpoint(lambda _: [OK + b"\r\n12"])
+    await server.start()
+    async with web.open_session(web.Connector()) as session:
+        for body in ({}, UPLOAD):
+            reply = await web.fetch(
+                session, "POST", server.address, "/", timeout=10, body=body
+            )
+            assert reply.body == 12
+    await server.stop()
--- a/sycamoreshed/intake/responses.py
+++ b/sycamoreshed/intake/responses.py
@@ -67,14 +67,27 @@
         Called with bytes of framing; returns whether to wait for `resume`.
     report_surplus : callable
         Called without arguments if bytes follow the response.
+    report_unframed : callable
+        Called without arguments when a body begins that has neither a length
+        nor chunks, and ends where the connection ends.
     """
 
-    def __init__(self, *, parser, update, has_room, pause, report_surplus):
+    def __init__(
+        self,
+        *,
+        parser,
+        update,
+        has_room,
+        pause,
+        report_surplus,
+        report_unframed,
+    ):
         self._parser = parser
         self._update = update
         self._has_room = has_room
         self._pause = pause
         self._report_surplus = report_surplus
+        self._report_unframed = report_unframed
         self._pending = bytearray()
         # Bytes of the pending ones that were searched for the end of a head.
         self._searched = 0
@@ -98,13 +111,6 @@
         """Whether input waits for `resume`."""
         return self._is_paced
 
-    @property
-    def ends_with_connection(self):
-        """Whether the body in progress ends where the connection ends."""
-        if self._is_done or self._payload is None:
-            return False
-        return not self._is_chunked and self._body_left is None
-
     def feed_data(self, data):
         """Parse what has arrived; return as the library's parser does.
 
@@ -234,6 +240,8 @@
         self._body_left = None if length is None else int(length)
         if payload.is_eof():
             self._finish()
+        elif not self._is_chunked and self._body_left is None:
+            self._report_unframed()
 
     def _finish(self):
         """Drop what follows the response."""
--- a/sycamoreshed/intake/tests/builders.py
+++ b/sycamoreshed/intake/tests/builders.py
@@ -125,6 +125,7 @@
         self.held = (0, 0)
         self.units = 0
         self.surplus_count = 0
+        self.unframed_count = 0
         self._pauses = pauses
         protocol = Protocol()
         self.parser = protocol.parser = responses.BoundedResponseParser(
@@ -143,6 +144,7 @@
             has_room=lambda size: sum(self.held) + size <= max_bytes,
             pause=self._pause,
             report_surplus=self._count_surplus,
+            report_unframed=self._count_unframed,
         )
 
     def feed(self, raw, *, size=None):
@@ -159,3 +161,6 @@
 
     def _count_surplus(self):
         self.surplus_count += 1
+
+    def _count_unframed(self):
+        self.unframed_count += 1
--- a/sycamoreshed/links/tests/builders.py
+++ b/sycamoreshed/links/tests/builders.py
@@ -223,7 +223,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running(script, *, helpers=HELPERS):
+async def running(script, *, helpers=HELPERS, address=None):
     """Run an endpoint with a script, and helpers of a cut-off sender.
 
     Parameters
@@ -231,12 +231,15 @@
     script : callable
     helpers : int
         They are spread over the zones of `REGIONS`.
+    address : str, optional
+        Where calls are sent in place of the endpoint's own address.
     """
     clock = asyncio.get_running_loop().time
     journal = journals.Journal()
     server = scripted.Endpoint(script)
     await server.start()
-    endpoint = types.Endpoint("e1", "desk", server.address, "south-a", 4)
+    address = address or server.address
+    endpoint = types.Endpoint("e1", "desk", address, "south-a", 4)
     codec = platform.Platform(store=None)
     async with clients.open_client() as client:
         running_helpers = [Helper(client, endpoint) for _ in range(helpers)]
--- a/sycamoreshed/links/tests/test_indirect.py
+++ b/sycamoreshed/links/tests/test_indirect.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from standins import earlyanswers
 from standins import scripted
 from sycamoreshed.buffering import budget
 from sycamoreshed.buffering import slowreaders
@@ -22,6 +23,9 @@
 AT_ONCE_S = 0.3
 # Until the end of an instance that stops, of which calls may last longer.
 SOON_S = 0.5
+# Until an endpoint reads an upload, and until it then resets the connection.
+READ_S = 0.3
+RESET_S = 0.3
 MANY = indirect.MAX_REFUSALS
 MAX_CHECKS = 2000
 
@@ -480,3 +484,18 @@
         response = await builders.send(system)
         result = await clients.read_full(response, timeout_s=5.0)
         assert isinstance(result, kinds.Failure) and result.sent
+
+
+async def test_early_part_that_is_reset_later_is_not_whole():
+    """The other instance took a part of an answer for all of it."""
+    step = earlyanswers.Step
+    part = scripted.stream_head(**{SEAL: "proof"}) + b"par"
+    then = [step.END_SIDE, READ_S, step.READ, RESET_S, step.RESET]
+    async with (
+        earlyanswers.EarlyAnswers(sent=part, then=then) as server,
+        builders.running(answer, address=server.address) as system,
+    ):
+        response = await builders.send(system, body=bytes(4_000_000))
+        result = await clients.read_full(response, timeout_s=LONG_S)
+    assert server.bodies == [4_000_000]
+    assert isinstance(result, kinds.Failure) and result.sent
--- a/tests/integration/test_early_answers.py
+++ b/tests/integration/test_early_answers.py
@@ -1,5 +1,6 @@
 """Endpoints that answer long uploads before they have read them."""
 
+import asyncio
 import contextlib
 
 import aiohttp
@@ -21,6 +22,33 @@
 LIMITS = [{}, {"memory_mb": 160}]
 CHUNK = b"%x\r\n%s\r\n"
 MB = 10**6
+STEP = earlyanswers.Step
+ROUTES = {
+    "safe": {"route_kind": "safe", "max_attempts": 1},
+    "unsafe": {"route_kind": "unsafe"},
+    "stream": {"route_kind": "streaming"},
+    "resumable": {
+        "route_kind": "streaming",
+        "resumable": True,
+        "max_attempts": 1,
+        # Its streams are given up after four such pauses.
+        "itl_target_ms": 500,
+    },
+}
+EVENTS = b"".join(map(harness.event, range(3)))
+# Of each kind of route, a whole answer and a part of it.
+ANSWERS = {
+    "safe": (WHOLE, PART),
+    "unsafe": (WHOLE, PART),
+    "stream": (EVENTS, harness.event(0)),
+    "resumable": (EVENTS, harness.event(0)),
+}
+RESET_S = 0.3
+# Until an endpoint reads an upload; its head has arrived by then.
+READ_S = 0.3
+DEADLINE_S = 2
+# For the answer of an instance beside other work.
+SPARE_S = 5.0
 
 
 def sent_of(framing, body):
@@ -33,9 +61,9 @@
 
 
 @contextlib.asynccontextmanager
-async def uploading(store, folder, limits, **endpoint):
+async def uploading(store, folder, limits, *, route="unsafe", **endpoint):
     """Run an endpoint; yield it and a function that uploads some bytes."""
-    routes = [wiredata.route(route_kind="unsafe", timeout_ms=9000)]
+    routes = [wiredata.route(**{**ROUTES[route], "timeout_ms": 9000})]
     store.put("op", "config", wiredata.configuration(2, routes=routes))
     async with earlyanswers.EarlyAnswers(**endpoint) as running:
         store.put("servers", "i-0", wiredata.beat(running.address))
@@ -44,8 +72,8 @@
             session,
         ):
 
-            async def upload(size):
-                headers = wiredata.head(deadline_ms="8000")
+            async def upload(size, deadline_ms=8000):
+                headers = wiredata.head(deadline_ms=str(deadline_ms))
                 try:
                     status, _, body = await harness.call(
                         session,
@@ -74,9 +102,7 @@
         tmp_path,
         limits,
         sent=sent_of(framing, PART),
-        ends_side=ends_side,
-        pause_s=0.3,
-        reads_on=False,
+        then=[STEP.END_SIDE] * ends_side + [RESET_S, STEP.RESET],
     ) as (_, upload):
         assert (await upload(size))[0] in (502, "cut")
 
@@ -93,10 +119,60 @@
         tmp_path,
         limits,
         sent=sent_of(framing, WHOLE),
-        ends_side=ends_side,
-        pause_s=0.3,
-        reads_on=True,
+        then=[STEP.END_SIDE] * ends_side + [READ_S, STEP.READ, STEP.CLOSE],
     ) as (endpoint, upload):
         assert await upload(4 * MB) == (200, WHOLE)
     if framing == "connection":
         assert endpoint.bodies == [4 * MB]
+
+
+@pytest.mark.parametrize("limits", LIMITS)
+@pytest.mark.parametrize("size", [MB, 4 * MB])
+@pytest.mark.parametrize("route", ROUTES)
+async def test_part_is_not_whole_once_the_upload_was_taken(
+    store, tmp_path, route, size, limits
+):
+    """A part went on as a whole answer if its reset came after the upload."""
+    async with uploading(
+        store,
+        tmp_path,
+        limits,
+        route=route,
+        sent=sent_of("connection", ANSWERS[route][1]),
+        then=[STEP.END_SIDE, READ_S, STEP.READ, RESET_S, STEP.RESET],
+    ) as (_, upload):
+        assert (await upload(size))[0] in (502, "cut")
+
+
+@pytest.mark.parametrize("route", ROUTES)
+async def test_early_answer_that_stays_without_a_reset_is_passed_on(
+    store, tmp_path, route
+):
+    """An answer is whole though its connection stays half open."""
+    whole = ANSWERS[route][0]
+    async with uploading(
+        store,
+        tmp_path,
+        {},
+        route=route,
+        sent=sent_of("connection", whole),
+        then=[STEP.END_SIDE, READ_S, STEP.READ],
+    ) as (endpoint, upload):
+        assert await upload(MB) == (200, whole)
+    assert endpoint.bodies == [MB]
+
+
+@pytest.mark.parametrize("route", ROUTES)
+async def test_upload_that_is_never_read_ends_in_time(store, tmp_path, route):
+    """An endpoint ends its side, and its caller waits past the deadline."""
+    async with uploading(
+        store,
+        tmp_path,
+        {},
+        route=route,
+        sent=sent_of("connection", ANSWERS[route][0]),
+        then=[STEP.END_SIDE],
+    ) as (_, upload):
+        async with asyncio.timeout(DEADLINE_S + SPARE_S):
+            status, _ = await upload(4 * MB, 1000 * DEADLINE_S)
+    assert status in (502, 503, 504, "cut")
