Wait for responses to leave before a stopping gateway closes

Cause: a request counted as in flight until its handler returned; the HTTP library writes the response afterwards, and closing the listeners has a short limit now.

Change: the drain waits, within the grace period, until no connection of a caller has a request in progress or bytes to be written. The part `durations` is provided where the daemon of pipelines does not import it.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -229,7 +229,9 @@
     requests.is_accepting = False
     control = core.part("inner")
     last_write_at = gives_up_at + LAST_WRITES_S
-    while requests.in_flight + control.in_flight:
+    # Responses are written after their handlers have returned.
+    public = core.part("listeners")["public"].server
+    while requests.in_flight + control.in_flight or public.is_busy:
         if core.clock() >= last_write_at:
             break
         await asyncio.sleep(POLL_S)
--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -255,6 +255,12 @@
         )
 
 
+@kernel.plugin("durations")
+async def known_durations(_core):
+    """Provide the `Durations` of the requests of this process."""
+    yield durations.Durations()
+
+
 @kernel.plugin("stop_deadline", needs=("durations", "journal"))
 async def stop_deadline(core):
     """Provide the `StopDeadline`."""
--- a/sycamoreshed/stopping/durations.py
+++ b/sycamoreshed/stopping/durations.py
@@ -3,8 +3,6 @@
 import collections
 import typing
 
-from sycamoreshed.kernel import kernel
-
 __all__ = ["Durations", "Sample", "Span", "Series", "quantile"]
 
 # Latest samples of a series that are kept.
@@ -164,9 +162,3 @@
         if found is None:
             return 0
         return sum(each.has_ended for each in found.samples)
-
-
-@kernel.plugin("durations")
-async def known_durations(_core):
-    """Provide the `Durations` of the requests of this process."""
-    yield Durations()
--- a/tests/integration/test_stop_unknown_routes.py
+++ b/tests/integration/test_stop_unknown_routes.py
@@ -1,6 +1,7 @@
 """Stops of an instance that knows little of how long requests last."""
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -16,6 +17,8 @@
 LONG_S = 2.6
 LATE_S = 1.8
 SHORT_S = 0.3
+# More than the system holds of a response that is not read.
+BODY_BYTES = 14 << 20
 KINDS = {
     "safe": {"route_kind": "safe"},
     "unsafe": {"route_kind": "unsafe"},
@@ -51,12 +54,26 @@
     return script
 
 
+def raw_head(request, **more):
+    """Return the head of a request without its last fields."""
+    fields = wiredata.head(request, deadline_ms="9000", **more)
+    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+    return "".join(["POST /lookup/1 HTTP/1.1\r\n", *lines]).encode()
+
+
+async def open_connection(gateway):
+    """Return reader and writer of a caller's connection; it buffers little."""
+    host, _, port = gateway.public.rpartition(":")
+    sock = socket.create_connection((host, int(port)))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+    return await asyncio.open_connection(sock=sock)
+
+
 async def send(gateway, number, **more):
     """Send a request on a new connection; return its `Outcome`."""
-    fields = wiredata.head(f"r-{number}", deadline_ms="9000", **more)
-    lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
-    head = "".join(["POST /lookup/1 HTTP/1.1\r\n", *lines]).encode()
-    return await stopcallers.send(gateway.public, f"r-{number}", head)
+    request = f"r-{number}"
+    head = raw_head(request, **more)
+    return await stopcallers.send(gateway.public, request, head)
 
 
 async def send_in_stop(gateway, *delays_s):
@@ -167,13 +184,9 @@
         harness.endpoints(store, harness.answer_ok) as (endpoint,),
         harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
     ):
-        host, _, port = gateway.public.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        fields = wiredata.head("r-1", deadline_ms="9000")
-        lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
-        lines.append("Content-Length: 1000\r\n\r\n")
-        head = "".join(["POST /lookup/1 HTTP/1.1\r\n", *lines])
-        writer.write(head.encode() + b"a part")
+        reader, writer = await open_connection(gateway)
+        length = b"Content-Length: 1000\r\n\r\n"
+        writer.write(raw_head("r-1") + length + b"a part")
         await asyncio.sleep(0.2)
         gateway.process.terminate()
         async with asyncio.timeout(GRACE_S / 2):
@@ -304,3 +317,39 @@
         arrivals = sum(len(each.seen) for each in endpoints)
     assert outcome.status == 200
     assert arrivals == 1
+
+
+async def test_caller_that_reads_slowly_gets_its_whole_answer_in_a_stop(
+    store, tmp_path
+):
+    """The process ended before the answer had left it."""
+    store.put(
+        "op", "config", route(route_kind="unsafe", target_latency_ms=500)
+    )
+    body = bytes(BODY_BYTES)
+
+    def script(_received):
+        yield scripted.answer(200, body, **{harness.SEAL: "proof"})
+
+    async with (
+        harness.endpoints(store, script),
+        harness.serving(store, tmp_path, grace_s=GRACE_S) as (gateway, _),
+    ):
+        host, _, port = gateway.public.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        fields = wiredata.head("r-1", deadline_ms="9000")
+        lines = [f"{name}: {value}\r\n" for name, value in fields.items()]
+        lines.append("Content-Length: 0\r\n\r\n")
+        gateway.process.terminate()
+        await asyncio.sleep(0.5)
+        writer.write("POST /lookup/1 HTTP/1.1\r\n".encode())
+        writer.write("".join(lines).encode())
+        await reader.readuntil(b"\r\n\r\n")
+        size = 0
+        while data := await reader.read(1 << 18):
+            size += len(data)
+            await asyncio.sleep(0.05)
+        writer.close()
+        async with asyncio.timeout(GRACE_S):
+            assert await gateway.process.wait() == 0
+    assert size == BODY_BYTES
