Refuse calls of others that arrive as a stopping instance ends

An instance that stops ends once nothing is in flight. A call of another instance that arrived after that was looked at, and before the listeners were closed, was cut off 20 ms later: the other instance could not tell whether it had been sent, and a request that may run once only ended with 502. In a trace the call arrived 1 ms before the event "stopped".

The control address takes no new connections from then on, which others see as not sent, and what had connected is refused for a moment before the listeners close.

--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -235,6 +235,11 @@
         if core.clock() >= last_write_at:
             break
         await asyncio.sleep(POLL_S)
+    # What other instances still ask for is refused rather than cut off.
+    for site in list(core.part("listeners")["control"].sites):
+        await site.stop()
+    core.part("stop_deadline").set(core.clock())
+    await asyncio.sleep(POLL_S)
     journal.write(
         "stopped",
         in_flight=requests.in_flight,
--- a/tests/integration/test_stop_work_of_others.py
+++ b/tests/integration/test_stop_work_of_others.py
@@ -7,24 +7,35 @@
 import time
 
 import aiohttp
+import pytest
 
 from standins import platformstore
 from standins import scripted
 from testkit import gateways
+from testkit import partitioned
 from testkit import wiredata
 from tests.integration import harness
 
 # From SIGTERM to SIGKILL.
 GRACE_S = 4.0
 START_TIMEOUT_S = 15.0
+# Of the instances of a test, all but the first and the last one stop.
+INSTANCES = 6
 PER_S = 8
+MANY_PER_S = 150
 BEFORE_S = 2.0
 ANSWER_S = 1.0
 STAGES = [{"service": "first", "after": [], "size_bytes": 8000}]
 
 
+def answer_slowly(received):
+    """Answer a request after a while."""
+    yield ANSWER_S
+    yield from harness.answer_ok(received)
+
+
 @contextlib.asynccontextmanager
-async def running(store, folder, *, count):
+async def running(store, folder, *, count, program=gateways.PROGRAM):
     """Run instances of one zone that know each other, and open a session."""
     documents = [
         {
@@ -35,7 +46,7 @@
         for number in range(count)
     ]
     async with (
-        gateways.gateways(folder, documents) as instances,
+        gateways.gateways(folder, documents, program=program) as instances,
         aiohttp.ClientSession() as session,
     ):
         for each in instances:
@@ -47,7 +58,7 @@
         yield instances, session
 
 
-async def load(session, gateway, seconds, **head):
+async def load(session, gateway, seconds, *, per_s=PER_S, **head):
     """Send requests; return the statuses, with "cut" for cut-off ones."""
 
     async def call(number):
@@ -67,9 +78,9 @@
         return status
 
     tasks = []
-    for number in range(int(seconds * PER_S)):
+    for number in range(int(seconds * per_s)):
         tasks.append(asyncio.create_task(call(number)))
-        await asyncio.sleep(1 / PER_S)
+        await asyncio.sleep(1 / per_s)
     return collections.Counter(await asyncio.gather(*tasks))
 
 
@@ -87,6 +98,48 @@
             await each.kill()
 
 
+def decisions(instances):
+    """Return how often instances decided that calls end in time, or not."""
+    return collections.Counter(
+        line["is_allowed"]
+        for each in instances
+        for line in each.events("stop_checked")
+    )
+
+
+@pytest.mark.parametrize(
+    ("script", "per_s"),
+    [(answer_slowly, PER_S), (harness.answer_ok, MANY_PER_S)],
+)
+async def test_calls_of_others_are_served_while_many_instances_stop(
+    store, tmp_path, script, per_s
+):
+    """A request was lost with one of the instances that were stopping."""
+    route = wiredata.route(
+        route_kind="unsafe", timeout_ms=9000, target_latency_ms=2000
+    )
+    store.put("op", "config", wiredata.configuration(2, routes=[route]))
+    scripts = [script] * 3
+    async with (
+        harness.endpoints(store, *scripts, slots=100) as endpoints,
+        running(
+            store, tmp_path, count=INSTANCES, program=partitioned.PROGRAM
+        ) as (instances, session),
+    ):
+        cut, *stopping, _ = instances
+        addresses = [each.address for each in endpoints]
+        partitioned.Partition(cut.settings).cut(addresses, "live")
+        await load(session, cut, BEFORE_S)
+        ending = asyncio.create_task(stop(store, stopping))
+        statuses = await load(session, cut, GRACE_S, per_s=per_s)
+        await ending
+    assert statuses == {200: statuses.total()}
+    assert [each.process.returncode for each in stopping] == [0] * len(
+        stopping
+    )
+    assert True in decisions(stopping)
+
+
 async def test_stages_of_others_are_not_begun_before_an_instance_ends(
     store, tmp_path
 ):
