Keep how long requests lasted apart from what was given up

What callers saw in tests: after 64 attempts that were refused at once a request that needs six seconds was taken with four left, as the failed ones had replaced all that had ended; other instances' durations were left out for the same reason. With thousands of routes the busiest one was forgotten first, as it was the first.

Cause: one bounded series held both, and series were kept by their creation.

Change: what ended and what was given up have a bound of their own, series are kept and told by their last use, and only what ended is told. What runs long is extrapolated by less, the more has ended: 2 x the oldest age stood for the estimate although most had ended, so that nearly all was rejected.

--- a/sycamoreshed/stopping/durations.py
+++ b/sycamoreshed/stopping/durations.py
@@ -1,17 +1,18 @@
 """How long requests last, by those that ended and those that still run."""
 
 import collections
+import math
 import typing
 
 __all__ = ["Durations", "Sample", "Span", "Series", "quantile"]
 
-# Latest samples of a series that are kept.
+# Latest samples of a series that are kept: of those that ended, and of those
+# that were given up.
 MAX_SAMPLES = 64
-# Of this many series the oldest one is forgotten: operators may configure
-# thousands of routes.
+# Of this many series the one that was used longest ago is forgotten:
+# operators may configure thousands of routes.
 MAX_SERIES = 4096
-# What has not ended counts as this many times its age if nothing that ended
-# lasted longer.
+# If nothing has ended, what runs longest counts as this many times its age.
 AGE_FACTOR = 2.0
 
 
@@ -42,7 +43,9 @@
     Notes
     -----
     This is the product-limit estimate of the survival function.  It does not
-    take what was given up, or still runs, for as short as it is so far.
+    take what was given up, or still runs, for as short as it is so far.  Where
+    too much of it has not ended, the estimate is extrapolated from its age: by
+    less, the nearer the share that lasts longer is to the risk.
 
     References
     ----------
@@ -55,7 +58,7 @@
     >>> quantile([Sample(1.0), Sample(2.0), Sample(3.0), Sample(9.0)], 0.25)
     3.0
     >>> quantile([Sample(1.0), Sample(1.0), Sample(4.0, False)], 0.25)
-    8.0
+    4.83...
     """
     # Of equal values, those that ended come first.
     ordered = sorted(
@@ -71,7 +74,10 @@
             longest = each.value
             if survival <= risk:
                 return longest
-    return max(longest, AGE_FACTOR * ordered[-1].value)
+    share = 1.0
+    if risk > 0.0:
+        share = math.log(survival / risk) / math.log(1.0 / risk)
+    return (1.0 + share * (AGE_FACTOR - 1.0)) * ordered[-1].value
 
 
 class Span:
@@ -103,7 +109,7 @@
         """
         if self in self._series.running:
             self._series.running.discard(self)
-            self._series.samples.append(self.sample(now, has_ended=has_ended))
+            self._series.add(self.sample(now, has_ended=has_ended))
 
 
 class Series:
@@ -111,22 +117,28 @@
 
     Attributes
     ----------
-    samples : deque of Sample
+    ended, given_up : deque of Sample
         The latest ones.
     running : set of Span
     """
 
     def __init__(self):
-        self.samples = collections.deque(maxlen=MAX_SAMPLES)
+        self.ended = collections.deque(maxlen=MAX_SAMPLES)
+        self.given_up = collections.deque(maxlen=MAX_SAMPLES)
         self.running = set()
 
+    def add(self, sample):
+        """Add the latest sample."""
+        (self.ended if sample.has_ended else self.given_up).append(sample)
+
     def begin(self, now, *, units=1.0):
         """Begin a `Span`, whose seconds count for each of some units."""
         return Span(series=self, started_at=now, units=units)
 
     def all_samples(self, now):
         """Return the latest samples, and those of what still runs."""
-        return [*self.samples, *(each.sample(now) for each in self.running)]
+        running = [each.sample(now) for each in self.running]
+        return [*self.ended, *self.given_up, *running]
 
 
 class Durations:
@@ -144,11 +156,12 @@
 
     def series(self, key):
         """Return a series, which is empty if it is new."""
-        found = self._series.get(key)
+        found = self._series.pop(key, None)
         if found is None:
             while len(self._series) >= MAX_SERIES:
                 del self._series[next(iter(self._series))]
-            found = self._series[key] = Series()
+            found = Series()
+        self._series[key] = found
         return found
 
     def samples(self, key, now):
@@ -159,6 +172,9 @@
     def count_ended(self, key):
         """Return how many samples of a series have ended."""
         found = self._series.get(key)
-        if found is None:
-            return 0
-        return sum(each.has_ended for each in found.samples)
+        return 0 if found is None else len(found.ended)
+
+    def count_others(self, key):
+        """Return how many samples of a series have not ended."""
+        found = self._series.get(key)
+        return 0 if found is None else len(found.given_up) + len(found.running)
--- a/sycamoreshed/stopping/telling.py
+++ b/sycamoreshed/stopping/telling.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import itertools
 import math
 import typing
 
@@ -26,7 +25,7 @@
 TIMEOUT_S = 0.3
 # Instances that are asked at the same time.
 MAX_ASKED = 3
-# Series that are told, those of the latest routes, and samples of each.
+# Series that are told, those used last, and samples of each.
 MAX_TOLD_SERIES = 256
 MAX_TOLD_SAMPLES = 16
 # Own samples of a series, from which on those of others do not count.
@@ -42,14 +41,14 @@
     part : Part
     phase : Phase
     name : str
-    samples : list of (float, bool)
-        Values, and whether they have ended.
+    values : list of float
+        Of those that ended.
     """
 
     part: measuring.Part
     phase: measuring.Phase
     name: str
-    samples: list[tuple[float, bool]]
+    values: list[float]
 
 
 class DurationExchange:
@@ -73,9 +72,9 @@
         """Return the latest durations, for an instance that stops."""
         latest = list(self._durations.items())[-MAX_TOLD_SERIES:]
         told = [
-            Told(*key, [_rounded(each) for each in _last(series.samples)])
+            Told(*key, _latest_values(series))
             for key, series in latest
-            if series.samples
+            if series.ended
         ]
         return web.Response(
             body=msgspec.json.encode(told), content_type="application/json"
@@ -97,15 +96,16 @@
         added = 0
         for each in told:
             key = measuring.Key(each.part, each.phase, each.name)
-            samples = self._durations.series(key).samples
-            missing = max(0, ENOUGH_SAMPLES - len(samples))
+            series = self._durations.series(key)
+            missing = max(0, ENOUGH_SAMPLES - len(series.ended))
             usable = [
-                durations.Sample(value, has_ended)
-                for value, has_ended in each.samples
+                durations.Sample(value)
+                for value in each.values
                 if math.isfinite(value) and 0.0 <= value <= MAX_VALUE
-            ]
-            samples.extendleft(usable[:missing])
-            added += len(usable[:missing])
+            ][:missing]
+            for sample in usable:
+                series.add(sample)
+            added += len(usable)
         return added
 
     async def _ask(self, control):
@@ -129,13 +129,9 @@
         )
 
 
-def _last(samples):
-    skipped = max(0, len(samples) - MAX_TOLD_SAMPLES)
-    return itertools.islice(samples, skipped, None)
-
-
-def _rounded(sample):
-    return round(sample.value, 6), sample.has_ended
+def _latest_values(series):
+    latest = list(series.ended)[-MAX_TOLD_SAMPLES:]
+    return [round(each.value, 6) for each in latest]
 
 
 @kernel.plugin(
--- a/sycamoreshed/stopping/tests/test_durations.py
+++ b/sycamoreshed/stopping/tests/test_durations.py
@@ -41,6 +41,27 @@
     assert durations.quantile(partly, 0.3) == pytest.approx(whole, rel=0.2)
 
 
+def test_series_that_is_not_used_is_forgotten_first():
+    """The busiest route was forgotten, as it was the first one."""
+    known = durations.Durations()
+    for number in range(durations.MAX_SERIES + 10):
+        known.series("first")
+        known.series(number)
+    assert "first" in dict(known.items())
+    assert 0 not in dict(known.items())
+
+
+def test_what_runs_long_counts_less_the_more_has_ended():
+    """Nearly all was rejected, as a few of many requests were under way."""
+    running = [durations.Sample(4.0, False)] * 10
+    ended = [durations.Sample(1.0)] * 50
+    alone = durations.quantile(running, 0.05)
+    among = durations.quantile([*running, *ended], 0.05)
+    assert alone == pytest.approx(8.0)
+    assert 4.0 < among < 6.0
+    assert durations.quantile([*running, *ended], 0.0) == pytest.approx(8.0)
+
+
 def test_span_counts_once():
     """A request that was given up and then ended counted twice."""
     series = durations.Series()
--- a/sycamoreshed/stopping/tests/test_telling.py
+++ b/sycamoreshed/stopping/tests/test_telling.py
@@ -42,9 +42,8 @@
 
 def record(known, *values):
     """Record durations of the route ``r``."""
-    known.series(KEY).samples.extend(
-        durations.Sample(value) for value in values
-    )
+    for value in values:
+        known.series(KEY).add(durations.Sample(value))
 
 
 @contextlib.asynccontextmanager
@@ -83,7 +82,7 @@
     """What others had seen earlier stood for what this instance serves."""
     asker, known = make_exchange()
     record(known, *[1.0] * telling.ENOUGH_SAMPLES)
-    told = telling.Told(*KEY, [(9.0, True)] * 30)
+    told = telling.Told(*KEY, [9.0] * 30)
     assert asker.record([told]) == 0
     assert {each.value for each in known.samples(KEY, 0.0)} == {1.0}
 
@@ -91,7 +90,7 @@
 async def test_later_own_durations_stay_and_those_of_others_leave():
     """Told durations were kept as if they were the latest ones."""
     asker, known = make_exchange()
-    asker.record([telling.Told(*KEY, [(9.0, True)])])
+    asker.record([telling.Told(*KEY, [9.0])])
     record(known, *[1.0] * durations.MAX_SAMPLES)
     assert {each.value for each in known.samples(KEY, 0.0)} == {1.0}
 
@@ -100,7 +99,7 @@
 async def test_values_that_are_no_durations_are_left_out(value):
     """A number of another version made every request last for ever."""
     asker, known = make_exchange()
-    assert asker.record([telling.Told(*KEY, [(value, True)])]) == 0
+    assert asker.record([telling.Told(*KEY, [value])]) == 0
     assert known.samples(KEY, 0.0) == []
 
 
@@ -109,8 +108,8 @@
     [
         web.Response(status=404),
         web.json_response({"a": 1}),
-        web.json_response([["whole", "request", "r", [["x", True]]]]),
-        web.json_response([["other", "request", "r", [[1.0, True]]]]),
+        web.json_response([["whole", "request", "r", ["x"]]]),
+        web.json_response([["other", "request", "r", [1.0]]]),
         web.Response(body=b"{"),
     ],
 )
@@ -135,7 +134,8 @@
     teller, known = make_exchange()
     for number in range(telling.MAX_TOLD_SERIES + 10):
         key = KEY._replace(name=f"r{number}")
-        known.series(key).samples.extend([durations.Sample(1.0)] * 40)
+        for _ in range(40):
+            known.series(key).add(durations.Sample(1.0))
     async with (
         serving(teller.tell) as address,
         aiohttp.ClientSession() as http,
