Estimate by enough of what is known, and give attempts up by it

Found in a review of the estimate, each shown by a test that failed before:

Late requests are held to three times the target until sixteen have ended. - The length that a stream tells did not count for the first four streams, and a length of one token made all streams of a service seem slow. - A request whose second attempt was answered "not run" was told so although the first one may have run it (idempotent requests only). - Answers that tell of errors stood for short answers.

--- a/sycamoreshed/forwarding/attempts.py
+++ b/sycamoreshed/forwarding/attempts.py
@@ -17,7 +17,6 @@
 from sycamoreshed.forwarding import rejections
 from sycamoreshed.forwarding import selecting
 from sycamoreshed.retries import repeats
-from sycamoreshed.stopping import durations
 from sycamoreshed.stopping import measuring
 
 __all__ = ["Attempts"]
@@ -28,6 +27,9 @@
 # one may still answer before the deadline.
 TIMEOUT_TARGET_FACTOR = 2.0
 MIN_TIMEOUT_S = 0.5
+# Another attempt may take this many times the limit of the first one, unless
+# enough is known of its route.
+REPEAT_FACTOR = 2.0
 # Lowest status that tells of an error.
 _ERROR_STATUS = 400
 
@@ -345,18 +347,17 @@
         does.  It may take longer than the first one would have taken.
         """
         now = self._parts.clock()
-        at_least_s = durations.AGE_FACTOR * timeout_s
-        if self._ends_before_stop(now, at_least_s):
+        if self._ends_before_stop(now, REPEAT_FACTOR * timeout_s):
             return 0.0
         return max(0.0, self._request.deadline - now)
 
-    def _ends_before_stop(self, begins_at, at_least_s=0.0):
+    def _ends_before_stop(self, begins_at, unknown_s=0.0):
         return self._parts.stop_deadline.allows(
             self._request,
             measuring.Phase.ATTEMPT,
             begins_at,
             delivered_s=self._measurement.delivered_s(begins_at),
-            at_least_s=at_least_s,
+            unknown_s=unknown_s,
         )
 
     def _timeout(self, remaining_s, choice):
--- a/sycamoreshed/forwarding/forwarder.py
+++ b/sycamoreshed/forwarding/forwarder.py
@@ -32,6 +32,8 @@
 # Rounds of stages and attempts: results may expire before an engine fetches
 # them.  Stage runs for a retry within a round are not counted.
 MAX_ROUNDS = 2
+# Lowest status that tells of an error.
+_ERROR_STATUS = 400
 # Pieces of all stages of a request; the results of that many cannot be named
 # in the head of a request to an engine.
 MAX_PIECES = 10_000
@@ -105,6 +107,13 @@
     return route.services[-1][0]
 
 
+def _is_served(outcome):
+    """Return whether a request has a whole answer that tells of no error."""
+    if outcome is None or outcome.failure is not None:
+        return False
+    return outcome.answer is None or outcome.answer.status < _ERROR_STATUS
+
+
 class Forwarder:
     """Runs the stages of requests and forwards the requests to endpoints.
 
@@ -155,8 +164,7 @@
             )
             return outcome
         finally:
-            is_whole = outcome is not None and outcome.failure is None
-            measurement.end(self._parts.clock(), is_whole=is_whole)
+            measurement.end(self._parts.clock(), is_whole=_is_served(outcome))
             sends.close()
             self._stages.free(results)
 
@@ -383,14 +391,17 @@
                 max_gap_s=result.max_gap_s,
             )
         if isinstance(result, exchanges.Answered):
-            return self._outcome(result)
+            return self._outcome(result, tries)
         sent = result.sent or tries.may_have_run
         return Outcome(failure=result._replace(sent=sent))
 
-    def _outcome(self, answered):
+    def _outcome(self, answered, tries):
         if answered.is_passed_on:
             return Outcome(answer=answered.answer, endpoint=answered.endpoint)
-        return Outcome(failure=answered.failure, endpoint=answered.endpoint)
+        failure = answered.failure
+        # An earlier attempt may have run it.
+        failure = failure._replace(sent=failure.sent or tries.may_have_run)
+        return Outcome(failure=failure, endpoint=answered.endpoint)
 
     def _free(self, results):
         """Free stage results; return whether there were any.
--- a/sycamoreshed/gateway/handler.py
+++ b/sycamoreshed/gateway/handler.py
@@ -199,6 +199,8 @@
             deadline=deadline,
             hold=hold,
         )
+        if not self.is_accepting:
+            return kinds.Failure(kinds.Kind.DRAINING, "this instance stops")
         body = await self._stop_deadline.wait_for(
             callerbodies.read(
                 http,
--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -16,6 +16,7 @@
 from sycamoreshed.intake import allowance as allowances
 from sycamoreshed.intake import pacing
 from sycamoreshed.kernel import kernel
+from sycamoreshed.stopping import telling
 
 __all__ = ["drain"]
 
@@ -31,8 +32,9 @@
 # The same of callers, while no configuration is known.
 UNKNOWN_HEADER_BYTES = 65536
 # The load balancer checks readiness once a second and reacts to two failed
-# checks, so new connections arrive for up to three seconds after SIGTERM.
-NEW_CONNECTIONS_S = 3.0
+# checks, so new connections arrive for up to three seconds after SIGTERM, of
+# which a busy process may take note late.
+NEW_CONNECTIONS_S = 2.9
 ACCEPT_S = 3.2
 # The same as shares of a grace period that is short.
 NEW_CONNECTIONS_SHARE = 0.375
@@ -198,6 +200,12 @@
     return check_readiness
 
 
+async def _learn(core):
+    """Ask other instances how long requests last, and estimate by it."""
+    await core.part("duration_exchange").ask(core.clock())
+    core.part("stop_deadline").refresh()
+
+
 async def drain(core):
     """Wait for the stop, then until no request is in flight.
 
@@ -220,10 +228,9 @@
         gives_up_at=gives_up_at,
         late_from=started_at
         + min(NEW_CONNECTIONS_S, NEW_CONNECTIONS_SHARE * grace_s),
+        learns_until=started_at + telling.TIMEOUT_S,
     )
-    core.spawn(
-        core.part("duration_exchange").ask(started_at), name="ask durations"
-    )
+    core.spawn(_learn(core), name="ask durations")
     await asyncio.sleep(min(ACCEPT_S, ACCEPT_SHARE * grace_s))
     await requests.wait_until_read()
     requests.is_accepting = False
--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -15,16 +15,20 @@
 
 __all__ = ["StopDeadline", "TOO_SOON"]
 
-# Share of requests that may last longer than is estimated: a rejection costs
-# its caller one more try, whereas what is cut off may be lost.
+# Share of requests that may last longer than is estimated, if enough of them
+# are known: a rejection costs its caller one more try, whereas what is cut off
+# may be lost.
 MAX_RISK = 0.05
 # Callers that come late know other instances.  All requests that are known
 # have to last less than this share of the time that is left for theirs.
 LATE_SHARE = 0.5
-# As long as an answer of a route that has had none may take, as a multiple of
+# As long as an answer of a route that is not known may take, as a multiple of
 # the route's target time.
 UNKNOWN_FACTOR = 3.0
-# From so many streams of a service on, the length that a request tells counts.
+# So many requests that ended are enough to estimate by them alone.
+ENOUGH_ENDED = 16
+# From so many streams of a service on, the length that a request tells counts
+# alone.
 MIN_STREAMS = 5
 # The rest of a stream lasts at least this share of a whole one.
 MIN_REST_SHARE = 0.25
@@ -54,6 +58,7 @@
         self._ends_at = math.inf
         self._gives_up_at = math.inf
         self._late_from = math.inf
+        self._learns_until = -math.inf
         # Times by which waits have to be over, by their timers.
         self._timers = {}
         self._quantiles = {}
@@ -63,7 +68,14 @@
         """Monotonic time by which answers have to be whole; inf if unknown."""
         return self._ends_at
 
-    def set(self, ends_at, *, gives_up_at=None, late_from=math.inf):
+    def set(
+        self,
+        ends_at,
+        *,
+        gives_up_at=None,
+        late_from=math.inf,
+        learns_until=-math.inf,
+    ):
         """Set when this instance ends.
 
         Parameters
@@ -74,10 +86,19 @@
             When those that are not are given up.
         late_from : float
             From when on no new connections are expected.
+        learns_until : float
+            Until when other instances may tell what they know; what waits is
+            not given up before.
         """
         self._ends_at = ends_at
         self._late_from = late_from
+        self._learns_until = learns_until
         self._gives_up_at = ends_at if gives_up_at is None else gives_up_at
+        self.refresh()
+
+    def refresh(self):
+        """Estimate anew until when what waits may begin."""
+        self._quantiles.clear()
         for timer, limit in self._timers.items():
             self._schedule(timer, limit)
 
@@ -87,9 +108,7 @@
             durations=self._durations, request=request, phases=phases
         )
 
-    def begin_by(
-        self, request, phase, now, *, delivered_s=0.0, at_least_s=0.0
-    ):
+    def begin_by(self, request, phase, now, *, delivered_s=0.0, unknown_s=0.0):
         """Return until when a phase of a request may begin.
 
         Parameters
@@ -99,8 +118,8 @@
         now : float
         delivered_s : float
             For how long events of its stream have come.
-        at_least_s : float
-            What is known of it otherwise.
+        unknown_s : float
+            How long it may last unless enough is known of its route.
 
         Returns
         -------
@@ -114,10 +133,15 @@
         needed_s = self._needed_s(request, phase, now, risk)
         if is_late:
             needed_s /= LATE_SHARE
+            # With few known ones, the next often lasts longer than all.
+            if not self._is_known(request, phase):
+                needed_s = max(needed_s, _unknown_s(request.route))
         if delivered_s:
             rest_s = MIN_REST_SHARE * needed_s
             needed_s = max(needed_s - delivered_s, rest_s)
-        return self._ends_at - max(needed_s, at_least_s)
+        if unknown_s and not self._is_known(request, phase):
+            needed_s = max(needed_s, unknown_s)
+        return self._ends_at - needed_s
 
     def allows(self, request, phase, now, **known):
         """Return whether a request that begins a phase now likely ends.
@@ -134,8 +158,9 @@
         if self._ends_at == math.inf:
             return None
         begin_by = self.begin_by(request, phase, now, delivered_s=delivered_s)
-        self._log(request, phase, now, begin_by)
-        return None if now <= begin_by else TOO_SOON
+        is_allowed = now <= begin_by
+        self._log(request, phase, now, begin_by, is_allowed)
+        return None if is_allowed else TOO_SOON
 
     async def wait_for(self, waiting, request, phase, *, delivered_s=None):
         """Await what comes before a phase of a request.
@@ -157,16 +182,17 @@
 
         def limit():
             now = self._clock()
-            return self.begin_by(
+            begin_by = self.begin_by(
                 request,
                 phase,
                 now,
                 delivered_s=delivered_s(now) if delivered_s else 0.0,
             )
+            return max(begin_by, self._learns_until)
 
         if self._clock() > limit():
             waiting.close()
-            self._log(request, phase, self._clock(), limit())
+            self._log(request, phase, self._clock(), limit(), False)
             return TOO_SOON
         try:
             async with asyncio.timeout(None) as timer:
@@ -175,7 +201,7 @@
         except TimeoutError:
             if not timer.expired():
                 raise
-            self._log(request, phase, self._clock(), limit())
+            self._log(request, phase, self._clock(), limit(), False)
             return TOO_SOON
 
     @contextlib.asynccontextmanager
@@ -205,20 +231,28 @@
         loop = asyncio.get_running_loop()
         timer.reschedule(loop.time() + max(0.0, left_s))
 
+    def _is_known(self, request, phase):
+        """Return whether enough is known of a request's route."""
+        whole = measuring.Part.WHOLE
+        key = measuring.Key(whole, phase, request.route.name)
+        return self._durations.count_ended(key) >= ENOUGH_ENDED
+
     def _needed_s(self, request, phase, now, risk):
         """Return how long a phase of a request and what follows may last."""
         route = request.route
-        unknown_s = UNKNOWN_FACTOR * route.target_s
-        tokens = measuring.output_tokens(request)
-        if tokens:
-            token_key = measuring.token_key(request.service)
-            if self._durations.count_ended(token_key) >= MIN_STREAMS:
-                first_event = measuring.Part.FIRST_EVENT
-                key = measuring.Key(first_event, phase, route.name)
-                first_s = self._quantile(key, now, risk, unknown_s)
-                return first_s + tokens * self._quantile(token_key, now, risk)
+        # Late requests are held to it in any case.
+        unknown_s = _unknown_s(route) if risk else 0.0
         key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
-        return self._quantile(key, now, risk, unknown_s)
+        whole_s = self._quantile(key, now, risk, unknown_s)
+        tokens = measuring.output_tokens(request)
+        token_key = measuring.token_key(request.service)
+        streams = self._durations.count_ended(token_key)
+        if not tokens or not streams:
+            return whole_s
+        key = key._replace(part=measuring.Part.FIRST_EVENT)
+        told_s = self._quantile(key, now, risk, unknown_s)
+        told_s += tokens * self._quantile(token_key, now, risk)
+        return told_s if streams >= MIN_STREAMS else max(told_s, whole_s)
 
     def _quantile(self, key, now, risk, unknown=0.0):
         at, value = self._quantiles.get((key, risk), (-math.inf, 0.0))
@@ -232,17 +266,15 @@
             self._quantiles[key, risk] = now, value
         return value
 
-    def _log(self, request, phase, now, begin_by):
+    def _log(self, request, phase, now, begin_by, is_allowed):
         route = request.route
         key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
-        samples = self._durations.samples(key, now)
-        ended = self._durations.count_ended(key)
         self._journal.write(
             "stop_checked",
             request=request.id,
             route=route.name,
             begins=phase.value,
-            is_allowed=now <= begin_by,
+            is_allowed=is_allowed,
             left_s=round(self._ends_at - now, 3),
             needed_s=(
                 None
@@ -250,11 +282,15 @@
                 else round(self._ends_at - begin_by, 3)
             ),
             deadline_s=round(request.deadline - now, 3),
-            ended=ended,
-            others=len(samples) - ended,
+            ended=self._durations.count_ended(key),
+            others=self._durations.count_others(key),
         )
 
 
+def _unknown_s(route):
+    return UNKNOWN_FACTOR * route.target_s
+
+
 @kernel.plugin("durations")
 async def known_durations(_core):
     """Provide the `Durations` of the requests of this process."""
--- a/sycamoreshed/stopping/measuring.py
+++ b/sycamoreshed/stopping/measuring.py
@@ -14,6 +14,9 @@
     "token_key",
 ]
 
+# Least length of a stream that counts.
+MIN_TOKENS = 16
+
 
 class Phase(enum.Enum):
     """Where a duration begins."""
@@ -53,10 +56,15 @@
 
 
 def output_tokens(request):
-    """Return how long a request says that its stream is, 0 if it does not."""
+    """Return how long a request says that its stream is, 0 if it does not.
+
+    A length that is much too short counts as `MIN_TOKENS`: the time for a
+    token that it seems to show would count for all streams of its service.
+    """
     if not request.route.streaming:
         return 0
-    return work.of_request(request).output_tokens
+    tokens = work.of_request(request).output_tokens
+    return max(tokens, MIN_TOKENS) if tokens > 0 else 0
 
 
 class Measurement:
@@ -81,7 +89,7 @@
         self._attempt_at = None
         self._first_event_at = None
         self._is_resumed = bool(request.head.last_event_id)
-        # Those from the arrival last over all attempts.
+        # They go on from one attempt to the next.
         self._of_request = self._begin(Phase.REQUEST, request.started_at)
         self._of_attempt = {}
         self._tokens_span = None
