Reject at once what would wait too long on a stopping instance

What callers saw: while an instance that is going to be killed stops, with a queue before its engines, a new request with a late deadline waited for a slot, in a trial for 3.8 s, before it was rejected as not run.

Cause: only the run was held against the time of the kill, not the wait for a slot, which admission estimates.

Handlers that still run as the listeners close now have 0.1 s: the drain has waited for them before, and the kill may be close.

--- a/sycamoreshed/admission/admission.py
+++ b/sycamoreshed/admission/admission.py
@@ -89,6 +89,12 @@
         seconds = request.spec["deadline_ms"] / 1000
         return await gate.acquire(entry, seconds, now)
 
+    def expected_wait_s(self, request, now):
+        """Return how long a new request likely waits for a slot."""
+        gate = self._get_gate(gate_service(request.config, request.pipeline))
+        entry = self._queue_entry(request, gate, now)
+        return gate.expected_wait_s(entry, now)
+
     def release(self, ticket, now):
         """Return the slot of a ticket."""
         ticket.gate.release(ticket, now)
--- a/sycamoreshed/admission/gate.py
+++ b/sycamoreshed/admission/gate.py
@@ -86,7 +86,7 @@
             return kinds.Failure(
                 kinds.Kind.HOPELESS, "less time left than it takes"
             )
-        wait = self._expected_wait_s(entry, now)
+        wait = self.expected_wait_s(entry, now)
         # The wait is zero if a slot is free: then a request that may end late
         # delays no other, while a rejected one is certainly lost.  It is also
         # zero if nothing was measured.
@@ -98,6 +98,14 @@
             retry_after=_retry_delay_s(wait),
         )
 
+    def expected_wait_s(self, entry, now):
+        """Return how long an entry that is new likely waits for a slot."""
+        mean = self._run_times[entry.pipeline].mean(now) or 0.0
+        ahead = self._queue.count_ahead(entry.team, entry.weight)
+        if not ahead and self._has_slot():
+            return 0.0
+        return (ahead + 1) * mean / max(1, int(self.limiter.limit))
+
     async def acquire(self, entry, time_limit_s, now):
         """Take a slot, waiting for one if necessary.
 
@@ -144,20 +152,13 @@
 
     def _evict(self, now):
         entry = self._queue.evict()
-        wait = self._expected_wait_s(entry, now)
+        wait = self.expected_wait_s(entry, now)
         entry.decision.set_result(
             kinds.Failure(
                 kinds.Kind.SHED, "queue full", retry_after=_retry_delay_s(wait)
             )
         )
 
-    def _expected_wait_s(self, entry, now):
-        mean = self._run_times[entry.pipeline].mean(now) or 0.0
-        ahead = self._queue.count_ahead(entry.team, entry.weight)
-        if not ahead and self._has_slot():
-            return 0.0
-        return (ahead + 1) * mean / max(1, int(self.limiter.limit))
-
     async def _wait(self, entry, time_limit_s, now):
         """Wait for the decision on an entry, until its start deadline."""
         decision = entry.decision
--- a/sycamoreshed/entry/callers.py
+++ b/sycamoreshed/entry/callers.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers."""
 
 import asyncio
+import functools
 
 from aiohttp import web
 from loguru import logger
@@ -255,7 +256,9 @@
     async def _admit_and_run(self, http, parsed, started_at):
         request = parsed.request
         ticket = await self._stop_limit.wait_to_begin(
-            self._admission.acquire(request, self._core.clock()), request
+            self._admission.acquire(request, self._core.clock()),
+            request,
+            functools.partial(self._admission.expected_wait_s, request),
         )
         if isinstance(ticket, kinds.Failure):
             if request.key is not None:
--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -30,7 +30,7 @@
 # For handlers that still run when the listeners close, and again for them to
 # end once they are cancelled.  The HTTP library would wait without a limit if
 # it were zero.
-CLOSE_S = 0.5
+CLOSE_S = 0.1
 # Of the request line, and of all header fields together.
 MAX_HEADER_BYTES = 16384
 # For connections without a request, and for the head of a request.
--- a/sycamoreshed/pipeline/stops.py
+++ b/sycamoreshed/pipeline/stops.py
@@ -73,19 +73,23 @@
         """Return whether a run that begins a stage now likely ends in time."""
         return now <= self.begin_by(request, index, now)
 
-    async def wait_to_begin(self, waiting, request):
+    async def wait_to_begin(self, waiting, request, expected_wait_s):
         """Await what comes before a run; `STOPPING` once it must not begin.
 
         Parameters
         ----------
         waiting : coroutine
         request : Request
+        expected_wait_s : callable
+            Takes the time, returns how long the wait likely takes.
         """
 
         def begin_by():
             return self.begin_by(request, 0, self._clock())
 
-        if self._clock() > begin_by():
+        now = self._clock()
+        limit = begin_by()
+        if limit != math.inf and now + expected_wait_s(now) > limit:
             waiting.close()
             return STOPPING
         return await self._await_until(begin_by, waiting, STOPPING)
--- a/sycamoreshed/pipeline/tests/test_stops.py
+++ b/sycamoreshed/pipeline/tests/test_stops.py
@@ -49,6 +49,11 @@
     assert limit.allows(request, 0, request.deadline)
 
 
+def no_wait_s(_now):
+    """Return how long a request waits that begins at once."""
+    return 0.0
+
+
 @pytest.mark.parametrize("is_set_before", [True, False])
 async def test_request_does_not_wait_until_its_run_would_not_end(
     is_set_before,
@@ -59,7 +64,7 @@
     if is_set_before:
         limit.set(time.monotonic() + DEADLINE_S / 2)
     waiting = asyncio.create_task(
-        limit.wait_to_begin(asyncio.Event().wait(), request)
+        limit.wait_to_begin(asyncio.Event().wait(), request, no_wait_s)
     )
     await asyncio.sleep(0)
     assert not waiting.done() or is_set_before
@@ -68,6 +73,20 @@
         assert await waiting == stops.STOPPING
 
 
+@pytest.mark.parametrize("wait_s, is_begun", [(1.0, True), (29.0, False)])
+async def test_request_that_would_wait_too_long_is_rejected_at_once(
+    wait_s, is_begun
+):
+    """Requests were rejected only after they had waited for seconds."""
+    limit = stops.StopLimit(clock=time.monotonic)
+    request = fakes.request(seconds=DEADLINE_S)
+    record(limit, request, 2.0)
+    limit.set(time.monotonic() + 30.0)
+    waiting = asyncio.sleep(0, result="ticket")
+    result = await limit.wait_to_begin(waiting, request, lambda _now: wait_s)
+    assert result == ("ticket" if is_begun else stops.STOPPING)
+
+
 async def test_run_is_given_up_as_the_instance_ends():
     limit = stops.StopLimit(clock=time.monotonic)
     running = asyncio.create_task(
