--- a/sycamoreshed/adapters/tests/test_endpoints.py
+++ b/sycamoreshed/adapters/tests/test_endpoints.py
@@ -1,16 +1,19 @@
 """Results of the client of endpoints for each fault of a stand-in."""
 
 import contextlib
+import json
 import socket
 
 import aiohttp
 import pytest
 
 from standins import host
+from standins import scripted
 from sycamoreshed.adapters import endpoints
 from sycamoreshed.adapters import web
 from sycamoreshed.errors import kinds
 from sycamoreshed.observe import metrics
+from testkit import brokenheads
 from testkit import builders
 
 FAILED = kinds.Kind.STAGE_FAILED
@@ -173,3 +176,68 @@
             await endpoints.asyncio.sleep(0.01)
         counts = await client.request(endpoint, "GET", "/counts", timeout=5)
     assert counts.body["cancelled"] == 1
+
+
+def body_of(received):
+    """Return a whole answer to a call: an output, or the lines of a stream."""
+    call = json.loads(received.body)
+    if received.target == "/lookup":
+        return json.dumps({"state": "ran", "output": 1}).encode()
+    ids = {name: call[name] for name in ("request", "stage", "attempt")}
+    if received.target == "/call":
+        return json.dumps({**ids, "output": 1}).encode()
+    lines = [{"offset": 0, "token": "t"}, {"offset": 1, "finish": "stop"}]
+    return b"".join(
+        json.dumps({**ids, **line}).encode() + b"\n" for line in lines
+    )
+
+
+async def result_of(answer, way):
+    """Return the last of what an endpoint's answer is read as."""
+
+    def script(received):
+        yield brokenheads.carrying(answer, body_of(received))
+        yield 0.05
+
+    server = scripted.Endpoint(script)
+    await server.start()
+    endpoint = endpoint_at(server.address)
+    async with web.open_session(web.Connector()) as session:
+        client = endpoints.Endpoints(
+            session=session, metrics=metrics.Metrics()
+        )
+        if way == "stream":
+            stream = client.stream(endpoint, new_call(1), timeout=30)
+            result = [item async for item in stream][-1]
+        elif way == "call":
+            result = await client.call(endpoint, new_call(1), timeout=30)
+        else:
+            result = await client.look_up(endpoint, "k", timeout=30)
+    await server.stop()
+    assert server.seen
+    return result
+
+
+@pytest.mark.parametrize("way", ["call", "stream", "look up"])
+async def test_answer_with_a_broken_head_is_a_failure(way):
+    """The body of an answer whose head is none was taken for an output."""
+    wrong = {}
+    for name, answer in brokenheads.BROKEN.items():
+        result = await result_of(answer, way)
+        if not getattr(result, "sent", False) or "Told" in result.reason:
+            wrong[name] = result
+    assert sorted(wrong) == []
+
+
+@pytest.mark.parametrize("way", ["call", "stream", "look up"])
+async def test_answer_with_an_odd_head_is_taken(way):
+    """The answers of the test above fail for their heads alone."""
+    wrong = {}
+    for name, (status, answer) in brokenheads.SOUND.items():
+        # Its body is sent in parts of a fixed size.
+        if status != 200 or name == "chunks":
+            continue
+        result = await result_of(answer, way)
+        if isinstance(result, kinds.Failure):
+            wrong[name] = result
+    assert sorted(wrong) == []
--- a/testkit/brokenheads.py
+++ b/testkit/brokenheads.py
@@ -1,6 +1,8 @@
 """Heads of answers that are no HTTP, and some that merely look odd."""
 
-__all__ = ["BODY", "BROKEN", "NAME", "SOUND", "broken"]
+import re
+
+__all__ = ["BODY", "BROKEN", "NAME", "SOUND", "broken", "carrying"]
 
 # A whole event, so that streams are sound but for their head.
 BODY = b"a:b\n\n"
@@ -8,6 +10,7 @@
 _PROOF = f"{NAME}: proof\r\n".encode()
 _LENGTH = b"Content-Length: 5\r\n"
 _OK = b"HTTP/1.1 200 Told\r\n"
+_LENGTH_OF_BODY = re.compile(rb"(Content-Length: (?:[+-]|0x)?)5(?=\r?\n)")
 
 
 def _status(line):
@@ -137,3 +140,13 @@
         yield BROKEN[name]
 
     return script
+
+
+def carrying(answer, body):
+    """Return an answer of `BROKEN` or `SOUND` with another body."""
+
+    def length(found):
+        number = b"%x" if found[1].endswith(b"0x") else b"%d"
+        return found[1] + number % len(body)
+
+    return _LENGTH_OF_BODY.sub(length, answer).replace(BODY, body)
--- a/tests/integration/test_broken_heads.py
+++ b/tests/integration/test_broken_heads.py
@@ -27,14 +27,15 @@
     store.put("op", "config", wiredata.configuration(2, routes=routes))
 
 
-async def ask(gateway):
+async def ask(gateway, *, body=b"b"):
     """Send a request as a caller that reads bytes; return its answer."""
-    raw = await rawcalls.call(gateway.public, PATH, wiredata.head(), body=b"b")
+    raw = await rawcalls.call(gateway.public, PATH, wiredata.head(), body=body)
     return rawcalls.parse(raw)
 
 
+@pytest.mark.parametrize("size", [0, 1, 10**6])
 @pytest.mark.parametrize("route", ROUTES)
-async def test_broken_head_is_a_failed_attempt(store, tmp_path, route):
+async def test_broken_head_is_a_failed_attempt(store, tmp_path, route, size):
     """Callers got a status of 000, fields that are none, or no answer."""
     names = list(brokenheads.BROKEN)
     left = iter(names)
@@ -53,7 +54,7 @@
     ):
         for name in names:
             try:
-                answer = await ask(gateway)
+                answer = await ask(gateway, body=bytes(size))
             except (AssertionError, ValueError, TimeoutError) as err:
                 wrong[name] = repr(err)
                 continue
