--- a/testkit/latecallers.py
+++ b/testkit/latecallers.py
@@ -625,7 +625,11 @@
         ]
         services.append(
             wiredata.piece_service(
-                "first", slots=100, queue=100, batch=1, call_ms=500.0
+                "first",
+                slots=100,
+                queue=100,
+                batch=1,
+                call_ms=1000 * MEDIAN_S / 2 * scale,
             )
         )
     if plan.engine_slots:
