--- a/sycamoreshed/entry/servers.py
+++ b/sycamoreshed/entry/servers.py
@@ -150,7 +150,8 @@
     Requests that arrive during the grace period are served, even if the
     process reads them only later.  Requests after that, and those whose body
     is still arriving as the drain ends, are answered with kind ``draining``,
-    on new and on open connections.
+    on new and on open connections.  If the process is killed some time after
+    the start, nothing begins that may not end by then.
 
     Notes
     -----
