--- a/sycamoreshed/pipeline/stops.py
+++ b/sycamoreshed/pipeline/stops.py
@@ -1,18 +1,14 @@
 """Which requests end before this process is killed, once it stops."""
 
-import asyncio
 import math
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.stopping import durations
+from sycamoreshed.stopping import limits
 
 __all__ = ["STOPPING", "StopLimit"]
 
-# Share of runs that may last longer than is estimated: a rejection costs its
-# caller one more try, whereas the work for what is given up is lost.
-MAX_RISK = 0.05
-
 STOPPING = kinds.Failure(kinds.Kind.DRAINING, "stopping")
 
 
@@ -32,14 +28,12 @@
         self._clock = clock
         self._ends_at = math.inf
         self._durations = durations.Durations()
-        # Functions that return when the timers expire.
-        self._timers = {}
+        self._limits = limits.MovableLimits(clock=clock)
 
     def set(self, ends_at):
         """Set the time by which answers have to be whole."""
         self._ends_at = ends_at
-        for timer, expires_at in self._timers.items():
-            self._schedule(timer, expires_at())
+        self._limits.refresh()
 
     def measure(self, request, index, now):
         """Return the `Span` of the rest of a run, from a stage on."""
@@ -67,7 +61,7 @@
         if not self._durations.count_ended(key):
             return -math.inf
         samples = self._durations.samples(key, now)
-        return self._ends_at - durations.quantile(samples, MAX_RISK)
+        return self._ends_at - durations.quantile(samples, durations.MAX_RISK)
 
     def allows(self, request, index, now):
         """Return whether a run that begins a stage now likely ends in time."""
@@ -109,24 +103,13 @@
 
     async def _await_until(self, expires_at, awaited, failure):
         try:
-            async with asyncio.timeout(None) as timer:
-                self._timers[timer] = expires_at
-                self._schedule(timer, expires_at())
-                try:
-                    return await awaited
-                finally:
-                    del self._timers[timer]
+            async with self._limits.limit(expires_at) as timer:
+                return await awaited
         except TimeoutError:
             if not timer.expired():
                 raise
             return failure
 
-    def _schedule(self, timer, expires_at):
-        if expires_at == math.inf or timer.expired():
-            return
-        left_s = max(0.0, expires_at - self._clock())
-        timer.reschedule(asyncio.get_running_loop().time() + left_s)
-
 
 def _key(request, index):
     return request.pipeline, request.spec["stages"][index]["name"]
--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -4,21 +4,16 @@
 one that is rejected in time is served by another instance.
 """
 
-import asyncio
-import contextlib
 import math
 
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.stopping import durations
+from sycamoreshed.stopping import limits
 from sycamoreshed.stopping import measuring
 
 __all__ = ["StopDeadline", "TOO_SOON"]
 
-# Share of requests that may last longer than is estimated, if enough of them
-# are known: a rejection costs its caller one more try, whereas what is cut off
-# may be lost.
-MAX_RISK = 0.05
 # Callers that come late know other instances.  All requests that are known
 # have to last less than this share of the time that is left for theirs.
 LATE_SHARE = 0.5
@@ -59,8 +54,7 @@
         self._gives_up_at = math.inf
         self._late_from = math.inf
         self._learns_until = -math.inf
-        # Times by which waits have to be over, by their timers.
-        self._timers = {}
+        self._limits = limits.MovableLimits(clock=clock)
         self._quantiles = {}
 
     @property
@@ -99,8 +93,7 @@
     def refresh(self):
         """Estimate anew until when what waits may begin."""
         self._quantiles.clear()
-        for timer, limit in self._timers.items():
-            self._schedule(timer, limit)
+        self._limits.refresh()
 
     def measure(self, request, *, phases=tuple(measuring.Phase)):
         """Return the `Measurement` of some phases of a request."""
@@ -129,7 +122,7 @@
         if self._ends_at == math.inf or request.deadline <= self._ends_at:
             return math.inf
         is_late = request.started_at > self._late_from
-        risk = 0.0 if is_late else MAX_RISK
+        risk = 0.0 if is_late else durations.MAX_RISK
         needed_s = self._needed_s(request, phase, now, risk)
         if is_late:
             needed_s /= LATE_SHARE
@@ -195,41 +188,20 @@
             self._log(request, phase, self._clock(), limit(), False)
             return TOO_SOON
         try:
-            async with asyncio.timeout(None) as timer:
-                with self._scheduled(timer, limit):
-                    return await waiting
+            async with self._limits.limit(limit) as timer:
+                return await waiting
         except TimeoutError:
             if not timer.expired():
                 raise
             self._log(request, phase, self._clock(), limit(), False)
             return TOO_SOON
 
-    @contextlib.asynccontextmanager
-    async def time_limit(self):
+    def time_limit(self):
         """End a block with `TimeoutError` once this instance has no time.
 
-        Yields the `asyncio.Timeout`, which tells whether that was the reason.
+        Returns an asynchronous context manager, see `MovableLimits.limit`.
         """
-        async with asyncio.timeout(None) as timer:
-            with self._scheduled(timer, lambda: self._gives_up_at):
-                yield timer
-
-    @contextlib.contextmanager
-    def _scheduled(self, timer, limit):
-        self._timers[timer] = limit
-        if self._ends_at != math.inf:
-            self._schedule(timer, limit)
-        try:
-            yield
-        finally:
-            del self._timers[timer]
-
-    def _schedule(self, timer, limit):
-        left_s = limit() - self._clock()
-        if left_s == math.inf or timer.expired():
-            return
-        loop = asyncio.get_running_loop()
-        timer.reschedule(loop.time() + max(0.0, left_s))
+        return self._limits.limit(lambda: self._gives_up_at)
 
     def _is_known(self, request, phase):
         """Return whether enough is known of a request's route."""
--- a/sycamoreshed/stopping/durations.py
+++ b/sycamoreshed/stopping/durations.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Durations", "Sample", "Span", "Series", "quantile"]
 
+# Share of what may last longer than is estimated, if enough is known: a
+# rejection costs its caller one more try, whereas what is cut off may be lost.
+MAX_RISK = 0.05
 # Latest samples of a series that are kept: of those that ended, and of those
 # that were given up.
 MAX_SAMPLES = 64
