--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -9,26 +9,14 @@
 from sycamoreshed.errors import kinds
 from sycamoreshed.kernel import kernel
 from sycamoreshed.stopping import durations
+from sycamoreshed.stopping import estimating
 from sycamoreshed.stopping import limits
 from sycamoreshed.stopping import measuring
 
 __all__ = ["StopDeadline", "TOO_SOON"]
 
-# Callers that come late know other instances.  All requests that are known
-# have to last less than this share of the time that is left for theirs.
-LATE_SHARE = 0.5
-# As long as an answer of a route that is not known may take, as a multiple of
-# the route's target time.
-UNKNOWN_FACTOR = 3.0
-# So many requests that ended are enough to estimate by them alone.
-ENOUGH_ENDED = 16
-# From so many streams of a service on, the length that a request tells counts
-# alone.
-MIN_STREAMS = 5
 # The rest of a stream lasts at least this share of a whole one.
 MIN_REST_SHARE = 0.25
-# An estimate is used for so long: many requests may wait.
-ESTIMATE_TTL_S = 0.05
 
 TOO_SOON = kinds.Failure(
     kinds.Kind.DRAINING, "this instance stops too soon", sent=False
@@ -48,6 +36,7 @@
 
     def __init__(self, *, known, journal, clock):
         self._durations = known
+        self._estimates = estimating.Estimates(known=known)
         self._journal = journal
         self._clock = clock
         self._ends_at = math.inf
@@ -55,7 +44,6 @@
         self._late_from = math.inf
         self._learns_until = -math.inf
         self._limits = limits.MovableLimits(clock=clock)
-        self._quantiles = {}
 
     @property
     def ends_at(self):
@@ -92,7 +80,7 @@
 
     def refresh(self):
         """Estimate anew until when what waits may begin."""
-        self._quantiles.clear()
+        self._estimates.clear()
         self._limits.refresh()
 
     def measure(self, request, *, phases=tuple(measuring.Phase)):
@@ -121,18 +109,15 @@
         """
         if self._ends_at == math.inf or request.deadline <= self._ends_at:
             return math.inf
-        is_late = request.started_at > self._late_from
-        risk = 0.0 if is_late else durations.MAX_RISK
-        needed_s = self._needed_s(request, phase, now, risk)
-        if is_late:
-            needed_s /= LATE_SHARE
-            # With few known ones, the next often lasts longer than all.
-            if not self._is_known(request, phase):
-                needed_s = max(needed_s, _unknown_s(request.route))
+        estimates = self._estimates
+        if request.started_at > self._late_from:
+            needed_s = estimates.late_needed_s(request, phase, now)
+        else:
+            needed_s = estimates.needed_s(request, phase, now)
         if delivered_s:
             rest_s = MIN_REST_SHARE * needed_s
             needed_s = max(needed_s - delivered_s, rest_s)
-        if unknown_s and not self._is_known(request, phase):
+        if unknown_s and not estimates.is_known(request, phase):
             needed_s = max(needed_s, unknown_s)
         return self._ends_at - needed_s
 
@@ -203,41 +188,6 @@
         """
         return self._limits.limit(lambda: self._gives_up_at)
 
-    def _is_known(self, request, phase):
-        """Return whether enough is known of a request's route."""
-        whole = measuring.Part.WHOLE
-        key = measuring.Key(whole, phase, request.route.name)
-        return self._durations.count_ended(key) >= ENOUGH_ENDED
-
-    def _needed_s(self, request, phase, now, risk):
-        """Return how long a phase of a request and what follows may last."""
-        route = request.route
-        # Late requests are held to it in any case.
-        unknown_s = _unknown_s(route) if risk else 0.0
-        key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
-        whole_s = self._quantile(key, now, risk, unknown_s)
-        tokens = measuring.output_tokens(request)
-        token_key = measuring.token_key(request.service)
-        streams = self._durations.count_ended(token_key)
-        if not tokens or not streams:
-            return whole_s
-        key = key._replace(part=measuring.Part.FIRST_EVENT)
-        told_s = self._quantile(key, now, risk, unknown_s)
-        told_s += tokens * self._quantile(token_key, now, risk)
-        return told_s if streams >= MIN_STREAMS else max(told_s, whole_s)
-
-    def _quantile(self, key, now, risk, unknown=0.0):
-        at, value = self._quantiles.get((key, risk), (-math.inf, 0.0))
-        if not 0.0 <= now - at < ESTIMATE_TTL_S:
-            samples = self._durations.samples(key, now)
-            value = 0.0
-            if samples:
-                value = durations.quantile(samples, risk)
-            if not self._durations.count_ended(key):
-                value = max(value, unknown)
-            self._quantiles[key, risk] = now, value
-        return value
-
     def _log(self, request, phase, now, begin_by, is_allowed):
         route = request.route
         key = measuring.Key(measuring.Part.WHOLE, phase, route.name)
@@ -259,10 +209,6 @@
         )
 
 
-def _unknown_s(route):
-    return UNKNOWN_FACTOR * route.target_s
-
-
 @kernel.plugin("durations")
 async def known_durations(_core):
     """Provide the `Durations` of the requests of this process."""
--- a/sycamoreshed/stopping/tests/test_deadline.py
+++ b/sycamoreshed/stopping/tests/test_deadline.py
@@ -6,8 +6,8 @@
 import pytest
 
 from sycamoreshed.errors import kinds
-from sycamoreshed.stopping import deadline as deadlines
 from sycamoreshed.stopping import durations
+from sycamoreshed.stopping import estimating
 from sycamoreshed.stopping import measuring
 from sycamoreshed.stopping.tests import builders
 
@@ -37,7 +37,7 @@
     """It was taken until the end, as nothing was known of its route."""
     stopping = builders.make_deadline()
     stopping.set(10.0)
-    unknown_s = deadlines.UNKNOWN_FACTOR
+    unknown_s = estimating.UNKNOWN_FACTOR
     assert needed_s(stopping, builders.request()) == pytest.approx(unknown_s)
     slow = builders.request(builders.route("slow", target_s=4.0))
     assert not stopping.allows(slow, REQUEST, 0.0)
@@ -160,7 +160,7 @@
     stopping.set(13.0, late_from=3.0)
     late = builders.request()
     late.started_at = 3.1
-    unknown_s = deadlines.UNKNOWN_FACTOR
+    unknown_s = estimating.UNKNOWN_FACTOR
     assert needed_s(stopping, late) == pytest.approx(unknown_s)
 
 
@@ -181,7 +181,7 @@
     """A long stream was taken late after a few short ones."""
     stopping = builders.make_deadline()
     on = builders.route(streaming=True)
-    for _ in range(deadlines.MIN_STREAMS - 1):
+    for _ in range(estimating.MIN_STREAMS - 1):
         request = builders.request(on, tokens=20)
         builders.measure(stopping, request, 0.5, first_event_s=0.1)
     stopping.set(30.0)
@@ -233,7 +233,7 @@
         stopping.wait_for(asyncio.sleep(30.0), request, ATTEMPT)
     )
     await asyncio.sleep(0.01)
-    stopping.set(time.monotonic() + deadlines.UNKNOWN_FACTOR + 0.1)
+    stopping.set(time.monotonic() + estimating.UNKNOWN_FACTOR + 0.1)
     async with asyncio.timeout(5.0):
         result = await waiting
     assert result.kind is kinds.Kind.DRAINING
@@ -296,5 +296,5 @@
     measurement.end(0.2, is_whole=True)
     stopping.set(10.0)
     assert needed_s(stopping, builders.request(), ATTEMPT) < 1.0
-    unknown_s = deadlines.UNKNOWN_FACTOR
+    unknown_s = estimating.UNKNOWN_FACTOR
     assert needed_s(stopping, builders.request()) == pytest.approx(unknown_s)
