Open callers' connections to the instance that they ask

In plays of three instances with open connections all of them went to the first one, and what came of them was judged by the stop of another one.

--- a/testkit/latecallers.py
+++ b/testkit/latecallers.py
@@ -420,8 +420,9 @@
             for number in range(plan.callers)
         ]
         if plan.is_open:
-            for call in calls:
-                self._opened[call.request] = await self._connect(0)
+            for number, call in enumerate(calls):
+                instance = number % plan.instances
+                self._opened[call.request] = await self._connect(instance)
         began_at = time.monotonic()
         watching = asyncio.create_task(self._watch_lag())
         async with asyncio.TaskGroup() as group:
