--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -200,6 +200,20 @@
     return check_readiness
 
 
+def _set_stop_deadline(core, started_at):
+    """Set when this instance ends; return when it gives up what has not."""
+    grace_s = core.settings.grace_s
+    gives_up_at = started_at + max(0.0, grace_s - GIVE_UP_MARGIN_S)
+    new_connections_s = min(NEW_CONNECTIONS_S, NEW_CONNECTIONS_SHARE * grace_s)
+    core.part("stop_deadline").set(
+        started_at + grace_s - WRITE_MARGIN_S,
+        gives_up_at=gives_up_at,
+        late_from=started_at + new_connections_s,
+        learns_until=started_at + telling.TIMEOUT_S,
+    )
+    return gives_up_at
+
+
 async def _learn(core):
     """Ask other instances how long requests last, and estimate by it."""
     await core.part("duration_exchange").ask(core.clock())
@@ -221,16 +235,9 @@
     requests = core.part("handler")
     journal = core.part("journal")
     journal.write("stop", in_flight=requests.in_flight)
-    grace_s = core.settings.grace_s
-    gives_up_at = started_at + max(0.0, grace_s - GIVE_UP_MARGIN_S)
-    core.part("stop_deadline").set(
-        started_at + grace_s - WRITE_MARGIN_S,
-        gives_up_at=gives_up_at,
-        late_from=started_at
-        + min(NEW_CONNECTIONS_S, NEW_CONNECTIONS_SHARE * grace_s),
-        learns_until=started_at + telling.TIMEOUT_S,
-    )
+    gives_up_at = _set_stop_deadline(core, started_at)
     core.spawn(_learn(core), name="ask durations")
+    grace_s = core.settings.grace_s
     await asyncio.sleep(min(ACCEPT_S, ACCEPT_SHARE * grace_s))
     await requests.wait_until_read()
     requests.is_accepting = False
