--- a/sycamoreshed/gateway/listeners.py
+++ b/sycamoreshed/gateway/listeners.py
@@ -36,7 +36,7 @@
 # which a busy process may take note late.
 NEW_CONNECTIONS_S = 2.9
 ACCEPT_S = 3.2
-# The same as shares of a grace period that is short.
+# Upper bounds of both, as shares of the grace period.
 NEW_CONNECTIONS_SHARE = 0.375
 ACCEPT_SHARE = 0.5
 # Bytes that are read ahead of a caller's body, if this instance's memory is
@@ -47,7 +47,7 @@
 # What has not ended by then is given up, with a response if it has none yet.
 # Closing connections takes time as well.
 GIVE_UP_MARGIN_S = 0.4
-# For the responses to what was given up.
+# Time to write the responses to what was given up.
 LAST_WRITES_S = 0.1
 # For handlers that still run when the listeners close.  The HTTP library would
 # wait for them without a limit if it were zero.
--- a/sycamoreshed/links/indirect.py
+++ b/sycamoreshed/links/indirect.py
@@ -21,8 +21,8 @@
 PATH = "/control/calls"
 # Instances that are asked in turn to send a call.
 MAX_ATTEMPTS = 3
-# Those of them do not count that refuse it because they stop, up to so many:
-# during a series of stops the next one may refuse it as well.
+# Refusals of stopping instances do not count as attempts, up to this number:
+# during a series of stops the next instance may refuse the call as well.
 MAX_STOPPING = 12
 # If so many different instances in a row cannot send a call, none is asked for
 # a while: all may be cut off, or all endpoints down.
--- a/sycamoreshed/staging/coordinator.py
+++ b/sycamoreshed/staging/coordinator.py
@@ -24,8 +24,8 @@
 # Allowance for the transfer of a result to where it is needed, subtracted from
 # the deadline of its piece.
 FETCH_S = 0.02
-# A job that may last beyond the end of this instance is run if as many times
-# its expected time is left.
+# A job whose limit is later than the end of this instance is run if this many
+# times its expected duration is left.
 STOP_FACTOR = 2.0
 
 
--- a/sycamoreshed/stopping/deadline.py
+++ b/sycamoreshed/stopping/deadline.py
@@ -15,7 +15,7 @@
 
 __all__ = ["StopDeadline", "TOO_SOON"]
 
-# The rest of a stream lasts at least this share of a whole one.
+# The rest of a stream is assumed to last at least this share of a whole one.
 MIN_REST_SHARE = 0.25
 
 TOO_SOON = kinds.Failure(
--- a/sycamoreshed/stopping/estimating.py
+++ b/sycamoreshed/stopping/estimating.py
@@ -7,18 +7,19 @@
 
 __all__ = ["ENOUGH_ENDED", "LATE_SHARE", "UNKNOWN_FACTOR", "Estimates"]
 
-# Callers that come late know other instances.  All requests that are known
-# have to last less than this share of the time that is left for theirs.
+# Share of the remaining time into which the longest known request has to fit,
+# for requests that arrive when no new connections are expected any more: their
+# callers lose one try, whereas requests that are cut off may be lost.
 LATE_SHARE = 0.5
-# As long as an answer of a route that is not known may take, as a multiple of
-# the route's target time.
+# Assumed duration of requests of a route of which none has ended, as a
+# multiple of the route's target time.
 UNKNOWN_FACTOR = 3.0
-# So many requests that ended are enough to estimate by them alone.
+# Number of ended requests from which a route is known well enough.
 ENOUGH_ENDED = 16
-# From so many streams of a service on, the length that a request tells counts
-# alone.
+# Number of ended streams of a service from which the length that a request
+# tells replaces the durations of its route.
 MIN_STREAMS = 5
-# An estimate is used for so long: many requests may wait.
+# Estimates are cached for this time, as many requests may wait.
 ESTIMATE_TTL_S = 0.05
 
 
@@ -54,7 +55,10 @@
         return self._needed_s(request, phase, now, risk, unknown_s)
 
     def late_needed_s(self, request, phase, now):
-        """Return the same for a request that hardly may last longer."""
+        """Return the same for late requests, of which none should last longer.
+
+        Takes the parameters of `needed_s`.
+        """
         longest_s = self._needed_s(request, phase, now, 0.0, 0.0)
         needed_s = longest_s / LATE_SHARE
         if self.is_known(request, phase):
--- a/sycamoreshed/stopping/measuring.py
+++ b/sycamoreshed/stopping/measuring.py
@@ -35,7 +35,7 @@
 
 
 class Key(typing.NamedTuple):
-    """The requests and the part of them that some durations are of.
+    """Names a `Series` of durations.
 
     Parameters
     ----------
@@ -51,7 +51,7 @@
 
 
 def token_key(service):
-    """Return the `Key` of the times that streams of a service take."""
+    """Return the `Key` of the times for a token of a service's streams."""
     return Key(Part.TOKEN, Phase.ATTEMPT, service)
 
 
