Make the test of forgotten series fail if the busiest one is forgotten

The test passed on the code before series were kept by their use: the series was forgotten and made anew at each use.

--- a/sycamoreshed/stopping/tests/test_durations.py
+++ b/sycamoreshed/stopping/tests/test_durations.py
@@ -44,10 +44,10 @@
 def test_series_that_is_not_used_is_forgotten_first():
     """The busiest route was forgotten, as it was the first one."""
     known = durations.Durations()
+    first = known.series("first")
     for number in range(durations.MAX_SERIES + 10):
-        known.series("first")
         known.series(number)
-    assert "first" in dict(known.items())
+        assert known.series("first") is first
     assert 0 not in dict(known.items())
 
 
